--- /dev/null
+++ b/kind.go
@@ -0,0 +1,143 @@
+package apricotwinch
+
+import (
+	"net/http"
+	"time"
+)
+
+// Kind names one reason for a refusal or failure; the list is closed.
+type Kind string
+
+const (
+	// Invalid is a malformed request or setting.
+	Invalid Kind = "invalid"
+	// Unauthenticated is a missing or unknown token.
+	Unauthenticated Kind = "unauthenticated"
+	// Forbidden is a valid token without the right to the subtree or job.
+	Forbidden Kind = "forbidden"
+	// NotFound is an unknown job, service, path or team.
+	NotFound Kind = "not_found"
+	// Conflict is an edit based on an old revision, or a key reused for another body.
+	Conflict Kind = "conflict"
+	// TooLarge is a body or header over its bound.
+	TooLarge Kind = "too_large"
+	// TooSlow is a sender that did not finish its request in time.
+	TooSlow Kind = "too_slow"
+	// QuotaExceeded is work over the quota of its team.
+	QuotaExceeded Kind = "quota_exceeded"
+	// Overloaded is work shed before it was queued.
+	Overloaded Kind = "overloaded"
+	// NoTarget is a service with no target able to take the request.
+	NoTarget Kind = "no_target"
+	// NoCapacity is a host without room for the task or request.
+	NoCapacity Kind = "no_capacity"
+	// Draining is a target or entry that is leaving.
+	Draining Kind = "draining"
+	// DataCentreOut is a data centre that operators took out of service.
+	DataCentreOut Kind = "data_centre_out"
+	// StaleView is a settings view older than a start allows.
+	StaleView Kind = "stale_view"
+	// StaleEpoch is a command of a partition owner that was replaced.
+	StaleEpoch Kind = "stale_epoch"
+	// StaleIncarnation is a command for a process that was replaced.
+	StaleIncarnation Kind = "stale_incarnation"
+	// NotOwner is a call that only the owner of the partition can serve.
+	NotOwner Kind = "not_owner"
+	// LogUnavailable is a log that can't make the work durable.
+	LogUnavailable Kind = "log_unavailable"
+	// DeadlineExceeded is a deadline that passed before the work was sent.
+	DeadlineExceeded Kind = "deadline_exceeded"
+	// Revoked is work withdrawn before it started.
+	Revoked Kind = "revoked"
+	// Unschedulable is a job that no host can ever hold.
+	Unschedulable Kind = "unschedulable"
+	// Unreachable is a peer that could not be reached, with nothing sent.
+	Unreachable Kind = "unreachable"
+	// Unknown is work that may or may not have run.
+	Unknown Kind = "unknown"
+	// TargetFailed is a target that ran the work and failed.
+	TargetFailed Kind = "target_failed"
+	// Internal is a fault of this program.
+	Internal Kind = "internal"
+)
+
+// Answer is what a caller is told for one kind of error.
+type Answer struct {
+	kind       Kind
+	status     int
+	exitCode   int
+	notRun     bool
+	retryable  bool
+	retryAfter time.Duration
+}
+
+// Kind returns the kind that the answer is for.
+func (a Answer) Kind() Kind { return a.kind }
+
+// Status returns the HTTP status code.
+func (a Answer) Status() int { return a.status }
+
+// ExitCode returns the exit code of a command.
+func (a Answer) ExitCode() int { return a.exitCode }
+
+// NotRun reports whether the work provably did not run.
+func (a Answer) NotRun() bool { return a.notRun }
+
+// Retryable reports whether the same request may succeed later.
+func (a Answer) Retryable() bool { return a.retryable }
+
+// RetryAfter returns how long a caller should wait before it tries again.
+func (a Answer) RetryAfter() time.Duration { return a.retryAfter }
+
+// Counter returns the name of the counter that counts refusals of this kind.
+func (a Answer) Counter() string { return "refused." + string(a.kind) }
+
+// answers is the table from kind to answer, in the order of the exit codes.
+var answers = []Answer{
+	{kind: Internal, status: http.StatusInternalServerError, exitCode: 10},
+	{kind: Invalid, status: http.StatusBadRequest, exitCode: 11, notRun: true},
+	{kind: Unauthenticated, status: http.StatusUnauthorized, exitCode: 12, notRun: true},
+	{kind: Forbidden, status: http.StatusForbidden, exitCode: 13, notRun: true},
+	{kind: NotFound, status: http.StatusNotFound, exitCode: 14, notRun: true},
+	{kind: Conflict, status: http.StatusConflict, exitCode: 15, notRun: true},
+	{kind: TooLarge, status: http.StatusRequestEntityTooLarge, exitCode: 16, notRun: true},
+	{kind: TooSlow, status: http.StatusRequestTimeout, exitCode: 17, notRun: true, retryable: true, retryAfter: time.Second},
+	{kind: QuotaExceeded, status: http.StatusTooManyRequests, exitCode: 18, notRun: true, retryable: true, retryAfter: 5 * time.Second},
+	{kind: Overloaded, status: http.StatusServiceUnavailable, exitCode: 19, notRun: true, retryable: true, retryAfter: time.Second},
+	{kind: NoTarget, status: http.StatusServiceUnavailable, exitCode: 20, notRun: true, retryable: true, retryAfter: 2 * time.Second},
+	{kind: NoCapacity, status: http.StatusServiceUnavailable, exitCode: 21, notRun: true, retryable: true, retryAfter: time.Second},
+	{kind: Draining, status: http.StatusServiceUnavailable, exitCode: 22, notRun: true, retryable: true, retryAfter: time.Second},
+	{kind: DataCentreOut, status: http.StatusServiceUnavailable, exitCode: 23, notRun: true, retryable: true, retryAfter: 5 * time.Second},
+	{kind: StaleView, status: http.StatusServiceUnavailable, exitCode: 24, notRun: true, retryable: true, retryAfter: time.Second},
+	{kind: StaleEpoch, status: http.StatusServiceUnavailable, exitCode: 25, notRun: true, retryable: true, retryAfter: time.Second},
+	{kind: StaleIncarnation, status: http.StatusServiceUnavailable, exitCode: 26, notRun: true, retryable: true, retryAfter: time.Second},
+	{kind: NotOwner, status: http.StatusServiceUnavailable, exitCode: 27, notRun: true, retryable: true, retryAfter: time.Second},
+	{kind: LogUnavailable, status: http.StatusServiceUnavailable, exitCode: 28, notRun: true, retryable: true, retryAfter: 5 * time.Second},
+	{kind: DeadlineExceeded, status: http.StatusGatewayTimeout, exitCode: 29, notRun: true, retryable: true},
+	{kind: Revoked, status: http.StatusServiceUnavailable, exitCode: 30, notRun: true, retryable: true},
+	{kind: Unschedulable, status: http.StatusUnprocessableEntity, exitCode: 31, notRun: true},
+	{kind: Unreachable, status: http.StatusServiceUnavailable, exitCode: 32, notRun: true, retryable: true, retryAfter: time.Second},
+	{kind: Unknown, status: http.StatusBadGateway, exitCode: 33},
+	{kind: TargetFailed, status: http.StatusBadGateway, exitCode: 34},
+}
+
+var answerByKind = indexAnswers()
+
+func indexAnswers() map[Kind]Answer {
+	index := make(map[Kind]Answer, len(answers))
+	for _, a := range answers {
+		index[a.kind] = a
+	}
+	return index
+}
+
+// Answer returns what a caller is told for k; an unlisted kind is Internal.
+func (k Kind) Answer() Answer {
+	if a, ok := answerByKind[k]; ok {
+		return a
+	}
+	return answerByKind[Internal]
+}
+
+// Answers returns the whole table in a fixed order.
+func Answers() []Answer { return append([]Answer(nil), answers...) }
--- /dev/null
+++ b/kind_test.go
@@ -0,0 +1,43 @@
+package apricotwinch_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"apricotwinch"
+)
+
+func TestAnswersAreDistinct(t *testing.T) {
+	seenKind := map[apricotwinch.Kind]bool{}
+	seenExit := map[int]apricotwinch.Kind{}
+	for _, a := range apricotwinch.Answers() {
+		if seenKind[a.Kind()] {
+			t.Errorf("kind %s stands twice", a.Kind())
+		}
+		seenKind[a.Kind()] = true
+		if other, ok := seenExit[a.ExitCode()]; ok {
+			t.Errorf("exit code %d stands for %s and %s", a.ExitCode(), other, a.Kind())
+		}
+		seenExit[a.ExitCode()] = a.Kind()
+		if a.RetryAfter() > 0 && !a.Retryable() {
+			t.Errorf("kind %s has a retry delay but is not retryable", a.Kind())
+		}
+	}
+}
+
+func TestKindOf(t *testing.T) {
+	base := apricotwinch.Errorf(apricotwinch.NoCapacity, "host %s is full", "h1")
+	got := []apricotwinch.Kind{
+		apricotwinch.KindOf(nil),
+		apricotwinch.KindOf(errors.New("plain")),
+		apricotwinch.KindOf(base),
+		apricotwinch.KindOf(fmt.Errorf("place: %w", base)),
+	}
+	want := []apricotwinch.Kind{"", apricotwinch.Internal, apricotwinch.NoCapacity, apricotwinch.NoCapacity}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("KindOf (-want +got):\n%s", diff)
+	}
+}
