--- /dev/null
+++ b/connector/conn.go
@@ -0,0 +1,53 @@
+package connector
+
+import (
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// Names of the counters of bytes on the wire.
+const (
+	counterBytesRead    = "connector.bytes_read"
+	counterBytesWritten = "connector.bytes_written"
+)
+
+// meteredConn counts bytes and remembers when it last read some.
+type meteredConn struct {
+	net.Conn
+	read     metrics.Counter
+	written  metrics.Counter
+	lastRead atomic.Int64
+}
+
+func newMeteredConn(conn net.Conn, registry metrics.Registry) *meteredConn {
+	return &meteredConn{
+		Conn:    conn,
+		read:    metrics.GetOrRegisterCounter(counterBytesRead, registry),
+		written: metrics.GetOrRegisterCounter(counterBytesWritten, registry),
+	}
+}
+
+// Read reads from the connection and counts what it got.
+func (c *meteredConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.read.Inc(int64(n))
+		c.lastRead.Store(time.Now().UnixNano())
+	}
+	return n, err
+}
+
+// Write writes to the connection and counts what it sent.
+func (c *meteredConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.written.Inc(int64(n))
+	return n, err
+}
+
+// silentSince reports whether nothing was read since t.
+func (c *meteredConn) silentSince(t time.Time) bool {
+	return c.lastRead.Load() < t.UnixNano()
+}
--- /dev/null
+++ b/connector/connector_test.go
@@ -0,0 +1,102 @@
+package connector_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rcrowley/go-metrics"
+
+	"apricotwinch"
+	"apricotwinch/connector"
+)
+
+type message struct{ Text string }
+
+func serve(t *testing.T, security connector.Security) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	table := connector.Table{
+		"echo": connector.Handle(func(_ context.Context, m message) (message, error) { return m, nil }),
+		"fail": connector.Handle(func(_ context.Context, m message) (message, error) {
+			return m, apricotwinch.Errorf(apricotwinch.NoCapacity, "full")
+		}),
+		"hang": connector.Handle(func(ctx context.Context, m message) (message, error) {
+			<-ctx.Done()
+			return m, ctx.Err()
+		}),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	server := connector.NewServer(table, security, metrics.NewRegistry(), 10)
+	go func() { defer close(done); server.Serve(ctx, listener) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return listener.Addr().String()
+}
+
+func TestCallKinds(t *testing.T) {
+	tests := []struct {
+		name      string
+		serverKey string
+		clientKey string
+		method    string
+		timeout   time.Duration
+		want      apricotwinch.Kind
+	}{
+		{name: "answered", method: "echo", timeout: time.Minute},
+		{name: "keyed", serverKey: "k", clientKey: "k", method: "echo", timeout: time.Minute},
+		{name: "wrong key", serverKey: "k", clientKey: "x", method: "echo", timeout: time.Minute, want: apricotwinch.Unreachable},
+		{name: "no key", serverKey: "k", method: "echo", timeout: time.Minute, want: apricotwinch.Unauthenticated},
+		{name: "remote kind", method: "fail", timeout: time.Minute, want: apricotwinch.NoCapacity},
+		{name: "no method", method: "none", timeout: time.Minute, want: apricotwinch.NotFound},
+		{name: "timeout", method: "hang", timeout: 50 * time.Millisecond, want: apricotwinch.Unknown},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			address := serve(t, connector.NewSecurity(nil, nil, []byte(test.serverKey)))
+			pool := connector.NewPool(connector.NewSecurity(nil, nil, []byte(test.clientKey)), metrics.NewRegistry())
+			defer pool.Close()
+			ctx, cancel := context.WithTimeout(context.Background(), test.timeout)
+			defer cancel()
+			var got message
+			err := pool.Call(ctx, address, test.method, message{Text: "hello"}, &got)
+			if diff := cmp.Diff(test.want, apricotwinch.KindOf(err)); diff != "" {
+				t.Fatalf("kind (-want +got):\n%s%v", diff, err)
+			}
+			if diff := cmp.Diff("hello", got.Text); err == nil && diff != "" {
+				t.Errorf("answer (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestCallUnreachable(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	listener.Close()
+	pool := connector.NewPool(connector.Security{}, metrics.NewRegistry())
+	err = pool.Call(context.Background(), address, "echo", message{}, &message{})
+	if diff := cmp.Diff(apricotwinch.Unreachable, apricotwinch.KindOf(err)); diff != "" {
+		t.Errorf("kind (-want +got):\n%s", diff)
+	}
+}
+
+func TestCheckListen(t *testing.T) {
+	if err := (connector.Security{}).CheckListen("127.0.0.1:0"); err != nil {
+		t.Errorf("loopback refused: %v", err)
+	}
+	if err := (connector.Security{}).CheckListen("10.0.0.1:0"); apricotwinch.KindOf(err) != apricotwinch.Invalid {
+		t.Errorf("open address without a key: %v", err)
+	}
+	if err := connector.NewSecurity(nil, nil, []byte("k")).CheckListen("10.0.0.1:0"); err != nil {
+		t.Errorf("open address with a key: %v", err)
+	}
+}
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -477,6 +477,39 @@
 	Through int `json:"through"`
 }
 
+// An append to the platform's log.
+type LogAppend struct {
+	// Encoded records.
+	Records [][]byte `json:"records"`
+}
+
+// The log's answer to an append.
+type LogAppendReply struct {
+	// Offset of the first record.
+	Offset int `json:"offset"`
+}
+
+// The log's answer to a read.
+type LogRead struct {
+	// Earliest offset that the log still holds.
+	Earliest int `json:"earliest"`
+
+	// Offset that the next append gets.
+	Next int `json:"next"`
+
+	// Records in order.
+	Records []LogRecord `json:"records"`
+}
+
+// One record of the log.
+type LogRecord struct {
+	// Encoded record.
+	Data []byte `json:"data"`
+
+	// Offset of the record.
+	Offset int `json:"offset"`
+}
+
 // The owner of one partition.
 type PartitionOwner struct {
 	// Address of the owner, host:port.
@@ -647,6 +680,30 @@
 	Found bool `json:"found"`
 }
 
+// A target's announcement to the agent beside it, repeated as a heartbeat.
+type TargetAnnounce struct {
+	// Base URL of the target.
+	Address string `json:"address"`
+
+	// Connections that the target accepts.
+	Connections int `json:"connections"`
+
+	// Whether the target leaves.
+	Leaving bool `json:"leaving,omitempty,omitzero"`
+
+	// What the target holds of its host.
+	Reserved Resources `json:"reserved"`
+
+	// Name of the service.
+	Service string `json:"service"`
+
+	// Requests that the target runs at once.
+	Slots int `json:"slots"`
+
+	// Team that owns the service.
+	Team string `json:"team"`
+}
+
 // An agent's report on one attempt.
 type TaskReport struct {
 	// Number of the attempt.
@@ -718,3 +775,108 @@
 	// Observed use.
 	Used Resources `json:"used"`
 }
+
+// A command to the platform's worker to drop what it keeps of ended attempts.
+type WorkerForget struct {
+	// Attempts to forget.
+	Attempts []AttemptRef `json:"attempts"`
+}
+
+// The end of one attempt's lease.
+type WorkerLease struct {
+	// Attempt that holds the lease.
+	Attempt AttemptRef `json:"attempt"`
+
+	// Time of the host's clock at which the lease lapses, in milliseconds since 1970.
+	LeaseUntilUnixMillis int `json:"leaseUntilUnixMillis"`
+}
+
+// A command to the platform's worker to move the ends of leases.
+type WorkerRenew struct {
+	// Leases to renew; the worker never moves an end back and never revives a lapsed
+	// lease.
+	Leases []WorkerLease `json:"leases"`
+}
+
+// A command to the platform's worker to start a task under a lease.
+type WorkerStart struct {
+	// Attempt to start; the worker starts an attempt at most once.
+	Attempt AttemptRef `json:"attempt"`
+
+	// Checkpoint to resume from.
+	Checkpoint []byte `json:"checkpoint,omitempty,omitzero"`
+
+	// Time of the host's clock at which the worker stops the task unless its lease is
+	// renewed, in milliseconds since 1970.
+	LeaseUntilUnixMillis int `json:"leaseUntilUnixMillis"`
+
+	// Opaque input of the job.
+	Payload []byte `json:"payload,omitempty,omitzero"`
+
+	// What the task may use.
+	Resources Resources `json:"resources"`
+
+	// Declared run time in milliseconds, 0 when unknown.
+	RunMillis int `json:"runMillis"`
+
+	// Time of the host's clock after which the worker must refuse, in milliseconds
+	// since 1970.
+	StartBeforeUnixMillis int `json:"startBeforeUnixMillis"`
+
+	// batch, standard or critical.
+	Urgency string `json:"urgency"`
+
+	// Whether the task runs until it is stopped.
+	Watch bool `json:"watch"`
+}
+
+// A command to the platform's worker to stop a task; the answer confirms the stop.
+type WorkerStop struct {
+	// Attempt to stop.
+	Attempt AttemptRef `json:"attempt"`
+
+	// Whether to checkpoint first.
+	Checkpoint bool `json:"checkpoint"`
+}
+
+// One task at the platform's worker.
+type WorkerTask struct {
+	// Attempt.
+	Attempt AttemptRef `json:"attempt"`
+
+	// Latest checkpoint.
+	Checkpoint []byte `json:"checkpoint,omitempty,omitzero"`
+
+	// Age of the use report in milliseconds.
+	LagMillis int `json:"lagMillis"`
+
+	// running, completed, failed, stopped or lapsed.
+	Phase string `json:"phase"`
+
+	// Cause of a failure.
+	Reason string `json:"reason,omitempty,omitzero"`
+
+	// Result of a completed task.
+	Result []byte `json:"result,omitempty,omitzero"`
+
+	// Run time against an undisturbed run, in thousandths.
+	SlowdownPermille int `json:"slowdownPermille"`
+
+	// Observed use, lagged.
+	Used Resources `json:"used"`
+}
+
+// What the platform's worker knows of its tasks.
+type WorkerTasks struct {
+	// Running tasks, and ended ones that were not forgotten.
+	Tasks []WorkerTask `json:"tasks"`
+}
+
+// A command to the platform's worker to slow a task down.
+type WorkerThrottle struct {
+	// Attempt to slow down.
+	Attempt AttemptRef `json:"attempt"`
+
+	// Share of its processors that the task keeps, in thousandths.
+	Permille int `json:"permille"`
+}
