--- /dev/null
+++ b/appender/counters.go
@@ -0,0 +1,35 @@
+package appender
+
+import (
+	"github.com/rcrowley/go-metrics"
+
+	"apricotwinch"
+)
+
+// Names of the counters.
+const (
+	counterAppends    = "appender.appends"
+	counterRecords    = "appender.records"
+	counterFailures   = "appender.append_failures"
+	counterReadBacks  = "appender.read_backs"
+	counterReadFails  = "appender.read_failures"
+	counterFoundBack  = "appender.records_found_back"
+	counterRepeated   = "appender.records_appended_again"
+	counterUnprovable = "appender.records_expired_unread"
+	counterUnknown    = "appender.unknown"
+
+	counterPolls        = "follower.polls"
+	counterPollFailures = "follower.poll_failures"
+	counterFollowed     = "follower.records"
+	counterGaps         = "follower.gaps"
+)
+
+// countRefusal counts a refusal by the kind of err.
+func (a *Appender) countRefusal(err error) {
+	name := "appender." + apricotwinch.KindOf(err).Answer().Counter()
+	metrics.GetOrRegisterCounter(name, a.registry).Inc(1)
+}
+
+func (a *Appender) count(name string, n int) {
+	metrics.GetOrRegisterCounter(name, a.registry).Inc(int64(n))
+}
--- /dev/null
+++ b/appender/follower.go
@@ -0,0 +1,128 @@
+package appender
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
+)
+
+// View is what one read of a followed stream showed.
+type View struct {
+	records  []Record
+	earliest int64
+	next     int64
+	asOf     time.Time
+	gap      bool
+	complete bool
+}
+
+// NewView returns the view of a read issued at asOf from offset from.
+func NewView(batch Batch, from int64, asOf time.Time) View {
+	records := batch.Records()
+	for len(records) > 0 && records[0].Offset() < from {
+		records = records[1:]
+	}
+	end := max(from, batch.Earliest())
+	if len(records) > 0 {
+		end = records[len(records)-1].Offset() + 1
+	}
+	return View{
+		records:  records,
+		earliest: batch.Earliest(),
+		next:     batch.Next(),
+		asOf:     asOf,
+		gap:      batch.Earliest() > from,
+		complete: end >= batch.Next(),
+	}
+}
+
+// Records returns the records that are new since the last view, in order.
+func (v View) Records() []Record { return v.records }
+
+// Earliest returns the first offset that the log still holds.
+func (v View) Earliest() int64 { return v.earliest }
+
+// Next returns the offset that the next append will get.
+func (v View) Next() int64 { return v.next }
+
+// AsOf returns the time just before the read was issued; a complete view shows
+// every record that was durable then.
+func (v View) AsOf() time.Time { return v.asOf }
+
+// Complete reports whether the records reach the tail of the stream.
+func (v View) Complete() bool { return v.complete }
+
+// Gap reports whether records were dropped before the follower read them: a fold
+// is whole again only from a snapshot on.
+func (v View) Gap() bool { return v.gap }
+
+// Follower follows one stream by long polls.
+type Follower struct {
+	log      Log
+	stream   string
+	clock    clockwork.Clock
+	registry metrics.Registry
+	handle   func(View)
+}
+
+// NewFollower returns a follower that passes each view of stream to handle.
+func NewFollower(log Log, stream string, clock clockwork.Clock, registry metrics.Registry, handle func(View)) *Follower {
+	return &Follower{log: log, stream: stream, clock: clock, registry: registry, handle: handle}
+}
+
+// Run follows the stream from offset from until ctx ends. It calls handle after
+// each read, also when there is no new record, so that freshness moves on.
+func (f *Follower) Run(ctx context.Context, from int64) {
+	delays := newBackOff()
+	for ctx.Err() == nil {
+		view, err := f.poll(ctx, from)
+		if err != nil {
+			f.count(counterPollFailures, 1)
+			_ = pause(ctx, f.clock, delays) // The loop ends with ctx.
+			continue
+		}
+		delays.Reset()
+		f.count(counterFollowed, len(view.records))
+		if view.gap {
+			f.count(counterGaps, 1)
+		}
+		from = f.advance(from, view)
+		f.handle(view)
+	}
+}
+
+var errMoved = errors.New("offsets of the stream moved backwards")
+
+func (f *Follower) poll(ctx context.Context, from int64) (View, error) {
+	f.count(counterPolls, 1)
+	ctx, cancel := clockwork.WithTimeout(ctx, f.clock, pollWait+readTimeout)
+	defer cancel()
+	asOf := f.clock.Now()
+	batch, err := f.log.Read(ctx, f.stream, from, pollWait)
+	if err != nil {
+		return View{}, err
+	}
+	if batch.Next() < from {
+		return View{}, errMoved
+	}
+	view := NewView(batch, from, asOf)
+	if len(view.records) == 0 && !view.complete {
+		return View{}, errNoProgress
+	}
+	return view, nil
+}
+
+// advance returns the offset after view.
+func (f *Follower) advance(from int64, view View) int64 {
+	if n := len(view.records); n > 0 {
+		return view.records[n-1].Offset() + 1
+	}
+	return max(from, view.earliest)
+}
+
+func (f *Follower) count(name string, n int) {
+	metrics.GetOrRegisterCounter(name, f.registry).Inc(int64(n))
+}
--- /dev/null
+++ b/appender/follower_test.go
@@ -0,0 +1,140 @@
+package appender_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
+
+	"apricotwinch"
+	"apricotwinch/appender"
+	"apricotwinch/messenger"
+)
+
+// follow runs a follower over log from offset from and returns its views.
+func follow(t *testing.T, log appender.Log, from int64) <-chan appender.View {
+	t.Helper()
+	views := make(chan appender.View)
+	ctx, cancel := context.WithCancel(context.Background())
+	follower := appender.NewFollower(log, "s", clockwork.NewRealClock(), metrics.NewRegistry(), func(v appender.View) {
+		select {
+		case views <- v:
+		case <-ctx.Done():
+		}
+	})
+	done := make(chan struct{})
+	go func() { defer close(done); follower.Run(ctx, from) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return views
+}
+
+type seen struct {
+	Offsets  []int64
+	Complete bool
+	Gap      bool
+}
+
+func summarize(v appender.View) seen {
+	s := seen{Complete: v.Complete(), Gap: v.Gap()}
+	for _, r := range v.Records() {
+		s.Offsets = append(s.Offsets, r.Offset())
+	}
+	return s
+}
+
+func TestFollower(t *testing.T) {
+	f := newFakeLog()
+	f.append(context.Background(), "s", [][]byte{record("0"), record("1"), record("2"), record("3"), record("4")})
+	f.expire(1)
+	before := time.Now()
+	views := follow(t, f.log(), 0)
+	got := []seen{summarize(<-views), summarize(<-views)}
+	empty := <-views
+	got = append(got, summarize(empty))
+	f.failReads(errFault)
+	f.append(context.Background(), "s", [][]byte{record("5")})
+	f.failReads(nil)
+	for v := range views {
+		if len(v.Records()) > 0 {
+			got = append(got, summarize(v))
+			break
+		}
+	}
+	want := []seen{
+		{Offsets: []int64{1, 2, 3}, Gap: true},
+		{Offsets: []int64{4}, Complete: true},
+		{Complete: true},
+		{Offsets: []int64{5}, Complete: true},
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("views (-want +got):\n%s", diff)
+	}
+	if empty.AsOf().Before(before) || empty.AsOf().After(time.Now()) {
+		t.Errorf("asOf %v is outside the run", empty.AsOf())
+	}
+}
+
+// serveHTTP serves f by the platform's interface.
+func serveHTTP(t *testing.T, f *fakeLog) string {
+	t.Helper()
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/streams/{stream}/append", func(w http.ResponseWriter, r *http.Request) {
+		var request messenger.LogAppend
+		json.NewDecoder(r.Body).Decode(&request)
+		offset, err := f.append(r.Context(), r.PathValue("stream"), request.Records)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		json.NewEncoder(w).Encode(messenger.LogAppendReply{Offset: int(offset)})
+	})
+	mux.HandleFunc("GET /v1/streams/{stream}", func(w http.ResponseWriter, r *http.Request) {
+		from, _ := strconv.ParseInt(r.FormValue("from"), 10, 64)
+		wait, _ := strconv.ParseInt(r.FormValue("waitMillis"), 10, 64)
+		batch, _ := f.read(r.Context(), r.PathValue("stream"), from, time.Duration(wait)*time.Millisecond)
+		reply := messenger.LogRead{Earliest: int(batch.Earliest()), Next: int(batch.Next()), Records: []messenger.LogRecord{}}
+		for _, record := range batch.Records() {
+			reply.Records = append(reply.Records, messenger.LogRecord{Offset: int(record.Offset()), Data: record.Data()})
+		}
+		json.NewEncoder(w).Encode(reply)
+	})
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+func TestHTTP(t *testing.T) {
+	f := newFakeLog()
+	client := &http.Client{}
+	t.Cleanup(client.CloseIdleConnections)
+	log := appender.NewHTTP(serveHTTP(t, f), client)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	for want := range int64(2) {
+		got, err := log.Append(ctx, "s", [][]byte{record("x")})
+		if err != nil || got != want {
+			t.Fatalf("Append = %d, %v, want %d", got, err, want)
+		}
+	}
+	f.expire(1)
+	batch, err := log.Read(ctx, "s", 0, time.Millisecond)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := seen{Offsets: []int64{batch.Records()[0].Offset(), batch.Earliest(), batch.Next()}}
+	if diff := cmp.Diff(seen{Offsets: []int64{1, 1, 2}}, got); diff != "" {
+		t.Errorf("read (-want +got):\n%s", diff)
+	}
+	f.failAppends(1)
+	_, err = log.Append(ctx, "s", [][]byte{record("x")})
+	if kind := apricotwinch.KindOf(err); kind != apricotwinch.LogUnavailable {
+		t.Errorf("kind = %s (%v), want %s", kind, err, apricotwinch.LogUnavailable)
+	}
+}
--- /dev/null
+++ b/appender/http.go
@@ -0,0 +1,93 @@
+package appender
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/dghubble/sling"
+
+	"apricotwinch"
+	"apricotwinch/messenger"
+)
+
+// maxReplyBytes bounds the body of one answer of the log.
+const maxReplyBytes = 64 << 20
+
+// readQuery holds the parameters of a read.
+type readQuery struct {
+	From       int64 `url:"from"`
+	WaitMillis int64 `url:"waitMillis"`
+}
+
+// replyDecoder decodes the body of a successful answer up to maxReplyBytes.
+type replyDecoder struct{}
+
+// Decode decodes the JSON body of response into v.
+func (replyDecoder) Decode(response *http.Response, v any) error {
+	return json.NewDecoder(io.LimitReader(response.Body, maxReplyBytes)).Decode(v)
+}
+
+// NewHTTP returns the platform's log at baseURL, called through client.
+func NewHTTP(baseURL string, client *http.Client) Log {
+	base := sling.New().
+		Client(client).
+		Base(strings.TrimSuffix(baseURL, "/") + "/").
+		ResponseDecoder(replyDecoder{})
+	return Log{
+		Append: func(ctx context.Context, stream string, records [][]byte) (int64, error) {
+			return appendOverHTTP(ctx, base, stream, records)
+		},
+		Read: func(ctx context.Context, stream string, from int64, wait time.Duration) (Batch, error) {
+			return readOverHTTP(ctx, base, stream, from, wait)
+		},
+	}
+}
+
+func appendOverHTTP(ctx context.Context, base *sling.Sling, stream string, records [][]byte) (int64, error) {
+	call := base.New().
+		Post("v1/streams/" + url.PathEscape(stream) + "/append").
+		BodyJSON(messenger.LogAppend{Records: records})
+	var reply messenger.LogAppendReply
+	if err := receive(ctx, call, &reply); err != nil {
+		return 0, apricotwinch.Errorf(apricotwinch.LogUnavailable, "append to stream %s: %w", stream, err)
+	}
+	return int64(reply.Offset), nil
+}
+
+func readOverHTTP(ctx context.Context, base *sling.Sling, stream string, from int64, wait time.Duration) (Batch, error) {
+	call := base.New().
+		Get("v1/streams/" + url.PathEscape(stream)).
+		QueryStruct(readQuery{From: from, WaitMillis: wait.Milliseconds()})
+	var reply messenger.LogRead
+	if err := receive(ctx, call, &reply); err != nil {
+		return Batch{}, apricotwinch.Errorf(apricotwinch.LogUnavailable, "read stream %s: %w", stream, err)
+	}
+	records := make([]Record, 0, len(reply.Records))
+	for _, r := range reply.Records {
+		records = append(records, NewRecord(int64(r.Offset), r.Data))
+	}
+	return NewBatch(records, int64(reply.Earliest), int64(reply.Next)), nil
+}
+
+// receive sends call and decodes its answer into reply.
+func receive(ctx context.Context, call *sling.Sling, reply any) error {
+	request, err := call.Request()
+	if err != nil {
+		return err
+	}
+	response, err := call.Do(request.WithContext(ctx), reply, nil)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d", response.StatusCode)
+	}
+	return nil
+}
--- a/appender/log.go
+++ b/appender/log.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 )
 
@@ -62,3 +63,9 @@
 	// StreamSettings carries EditRecord.
 	StreamSettings = "settings"
 )
+
+// JobsStream returns the name of the stream of a partition's LedgerRecord.
+func JobsStream(partition int) string { return fmt.Sprintf("jobs-%d", partition) }
+
+// KeysStream returns the name of the stream of a partition's KeyRecord.
+func KeysStream(partition int) string { return fmt.Sprintf("keys-%d", partition) }
