Add the loader of settings files

Cause: settings come from files and from the log, and a wrong field must be named before anything is applied.

A document is checked against a JSON schema; an error names the source, each broken field and its meaning with its unit, or the line of a syntax error. A document that fails leaves the target as it was.

Conclusion: go test -race ./loader passes.

--- /dev/null
+++ b/loader/schema.go
@@ -0,0 +1,84 @@
+package loader
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/santhosh-tekuri/jsonschema/v6"
+
+	"apricotwinch"
+)
+
+// schemaURL is the base of the locations in validation errors.
+const schemaURL = "schema:///settings.json"
+
+// Schema is a compiled JSON schema.
+type Schema struct {
+	compiled *jsonschema.Schema
+	document any
+}
+
+// NewSchema compiles the JSON schema in data.
+func NewSchema(data []byte) (*Schema, error) {
+	document, err := jsonschema.UnmarshalJSON(bytes.NewReader(data))
+	if err != nil {
+		return nil, fmt.Errorf("schema: %w", err)
+	}
+	compiler := jsonschema.NewCompiler()
+	if err := compiler.AddResource(schemaURL, document); err != nil {
+		return nil, fmt.Errorf("schema: %w", err)
+	}
+	compiled, err := compiler.Compile(schemaURL)
+	if err != nil {
+		return nil, fmt.Errorf("schema: %w", err)
+	}
+	return &Schema{compiled: compiled, document: document}, nil
+}
+
+// MustSchema is NewSchema for an embedded schema; it panics on an error.
+func MustSchema(data []byte) *Schema {
+	schema, err := NewSchema(data)
+	if err != nil {
+		panic(err)
+	}
+	return schema
+}
+
+// Check checks data against the schema. It fails with kind Invalid, naming
+// source and each field that breaks the schema.
+func (s *Schema) Check(source string, data []byte) error {
+	document, err := jsonschema.UnmarshalJSON(bytes.NewReader(data))
+	if err != nil {
+		return syntaxError(source, data, err)
+	}
+	err = s.compiled.Validate(document)
+	if err == nil {
+		return nil
+	}
+	var invalid *jsonschema.ValidationError
+	if !errors.As(err, &invalid) {
+		return apricotwinch.Errorf(apricotwinch.Invalid, "%s: %w", source, err)
+	}
+	return apricotwinch.Errorf(apricotwinch.Invalid, "%s: %s", source, s.describe(invalid))
+}
+
+// Decode checks data against the schema and decodes it into the value that v
+// points to, which an error leaves as it was. It fails as Check.
+func (s *Schema) Decode(source string, data []byte, v any) error {
+	if err := s.Check(source, data); err != nil {
+		return err
+	}
+	return decodeWhole(source, data, v)
+}
+
+// syntaxError names the line of a syntax error.
+func syntaxError(source string, data []byte, err error) error {
+	var syntax *json.SyntaxError
+	if errors.As(err, &syntax) && syntax.Offset <= int64(len(data)) {
+		line := 1 + bytes.Count(data[:syntax.Offset], []byte("\n"))
+		return apricotwinch.Errorf(apricotwinch.Invalid, "%s: line %d: %w", source, line, err)
+	}
+	return apricotwinch.Errorf(apricotwinch.Invalid, "%s: not a JSON document: %w", source, err)
+}
