Add the fold of the settings stream

Cause: an accepted edit must be in force everywhere and never revert, also with racing editors, second copies of records, replaced entries and expired records.

The fold accepts an edit when its base is the revision in force, its author may make it and its value fits the schema and refers to what exists; a revision is the offset plus one, so that 0 means none.

--- /dev/null
+++ b/configurator/access.go
@@ -0,0 +1,19 @@
+package configurator
+
+// access is the tokens of one principal.
+type access struct {
+	principal   Principal
+	tokenHashes []string
+}
+
+type accessJSON struct {
+	TokenHashes []string `json:"tokenHashes"`
+}
+
+func newAccess(p path, wire accessJSON) access {
+	principal := Team(p.team())
+	if p.segments[0] == segmentOperators {
+		principal = Operator(p.name())
+	}
+	return access{principal: principal, tokenHashes: wire.TokenHashes}
+}
--- /dev/null
+++ b/configurator/kind.go
@@ -0,0 +1,86 @@
+package configurator
+
+import (
+	"embed"
+	"encoding/json"
+
+	"apricotwinch/loader"
+)
+
+//go:embed schemas/*.json
+var schemas embed.FS
+
+// kind is one kind of leaf of the settings tree.
+type kind struct {
+	pattern   []string
+	schema    *loader.Schema
+	teamEdits bool
+	decode    func(p path, data []byte) (any, error)
+}
+
+// kinds is the table of all kinds of leaves.
+var kinds = []kind{
+	{
+		pattern: []string{segmentDataCentres, wildcard},
+		schema:  mustSchema("dataCentre"),
+		decode:  decoder(newDataCentre),
+	},
+	{
+		pattern: []string{segmentOperators, wildcard},
+		schema:  mustSchema("access"),
+		decode:  decoder(newAccess),
+	},
+	{
+		pattern: []string{segmentQuotas, wildcard},
+		schema:  mustSchema("quota"),
+		decode:  decoder(newQuota),
+	},
+	{
+		pattern: []string{segmentTeams, wildcard, "access"},
+		schema:  mustSchema("access"),
+		decode:  decoder(newAccess),
+	},
+	{
+		pattern:   []string{segmentTeams, wildcard, "services", wildcard},
+		schema:    mustSchema("service"),
+		teamEdits: true,
+		decode:    decoder(newService),
+	},
+	{
+		pattern:   []string{segmentTeams, wildcard, "watches", wildcard},
+		schema:    mustSchema("watch"),
+		teamEdits: true,
+		decode:    decoder(newWatch),
+	},
+}
+
+func mustSchema(name string) *loader.Schema {
+	data, err := schemas.ReadFile("schemas/" + name + ".json")
+	if err != nil {
+		panic(err)
+	}
+	return loader.MustSchema(data)
+}
+
+// decoder returns a decode function by way of the JSON form W of a leaf.
+func decoder[W, V any](build func(path, W) V) func(path, []byte) (any, error) {
+	return func(p path, data []byte) (any, error) {
+		var wire W
+		if err := json.Unmarshal(data, &wire); err != nil {
+			return nil, err
+		}
+		return build(p, wire), nil
+	}
+}
+
+func (k *kind) matches(segments []string) bool {
+	if len(segments) != len(k.pattern) {
+		return false
+	}
+	for i, want := range k.pattern {
+		if want == wildcard && !validName(segments[i]) || want != wildcard && want != segments[i] {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/configurator/quota.go
@@ -0,0 +1,55 @@
+package configurator
+
+import "apricotwinch"
+
+// Quota is what a team may use.
+type Quota struct {
+	maximum           apricotwinch.Resources
+	requestsPerSecond float64
+	requestBurst      int
+	requestsInFlight  int
+	weight            float64
+}
+
+type quotaJSON struct {
+	Maximum           resourcesJSON `json:"maximum"`
+	RequestsPerSecond float64       `json:"requestsPerSecond"`
+	RequestBurst      int           `json:"requestBurst"`
+	RequestsInFlight  int           `json:"requestsInFlight"`
+	Weight            float64       `json:"weight"`
+}
+
+type resourcesJSON struct {
+	ProcessorMillis int64 `json:"processorMillis"`
+	MemoryBytes     int64 `json:"memoryBytes"`
+	Accelerators    int64 `json:"accelerators"`
+}
+
+func (r resourcesJSON) resources() apricotwinch.Resources {
+	return apricotwinch.NewResources(r.ProcessorMillis, r.MemoryBytes, r.Accelerators)
+}
+
+func newQuota(_ path, wire quotaJSON) Quota {
+	return Quota{
+		maximum:           wire.Maximum.resources(),
+		requestsPerSecond: wire.RequestsPerSecond,
+		requestBurst:      wire.RequestBurst,
+		requestsInFlight:  wire.RequestsInFlight,
+		weight:            wire.Weight,
+	}
+}
+
+// Maximum returns the resources that the team's tasks may hold at once.
+func (q Quota) Maximum() apricotwinch.Resources { return q.maximum }
+
+// RequestsPerSecond returns the rate of requests.
+func (q Quota) RequestsPerSecond() float64 { return q.requestsPerSecond }
+
+// RequestBurst returns the number of requests admitted at once above the rate.
+func (q Quota) RequestBurst() int { return q.requestBurst }
+
+// RequestsInFlight returns the number of requests that may run at once.
+func (q Quota) RequestsInFlight() int { return q.requestsInFlight }
+
+// Weight returns the team's share relative to other teams.
+func (q Quota) Weight() float64 { return q.weight }
--- /dev/null
+++ b/configurator/service.go
@@ -0,0 +1,54 @@
+package configurator
+
+import (
+	"time"
+
+	"apricotwinch"
+)
+
+// Service is the settings of one service of a team.
+type Service struct {
+	team        string
+	name        string
+	urgency     apricotwinch.Urgency
+	timeout     time.Duration
+	maxAttempts int
+	dataCentres []string
+}
+
+type serviceJSON struct {
+	Urgency       string   `json:"urgency"`
+	TimeoutMillis int64    `json:"timeoutMillis"`
+	MaxAttempts   int      `json:"maxAttempts"`
+	DataCentres   []string `json:"dataCentres"`
+}
+
+func newService(p path, wire serviceJSON) Service {
+	urgency, _ := apricotwinch.ParseUrgency(wire.Urgency) // The schema holds the names.
+	return Service{
+		team:        p.team(),
+		name:        p.name(),
+		urgency:     urgency,
+		timeout:     time.Duration(wire.TimeoutMillis) * time.Millisecond,
+		maxAttempts: wire.MaxAttempts,
+		dataCentres: wire.DataCentres,
+	}
+}
+
+// Team returns the team that owns the service.
+func (s Service) Team() string { return s.team }
+
+// Name returns the name.
+func (s Service) Name() string { return s.name }
+
+// Urgency returns the urgency of a request that names none.
+func (s Service) Urgency() apricotwinch.Urgency { return s.urgency }
+
+// Timeout returns the time until the deadline of a request that names none.
+func (s Service) Timeout() time.Duration { return s.timeout }
+
+// MaxAttempts returns the attempts of an idempotent request, 0 for the default.
+func (s Service) MaxAttempts() int { return s.maxAttempts }
+
+// DataCentres returns the data centres that serve requests, none for all.
+func (s Service) DataCentres() []string { return append([]string(nil), s.dataCentres...) }
--- /dev/null
+++ b/configurator/view.go
@@ -0,0 +1,159 @@
+package configurator
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"strings"
+
+	"apricotwinch/messenger"
+)
+
+// View is the settings in force at one revision. It never changes and is safe
+// for concurrent use.
+type View struct {
+	state state
+}
+
+// Entry is one leaf of the settings tree.
+type Entry struct {
+	path     string
+	revision int64
+	author   string
+	value    json.RawMessage
+}
+
+// Path returns the path of the leaf.
+func (e Entry) Path() string { return e.path }
+
+// Revision returns the revision of the leaf, the base of the next edit.
+func (e Entry) Revision() int64 { return e.revision }
+
+// Author returns who made the edit in force.
+func (e Entry) Author() string { return e.author }
+
+// Value returns the value as JSON, nil for a leaf that was removed.
+func (e Entry) Value() json.RawMessage { return e.value }
+
+// Revision returns the offset after the last record folded.
+func (v *View) Revision() int64 { return v.state.revision }
+
+// Check returns nil when record would be accepted on this view, else the error
+// that makes it void; see Outcome.Err.
+func (v *View) Check(record messenger.EditRecord) error {
+	_, _, err := v.state.check(record)
+	return err
+}
+
+// Entry returns the leaf at path. A removed leaf has a revision and no value; a
+// leaf that never was has revision 0. Both report false.
+func (v *View) Entry(path string) (Entry, bool) {
+	p, err := parsePath(path)
+	if err != nil {
+		return Entry{path: path}, false
+	}
+	l := v.state.leaf(p)
+	return newEntry(path, l), !l.removed()
+}
+
+// Entries returns the leaves at and under path in order, all for "".
+func (v *View) Entries(path string) []Entry {
+	var found []Entry
+	for i := range v.state.leaves.shards {
+		for text, l := range v.state.leaves.shards[i].values {
+			if !l.removed() && under(text, path) {
+				found = append(found, newEntry(text, l))
+			}
+		}
+	}
+	slices.SortFunc(found, func(a, b Entry) int { return cmp.Compare(a.path, b.path) })
+	return found
+}
+
+func newEntry(text string, l leaf) Entry {
+	return Entry{path: text, revision: l.revision, author: l.author, value: l.value}
+}
+
+// DataCentre returns the settings of a data centre.
+func (v *View) DataCentre(name string) (DataCentre, bool) { return v.state.dataCentre(name) }
+
+// DataCentreOut reports whether no task may start in a data centre: operators
+// took it out of service, or the settings don't list it.
+func (v *View) DataCentreOut(name string) bool {
+	d, ok := v.state.dataCentre(name)
+	return !ok || d.out
+}
+
+// DataCentres returns all data centres in order of name.
+func (v *View) DataCentres() []DataCentre {
+	return sorted(collect[DataCentre](v, segmentDataCentres, segmentDataCentres), DataCentre.Name)
+}
+
+// Principal returns whose token has the SHA-256 hash, in hexadecimal.
+func (v *View) Principal(tokenHash string) (Principal, bool) {
+	return v.state.tokens.get(tokenHash, tokenHash)
+}
+
+// Quota returns the quota of a team.
+func (v *View) Quota(team string) (Quota, bool) {
+	return lookup[Quota](v, team, segmentQuotas+"/"+team)
+}
+
+// Service returns one service of a team.
+func (v *View) Service(team, name string) (Service, bool) {
+	return lookup[Service](v, team, teamPath(team, "services", name))
+}
+
+// Services returns the services of a team in order of name.
+func (v *View) Services(team string) []Service {
+	return sorted(collect[Service](v, team, segmentTeams+"/"+team), Service.Name)
+}
+
+// Watch returns one watch service of a team.
+func (v *View) Watch(team, name string) (Watch, bool) {
+	return lookup[Watch](v, team, teamPath(team, "watches", name))
+}
+
+// Watches returns the watch services of a team in order of name.
+func (v *View) Watches(team string) []Watch {
+	return sorted(collect[Watch](v, team, segmentTeams+"/"+team), Watch.Name)
+}
+
+// Teams returns the names of all teams with access, a quota, a service or a
+// watch service, in order.
+func (v *View) Teams() []string {
+	var names []string
+	for i := range v.state.leaves.shards {
+		for text, l := range v.state.leaves.shards[i].values {
+			segments := strings.Split(text, "/")
+			if !l.removed() && (segments[0] == segmentTeams || segments[0] == segmentQuotas) {
+				names = append(names, segments[1])
+			}
+		}
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// lookup returns the leaf of type V at text.
+func lookup[V any](v *View, shardKey, text string) (V, bool) {
+	l, _ := v.state.leaves.get(shardKey, text)
+	value, ok := l.parsed.(V)
+	return value, ok
+}
+
+// collect returns the leaves of type V under prefix in the shard of shardKey.
+func collect[V any](v *View, shardKey, prefix string) []V {
+	var found []V
+	for text, l := range v.state.leaves.shards[shardIndex(shardKey)].values {
+		if value, ok := l.parsed.(V); ok && under(text, prefix) {
+			found = append(found, value)
+		}
+	}
+	return found
+}
+
+func sorted[V any](values []V, name func(V) string) []V {
+	slices.SortFunc(values, func(a, b V) int { return cmp.Compare(name(a), name(b)) })
+	return values
+}
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -163,6 +163,9 @@
 
 	// Partitions released by this record.
 	Releases []int `json:"releases,omitempty,omitzero"`
+
+	// For each of the claims, the epoch that it replaces; -1 for none.
+	Replaces []int `json:"replaces,omitempty,omitzero"`
 }
 
 // An entry's summary of the hosts that it is home to, for its peers.
@@ -249,10 +252,11 @@
 // A record of the settings stream: one edit of a subtree or a snapshot of the
 // whole tree.
 type EditRecord struct {
-	// Team or operator who made the edit.
+	// Who made the edit: operators/NAME or teams/NAME; the entry for a snapshot.
 	Author string `json:"author"`
 
-	// Revision of the subtree that the edit was based on, 0 for none.
+	// Revision of the subtree that the edit was based on: the offset of the edit in
+	// force plus one, 0 for none.
 	Base int `json:"base"`
 
 	// Unique id of the record.
@@ -634,20 +638,30 @@
 	// Path of the subtree.
 	Path string `json:"path"`
 
-	// Offset of the edit in force.
+	// Offset of the edit in force plus one.
 	Revision int `json:"revision"`
 
-	// Value of the subtree.
+	// Value of the subtree; null for one that was removed.
 	Value json.RawMessage `json:"value"`
 }
 
-// The settings tree as of an offset, with the revision of each subtree.
+// The settings tree as of an offset, with the revision of each subtree; a large
+// tree takes several parts.
 type SettingsSnapshot struct {
 	// Subtrees in order of their paths.
 	Entries []SettingsEntry `json:"entries"`
 
+	// Number of this part, from 0.
+	Part int `json:"part"`
+
+	// Number of parts.
+	Parts int `json:"parts"`
+
 	// Offset of the last record folded into the snapshot.
 	Through int `json:"through"`
+
+	// Recent edits that are void, in order of their offsets; in the first part.
+	Voids []VoidEdit `json:"voids,omitempty,omitzero"`
 }
 
 // An owner's command to stop one attempt.
@@ -776,6 +790,15 @@
 	Used Resources `json:"used"`
 }
 
+// An edit that the fold refused.
+type VoidEdit struct {
+	// Id of the record.
+	Id string `json:"id"`
+
+	// Offset of the record.
+	Offset int `json:"offset"`
+}
+
 // A command to the platform's worker to drop what it keeps of ended attempts.
 type WorkerForget struct {
 	// Attempts to forget.
