Add the ownership of partitions

Cause: a partition must have one owner at a time while entries pause, restart, race and lose answers, without a vote.

A claim is accepted when the claimant had folded everything that matters to the partition: no accepted claim or release of it, and no record of its owner, landed after the offset that the claim names as folded. A heartbeat that landed thus defeats each claim judged before it, and a second copy changes nothing, so that no memory of ids is needed. An owner is fresh by the send time of the latest own record that it read back, never by the answer of an append. Silence counts only while the own records land and the tail is read. A fold that starts after offset 0 learns the owners from what heartbeats say is held. Partitions go to the first entry by rendezvous hashing that has lived for 30 s, four a heartbeat, and not twice to a process that did not claim them.

Messages: ClaimRecord has through and holds in place of replaces.

--- /dev/null
+++ b/claimer/claimer_test.go
@@ -0,0 +1,177 @@
+package claimer_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/sebdah/goldie/v2"
+	"pgregory.net/rapid"
+
+	"apricotwinch"
+	"apricotwinch/claimer"
+	"apricotwinch/messenger"
+)
+
+func TestMain(m *testing.M) {
+	flag.Set("rapid.seed", "1")
+	os.Exit(m.Run())
+}
+
+func atOnce() []time.Duration { return []time.Duration{0} }
+
+// TestOwnershipTrace holds what entries do as one starts, one joins, one stops
+// silently, one returns, and one leaves.
+func TestOwnershipTrace(t *testing.T) {
+	var got strings.Builder
+	now := epochStart
+	trace := func(line string) { fmt.Fprintf(&got, "%6.1fs %s\n", now.Sub(epochStart).Seconds(), line) }
+	s := &stream{}
+	a := newNode("a", "a1", s, trace)
+	b := newNode("b", "b1", s, trace)
+	c := newNode("c", "c1", s, trace)
+	nodes := []*node{a, b, c}
+	b.paused, c.paused = now.Add(5*time.Second), now.Add(5*time.Second)
+	for now.Before(epochStart.Add(150 * time.Second)) {
+		s.land(now)
+		for _, n := range nodes {
+			n.run(now, s, atOnce, 0)
+		}
+		now = now.Add(step)
+		switch now.Sub(epochStart) {
+		case 60 * time.Second:
+			trace("a is paused")
+			a.paused = now.Add(30 * time.Second)
+		case 90 * time.Second:
+			trace("a is back")
+		case 140 * time.Second:
+			trace("b leaves")
+			b.do(now, s, b.claimer.Leave(now), atOnce)
+		}
+	}
+	fmt.Fprintf(&got, "left: %v\n", b.claimer.Left())
+	for _, owner := range c.claimer.Owners() {
+		fmt.Fprintf(&got, "%d at %s epoch %d\n", owner.Partition, owner.Address, owner.Epoch)
+	}
+	for _, entry := range c.claimer.Live(now) {
+		fmt.Fprintf(&got, "live %s\n", entry.Entry)
+	}
+	goldie.New(t).Assert(t, "trace", []byte(got.String()))
+}
+
+// drawFault brings a drawn fault about.
+func drawFault(t *rapid.T, now time.Time, s *stream, nodes []*node) []*node {
+	n := rapid.SampledFrom(nodes).Draw(t, "node")
+	length := time.Duration(rapid.IntRange(1, 25).Draw(t, "seconds")) * time.Second
+	switch rapid.SampledFrom([]string{"none", "none", "pause", "cut", "restart", "leave", "expire"}).Draw(t, "fault") {
+	case "pause":
+		n.paused = now.Add(length)
+	case "cut":
+		n.cut = now.Add(length)
+	case "restart":
+		n.gone = true
+		fresh := newNode(n.name, fmt.Sprint(n.name, len(nodes)), s, n.trace)
+		return append(nodes, fresh)
+	case "leave":
+		if !n.gone && !now.Before(n.paused) {
+			n.do(now, s, n.claimer.Leave(now), atOnce)
+			fresh := newNode(n.name, fmt.Sprint(n.name, len(nodes)), s, n.trace)
+			return append(nodes, fresh)
+		}
+	case "expire":
+		s.earliest = max(s.earliest, len(s.records)-rapid.IntRange(0, 10).Draw(t, "kept"))
+	}
+	return nodes
+}
+
+// TestOneOwnerAtATime holds that under pauses, cuts, restarts, late, doubled and
+// lost records no two processes may act as owners of one partition, and that once
+// the faults end every partition has one owner.
+func TestOneOwnerAtATime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &stream{}
+		ignore := func(string) {}
+		nodes := []*node{newNode("a", "a0", s, ignore), newNode("b", "b0", s, ignore), newNode("c", "c0", s, ignore)}
+		now := epochStart
+		run := func(delays func() []time.Duration, lag func() time.Duration) {
+			s.land(now)
+			for _, n := range nodes {
+				n.run(now, s, delays, lag())
+			}
+			for p := range partitions {
+				if names := holders(now, nodes, p); len(names) > 1 {
+					t.Fatalf("partition %d has owners %v at %s", p, names, now.Sub(epochStart))
+				}
+			}
+			now = now.Add(step)
+		}
+		late := rapid.SampledFrom([]int{0, 0, 0, 0, 200, 800, 3000, 12000})
+		delays := func() []time.Duration {
+			all := []time.Duration{time.Duration(late.Draw(t, "delay")) * time.Millisecond}
+			switch rapid.IntRange(0, 9).Draw(t, "copies") {
+			case 0:
+				return nil
+			case 1:
+				all = append(all, time.Duration(late.Draw(t, "copy"))*time.Millisecond)
+			}
+			return all
+		}
+		lag := func() time.Duration {
+			return time.Duration(rapid.SampledFrom([]int{0, 0, 200, 1000, 4000}).Draw(t, "lag")) * time.Millisecond
+		}
+		for range rapid.IntRange(0, 8).Draw(t, "faults") {
+			for range 30 {
+				run(delays, lag)
+			}
+			nodes = drawFault(t, now, s, nodes)
+		}
+		for range 500 {
+			run(atOnce, func() time.Duration { return 0 })
+		}
+		for p := range partitions {
+			if names := holders(now, nodes, p); len(names) != 1 {
+				t.Fatalf("partition %d has owners %v after the faults", p, names)
+			}
+		}
+		for _, n := range nodes {
+			if n.gone {
+				continue
+			}
+			if diff := cmp.Diff(nodes[len(nodes)-1].claimer.Owners(), n.claimer.Owners()); diff != "" {
+				t.Fatalf("owners at %s differ (-latest +got):\n%s", n.name, diff)
+			}
+		}
+	})
+}
+
+func TestNewTiming(t *testing.T) {
+	_, err := claimer.NewTiming(time.Second, 9*time.Second, 9*time.Second, time.Minute)
+	if diff := cmp.Diff(apricotwinch.Invalid, apricotwinch.KindOf(err)); diff != "" {
+		t.Errorf("kind (-want +got):\n%s", diff)
+	}
+}
+
+func ExampleClaimer() {
+	self := messenger.EntryAddress{Entry: "entry-1", Incarnation: "i", Address: "127.0.0.1:7000", DataCentre: "kopli"}
+	c := claimer.New(self, "harju", 1, claimer.DefaultTiming())
+	now := time.Unix(0, 0)
+	heartbeat := c.Tick(now)[0].Record()
+	c.Observe(now, 0, heartbeat)
+	c.Current(now)
+	claim := c.Tick(now)[0].Record()
+	for _, action := range c.Observe(now, 1, claim) {
+		fmt.Println(action.Type(), action.Partition(), "epoch", action.Epoch())
+	}
+	_, fresh := c.Holds(now.Add(5*time.Second), 0)
+	fmt.Println("fresh after 5 s:", fresh)
+	_, fresh = c.Holds(now.Add(6*time.Second), 0)
+	fmt.Println("fresh after 6 s:", fresh)
+	// Output:
+	// own 0 epoch 1
+	// fresh after 5 s: true
+	// fresh after 6 s: false
+}
--- /dev/null
+++ b/claimer/table_test.go
@@ -0,0 +1,204 @@
+package claimer_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"apricotwinch/claimer"
+	"apricotwinch/messenger"
+)
+
+func record(entry string, through int, claims, releases []int, holds ...messenger.PartitionEpoch) messenger.ClaimRecord {
+	return messenger.ClaimRecord{
+		Id: "id", Entry: entry, Incarnation: "i", Address: entry, Through: through,
+		Claims: claims, Releases: releases, Holds: holds,
+	}
+}
+
+// owners returns the owners that an onlooker folds from records, the first of
+// which is at offset from.
+func owners(from int, records ...messenger.ClaimRecord) []string {
+	c := claimer.New(messenger.EntryAddress{Entry: "onlooker"}, "region", 2, claimer.DefaultTiming())
+	c.Gap(int64(from))
+	for i, r := range records {
+		c.Observe(epochStart, int64(from+i), r)
+	}
+	var got []string
+	for _, owner := range c.Owners() {
+		got = append(got, fmt.Sprintf("%d %s %d", owner.Partition, owner.Entry, owner.Epoch))
+	}
+	return got
+}
+
+func TestVerdicts(t *testing.T) {
+	p0, beat := []int{0}, func(entry string, through int) messenger.ClaimRecord { return record(entry, through, nil, nil) }
+	hold := func(epoch int) messenger.PartitionEpoch { return messenger.PartitionEpoch{Partition: 0, Epoch: epoch} }
+	tests := []struct {
+		name    string
+		from    int
+		records []messenger.ClaimRecord
+		want    []string
+	}{
+		{name: "first claim", records: []messenger.ClaimRecord{record("a", -1, p0, nil)}, want: []string{"0 a 0"}},
+		{name: "race", records: []messenger.ClaimRecord{record("a", -1, p0, nil), record("b", -1, p0, nil)}, want: []string{"0 a 0"}},
+		{name: "silent owner", records: []messenger.ClaimRecord{record("a", -1, p0, nil), record("b", 0, p0, nil)}, want: []string{"0 b 1"}},
+		{
+			name:    "heartbeat lands after the claim was judged",
+			records: []messenger.ClaimRecord{record("a", -1, p0, nil), beat("a", 0), record("b", 0, p0, nil)},
+			want:    []string{"0 a 0"},
+		},
+		{
+			name:    "heartbeat of an earlier owner",
+			records: []messenger.ClaimRecord{record("a", -1, p0, nil), record("b", 0, p0, nil), beat("a", 0), record("c", 1, p0, nil)},
+			want:    []string{"0 c 3"},
+		},
+		{
+			name:    "released",
+			records: []messenger.ClaimRecord{record("a", -1, p0, nil), record("a", 0, nil, p0), beat("a", 1), record("b", 1, p0, nil)},
+			want:    []string{"0 b 3"},
+		},
+		{
+			name:    "second copy of a release",
+			records: []messenger.ClaimRecord{record("a", -1, p0, nil), record("a", 0, nil, p0), record("a", 1, p0, nil), record("a", 0, nil, p0)},
+			want:    []string{"0 a 2"},
+		},
+		{
+			name:    "second copy of a claim",
+			records: []messenger.ClaimRecord{record("a", -1, p0, nil), record("b", 0, p0, nil), record("c", 1, p0, nil), record("b", 0, p0, nil)},
+			want:    []string{"0 c 2"},
+		},
+		{name: "release of another's", records: []messenger.ClaimRecord{record("a", -1, p0, nil), record("b", 0, nil, p0)}, want: []string{"0 a 0"}},
+		{name: "no such partition", records: []messenger.ClaimRecord{record("a", -1, []int{-1, 2}, []int{7}, messenger.PartitionEpoch{Partition: 9})}},
+		{name: "later start learns from holds", from: 50, records: []messenger.ClaimRecord{record("a", 49, nil, nil, hold(20))}, want: []string{"0 a 20"}},
+		{
+			name:    "holds go before a claim of unknown verdict",
+			from:    50,
+			records: []messenger.ClaimRecord{record("b", 30, p0, nil), record("a", 50, nil, nil, hold(20))},
+			want:    []string{"0 a 20"},
+		},
+		{
+			name:    "an earlier owner doesn't know yet",
+			from:    50,
+			records: []messenger.ClaimRecord{record("a", 49, nil, nil, hold(40)), record("b", 49, nil, nil, hold(20))},
+			want:    []string{"0 a 40"},
+		},
+		{name: "hold of a later offset", from: 50, records: []messenger.ClaimRecord{record("a", 49, nil, nil, hold(70))}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if diff := cmp.Diff(test.want, owners(test.from, test.records...)); diff != "" {
+				t.Errorf("owners (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// naiveOwners judges each claim by the whole history before it.
+func naiveOwners(records []messenger.ClaimRecord) []string {
+	var got []string
+	for p := range 2 {
+		owner, epoch, released, changed := "", -1, false, -1
+		for o, r := range records {
+			if owned := epoch >= 0 && !released; owned && r.Entry == owner && r.Through >= epoch && slices.Contains(r.Releases, p) {
+				released, changed = true, o
+			}
+			evidence := changed
+			for before := range records[:o] {
+				if epoch >= 0 && !released && records[before].Entry == owner && before > evidence {
+					evidence = before
+				}
+			}
+			if slices.Contains(r.Claims, p) && evidence <= r.Through {
+				owner, epoch, released, changed = r.Entry, o, false, o
+			}
+		}
+		if epoch >= 0 && !released {
+			got = append(got, fmt.Sprintf("%d %s %d", p, owner, epoch))
+		}
+	}
+	return got
+}
+
+func TestFoldMatchesNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var records []messenger.ClaimRecord
+		some := rapid.SliceOfNDistinct(rapid.IntRange(0, 1), 0, 2, rapid.ID[int])
+		for o := range rapid.IntRange(0, 30).Draw(t, "records") {
+			if o > 0 && rapid.IntRange(0, 4).Draw(t, "copy") == 0 {
+				records = append(records, rapid.SampledFrom(records).Draw(t, "earlier"))
+				continue
+			}
+			entry := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "entry")
+			through := max(-1, o-1-rapid.IntRange(0, 4).Draw(t, "behind"))
+			records = append(records, record(entry, through, some.Draw(t, "claims"), some.Draw(t, "releases")))
+		}
+		if diff := cmp.Diff(naiveOwners(records), owners(0, records...)); diff != "" {
+			t.Fatalf("owners (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// TestOutageKeepsOwners holds that an outage of the log moves no partition.
+func TestOutageKeepsOwners(t *testing.T) {
+	var changes []string
+	s := &stream{}
+	var nodes []*node
+	for _, name := range []string{"a", "b", "c"} {
+		nodes = append(nodes, newNode(name, name+"1", s, func(line string) { changes = append(changes, line) }))
+	}
+	now := epochStart
+	run := func(length time.Duration) {
+		for end := now.Add(length); now.Before(end); now = now.Add(step) {
+			s.land(now)
+			for _, n := range nodes {
+				n.run(now, s, atOnce, 0)
+			}
+		}
+	}
+	run(100 * time.Second)
+	changes = nil
+	for i, n := range nodes {
+		n.cut = now.Add(40*time.Second + time.Duration(i)*3*time.Second)
+	}
+	run(39 * time.Second)
+	if names := holders(now, nodes, 0); len(names) > 0 {
+		t.Errorf("owners in the outage: %v", names)
+	}
+	run(100 * time.Second)
+	if diff := cmp.Diff([]string(nil), changes); diff != "" {
+		t.Errorf("changes (-want +got):\n%s", diff)
+	}
+	for p := range partitions {
+		if names := holders(now, nodes, p); len(names) != 1 {
+			t.Errorf("partition %d has owners %v after the outage", p, names)
+		}
+	}
+}
+
+func BenchmarkObserve(b *testing.B) {
+	for _, size := range []int{1000, 10000, 100000} {
+		b.Run(fmt.Sprint("partitions=", size), func(b *testing.B) {
+			c := claimer.New(messenger.EntryAddress{Entry: "onlooker"}, "region", size, claimer.DefaultTiming())
+			all := make([]int, size)
+			holds := make([]messenger.PartitionEpoch, 0, size/16)
+			for i := range all {
+				all[i] = i
+			}
+			for i := range size / 16 {
+				holds = append(holds, messenger.PartitionEpoch{Partition: i, Epoch: 0})
+			}
+			c.Observe(epochStart, 0, record("a", -1, all, nil))
+			beat := record("a", 0, nil, nil, holds...)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				c.Observe(epochStart, int64(i+1), beat)
+			}
+		})
+	}
+}
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -149,6 +149,9 @@
 	// Name of the entry.
 	Entry string `json:"entry"`
 
+	// Partitions that the entry owns, in order.
+	Holds []PartitionEpoch `json:"holds,omitempty,omitzero"`
+
 	// Unique id of the record.
 	Id string `json:"id"`
 
@@ -164,8 +167,9 @@
 	// Partitions released by this record.
 	Releases []int `json:"releases,omitempty,omitzero"`
 
-	// For each of the claims, the epoch that it replaces; -1 for none.
-	Replaces []int `json:"replaces,omitempty,omitzero"`
+	// Offset of the last record that the entry had folded when it wrote this one; -1
+	// for none.
+	Through int `json:"through"`
 }
 
 // An entry's summary of the hosts that it is home to, for its peers.
@@ -514,6 +518,15 @@
 	Offset int `json:"offset"`
 }
 
+// A partition with the epoch of its owner.
+type PartitionEpoch struct {
+	// Offset of the owner's claim.
+	Epoch int `json:"epoch"`
+
+	// Number of the partition.
+	Partition int `json:"partition"`
+}
+
 // The owner of one partition.
 type PartitionOwner struct {
 	// Address of the owner, host:port.
