--- /dev/null
+++ b/arbiter/target.go
@@ -0,0 +1,103 @@
+package arbiter
+
+import "apricotwinch"
+
+// Target is the reservation of one target and the requests that it runs.
+type Target struct {
+	reserved    apricotwinch.Resources
+	slots       int
+	connections int
+	busy        int
+	released    bool
+}
+
+// Slots returns the number of requests that the target runs at once.
+func (t *Target) Slots() int { return t.slots }
+
+// Connections returns the number of connections that the target accepts.
+func (t *Target) Connections() int { return t.connections }
+
+// Busy returns the number of requests that run now.
+func (t *Target) Busy() int { return t.busy }
+
+// ReserveTarget reserves the resources of the target called name, or changes an
+// earlier reservation. It fails with kind NoCapacity when the host has no room
+// and Invalid for a negative field; the earlier reservation then stays.
+func (a *Arbiter) ReserveTarget(name string, reserved apricotwinch.Resources, slots, connections int) error {
+	if slots < 1 {
+		return apricotwinch.Errorf(apricotwinch.Invalid, "slots: %d is below 1", slots)
+	}
+	if connections < 1 {
+		return apricotwinch.Errorf(apricotwinch.Invalid, "connections: %d is below 1", connections)
+	}
+	target := a.targets[name]
+	if target == nil {
+		target = &Target{}
+	}
+	before := a.committed
+	a.committed = a.committed.Sub(target.reserved)
+	if err := a.fits(reserved); err != nil {
+		a.committed = before
+		return apricotwinch.Errorf(apricotwinch.KindOf(err), "target %s: %w", name, err)
+	}
+	a.committed = a.committed.Add(reserved)
+	target.released = false
+	target.reserved = reserved
+	target.slots = slots
+	target.connections = connections
+	a.targets[name] = target
+	return nil
+}
+
+// ReleaseTarget drops the reservation of the target called name. The slots of
+// its running requests stay taken, also when it comes back before they end.
+func (a *Arbiter) ReleaseTarget(name string) {
+	target := a.targets[name]
+	if target == nil {
+		return
+	}
+	a.committed = a.committed.Sub(target.reserved)
+	target.reserved = apricotwinch.Resources{}
+	target.released = true
+	a.dropIdle(name, target)
+}
+
+// Target returns the target called name, or nil.
+func (a *Arbiter) Target(name string) *Target {
+	target := a.targets[name]
+	if target == nil || target.released {
+		return nil
+	}
+	return target
+}
+
+// Acquire takes a slot and a connection of the target called name. It fails with
+// kind NoTarget when there is none and NoCapacity when all are taken.
+func (a *Arbiter) Acquire(name string) error {
+	target := a.Target(name)
+	if target == nil {
+		return apricotwinch.Errorf(apricotwinch.NoTarget, "service %s has no target on this host", name)
+	}
+	if target.busy >= min(target.slots, target.connections) {
+		return apricotwinch.Errorf(apricotwinch.NoCapacity,
+			"service %s: %d requests run in %d slots over %d connections", name, target.busy, target.slots, target.connections)
+	}
+	target.busy++
+	return nil
+}
+
+// Release gives back a slot and a connection that Acquire took.
+func (a *Arbiter) Release(name string) {
+	target := a.targets[name]
+	if target == nil || target.busy == 0 {
+		return
+	}
+	target.busy--
+	a.dropIdle(name, target)
+}
+
+func (a *Arbiter) dropIdle(name string, target *Target) {
+	if target.released && target.busy == 0 {
+		delete(a.targets, name)
+	}
+}
