--- /dev/null
+++ b/agent/server.go
@@ -0,0 +1,108 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"apricotwinch"
+	"apricotwinch/messenger"
+)
+
+// Bounds of the HTTP server for local targets.
+const (
+	maxAnnounceBytes  = 64 << 10
+	readHeaderTimeout = 5 * time.Second
+	readTimeout       = 10 * time.Second
+	shutdownTimeout   = time.Second
+)
+
+// errorAnswer is the body of an HTTP refusal.
+type errorAnswer struct {
+	Kind   apricotwinch.Kind `json:"kind"`
+	Text   string            `json:"text"`
+	NotRun bool              `json:"notRun"`
+}
+
+// handler returns the HTTP handler for local targets and for metrics.
+func (a *Agent) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/targets", a.serveTargets)
+	mux.HandleFunc("GET /metrics", a.serveMetrics)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", a.serveReady)
+	return mux
+}
+
+// serveHTTP answers local targets until ctx is done.
+func (a *Agent) serveHTTP(ctx context.Context, listener net.Listener) error {
+	server := &http.Server{
+		Handler:           a.handler(),
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
+		MaxHeaderBytes:    maxAnnounceBytes,
+	}
+	stop := context.AfterFunc(ctx, func() {
+		closing, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+		defer cancel()
+		if err := server.Shutdown(closing); err != nil {
+			a.logger.Warn("connections of local targets were cut", "error", err)
+		}
+	})
+	defer stop()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+func (a *Agent) serveTargets(w http.ResponseWriter, r *http.Request) {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnounceBytes))
+	decoder.DisallowUnknownFields()
+	var message messenger.TargetAnnounce
+	if err := decoder.Decode(&message); err != nil {
+		writeError(w, decodeKind(err))
+		return
+	}
+	if err := a.requests.announce(a.clock.Now(), message); err != nil {
+		writeError(w, err)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func decodeKind(err error) error {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return apricotwinch.Errorf(apricotwinch.TooLarge, "body: %w", err)
+	}
+	return apricotwinch.Errorf(apricotwinch.Invalid, "body: %w", err)
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	answer := apricotwinch.KindOf(err).Answer()
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(answer.Status())
+	// An error here is a target that has gone away.
+	_ = json.NewEncoder(w).Encode(errorAnswer{Kind: answer.Kind(), Text: err.Error(), NotRun: answer.NotRun()})
+}
+
+func (a *Agent) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if err := a.ready(); err != nil {
+		writeError(w, err)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (a *Agent) ready() error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.requests.draining {
+		return apricotwinch.Errorf(apricotwinch.Draining, "the host is leaving")
+	}
+	return nil
+}
--- /dev/null
+++ b/agent/settings.go
@@ -0,0 +1,179 @@
+package agent
+
+import (
+	"bytes"
+	"crypto/tls"
+	"crypto/x509"
+	_ "embed" // The schema of the settings file.
+	"encoding/json"
+	"net"
+	"os"
+	"time"
+
+	"apricotwinch"
+	"apricotwinch/connector"
+	"apricotwinch/messenger"
+)
+
+// Schema is the JSON schema of the settings file.
+//
+//go:embed settings.schema.json
+var Schema []byte
+
+// Settings are the contents of an agent's settings file. A period of zero takes
+// its default.
+type Settings struct {
+	Name       string              `json:"name"`
+	Region     string              `json:"region"`
+	DataCentre string              `json:"dataCentre"`
+	Rack       string              `json:"rack"`
+	Listen     string              `json:"listen"`
+	HTTP       string              `json:"http"`
+	Entries    []string            `json:"entries"`
+	Worker     string              `json:"worker"`
+	Capacity   messenger.Resources `json:"capacity"`
+
+	HomeEntries         int  `json:"homeEntries,omitempty"`
+	HeartbeatMillis     int  `json:"heartbeatMillis,omitempty"`
+	IdleHeartbeatMillis int  `json:"idleHeartbeatMillis,omitempty"`
+	RenewMillis         int  `json:"renewMillis,omitempty"`
+	CallTimeoutMillis   int  `json:"callTimeoutMillis,omitempty"`
+	WorkerTimeoutMillis int  `json:"workerTimeoutMillis,omitempty"`
+	TargetTimeoutMillis int  `json:"targetTimeoutMillis,omitempty"`
+	RequestGraceMillis  int  `json:"requestGraceMillis,omitempty"`
+	DrainMillis         int  `json:"drainMillis,omitempty"`
+	SettleMillis        *int `json:"settleMillis,omitempty"`
+
+	SharedKey string       `json:"sharedKey,omitempty"`
+	TLS       *TLSSettings `json:"tls,omitempty"`
+}
+
+// TLSSettings name the files for mutual TLS between processes.
+type TLSSettings struct {
+	Certificate string `json:"certificate"`
+	Key         string `json:"key"`
+	Authority   string `json:"authority"`
+}
+
+// Load reads the settings file at path. It fails with kind Invalid, naming the
+// file and the field.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, apricotwinch.Errorf(apricotwinch.Invalid, "agent settings: %w", err)
+	}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	var s Settings
+	if err := decoder.Decode(&s); err != nil {
+		return Settings{}, apricotwinch.Errorf(apricotwinch.Invalid, "agent settings %s: %w", path, err)
+	}
+	if err := s.Check(); err != nil {
+		return Settings{}, apricotwinch.Errorf(apricotwinch.Invalid, "agent settings %s: %w", path, err)
+	}
+	return s, nil
+}
+
+// Check returns an error of kind Invalid that names the first wrong field.
+func (s Settings) Check() error {
+	required := []struct{ field, value string }{
+		{"name", s.Name},
+		{"region", s.Region},
+		{"dataCentre", s.DataCentre},
+		{"rack", s.Rack},
+		{"listen", s.Listen},
+		{"http", s.HTTP},
+		{"worker", s.Worker},
+	}
+	for _, r := range required {
+		if r.value == "" {
+			return apricotwinch.Errorf(apricotwinch.Invalid, "%s: is missing", r.field)
+		}
+	}
+	if len(s.Entries) == 0 {
+		return apricotwinch.Errorf(apricotwinch.Invalid, "entries: names no entry")
+	}
+	if c := resourcesOf(s.Capacity); c.Negative() || c.Zero() {
+		return apricotwinch.Errorf(apricotwinch.Invalid, "capacity: %s is not the capacity of a host", c)
+	}
+	return checkLoopback("http", s.HTTP)
+}
+
+func checkLoopback(field, address string) error {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return apricotwinch.Errorf(apricotwinch.Invalid, "%s: %w", field, err)
+	}
+	if ip := net.ParseIP(host); ip == nil || !ip.IsLoopback() {
+		return apricotwinch.Errorf(apricotwinch.Invalid, "%s: %q is not a loopback address", field, address)
+	}
+	return nil
+}
+
+// millis returns n milliseconds, or standard when n is zero.
+func millis(n int, standard time.Duration) time.Duration {
+	if n == 0 {
+		return standard
+	}
+	return time.Duration(n) * time.Millisecond
+}
+
+// settle returns how long a new agent waits before it starts attempts.
+func (s Settings) settle(standard time.Duration) time.Duration {
+	if s.SettleMillis == nil {
+		return standard
+	}
+	return time.Duration(*s.SettleMillis) * time.Millisecond
+}
+
+// security returns how peers prove who they are.
+func (s Settings) security() (connector.Security, error) {
+	if s.TLS == nil {
+		return connector.NewSecurity(nil, nil, []byte(s.SharedKey)), nil
+	}
+	certificate, err := tls.LoadX509KeyPair(s.TLS.Certificate, s.TLS.Key)
+	if err != nil {
+		return connector.Security{}, apricotwinch.Errorf(apricotwinch.Invalid, "tls: %w", err)
+	}
+	authority, err := os.ReadFile(s.TLS.Authority)
+	if err != nil {
+		return connector.Security{}, apricotwinch.Errorf(apricotwinch.Invalid, "tls.authority: %w", err)
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(authority) {
+		return connector.Security{}, apricotwinch.Errorf(apricotwinch.Invalid, "tls.authority: %s holds no certificate", s.TLS.Authority)
+	}
+	server := &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{certificate},
+		ClientCAs:    roots,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+	}
+	client := &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{certificate},
+		RootCAs:      roots,
+		ServerName:   certificateName(certificate),
+	}
+	return connector.NewSecurity(server, client, []byte(s.SharedKey)), nil
+}
+
+// certificateName returns the name that the fleet's certificates share.
+func certificateName(certificate tls.Certificate) string {
+	if certificate.Leaf == nil || len(certificate.Leaf.DNSNames) == 0 {
+		return ""
+	}
+	return certificate.Leaf.DNSNames[0]
+}
+
+func resourcesOf(r messenger.Resources) apricotwinch.Resources {
+	return apricotwinch.NewResources(int64(r.ProcessorMillis), int64(r.MemoryBytes), int64(r.Accelerators))
+}
+
+func messageOf(r apricotwinch.Resources) messenger.Resources {
+	return messenger.Resources{
+		ProcessorMillis: int(r.ProcessorMillis()),
+		MemoryBytes:     int(r.MemoryBytes()),
+		Accelerators:    int(r.Accelerators()),
+	}
+}
