Add stand-ins for the log, the worker and the target

The platform's place in tests is taken by three small programs behind one command: a log with streams in memory, a worker that runs simulated tasks under leases, and a target that announces itself.

An attempt that was stopped before it was ever started is barred from starting, so that a late start command can't outlive its stop.

--- /dev/null
+++ b/standin/journaler/journaler.go
@@ -0,0 +1,119 @@
+// Package journaler keeps the journals of the stand-ins: what each worker and
+// target really ran, as JSON lines.
+package journaler
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"io"
+	"os"
+	"sync"
+	"time"
+
+	"apricotwinch"
+)
+
+// Events of a journal.
+const (
+	TaskStarted    = "task_started"    // A worker started an attempt.
+	TaskEnded      = "task_ended"      // A worker ended an attempt.
+	RequestStarted = "request_started" // A target started a request.
+	RequestEnded   = "request_ended"   // A target ended a request.
+	Leaving        = "leaving"         // A target announced that it leaves.
+	Killed         = "killed"          // The test killed the host; its work ended.
+)
+
+// Entry is one line of a journal.
+type Entry struct {
+	// Event is one of the events of this package.
+	Event string `json:"event"`
+	// Host is the name of the host.
+	Host string `json:"host"`
+	// DataCentre is the data centre of the host.
+	DataCentre string `json:"dataCentre,omitempty"`
+	// At is the time of the event.
+	At time.Time `json:"at"`
+	// Job is the id of the job of an attempt.
+	Job string `json:"job,omitempty"`
+	// Task is the number of the task.
+	Task int `json:"task,omitempty"`
+	// Attempt is the number of the attempt.
+	Attempt int `json:"attempt,omitempty"`
+	// Watch tells whether the task runs until it is stopped.
+	Watch bool `json:"watch,omitempty"`
+	// ResumedFrom names the attempt whose checkpoint this one resumed.
+	ResumedFrom string `json:"resumedFrom,omitempty"`
+	// ProgressMillis is the work done so far, in milliseconds.
+	ProgressMillis int `json:"progressMillis,omitempty"`
+	// ProcessorMillis is what the task may use, in thousandths of a processor.
+	ProcessorMillis int `json:"processorMillis,omitempty"`
+	// MemoryBytes is what the task may use, in bytes.
+	MemoryBytes int `json:"memoryBytes,omitempty"`
+	// Accelerators is what the task may use.
+	Accelerators int `json:"accelerators,omitempty"`
+	// Phase is how an attempt or a request ended.
+	Phase string `json:"phase,omitempty"`
+	// Service is the name of the service of a request.
+	Service string `json:"service,omitempty"`
+	// Request is the id of a request.
+	Request string `json:"request,omitempty"`
+	// BodyHash is the SHA-256 of the request's body, in hexadecimal.
+	BodyHash string `json:"bodyHash,omitempty"`
+}
+
+// AttemptID returns the attempt that the entry is about.
+func (e Entry) AttemptID() apricotwinch.AttemptID {
+	return apricotwinch.NewAttemptID(e.Job, e.Task, e.Attempt)
+}
+
+// Journal receives the entries of one stand-in in order.
+type Journal func(Entry)
+
+// Discard drops every entry.
+func Discard(Entry) {}
+
+// New returns a journal that writes each entry at once as a line of JSON to w;
+// it calls fail when a write fails.
+func New(w io.Writer, fail func(error)) Journal {
+	var mu sync.Mutex
+	encoder := json.NewEncoder(w)
+	return func(entry Entry) {
+		mu.Lock()
+		defer mu.Unlock()
+		if err := encoder.Encode(entry); err != nil {
+			fail(err)
+		}
+	}
+}
+
+// Read returns the entries that r holds; a last line that was cut short by the
+// death of its writer is left out.
+func Read(r io.Reader) ([]Entry, error) {
+	var entries []Entry
+	lines := bufio.NewReader(r)
+	for {
+		line, err := lines.ReadBytes('\n')
+		if errors.Is(err, io.EOF) {
+			return entries, nil
+		}
+		if err != nil {
+			return entries, err
+		}
+		var entry Entry
+		if err := json.Unmarshal(line, &entry); err != nil {
+			return entries, apricotwinch.Errorf(apricotwinch.Invalid, "line %d: %w", len(entries)+1, err)
+		}
+		entries = append(entries, entry)
+	}
+}
+
+// ReadFile returns the entries of the journal at path.
+func ReadFile(path string) ([]Entry, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = file.Close() }()
+	return Read(file)
+}
--- /dev/null
+++ b/standin/recorder/recorder.go
@@ -0,0 +1,285 @@
+// Package recorder stands in for the platform's append-only log: streams in
+// memory behind HTTP, with faults on demand.
+package recorder
+
+import (
+	"math"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"golang.org/x/time/rate"
+
+	"apricotwinch"
+	"apricotwinch/messenger"
+	"apricotwinch/standin/disrupter"
+)
+
+// Bounds of one request.
+const (
+	// DefaultReadRecords is the greatest number of records in one read.
+	DefaultReadRecords = 1000
+	// maxReadBytes bounds the records of one read, in bytes.
+	maxReadBytes = 4 << 20
+	// maxWait bounds the wait of one read.
+	maxWait = time.Minute
+)
+
+// Config sets a recorder.
+type Config struct {
+	// ReadRecords bounds the records of one read; 0 takes DefaultReadRecords.
+	ReadRecords int
+}
+
+// Faults are the faults of a recorder; the zero value has none.
+type Faults struct {
+	disrupter.Faults
+	// AppendsPerSecond caps the appends a second; 0 sets no cap.
+	AppendsPerSecond float64 `json:"appendsPerSecond,omitempty"`
+	// RetainRecords is the number of records kept in each stream; 0 keeps all.
+	RetainRecords int `json:"retainRecords,omitempty"`
+	// RetainMillis is the age at which records expire, in milliseconds; 0 is never.
+	RetainMillis int `json:"retainMillis,omitempty"`
+	// Expire drops records once, when the faults are set.
+	Expire []Expiry `json:"expire,omitempty"`
+}
+
+// Expiry drops the records of a stream before an offset.
+type Expiry struct {
+	// Stream is the name of the stream.
+	Stream string `json:"stream"`
+	// Before is the first offset that stays.
+	Before int `json:"before"`
+}
+
+// Stats counts what a recorder did.
+type Stats struct {
+	// Appends is the number of appends that landed.
+	Appends int `json:"appends"`
+	// Records is the number of records that landed.
+	Records int `json:"records"`
+	// Bytes is the length of the records that landed.
+	Bytes int `json:"bytes"`
+	// Capped is the number of appends refused over the cap.
+	Capped int `json:"capped"`
+	// Reads is the number of reads answered.
+	Reads int `json:"reads"`
+}
+
+// Recorder is the log; it serves HTTP.
+type Recorder struct {
+	config    Config
+	clock     clockwork.Clock
+	disrupter *disrupter.Disrupter
+	handler   http.Handler
+
+	mu      sync.Mutex
+	streams map[string]*stream
+	faults  Faults
+	limiter *rate.Limiter
+	stats   Stats
+}
+
+// New returns a log without records.
+func New(config Config, clock clockwork.Clock) *Recorder {
+	if config.ReadRecords == 0 {
+		config.ReadRecords = DefaultReadRecords
+	}
+	r := &Recorder{
+		config:    config,
+		clock:     clock,
+		disrupter: disrupter.New(clock),
+		streams:   make(map[string]*stream),
+		limiter:   rate.NewLimiter(rate.Inf, 0),
+	}
+	r.handler = r.routes()
+	return r
+}
+
+func (r *Recorder) routes() http.Handler {
+	log := http.NewServeMux()
+	log.HandleFunc("POST /v1/streams/{stream}/append", r.serveAppend)
+	log.HandleFunc("GET /v1/streams/{stream}", r.serveRead)
+	mux := http.NewServeMux()
+	mux.Handle("/v1/", r.disrupter.Wrap(log))
+	mux.HandleFunc("POST /faults", r.serveFaults)
+	mux.HandleFunc("GET /stats", func(w http.ResponseWriter, _ *http.Request) {
+		disrupter.WriteJSON(w, r.Stats())
+	})
+	return mux
+}
+
+// ServeHTTP serves the log, its faults at POST /faults and its counts at GET /stats.
+func (r *Recorder) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	r.handler.ServeHTTP(w, request)
+}
+
+// SetFaults replaces the faults in force.
+func (r *Recorder) SetFaults(faults Faults) {
+	r.mu.Lock()
+	r.faults = faults
+	r.limiter = newLimiter(faults.AppendsPerSecond)
+	for _, expiry := range faults.Expire {
+		r.stream(expiry.Stream).expireBefore(expiry.Before)
+	}
+	r.retain()
+	r.mu.Unlock()
+	r.disrupter.Set(faults.Faults)
+}
+
+func newLimiter(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), int(math.Ceil(perSecond)))
+}
+
+// Stats returns what the log did so far.
+func (r *Recorder) Stats() Stats {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stats
+}
+
+// Append adds records to a stream without faults and returns the offset of the first.
+func (r *Recorder) Append(name string, records [][]byte) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.append(name, records)
+}
+
+// Records returns the records that a stream still holds, without faults.
+func (r *Recorder) Records(name string) []messenger.LogRecord {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.stream(name)
+	return s.read(s.earliest, math.MaxInt, math.MaxInt)
+}
+
+func (r *Recorder) append(name string, records [][]byte) int {
+	s := r.stream(name)
+	offset := s.append(r.clock.Now(), records)
+	r.stats.Appends++
+	r.stats.Records += len(records)
+	for _, record := range records {
+		r.stats.Bytes += len(record)
+	}
+	s.retain(r.faults, r.clock.Now())
+	return offset
+}
+
+// stream returns the stream called name; the caller holds the lock.
+func (r *Recorder) stream(name string) *stream {
+	s, ok := r.streams[name]
+	if !ok {
+		s = &stream{grown: make(chan struct{})}
+		r.streams[name] = s
+	}
+	return s
+}
+
+func (r *Recorder) retain() {
+	now := r.clock.Now()
+	for _, s := range r.streams {
+		s.retain(r.faults, now)
+	}
+}
+
+func (r *Recorder) serveAppend(w http.ResponseWriter, request *http.Request) {
+	var body messenger.LogAppend
+	if err := disrupter.ReadJSON(request, &body); err != nil {
+		disrupter.WriteError(w, err)
+		return
+	}
+	if len(body.Records) == 0 {
+		disrupter.WriteError(w, apricotwinch.Errorf(apricotwinch.Invalid, "records: there is none"))
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.limiter.AllowN(r.clock.Now(), 1) {
+		r.stats.Capped++
+		disrupter.WriteError(w, apricotwinch.Errorf(apricotwinch.QuotaExceeded, "over %g appends a second", r.faults.AppendsPerSecond))
+		return
+	}
+	offset := r.append(request.PathValue("stream"), body.Records)
+	disrupter.WriteJSON(w, messenger.LogAppendReply{Offset: offset})
+}
+
+func (r *Recorder) serveRead(w http.ResponseWriter, request *http.Request) {
+	from, err := queryInt(request, "from")
+	if err != nil {
+		disrupter.WriteError(w, err)
+		return
+	}
+	waitMillis, err := queryInt(request, "waitMillis")
+	if err != nil {
+		disrupter.WriteError(w, err)
+		return
+	}
+	wait := min(time.Duration(waitMillis)*time.Millisecond, maxWait)
+	r.await(request, request.PathValue("stream"), from, wait)
+	disrupter.WriteJSON(w, r.read(request.PathValue("stream"), from))
+}
+
+// await waits until the stream holds a record at or after from, up to wait.
+func (r *Recorder) await(request *http.Request, name string, from int, wait time.Duration) {
+	if wait <= 0 {
+		return
+	}
+	timer := r.clock.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		r.mu.Lock()
+		s := r.stream(name)
+		next, grown := s.next(), s.grown
+		r.mu.Unlock()
+		if next > from {
+			return
+		}
+		select {
+		case <-grown:
+		case <-timer.Chan():
+			return
+		case <-request.Context().Done():
+			return
+		}
+	}
+}
+
+func (r *Recorder) read(name string, from int) messenger.LogRead {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stats.Reads++
+	s := r.stream(name)
+	s.retain(r.faults, r.clock.Now())
+	return messenger.LogRead{
+		Earliest: s.earliest,
+		Next:     s.next(),
+		Records:  s.read(from, r.config.ReadRecords, maxReadBytes),
+	}
+}
+
+func (r *Recorder) serveFaults(w http.ResponseWriter, request *http.Request) {
+	var faults Faults
+	if err := disrupter.ReadJSON(request, &faults); err != nil {
+		disrupter.WriteError(w, err)
+		return
+	}
+	r.SetFaults(faults)
+	disrupter.WriteJSON(w, struct{}{})
+}
+
+func queryInt(request *http.Request, name string) (int, error) {
+	text := request.URL.Query().Get(name)
+	if text == "" {
+		return 0, nil
+	}
+	value, err := strconv.Atoi(text)
+	if err != nil || value < 0 {
+		return 0, apricotwinch.Errorf(apricotwinch.Invalid, "%s: %q is not a number from 0 up", name, text)
+	}
+	return value, nil
+}
--- /dev/null
+++ b/standin/runner/runner.go
@@ -0,0 +1,389 @@
+// Package runner stands in for the platform's worker on one host: it runs
+// simulated tasks under leases behind HTTP, with faults on demand.
+package runner
+
+import (
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"apricotwinch"
+	"apricotwinch/messenger"
+	"apricotwinch/standin/disrupter"
+	"apricotwinch/standin/journaler"
+)
+
+// Defaults of a runner.
+const (
+	// DefaultRun is the run time of a task that declares none.
+	DefaultRun = time.Second
+	// DefaultCheckpointEvery is the period of checkpoints of a running task.
+	DefaultCheckpointEvery = time.Second
+)
+
+// Undisturbed is the slowdown of a task that nothing disturbs, in thousandths.
+const Undisturbed = 1000
+
+// Phases of a task.
+const (
+	PhaseRunning   = "running"   // The task runs.
+	PhaseCompleted = "completed" // The task ended with a result.
+	PhaseFailed    = "failed"    // The task ended with an error.
+	PhaseStopped   = "stopped"   // The task was told to stop.
+	PhaseLapsed    = "lapsed"    // The task's lease lapsed.
+)
+
+// Config sets a runner.
+type Config struct {
+	// Host is the name of the host.
+	Host string
+	// DataCentre is the data centre of the host.
+	DataCentre string
+	// Capacity is what the host can hold.
+	Capacity apricotwinch.Resources
+	// UsageLag is the age of usage reports.
+	UsageLag time.Duration
+	// CheckpointEvery is the period of checkpoints; 0 takes DefaultCheckpointEvery.
+	CheckpointEvery time.Duration
+	// StopTime is how long a task takes to stop.
+	StopTime time.Duration
+}
+
+// Faults are the faults of a runner; the zero value has none.
+type Faults struct {
+	disrupter.Faults
+	// FailEverything fails each task as soon as it starts.
+	FailEverything bool `json:"failEverything,omitempty"`
+	// SlowdownPermille slows every task down, in thousandths of an undisturbed run
+	// time; 0 is undisturbed.
+	SlowdownPermille int `json:"slowdownPermille,omitempty"`
+	// LapseAll lets every lease lapse once, when the faults are set.
+	LapseAll bool `json:"lapseAll,omitempty"`
+}
+
+// Runner is the worker; it serves HTTP.
+type Runner struct {
+	config    Config
+	clock     clockwork.Clock
+	journal   journaler.Journal
+	disrupter *disrupter.Disrupter
+	handler   http.Handler
+
+	mu        sync.Mutex
+	tasks     map[messenger.AttemptRef]*task
+	barred    map[messenger.AttemptRef]bool
+	faults    Faults
+	slowdowns []slowdown
+	timer     clockwork.Timer
+}
+
+// slowdown is the slowdown of the host from a time on.
+type slowdown struct {
+	from     time.Time
+	permille int
+}
+
+// New returns a worker without tasks; it hands each start and end to journal.
+func New(config Config, clock clockwork.Clock, journal journaler.Journal) *Runner {
+	if config.CheckpointEvery == 0 {
+		config.CheckpointEvery = DefaultCheckpointEvery
+	}
+	r := &Runner{
+		config:    config,
+		clock:     clock,
+		journal:   journal,
+		disrupter: disrupter.New(clock),
+		tasks:     make(map[messenger.AttemptRef]*task),
+		barred:    make(map[messenger.AttemptRef]bool),
+		slowdowns: []slowdown{{permille: Undisturbed}},
+	}
+	r.handler = r.routes()
+	return r
+}
+
+// SetFaults replaces the faults in force.
+func (r *Runner) SetFaults(faults Faults) {
+	r.mu.Lock()
+	now := r.advance()
+	permille := faults.SlowdownPermille
+	if permille <= 0 {
+		permille = Undisturbed
+	}
+	r.slowdowns = append(r.slowdowns, slowdown{from: now, permille: permille})
+	for _, t := range r.running() {
+		if faults.LapseAll {
+			r.end(t, now, PhaseLapsed, "lease lapsed")
+			continue
+		}
+		t.setRate(now, t.throttlePermille, permille)
+	}
+	faults.LapseAll = false
+	r.faults = faults
+	r.schedule(now)
+	r.mu.Unlock()
+	r.disrupter.Set(faults.Faults)
+}
+
+// Close stops the worker's timer; its tasks end without a journal entry.
+func (r *Runner) Close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.timer != nil {
+		r.timer.Stop()
+	}
+}
+
+// Start starts a task. It fails with kind Invalid, Conflict for an attempt that
+// it has seen, DeadlineExceeded after the command's times, or NoCapacity.
+func (r *Runner) Start(command messenger.WorkerStart) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.advance()
+	started, err := newTask(command, now, r.config.CheckpointEvery)
+	if err != nil {
+		return err
+	}
+	if err := r.admit(command, now); err != nil {
+		return err
+	}
+	r.barred[command.Attempt] = true
+	r.tasks[command.Attempt] = started
+	started.setRate(now, Undisturbed, r.slowdownAt(now))
+	started.fails = started.failsOn(r.config.Host) || r.faults.FailEverything
+	r.journal(r.entry(journaler.TaskStarted, started, now))
+	r.advance()
+	r.schedule(now)
+	return nil
+}
+
+func (r *Runner) admit(command messenger.WorkerStart, now time.Time) error {
+	if r.barred[command.Attempt] {
+		return apricotwinch.Errorf(apricotwinch.Conflict, "attempt %s was seen before", name(command.Attempt))
+	}
+	if now.UnixMilli() >= int64(command.StartBeforeUnixMillis) {
+		return apricotwinch.Errorf(apricotwinch.DeadlineExceeded, "startBeforeUnixMillis has passed")
+	}
+	if now.UnixMilli() >= int64(command.LeaseUntilUnixMillis) {
+		return apricotwinch.Errorf(apricotwinch.DeadlineExceeded, "leaseUntilUnixMillis has passed")
+	}
+	used := resources(command.Resources)
+	for _, t := range r.running() {
+		used = used.Add(resources(t.command.Resources))
+	}
+	if !used.Fits(r.config.Capacity) {
+		return apricotwinch.Errorf(apricotwinch.NoCapacity, "tasks would hold %s of %s", used, r.config.Capacity)
+	}
+	return nil
+}
+
+// Renew moves the ends of leases forward; a lapsed lease stays lapsed.
+func (r *Runner) Renew(command messenger.WorkerRenew) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.advance()
+	for _, lease := range command.Leases {
+		t, ok := r.tasks[lease.Attempt]
+		until := time.UnixMilli(int64(lease.LeaseUntilUnixMillis))
+		if ok && t.phase == PhaseRunning && until.After(t.leaseUntil) {
+			t.leaseUntil = until
+		}
+	}
+	r.schedule(now)
+}
+
+// Throttle sets the share of its processors that a task keeps. It fails with
+// kind NotFound for an attempt that does not run.
+func (r *Runner) Throttle(command messenger.WorkerThrottle) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.advance()
+	t, ok := r.tasks[command.Attempt]
+	if !ok || t.phase != PhaseRunning {
+		return apricotwinch.Errorf(apricotwinch.NotFound, "attempt %s does not run", name(command.Attempt))
+	}
+	if command.Permille < 1 || command.Permille > Undisturbed {
+		return apricotwinch.Errorf(apricotwinch.Invalid, "permille: %d is not from 1 to %d", command.Permille, Undisturbed)
+	}
+	t.setRate(now, command.Permille, r.slowdownAt(now))
+	r.schedule(now)
+	return nil
+}
+
+// Stop ends a task and returns it once it has ended. An unknown attempt fails
+// with kind NotFound and can't start afterwards.
+func (r *Runner) Stop(command messenger.WorkerStop) (messenger.WorkerTask, error) {
+	if r.config.StopTime > 0 {
+		r.clock.Sleep(r.config.StopTime)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.advance()
+	r.barred[command.Attempt] = true
+	t, ok := r.tasks[command.Attempt]
+	if !ok {
+		return messenger.WorkerTask{}, apricotwinch.Errorf(apricotwinch.NotFound, "attempt %s is unknown", name(command.Attempt))
+	}
+	if t.phase == PhaseRunning {
+		if command.Checkpoint {
+			t.checkpoint(now)
+		}
+		r.end(t, now, PhaseStopped, "")
+	}
+	r.schedule(now)
+	return r.report(t, now), nil
+}
+
+// Forget drops ended attempts; a running one stays.
+func (r *Runner) Forget(command messenger.WorkerForget) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.advance()
+	for _, attempt := range command.Attempts {
+		if t, ok := r.tasks[attempt]; ok && t.phase != PhaseRunning {
+			delete(r.tasks, attempt)
+		}
+	}
+}
+
+// Tasks returns the running tasks, and the ended ones that were not forgotten,
+// in order of attempt.
+func (r *Runner) Tasks() messenger.WorkerTasks {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.advance()
+	tasks := make([]messenger.WorkerTask, 0, len(r.tasks))
+	for _, t := range r.tasks {
+		tasks = append(tasks, r.report(t, now))
+	}
+	sort.Slice(tasks, func(i, j int) bool { return less(tasks[i].Attempt, tasks[j].Attempt) })
+	return messenger.WorkerTasks{Tasks: tasks}
+}
+
+// running returns the running tasks in order of attempt.
+func (r *Runner) running() []*task {
+	var running []*task
+	for _, t := range r.tasks {
+		if t.phase == PhaseRunning {
+			running = append(running, t)
+		}
+	}
+	sort.Slice(running, func(i, j int) bool { return less(running[i].command.Attempt, running[j].command.Attempt) })
+	return running
+}
+
+// advance ends each task whose end has come, in order of time, and returns now.
+func (r *Runner) advance() time.Time {
+	now := r.clock.Now()
+	running := r.running()
+	sort.SliceStable(running, func(i, j int) bool { return running[i].endsAt().Before(running[j].endsAt()) })
+	for _, t := range running {
+		at := t.endsAt()
+		if at.After(now) {
+			break
+		}
+		phase, reason := t.outcome(r.config.Host)
+		if phase == PhaseLapsed {
+			t.checkpointBefore(at)
+		}
+		r.end(t, at, phase, reason)
+	}
+	return now
+}
+
+func (r *Runner) end(t *task, at time.Time, phase, reason string) {
+	t.end(at, phase, reason)
+	r.journal(r.entry(journaler.TaskEnded, t, at))
+}
+
+// schedule sets the timer for the next end of a task.
+func (r *Runner) schedule(now time.Time) {
+	if r.timer != nil {
+		r.timer.Stop()
+		r.timer = nil
+	}
+	var next time.Time
+	for _, t := range r.running() {
+		if at := t.endsAt(); next.IsZero() || at.Before(next) {
+			next = at
+		}
+	}
+	if next.IsZero() {
+		return
+	}
+	r.timer = r.clock.AfterFunc(max(next.Sub(now), 0), r.tick)
+}
+
+func (r *Runner) tick() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.schedule(r.advance())
+}
+
+// slowdownAt returns the slowdown of the host at a time, in thousandths.
+func (r *Runner) slowdownAt(at time.Time) int {
+	for i := len(r.slowdowns) - 1; i > 0; i-- {
+		if !r.slowdowns[i].from.After(at) {
+			return r.slowdowns[i].permille
+		}
+	}
+	return r.slowdowns[0].permille
+}
+
+// report returns what the worker tells of a task; its use is as old as the lag.
+func (r *Runner) report(t *task, now time.Time) messenger.WorkerTask {
+	seen := now.Add(-r.config.UsageLag)
+	report := messenger.WorkerTask{
+		Attempt:          t.command.Attempt,
+		Phase:            t.phase,
+		SlowdownPermille: Undisturbed,
+		LagMillis:        int(r.config.UsageLag.Milliseconds()),
+		Checkpoint:       t.encodedCheckpoint(now),
+		Result:           t.result,
+		Reason:           t.reason,
+	}
+	if t.runsAt(seen) {
+		report.Used = t.used()
+		report.SlowdownPermille = r.slowdownAt(seen)
+	}
+	return report
+}
+
+func (r *Runner) entry(event string, t *task, at time.Time) journaler.Entry {
+	return journaler.Entry{
+		Event:           event,
+		Host:            r.config.Host,
+		DataCentre:      r.config.DataCentre,
+		At:              at,
+		Job:             t.command.Attempt.Job,
+		Task:            t.command.Attempt.Task,
+		Attempt:         t.command.Attempt.Attempt,
+		Watch:           t.command.Watch,
+		ResumedFrom:     t.resumedFrom,
+		ProgressMillis:  int(t.progressAt(at).Milliseconds()),
+		ProcessorMillis: t.command.Resources.ProcessorMillis,
+		MemoryBytes:     t.command.Resources.MemoryBytes,
+		Accelerators:    t.command.Resources.Accelerators,
+		Phase:           t.phase,
+	}
+}
+
+func less(a, b messenger.AttemptRef) bool {
+	if a.Job != b.Job {
+		return a.Job < b.Job
+	}
+	if a.Task != b.Task {
+		return a.Task < b.Task
+	}
+	return a.Attempt < b.Attempt
+}
+
+func name(a messenger.AttemptRef) string {
+	return apricotwinch.NewAttemptID(a.Job, a.Task, a.Attempt).String()
+}
+
+func resources(r messenger.Resources) apricotwinch.Resources {
+	return apricotwinch.NewResources(int64(r.ProcessorMillis), int64(r.MemoryBytes), int64(r.Accelerators))
+}
