--- a/standin/journaler/journaler.go
+++ b/standin/journaler/journaler.go
@@ -4,6 +4,8 @@
 
 import (
 	"bufio"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"io"
@@ -58,7 +60,7 @@
 	Service string `json:"service,omitempty"`
 	// Request is the id of a request.
 	Request string `json:"request,omitempty"`
-	// BodyHash is the SHA-256 of the request's body, in hexadecimal.
+	// BodyHash is the Hash of the request's body or of the job's payload.
 	BodyHash string `json:"bodyHash,omitempty"`
 }
 
@@ -67,6 +69,12 @@
 	return apricotwinch.NewAttemptID(e.Job, e.Task, e.Attempt)
 }
 
+// Hash returns the SHA-256 of body in hexadecimal.
+func Hash(body []byte) string {
+	sum := sha256.Sum256(body)
+	return hex.EncodeToString(sum[:])
+}
+
 // Journal receives the entries of one stand-in in order.
 type Journal func(Entry)
 
--- a/standin/responder/responder.go
+++ b/standin/responder/responder.go
@@ -3,8 +3,6 @@
 package responder
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"io"
 	"net/http"
 	"strings"
@@ -76,12 +74,6 @@
 	Padding string `json:"padding,omitempty"`
 }
 
-// Hash returns the SHA-256 of body in hexadecimal, as it stands in answers and journals.
-func Hash(body []byte) string {
-	sum := sha256.Sum256(body)
-	return hex.EncodeToString(sum[:])
-}
-
 // Responder is the target; it serves HTTP.
 type Responder struct {
 	config    Config
@@ -163,7 +155,7 @@
 		disrupter.WriteError(w, apricotwinch.Errorf(apricotwinch.Invalid, "body: %w", err))
 		return
 	}
-	id, hash := request.Header.Get(HeaderRequest), Hash(body)
+	id, hash := request.Header.Get(HeaderRequest), journaler.Hash(body)
 	if !r.take() {
 		r.record(journaler.RequestEnded, id, hash, PhaseRefused)
 		disrupter.WriteError(w, apricotwinch.Errorf(apricotwinch.Overloaded, "all %d slots are taken", r.config.Slots))
--- a/standin/responder/responder_test.go
+++ b/standin/responder/responder_test.go
@@ -64,7 +64,7 @@
 		t.Errorf("status over the slots (-want +got):\n%s", diff)
 	}
 	clock.Advance(time.Second)
-	want := responder.Answer{Service: "s", Host: "h1", Request: "r1", BodyHash: responder.Hash([]byte("body"))}
+	want := responder.Answer{Service: "s", Host: "h1", Request: "r1", BodyHash: journaler.Hash([]byte("body"))}
 	if diff := cmp.Diff(want, <-first); diff != "" {
 		t.Errorf("answer (-want +got):\n%s", diff)
 	}
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -367,6 +367,7 @@
 		MemoryBytes:     t.command.Resources.MemoryBytes,
 		Accelerators:    t.command.Resources.Accelerators,
 		Phase:           t.phase,
+		BodyHash:        journaler.Hash(t.command.Payload),
 	}
 }
 
