Add the fold of a partition's stream and the owner's scheduler

Cause: exactly once rests on one verdict for each record, whoever folds it, and on an owner that gives a second host a task only when the first lease is provably over. Before: nothing.

--- /dev/null
+++ b/bookkeeper/book.go
@@ -0,0 +1,328 @@
+// Package bookkeeper folds the stream of one partition into the state of its
+// jobs: which attempts run where, what is done, and whose epoch is in force.
+package bookkeeper
+
+import (
+	"time"
+
+	"apricotwinch"
+	"apricotwinch/messenger"
+)
+
+// Retention is how long a finished job stays in the book.
+const Retention = time.Hour
+
+// Change is one task that moved, or one job that changed as a whole.
+type Change struct {
+	job    *Job
+	task   int
+	before Task
+}
+
+// Job returns the job that changed.
+func (c Change) Job() *Job { return c.job }
+
+// Task returns the number of the task that moved, or -1 for the whole job.
+func (c Change) Task() int { return c.task }
+
+// Before returns the task as it was.
+func (c Change) Before() Task { return c.before }
+
+// wholeJob is the task number of a change of the job itself.
+const wholeJob = -1
+
+// Book is the state of one partition. The zero value is not usable.
+type Book struct {
+	partition int
+	epoch     int64
+	next      int64
+	clock     int64
+	jobs      map[string]*Job
+	finished  []*Job
+	restore   *restore
+}
+
+// New returns an empty book of partition number partition, folded from offset 0.
+func New(partition int) *Book {
+	return &Book{partition: partition, jobs: make(map[string]*Job)}
+}
+
+// Partition returns the number of the partition.
+func (b *Book) Partition() int { return b.partition }
+
+// Epoch returns the epoch in force, or 0.
+func (b *Book) Epoch() int64 { return b.epoch }
+
+// Next returns the offset of the next record to fold.
+func (b *Book) Next() int64 { return b.next }
+
+// Jobs returns the number of jobs in the book.
+func (b *Book) Jobs() int { return len(b.jobs) }
+
+// Job returns the job called id.
+func (b *Book) Job(id string) (*Job, bool) {
+	job, ok := b.jobs[id]
+	return job, ok
+}
+
+// Restoring reports whether the book still waits for a whole snapshot.
+func (b *Book) Restoring() bool { return b.restore != nil }
+
+// Fold applies the record at offset and returns what changed. A void record
+// changes nothing and returns an error whose kind says why: StaleEpoch,
+// Conflict, NotFound or Invalid. Records must come in order of offset.
+func (b *Book) Fold(offset int64, record messenger.LedgerRecord) ([]Change, error) {
+	if offset < b.next {
+		return nil, apricotwinch.Errorf(apricotwinch.Conflict, "offset %d was folded before", offset)
+	}
+	b.next = offset + 1
+	if b.restore != nil {
+		return nil, b.foldRestoring(offset, record)
+	}
+	if record.Type == messenger.RecordSnapshot {
+		return nil, nil
+	}
+	return b.apply(offset, record)
+}
+
+// rule is how one type of record changes the book.
+type rule struct {
+	ownerOnly bool
+	apply     func(b *Book, offset int64, record messenger.LedgerRecord) ([]Change, error)
+}
+
+// rules is the table from type of record to its rule.
+var rules = map[string]rule{
+	messenger.RecordBegan:     {apply: (*Book).began},
+	messenger.RecordSubmitted: {apply: (*Book).submitted},
+	messenger.RecordCanceled:  {apply: (*Book).canceled},
+	messenger.RecordResumed:   {apply: (*Book).resumed},
+	messenger.RecordParked:    {ownerOnly: true, apply: (*Book).parked},
+	messenger.RecordAssigned:  {ownerOnly: true, apply: (*Book).assigned},
+	messenger.RecordReturned:  {ownerOnly: true, apply: (*Book).returned},
+	messenger.RecordCompleted: {ownerOnly: true, apply: (*Book).completed},
+	messenger.RecordFailed:    {ownerOnly: true, apply: (*Book).failed},
+	messenger.RecordEvicted:   {ownerOnly: true, apply: (*Book).evicted},
+	messenger.RecordLost:      {ownerOnly: true, apply: (*Book).returned},
+}
+
+func (b *Book) apply(offset int64, record messenger.LedgerRecord) ([]Change, error) {
+	r, ok := rules[record.Type]
+	if !ok {
+		return nil, apricotwinch.Errorf(apricotwinch.Invalid, "type: %q is not a type of record", record.Type)
+	}
+	if r.ownerOnly && int64(record.Epoch) != b.epoch {
+		return nil, apricotwinch.Errorf(apricotwinch.StaleEpoch, "epoch: %d is not %d, the one in force", record.Epoch, b.epoch)
+	}
+	changes, err := r.apply(b, offset, record)
+	if err != nil {
+		return nil, err
+	}
+	b.advanceClock(int64(record.UnixMillis))
+	return changes, nil
+}
+
+func (b *Book) began(_ int64, record messenger.LedgerRecord) ([]Change, error) {
+	if int64(record.Epoch) <= b.epoch {
+		return nil, apricotwinch.Errorf(apricotwinch.StaleEpoch, "epoch: %d is not after %d", record.Epoch, b.epoch)
+	}
+	b.epoch = int64(record.Epoch)
+	return nil, nil
+}
+
+func (b *Book) submitted(offset int64, record messenger.LedgerRecord) ([]Change, error) {
+	if record.Job == "" {
+		return nil, apricotwinch.Errorf(apricotwinch.Invalid, "job: is empty")
+	}
+	if _, ok := b.jobs[record.Job]; ok {
+		return nil, apricotwinch.Errorf(apricotwinch.Conflict, "job: %s was submitted before", record.Job)
+	}
+	if record.Spec == nil || record.Spec.Tasks < 1 {
+		return nil, apricotwinch.Errorf(apricotwinch.Invalid, "spec.tasks: job %s has no task", record.Job)
+	}
+	job := newJob(offset, record)
+	b.jobs[job.id] = job
+	return []Change{{job: job, task: wholeJob}}, nil
+}
+
+func (b *Book) canceled(_ int64, record messenger.LedgerRecord) ([]Change, error) {
+	job, err := b.find(record)
+	if err != nil {
+		return nil, err
+	}
+	if job.canceled || job.Finished() {
+		return nil, apricotwinch.Errorf(apricotwinch.Conflict, "job: %s has ended", job.id)
+	}
+	job.canceled = true
+	changes := []Change{{job: job, task: wholeJob}}
+	for i := range job.tasks {
+		if job.tasks[i].phase != Waiting {
+			continue
+		}
+		changes = append(changes, job.move(i, Canceled))
+	}
+	b.noteFinished(job, record)
+	return changes, nil
+}
+
+func (b *Book) parked(_ int64, record messenger.LedgerRecord) ([]Change, error) {
+	job, err := b.find(record)
+	if err != nil {
+		return nil, err
+	}
+	job.parked = record.Reason
+	return []Change{{job: job, task: wholeJob}}, nil
+}
+
+func (b *Book) resumed(_ int64, record messenger.LedgerRecord) ([]Change, error) {
+	job, err := b.find(record)
+	if err != nil {
+		return nil, err
+	}
+	job.parked = ""
+	for i := range job.tasks {
+		job.tasks[i].failures = 0
+	}
+	return []Change{{job: job, task: wholeJob}}, nil
+}
+
+func (b *Book) assigned(_ int64, record messenger.LedgerRecord) ([]Change, error) {
+	job, err := b.findTask(record)
+	if err != nil {
+		return nil, err
+	}
+	task := &job.tasks[record.Task]
+	if task.phase != Waiting || record.Attempt != task.attempt+1 || job.canceled {
+		return nil, apricotwinch.Errorf(apricotwinch.Conflict,
+			"attempt: %d of task %d of %s can't follow attempt %d in phase %s",
+			record.Attempt, record.Task, job.id, task.attempt, task.phase)
+	}
+	change := job.move(record.Task, Assigned)
+	task.attempt = record.Attempt
+	task.host = record.Host
+	task.incarnation = record.Incarnation
+	task.dataCentre = record.DataCentre
+	return []Change{change}, nil
+}
+
+// returned ends an attempt that left no trace but possibly an older checkpoint.
+func (b *Book) returned(_ int64, record messenger.LedgerRecord) ([]Change, error) {
+	job, err := b.findCurrent(record)
+	if err != nil {
+		return nil, err
+	}
+	return b.requeue(job, record), nil
+}
+
+func (b *Book) evicted(_ int64, record messenger.LedgerRecord) ([]Change, error) {
+	job, err := b.findCurrent(record)
+	if err != nil {
+		return nil, err
+	}
+	if len(record.Checkpoint) > 0 {
+		job.tasks[record.Task].checkpoint = record.Checkpoint
+	}
+	return b.requeue(job, record), nil
+}
+
+func (b *Book) failed(_ int64, record messenger.LedgerRecord) ([]Change, error) {
+	job, err := b.findCurrent(record)
+	if err != nil {
+		return nil, err
+	}
+	task := &job.tasks[record.Task]
+	task.failures++
+	task.failedHosts = append(task.failedHosts, task.host)
+	return b.requeue(job, record), nil
+}
+
+func (b *Book) completed(_ int64, record messenger.LedgerRecord) ([]Change, error) {
+	job, err := b.findCurrent(record)
+	if err != nil {
+		return nil, err
+	}
+	if job.Watch() {
+		return b.requeue(job, record), nil
+	}
+	job.tasks[record.Task].result = record.Result
+	change := job.move(record.Task, Completed)
+	b.noteFinished(job, record)
+	return []Change{change}, nil
+}
+
+// requeue lets the task wait again, or ends it when its job was canceled.
+func (b *Book) requeue(job *Job, record messenger.LedgerRecord) []Change {
+	phase := Waiting
+	if job.canceled {
+		phase = Canceled
+	}
+	change := job.move(record.Task, phase)
+	b.noteFinished(job, record)
+	return []Change{change}
+}
+
+// move puts task n in phase and forgets its host unless it is assigned.
+func (j *Job) move(n int, phase Phase) Change {
+	task := &j.tasks[n]
+	change := Change{job: j, task: n, before: *task}
+	task.phase = phase
+	task.host = ""
+	task.incarnation = ""
+	task.dataCentre = ""
+	if phase.Terminal() {
+		task.checkpoint = nil
+	}
+	return change
+}
+
+func (b *Book) find(record messenger.LedgerRecord) (*Job, error) {
+	job, ok := b.jobs[record.Job]
+	if !ok {
+		return nil, apricotwinch.Errorf(apricotwinch.NotFound, "job: %s is not known", record.Job)
+	}
+	return job, nil
+}
+
+func (b *Book) findTask(record messenger.LedgerRecord) (*Job, error) {
+	job, err := b.find(record)
+	if err != nil {
+		return nil, err
+	}
+	if record.Task < 0 || record.Task >= len(job.tasks) {
+		return nil, apricotwinch.Errorf(apricotwinch.Invalid, "task: %s has no task %d", job.id, record.Task)
+	}
+	return job, nil
+}
+
+// findCurrent returns the job of a record that ends the current attempt of its task.
+func (b *Book) findCurrent(record messenger.LedgerRecord) (*Job, error) {
+	job, err := b.findTask(record)
+	if err != nil {
+		return nil, err
+	}
+	task := &job.tasks[record.Task]
+	if task.phase != Assigned || task.attempt != record.Attempt {
+		return nil, apricotwinch.Errorf(apricotwinch.Conflict,
+			"attempt: %d of task %d of %s is not current", record.Attempt, record.Task, job.id)
+	}
+	return job, nil
+}
+
+func (b *Book) noteFinished(job *Job, record messenger.LedgerRecord) {
+	if !job.Finished() {
+		return
+	}
+	job.finishedMillis = max(b.clock, int64(record.UnixMillis))
+	b.finished = append(b.finished, job)
+}
+
+// advanceClock moves the clock of the records forward and drops the jobs that
+// finished longer than Retention before it.
+func (b *Book) advanceClock(millis int64) {
+	b.clock = max(b.clock, millis)
+	horizon := b.clock - Retention.Milliseconds()
+	for len(b.finished) > 0 && b.finished[0].finishedMillis < horizon {
+		delete(b.jobs, b.finished[0].id)
+		b.finished = b.finished[1:]
+	}
+}
--- /dev/null
+++ b/bookkeeper/bookkeeper_test.go
@@ -0,0 +1,174 @@
+package bookkeeper_test
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/sebdah/goldie/v2"
+	"pgregory.net/rapid"
+
+	"apricotwinch"
+	"apricotwinch/bookkeeper"
+	"apricotwinch/messenger"
+)
+
+// TestFoldTraces folds each testdata/NAME.records, one record a line, and
+// compares the verdicts and the final state with NAME.golden.
+func TestFoldTraces(t *testing.T) {
+	inputs, err := filepath.Glob("testdata/*.records")
+	if err != nil || len(inputs) == 0 {
+		t.Fatalf("no inputs: %v", err)
+	}
+	for _, input := range inputs {
+		name := strings.TrimSuffix(filepath.Base(input), ".records")
+		t.Run(name, func(t *testing.T) {
+			data, err := os.ReadFile(input)
+			if err != nil {
+				t.Fatal(err)
+			}
+			goldie.New(t, goldie.WithFixtureDir("testdata")).Assert(t, name, trace(t, data))
+		})
+	}
+}
+
+func trace(t *testing.T, data []byte) []byte {
+	t.Helper()
+	var out bytes.Buffer
+	book := bookkeeper.New(0)
+	lines := bufio.NewScanner(bytes.NewReader(data))
+	for offset := int64(0); lines.Scan(); offset++ {
+		var record messenger.LedgerRecord
+		if err := json.Unmarshal(lines.Bytes(), &record); err != nil {
+			t.Fatal(err)
+		}
+		changes, err := book.Fold(offset, record)
+		fmt.Fprintf(&out, "%d %s: ", offset, record.Type)
+		if err != nil {
+			fmt.Fprintf(&out, "void, %s: %v\n", apricotwinch.KindOf(err), err)
+			continue
+		}
+		fmt.Fprintf(&out, "%d changes\n", len(changes))
+	}
+	state, err := json.MarshalIndent(book.States(""), "", "  ")
+	if err != nil {
+		t.Fatal(err)
+	}
+	out.Write(state)
+	return out.Bytes()
+}
+
+var recordTypes = []string{
+	messenger.RecordBegan, messenger.RecordSubmitted, messenger.RecordCanceled, messenger.RecordAssigned,
+	messenger.RecordReturned, messenger.RecordCompleted, messenger.RecordFailed, messenger.RecordEvicted,
+	messenger.RecordLost, messenger.RecordParked, messenger.RecordResumed,
+}
+
+func drawRecord(t *rapid.T) messenger.LedgerRecord {
+	record := messenger.LedgerRecord{
+		Type:       rapid.SampledFrom(recordTypes).Draw(t, "type"),
+		Epoch:      rapid.IntRange(0, 3).Draw(t, "epoch"),
+		UnixMillis: rapid.IntRange(0, 5).Draw(t, "hours") * 3600_000,
+		Team:       "team",
+		Job:        rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "job"),
+		Task:       rapid.IntRange(-1, 2).Draw(t, "task"),
+		Attempt:    rapid.IntRange(0, 4).Draw(t, "attempt"),
+		Host:       rapid.SampledFrom([]string{"h1", "h2"}).Draw(t, "host"),
+		Reason:     "reason",
+	}
+	if record.Type == messenger.RecordSubmitted {
+		kind := rapid.SampledFrom([]string{messenger.JobBatch, messenger.JobWatch}).Draw(t, "kind")
+		record.Spec = &messenger.JobSpec{Name: "n", Kind: kind, Tasks: rapid.IntRange(0, 2).Draw(t, "tasks")}
+	}
+	return record
+}
+
+// TestFoldProperties checks, over random records, that duplicates change
+// nothing, that a completed task stays completed with one result, and that a
+// book restored from a snapshot equals one folded from the start.
+func TestFoldProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		records := rapid.SliceOfN(rapid.Custom(drawRecord), 1, 80).Draw(t, "records")
+		cut := rapid.IntRange(0, len(records)-1).Draw(t, "cut")
+		whole := bookkeeper.New(0)
+		restored := bookkeeper.Restore(0, int64(cut))
+		for i, record := range records {
+			offset := int64(2 * i)
+			before := whole.States("")
+			_, _ = whole.Fold(offset, record)
+			after := whole.States("")
+			checkTerminal(t, before, after, record)
+			if _, err := whole.Fold(offset+1, record); err == nil && !repeatable(record) {
+				t.Fatalf("record %d was applied twice: %+v", i, record)
+			}
+			if int(offset) >= cut {
+				_, _ = restored.Fold(offset, record)
+				_, _ = restored.Fold(offset+1, record)
+			}
+		}
+		next := int64(2 * len(records))
+		for i, part := range whole.Snapshot() {
+			_, _ = restored.Fold(next+int64(i), messenger.LedgerRecord{Type: messenger.RecordSnapshot, Snapshot: &part})
+		}
+		if diff := cmp.Diff(whole.States(""), restored.States("")); diff != "" {
+			t.Fatalf("restored state (-whole +restored):\n%s", diff)
+		}
+	})
+}
+
+// repeatable reports whether a second copy of record may be valid because it
+// states the same thing again.
+func repeatable(record messenger.LedgerRecord) bool {
+	return record.Type == messenger.RecordParked || record.Type == messenger.RecordResumed
+}
+
+func checkTerminal(t *rapid.T, before, after []messenger.JobState, record messenger.LedgerRecord) {
+	now := map[string]messenger.JobState{}
+	for _, job := range after {
+		now[job.Job] = job
+	}
+	for _, job := range before {
+		later, ok := now[job.Job]
+		if !ok {
+			continue
+		}
+		for i, task := range job.Tasks {
+			if task.Phase == messenger.TaskCompleted && later.Tasks[i].Phase != messenger.TaskCompleted {
+				t.Fatalf("task %d of %s left completed by %+v", i, job.Job, record)
+			}
+			if later.Tasks[i].Attempt < task.Attempt {
+				t.Fatalf("attempt of task %d of %s went back by %+v", i, job.Job, record)
+			}
+		}
+	}
+}
+
+func FuzzFold(f *testing.F) {
+	f.Add([]byte(`{"type":"submitted","job":"a","team":"t","spec":{"tasks":1,"kind":"batch"}}`))
+	f.Add([]byte(`{"type":"snapshot","snapshot":{"parts":1,"jobs":[]}}`))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		var record messenger.LedgerRecord
+		if json.Unmarshal(data, &record) != nil {
+			return
+		}
+		book := bookkeeper.Restore(0, 1)
+		_, _ = book.Fold(1, record)
+		_, _ = bookkeeper.New(0).Fold(0, record)
+	})
+}
+
+// TestMain fixes the seed of the property tests.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
--- /dev/null
+++ b/bookkeeper/job.go
@@ -0,0 +1,180 @@
+package bookkeeper
+
+import (
+	"slices"
+
+	"apricotwinch"
+	"apricotwinch/messenger"
+)
+
+// Phase is where a task stands.
+type Phase string
+
+// Phases of a task.
+const (
+	Waiting   Phase = messenger.TaskWaiting
+	Assigned  Phase = messenger.TaskAssigned
+	Completed Phase = messenger.TaskCompleted
+	Failed    Phase = messenger.TaskFailed
+	Canceled  Phase = messenger.TaskCanceled
+)
+
+// Terminal reports whether a task in phase p never runs again.
+func (p Phase) Terminal() bool { return p == Completed || p == Failed || p == Canceled }
+
+// Task is the state of one task of a job.
+type Task struct {
+	phase       Phase
+	attempt     int
+	failures    int
+	host        string
+	incarnation string
+	dataCentre  string
+	checkpoint  []byte
+	result      []byte
+	failedHosts []string
+}
+
+// Phase returns where the task stands.
+func (t *Task) Phase() Phase { return t.phase }
+
+// Attempt returns the number of the latest attempt, 0 before the first.
+func (t *Task) Attempt() int { return t.attempt }
+
+// Failures returns the number of failed attempts.
+func (t *Task) Failures() int { return t.failures }
+
+// Host returns the host of the current attempt.
+func (t *Task) Host() string { return t.host }
+
+// Incarnation returns the incarnation of the agent of the current attempt.
+func (t *Task) Incarnation() string { return t.incarnation }
+
+// DataCentre returns the data centre of the current attempt.
+func (t *Task) DataCentre() string { return t.dataCentre }
+
+// Checkpoint returns the latest checkpoint.
+func (t *Task) Checkpoint() []byte { return t.checkpoint }
+
+// Result returns the result of a completed task.
+func (t *Task) Result() []byte { return t.result }
+
+// FailedHosts returns the hosts on which attempts failed.
+func (t *Task) FailedHosts() []string { return t.failedHosts }
+
+// Job is the state of one batch job or watch service.
+type Job struct {
+	id             string
+	team           string
+	spec           messenger.JobSpec
+	canceled       bool
+	parked         string
+	submittedAt    int64
+	finishedMillis int64
+	tasks          []Task
+}
+
+// ID returns the id of the job.
+func (j *Job) ID() string { return j.id }
+
+// Team returns the team that owns the job.
+func (j *Job) Team() string { return j.team }
+
+// Spec returns what the job needs.
+func (j *Job) Spec() messenger.JobSpec { return j.spec }
+
+// Canceled reports whether the job was canceled.
+func (j *Job) Canceled() bool { return j.canceled }
+
+// Parked returns why the job is not tried, or "".
+func (j *Job) Parked() string { return j.parked }
+
+// Watch reports whether the tasks run until the job is canceled.
+func (j *Job) Watch() bool { return j.spec.Kind == messenger.JobWatch }
+
+// Tasks returns the number of tasks.
+func (j *Job) Tasks() int { return len(j.tasks) }
+
+// Task returns the task numbered n, from 0.
+func (j *Job) Task(n int) *Task { return &j.tasks[n] }
+
+// Need returns the declared need of each task.
+func (j *Job) Need() apricotwinch.Resources { return j.spec.Resources.Value() }
+
+// Finished reports whether every task is terminal.
+func (j *Job) Finished() bool {
+	return !slices.ContainsFunc(j.tasks, func(t Task) bool { return !t.phase.Terminal() })
+}
+
+// state returns the job in the form that snapshots and answers carry.
+func (j *Job) state() messenger.JobState {
+	state := messenger.JobState{
+		Job:            j.id,
+		Team:           j.team,
+		Spec:           j.spec,
+		Canceled:       j.canceled,
+		Parked:         j.parked,
+		SubmittedAt:    int(j.submittedAt),
+		FinishedMillis: int(j.finishedMillis),
+		Tasks:          make([]messenger.TaskState, len(j.tasks)),
+	}
+	for i := range j.tasks {
+		state.Tasks[i] = j.tasks[i].state()
+	}
+	return state
+}
+
+func (t *Task) state() messenger.TaskState {
+	return messenger.TaskState{
+		Phase:       string(t.phase),
+		Attempt:     t.attempt,
+		Failures:    t.failures,
+		Host:        t.host,
+		Incarnation: t.incarnation,
+		DataCentre:  t.dataCentre,
+		Checkpoint:  t.checkpoint,
+		Result:      t.result,
+		FailedHosts: t.failedHosts,
+	}
+}
+
+func newJob(offset int64, record messenger.LedgerRecord) *Job {
+	job := &Job{
+		id:          record.Job,
+		team:        record.Team,
+		spec:        *record.Spec,
+		submittedAt: offset,
+		tasks:       make([]Task, record.Spec.Tasks),
+	}
+	for i := range job.tasks {
+		job.tasks[i].phase = Waiting
+	}
+	return job
+}
+
+func restoreJob(state messenger.JobState) *Job {
+	job := &Job{
+		id:             state.Job,
+		team:           state.Team,
+		spec:           state.Spec,
+		canceled:       state.Canceled,
+		parked:         state.Parked,
+		submittedAt:    int64(state.SubmittedAt),
+		finishedMillis: int64(state.FinishedMillis),
+		tasks:          make([]Task, len(state.Tasks)),
+	}
+	for i, t := range state.Tasks {
+		job.tasks[i] = Task{
+			phase:       Phase(t.Phase),
+			attempt:     t.Attempt,
+			failures:    t.Failures,
+			host:        t.Host,
+			incarnation: t.Incarnation,
+			dataCentre:  t.DataCentre,
+			checkpoint:  t.Checkpoint,
+			result:      t.Result,
+			failedHosts: t.FailedHosts,
+		}
+	}
+	return job
+}
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -342,6 +342,9 @@
 	// Whether the job was canceled.
 	Canceled bool `json:"canceled,omitempty,omitzero"`
 
+	// Time of the record that finished the job, in milliseconds since 1970.
+	FinishedMillis int `json:"finishedMillis,omitempty,omitzero"`
+
 	// Id of the job.
 	Job string `json:"job"`
 
@@ -461,6 +464,9 @@
 
 // The state of a partition as of an offset; a large state takes several parts.
 type LedgerSnapshot struct {
+	// Latest time of a folded record, in milliseconds since 1970.
+	ClockMillis int `json:"clockMillis,omitempty,omitzero"`
+
 	// Epoch in force.
 	Epoch int `json:"epoch"`
 
--- /dev/null
+++ b/scheduler/config.go
@@ -0,0 +1,113 @@
+package scheduler
+
+import (
+	"time"
+
+	"apricotwinch"
+	"apricotwinch/messenger"
+)
+
+// Config is the timing and the caps of a scheduler.
+type Config struct {
+	// Lease is the length of a granted lease, counted from the agent's ticket.
+	Lease time.Duration
+	// Margin is added to a lease before it counts as over.
+	Margin time.Duration
+	// OutageAllowance is how long an owner without a fresh claim may go on
+	// granting leases.
+	OutageAllowance time.Duration
+	// Resend is the period after which an unanswered command is sent again.
+	Resend time.Duration
+	// MaxTicketAge is the greatest age of a ticket that a start may carry.
+	MaxTicketAge time.Duration
+	// StartsPerTick caps the assignments of one tick.
+	StartsPerTick int
+	// StopsPerTick caps the stop commands of one tick.
+	StopsPerTick int
+	// RetryBase is the delay before the second attempt of a failed task; it
+	// doubles with each failure.
+	RetryBase time.Duration
+	// RetryMax caps the delay before another attempt.
+	RetryMax time.Duration
+	// PlaceRetry is the delay before a task that found no host is tried again.
+	PlaceRetry time.Duration
+	// MaxAttempts is the number of failed attempts after which a job is parked,
+	// unless the job names another.
+	MaxAttempts int
+}
+
+// DefaultConfig returns the settings in force unless an operator changes them.
+func DefaultConfig() Config {
+	return Config{
+		Lease:           10 * time.Second,
+		Margin:          2 * time.Second,
+		OutageAllowance: 10 * time.Minute,
+		Resend:          time.Second,
+		MaxTicketAge:    3 * time.Second,
+		StartsPerTick:   200,
+		StopsPerTick:    50,
+		RetryBase:       500 * time.Millisecond,
+		RetryMax:        time.Minute,
+		PlaceRetry:      500 * time.Millisecond,
+		MaxAttempts:     5,
+	}
+}
+
+// Host is what a scheduler needs to know of the host that it starts a task on.
+type Host struct {
+	Name         string
+	Address      string
+	Incarnation  string
+	DataCentre   string
+	TicketMillis int
+	TicketAt     time.Time
+}
+
+// Request is a task that needs a host.
+type Request struct {
+	Attempt     apricotwinch.AttemptID
+	Team        string
+	Name        string
+	Urgency     apricotwinch.Urgency
+	Need        apricotwinch.Resources
+	FailedHosts []string
+}
+
+// Seams are the decisions and views that a scheduler is given.
+type Seams struct {
+	// Place chooses a host and reserves room on it, or fails with kind NoCapacity,
+	// Unschedulable or NoTarget.
+	Place func(now time.Time, request Request) (string, error)
+	// Unplace gives back the room of a placement that came to nothing.
+	Unplace func(host string, attempt apricotwinch.AttemptID)
+	// Lookup returns a live host by name.
+	Lookup func(host string) (Host, bool)
+	// DataCentreOut reports whether a data centre is out of service.
+	DataCentreOut func(dataCentre string) bool
+	// Ended tells how an attempt ended, for the judgement of hosts and jobs.
+	Ended func(now time.Time, end End)
+}
+
+// End is how one attempt ended.
+type End struct {
+	Attempt apricotwinch.AttemptID
+	Team    string
+	Name    string
+	Host    string
+	// Type is the type of the record that ended the attempt.
+	Type   string
+	Reason string
+}
+
+// Action is what the driver does for a scheduler: exactly one field is set.
+type Action struct {
+	// Append is a record to append to the partition's stream; its fate comes back
+	// by Applied when it is folded, or by AppendFailed.
+	Append *messenger.LedgerRecord
+	// Assign is a command to send to Address; its answer comes back by AssignAnswered.
+	Assign *messenger.Assign
+	// Stop is a command to send to Address; it needs no answer.
+	Stop *messenger.Stop
+	// Address is where the command goes.
+	Address string
+}
--- /dev/null
+++ b/scheduler/scheduler.go
@@ -0,0 +1,250 @@
+// Package scheduler decides what the owner of a partition does next: which
+// tasks to assign, which leases to grant, which attempts to stop or to count as
+// lost, and which jobs to park.
+//
+// A Scheduler is fed the changes of the partition's book, the requests of agents
+// and the time; it returns actions and never acts by itself.
+package scheduler
+
+import (
+	"fmt"
+	"time"
+
+	"apricotwinch"
+	"apricotwinch/bookkeeper"
+	"apricotwinch/messenger"
+)
+
+// Scheduler is the owner's side of one partition in one epoch.
+type Scheduler struct {
+	config   Config
+	seams    Seams
+	book     *bookkeeper.Book
+	entry    string
+	epoch    int64
+	sequence int
+
+	queue    *queue
+	attempts *attemptSet
+	parking  map[string]bool
+}
+
+// New returns a scheduler for epoch over a book that is folded through the
+// epoch's began record. A clean takeover is one whose last owner released the
+// partition; after any other it waits the outage allowance as well before it
+// counts an attempt of the last owner as lost.
+func New(now time.Time, config Config, seams Seams, book *bookkeeper.Book, entry string, epoch int64, clean bool) *Scheduler {
+	s := &Scheduler{
+		config:   config,
+		seams:    seams,
+		book:     book,
+		entry:    entry,
+		epoch:    epoch,
+		queue:    newQueue(),
+		attempts: newAttemptSet(),
+		parking:  make(map[string]bool),
+	}
+	grantedUntil := s.leaseEnd(now)
+	if !clean {
+		grantedUntil = grantedUntil.Add(config.OutageAllowance)
+	}
+	for _, state := range book.States("") {
+		job, _ := book.Job(state.Job)
+		s.adopt(job, grantedUntil)
+	}
+	return s
+}
+
+// Epoch returns the epoch that the scheduler acts in.
+func (s *Scheduler) Epoch() int64 { return s.epoch }
+
+// Waiting returns the number of tasks that wait for a host.
+func (s *Scheduler) Waiting() int { return s.queue.len() }
+
+// Running returns the number of assigned attempts.
+func (s *Scheduler) Running() int { return s.attempts.len() }
+
+func (s *Scheduler) adopt(job *bookkeeper.Job, grantedUntil time.Time) {
+	for i := range job.Tasks() {
+		switch job.Task(i).Phase() {
+		case bookkeeper.Waiting:
+			s.queue.add(&waiter{job: job, task: i})
+		case bookkeeper.Assigned:
+			a := newAttempt(job, i)
+			a.grantedUntil = grantedUntil
+			s.attempts.add(a)
+		}
+	}
+}
+
+// Applied takes in the changes of one folded record.
+func (s *Scheduler) Applied(now time.Time, changes []bookkeeper.Change) []Action {
+	var actions []Action
+	for _, change := range changes {
+		if change.Task() < 0 {
+			s.jobChanged(change.Job())
+			continue
+		}
+		actions = append(actions, s.taskMoved(now, change)...)
+	}
+	return actions
+}
+
+func (s *Scheduler) jobChanged(job *bookkeeper.Job) {
+	delete(s.parking, job.ID())
+	for i := range job.Tasks() {
+		if job.Task(i).Phase() == bookkeeper.Waiting && job.Parked() == "" {
+			s.queue.add(&waiter{job: job, task: i})
+		}
+		if job.Parked() != "" {
+			s.queue.remove(job.ID(), i)
+		}
+		if job.Canceled() && job.Task(i).Phase() == bookkeeper.Assigned {
+			s.markStop(apricotwinch.NewAttemptID(job.ID(), i, job.Task(i).Attempt()), stopCanceled)
+		}
+	}
+}
+
+func (s *Scheduler) markStop(id apricotwinch.AttemptID, reason string) {
+	if a := s.attempts.get(id); a != nil && a.stop == "" {
+		a.stop = reason
+	}
+}
+
+func (s *Scheduler) taskMoved(now time.Time, change bookkeeper.Change) []Action {
+	job := change.Job()
+	before := change.Before()
+	if before.Phase() == bookkeeper.Assigned {
+		s.attempts.remove(apricotwinch.NewAttemptID(job.ID(), change.Task(), before.Attempt()))
+	}
+	s.queue.remove(job.ID(), change.Task())
+	switch job.Task(change.Task()).Phase() {
+	case bookkeeper.Waiting:
+		s.requeue(now, job, change.Task())
+	case bookkeeper.Assigned:
+		return s.started(now, job, change.Task())
+	}
+	return nil
+}
+
+func (s *Scheduler) requeue(now time.Time, job *bookkeeper.Job, task int) {
+	if job.Parked() != "" {
+		return
+	}
+	w := &waiter{job: job, task: task}
+	if failures := job.Task(task).Failures(); failures > 0 {
+		w.notBefore = now.Add(s.backoff(failures))
+	}
+	s.queue.add(w)
+}
+
+// backoff returns the delay before the attempt after the given number of failures.
+func (s *Scheduler) backoff(failures int) time.Duration {
+	delay := s.config.RetryBase
+	for range failures - 1 {
+		delay = min(2*delay, s.config.RetryMax)
+	}
+	return delay
+}
+
+// started sends the command of an assignment that is durable now.
+func (s *Scheduler) started(now time.Time, job *bookkeeper.Job, task int) []Action {
+	a := newAttempt(job, task)
+	a.grantedUntil = now
+	s.attempts.add(a)
+	return s.sendAssign(now, a)
+}
+
+// sendAssign returns the command to start a, or nothing when its host can't be
+// told; the lease then passes unused and the attempt counts as lost.
+func (s *Scheduler) sendAssign(now time.Time, a *attempt) []Action {
+	host, ok := s.seams.Lookup(a.host)
+	if !ok || host.Incarnation != a.incarnation || now.Sub(host.TicketAt) > s.config.MaxTicketAge {
+		return nil
+	}
+	a.assignedAt = now
+	a.grant(s.leaseEnd(now), false)
+	task := a.job.Task(a.id.Task())
+	return []Action{{Address: host.Address, Assign: &messenger.Assign{
+		Partition:    s.book.Partition(),
+		Epoch:        int(s.epoch),
+		Incarnation:  a.incarnation,
+		TicketMillis: host.TicketMillis,
+		LeaseMillis:  int(s.config.Lease.Milliseconds()),
+		Team:         a.job.Team(),
+		Job:          a.id.Job(),
+		Task:         a.id.Task(),
+		Attempt:      a.id.Attempt(),
+		Spec:         a.job.Spec(),
+		Checkpoint:   task.Checkpoint(),
+	}}}
+}
+
+// AssignAnswered takes in the agent's answer to an assignment, or the error of
+// the call. Only an answer settles anything: an attempt whose call failed is
+// sent again, and is lost once its lease is over.
+func (s *Scheduler) AssignAnswered(now time.Time, ref messenger.AttemptRef, reply messenger.AssignReply, err error) []Action {
+	a := s.attempts.get(apricotwinch.NewAttemptID(ref.Job, ref.Task, ref.Attempt))
+	if a == nil || err != nil {
+		return nil
+	}
+	if reply.Accepted {
+		a.accepted = true
+		a.grant(s.leaseEnd(now), true)
+		return nil
+	}
+	return s.finish(a, messenger.RecordReturned, func(r *messenger.LedgerRecord) { r.Reason = reply.Kind })
+}
+
+// leaseEnd returns when a lease granted now is provably over.
+func (s *Scheduler) leaseEnd(now time.Time) time.Time {
+	return now.Add(s.config.Lease + s.config.Margin)
+}
+
+// finish appends the record that ends a; no lease of a is granted after that.
+func (s *Scheduler) finish(a *attempt, recordType string, fill func(*messenger.LedgerRecord)) []Action {
+	if a.final == nil {
+		record := s.record(recordType, a.job)
+		record.Task = a.id.Task()
+		record.Attempt = a.id.Attempt()
+		record.Host = a.host
+		fill(record)
+		a.final = record
+	}
+	if a.finalInFlight {
+		return nil
+	}
+	a.finalInFlight = true
+	return []Action{{Append: a.final}}
+}
+
+// record returns a record of the owner with a unique id.
+func (s *Scheduler) record(recordType string, job *bookkeeper.Job) *messenger.LedgerRecord {
+	s.sequence++
+	return &messenger.LedgerRecord{
+		Id:    fmt.Sprintf("p%d-e%d-%d", s.book.Partition(), s.epoch, s.sequence),
+		Type:  recordType,
+		Epoch: int(s.epoch),
+		Entry: s.entry,
+		Team:  job.Team(),
+		Job:   job.ID(),
+	}
+}
+
+// AppendFailed takes in that a record was refused or may or may not have landed.
+// An end that may have landed still bars new leases, and is appended again.
+func (s *Scheduler) AppendFailed(record messenger.LedgerRecord) {
+	switch record.Type {
+	case messenger.RecordAssigned:
+		s.seams.Unplace(record.Host, apricotwinch.NewAttemptID(record.Job, record.Task, record.Attempt))
+		if w := s.queue.get(record.Job, record.Task); w != nil {
+			w.placing = false
+		}
+	case messenger.RecordParked:
+		delete(s.parking, record.Job)
+	default:
+		if a := s.attempts.get(apricotwinch.NewAttemptID(record.Job, record.Task, record.Attempt)); a != nil {
+			a.finalInFlight = false
+		}
+	}
+}
