Add the tracker of hosts

Membership without a list: hosts announce themselves, directly or in a peer's digest. A heap of deadlines makes a tick cost its changes only.

An age in a digest can be too small when the digest is delayed. An unknown incarnation counts as newer only when it was received after the current one's first heartbeat; one that wrongly replaced a live host is undone when it is gone, and no sooner, so that a replaced incarnation changes nothing.

--- /dev/null
+++ b/tracker/tracker.go
@@ -0,0 +1,207 @@
+// Package tracker decides which hosts are alive, suspected, draining or gone.
+//
+// There is no list of hosts: each announces itself by heartbeats, directly or
+// in a peer's digest. A tracker is fed heartbeats and a time and returns typed
+// changes; it performs no I/O and is not safe for concurrent use.
+package tracker
+
+import (
+	"iter"
+	"time"
+
+	"apricotwinch/messenger"
+)
+
+// Tracker holds the membership that one entry sees.
+type Tracker struct {
+	config  Config
+	records map[string]*record
+	queue   queue
+	index   index
+}
+
+// New returns a tracker that knows no host.
+func New(config Config) *Tracker {
+	return &Tracker{config: config, records: map[string]*record{}, index: newIndex()}
+}
+
+// Observe takes a heartbeat that the host's agent sent to this entry and returns
+// what it changed. It fails with kind Invalid, and changes nothing, when a field
+// of the heartbeat is malformed.
+func (t *Tracker) Observe(now time.Time, announce messenger.Announce) ([]Change, error) {
+	change, err := t.observe(now, Host{announce: announce, received: now, firstSeen: now, direct: true})
+	if err != nil {
+		return nil, err
+	}
+	return []Change{change}, nil
+}
+
+// observe takes a heartbeat, as the host that it tells of.
+func (t *Tracker) observe(now time.Time, h Host) (Change, error) {
+	if err := validate(&h.announce); err != nil {
+		return Change{}, err
+	}
+	h.state = announcedState(h.announce)
+	if now.Sub(h.received) >= t.config.goneAfter {
+		return Change{kind: IgnoredAge, host: h}, nil
+	}
+	rec := t.records[h.Name()]
+	if rec == nil {
+		return t.join(h), nil
+	}
+	if rec.host.Incarnation() == h.Incarnation() {
+		return t.renew(rec, h), nil
+	}
+	return t.replace(rec, h), nil
+}
+
+func announcedState(a messenger.Announce) State {
+	if a.Draining {
+		return Draining
+	}
+	return Alive
+}
+
+// join enters a host that was unknown.
+func (t *Tracker) join(h Host) Change {
+	rec := &record{host: h, deadline: h.received.Add(t.silence(h.state))}
+	t.records[h.Name()] = rec
+	t.queue.add(rec)
+	t.index.add(rec)
+	return Change{kind: Joined, host: h}
+}
+
+// renew takes a heartbeat of the current incarnation.
+func (t *Tracker) renew(rec *record, h Host) Change {
+	if h.Sequence() <= rec.host.Sequence() {
+		return Change{kind: IgnoredSequence, host: rec.host}
+	}
+	kind := transitions[rec.host.state][h.state]
+	h.firstSeen = rec.host.firstSeen
+	t.update(rec, h)
+	return Change{kind: kind, host: rec.host}
+}
+
+// transitions holds the change for a heartbeat, by the host's state before and
+// the state that the heartbeat announces.
+var transitions = map[State]map[State]ChangeKind{
+	Alive:     {Alive: Updated, Draining: BecameDraining},
+	Suspected: {Alive: Recovered, Draining: BecameDraining},
+	Draining:  {Alive: Recovered, Draining: Updated},
+	Gone:      {Alive: Joined, Draining: Joined},
+}
+
+// replace takes a heartbeat of another incarnation than the current one.
+//
+// A replaced incarnation stays replaced while the one that replaced it is
+// present. Only when that one is gone may it return, with a new heartbeat: a
+// delayed digest of an older incarnation can't hide a live host for good.
+func (t *Tracker) replace(rec *record, h Host) Change {
+	latest := rec.retiredSequence(h.Incarnation())
+	gone := rec.host.state == Gone
+	if latest >= h.Sequence() || (latest > 0 && !gone) || h.received.Before(rec.host.firstSeen) {
+		return Change{kind: IgnoredIncarnation, host: rec.host}
+	}
+	previous := rec.host.Incarnation()
+	rec.retire()
+	rec.restore(h.Incarnation())
+	t.update(rec, h)
+	if gone {
+		return Change{kind: Joined, host: rec.host, previous: previous}
+	}
+	return Change{kind: Replaced, host: rec.host, previous: previous}
+}
+
+// update makes h the latest heartbeat of a host and moves its deadline.
+func (t *Tracker) update(rec *record, h Host) {
+	if h.received.Before(rec.host.received) {
+		h.received = rec.host.received
+	}
+	before := rec.host
+	rec.host = h
+	if before.state == Gone || !sameServices(before.Services(), h.Services()) {
+		t.index.removeServices(rec, before.Services())
+		t.index.add(rec)
+	}
+	rec.deadline = h.received.Add(t.silence(h.state))
+	t.queue.fix(rec)
+}
+
+// silence returns for how long a host may be silent before its state changes.
+func (t *Tracker) silence(state State) time.Duration {
+	if state == Alive {
+		return t.config.suspectAfter
+	}
+	if state == Gone {
+		return t.config.forgetAfter
+	}
+	return t.config.goneAfter
+}
+
+// Tick returns the changes of the hosts that were silent too long, in order of
+// their deadlines. Its cost grows with the number of changes only.
+func (t *Tracker) Tick(now time.Time) []Change {
+	var changes []Change
+	for len(t.queue) > 0 && !now.Before(t.queue[0].deadline) {
+		if change, told := t.expire(t.queue[0]); told {
+			changes = append(changes, change)
+		}
+	}
+	return changes
+}
+
+// expire moves a host to the next state of a silent one.
+func (t *Tracker) expire(rec *record) (Change, bool) {
+	if rec.host.state == Gone {
+		t.queue.remove(rec)
+		delete(t.records, rec.host.Name())
+		return Change{}, false
+	}
+	kind := Left
+	if rec.host.state == Alive {
+		kind = BecameSuspected
+		rec.host.state = Suspected
+	} else {
+		rec.host.state = Gone
+		t.index.remove(rec)
+	}
+	rec.deadline = rec.host.received.Add(t.silence(rec.host.state))
+	t.queue.fix(rec)
+	return Change{kind: kind, host: rec.host}, true
+}
+
+// Host returns the host called name; one that is gone is found until it is
+// forgotten.
+func (t *Tracker) Host(name string) (Host, bool) {
+	rec := t.records[name]
+	if rec == nil {
+		return Host{}, false
+	}
+	return rec.host, true
+}
+
+// Len returns the number of hosts that are not gone.
+func (t *Tracker) Len() int { return len(t.index.present) }
+
+// Hosts yields the hosts that are not gone, in order of their names.
+func (t *Tracker) Hosts() iter.Seq[Host] { return t.index.present.all() }
+
+// ByService yields the hosts that announce a service and are not gone, in order
+// of their names.
+func (t *Tracker) ByService(service Service) iter.Seq[Host] {
+	list := t.index.services[service]
+	if list == nil {
+		return func(func(Host) bool) {}
+	}
+	return list.all()
+}
+
+func (r roster) all() iter.Seq[Host] {
+	return func(yield func(Host) bool) {
+		for _, rec := range r {
+			if !yield(rec.host) {
+				return
+			}
+		}
+	}
+}
