Check in the membership test that every present host is listed

A trial that left a rejoined host out of all lookups had passed: the waits were too short for hosts to be gone, and the lists were only compared to each other.

--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -220,7 +220,7 @@
 				}
 			},
 			"wait": func(t *rapid.T) {
-				now = now.Add(time.Duration(rapid.IntRange(1, 10_000).Draw(t, "millis")) * time.Millisecond)
+				now = now.Add(time.Duration(rapid.IntRange(1, 40_000).Draw(t, "millis")) * time.Millisecond)
 				members.Tick(now)
 			},
 			"": func(t *rapid.T) { checkStates(t, members, models, now) },
@@ -241,6 +241,7 @@
 	if !slices.IsSortedFunc(hosts, func(a, b tracker.Host) int { return strings.Compare(a.Name(), b.Name()) }) {
 		t.Fatal("hosts are not in order of their names")
 	}
+	present := 0
 	for name, m := range models {
 		host, known := members.Host(name)
 		silence := now.Sub(m.heard)
@@ -251,8 +252,14 @@
 		if silence >= config.GoneAfter() {
 			want = tracker.Gone
 		}
+		if want != tracker.Gone {
+			present++
+		}
 		if known != (silence < config.ForgetAfter()) || (known && host.State() != want) {
 			t.Fatalf("host %s silent for %v: known %v, state %v, want %v", name, silence, known, host.State(), want)
 		}
 	}
+	if present != len(hosts) {
+		t.Fatalf("%d hosts listed, want %d", len(hosts), present)
+	}
 }
