Add the messages of the caller's interface to the schema

Cause: callers' and operators' JSON is part of the wire and is generated like the rest. Before: none. After: answers for errors, jobs, settings and hosts. Conclusion: one schema names every field that leaves a process.

--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -283,6 +283,24 @@
 	Incarnation string `json:"incarnation"`
 }
 
+// The body of every refusal and failure that a caller gets.
+type ErrorAnswer struct {
+	// Error kind.
+	Kind string `json:"kind"`
+
+	// Whether the work provably did not run.
+	NotRun bool `json:"notRun"`
+
+	// Time to wait before another try, in milliseconds.
+	RetryAfterMillis int `json:"retryAfterMillis,omitempty,omitzero"`
+
+	// Whether the same request may succeed later.
+	Retryable bool `json:"retryable"`
+
+	// Cause.
+	Text string `json:"text"`
+}
+
 // A caller's job request that an entry passes to the owner of its partition.
 type Forward struct {
 	// Id of the job.
@@ -310,6 +328,48 @@
 	Text string `json:"text,omitempty,omitzero"`
 }
 
+// Hosts in order of name.
+type HostList struct {
+	// Hosts.
+	Hosts []HostView `json:"hosts"`
+}
+
+// What an entry knows of one host.
+type HostView struct {
+	// Address of the agent, host:port.
+	Address string `json:"address"`
+
+	// What the host can hold.
+	Capacity Resources `json:"capacity"`
+
+	// What tasks and services hold.
+	Committed Resources `json:"committed"`
+
+	// Data centre.
+	DataCentre string `json:"dataCentre"`
+
+	// Name of the host.
+	Host string `json:"host"`
+
+	// Rack.
+	Rack string `json:"rack"`
+
+	// Region.
+	Region string `json:"region"`
+
+	// Services of the targets on the host.
+	Services []ServiceSummary `json:"services"`
+
+	// alive, suspected, draining or gone.
+	State string `json:"state"`
+}
+
+// Jobs in order of submission.
+type JobList struct {
+	// Jobs.
+	Jobs []JobState `json:"jobs"`
+}
+
 // What a batch job or watch service needs.
 type JobSpec struct {
 	// batch or watch.
@@ -632,6 +692,30 @@
 	Team string `json:"team"`
 }
 
+// One subtree of the settings in force.
+type SettingsAnswer struct {
+	// Author of the edit.
+	Author string `json:"author"`
+
+	// Path of the subtree.
+	Path string `json:"path"`
+
+	// Offset of the edit in force.
+	Revision int `json:"revision"`
+
+	// Value; absent when the subtree was removed.
+	Value json.RawMessage `json:"value,omitempty,omitzero"`
+}
+
+// An edit of one subtree as a team or operator sends it.
+type SettingsEdit struct {
+	// Revision that the edit is based on, 0 for none.
+	Base int `json:"base"`
+
+	// New value; absent when the subtree is removed.
+	Value json.RawMessage `json:"value,omitempty,omitzero"`
+}
+
 // One subtree of a settings snapshot.
 type SettingsEntry struct {
 	// Author of the edit in force.
@@ -647,6 +731,12 @@
 	Value json.RawMessage `json:"value"`
 }
 
+// Subtrees or edits in order.
+type SettingsList struct {
+	// Subtrees or edits.
+	Entries []SettingsAnswer `json:"entries"`
+}
+
 // The settings tree as of an offset, with the revision of each subtree.
 type SettingsSnapshot struct {
 	// Subtrees in order of their paths.
@@ -686,6 +776,12 @@
 	Found bool `json:"found"`
 }
 
+// The answer to a submitted job.
+type SubmitAnswer struct {
+	// Id of the job.
+	Job string `json:"job"`
+}
+
 // A target's announcement to the agent beside it, repeated as a heartbeat.
 type TargetAnnounce struct {
 	// Base URL of the target.
