Choose hosts for batch tasks and watch services

An owner of a partition needs a host for each attempt from summaries that are seconds old. The placer keeps a tree of free resources for each data centre, compares a sample of hosts and reserves what it placed until a summary covers it. Work that fits no whole host is unschedulable, with the resource named.

--- /dev/null
+++ b/placer/choose.go
@@ -0,0 +1,175 @@
+package placer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"apricotwinch"
+)
+
+// option is a data centre that may hold a request.
+type option struct {
+	place *dataCentre
+	share float64
+	order float64
+}
+
+// choice is the state of one call of Choose.
+type choice struct {
+	request Request
+	strict  bool
+	budget  int
+	failed  []apricotwinch.Locality
+	best    *host
+	cost    float64
+}
+
+// Choose picks a host for the attempt of r and reserves its need there until a
+// summary covers it, the reservation expires or the attempt is released. A
+// second call for the same attempt returns the same host.
+//
+// It fails with kind Invalid for a negative need, with Unschedulable and the
+// reason when no host can ever hold the need, and with NoCapacity when the need
+// may fit later.
+func (p *Placer) Choose(now time.Time, r Request) (string, error) {
+	p.expire(now)
+	if pl := p.placements[r.attempt]; pl != nil {
+		return pl.host.name, nil
+	}
+	if err := p.check(now, r); err != nil {
+		return "", err
+	}
+	h := p.pick(r)
+	if h == nil {
+		return "", apricotwinch.Errorf(apricotwinch.NoCapacity, "attempt %s: no host has %s free", r.attempt, r.need)
+	}
+	p.place(now, r, h)
+	return h.name, nil
+}
+
+// check refuses what no host can hold.
+func (p *Placer) check(now time.Time, r Request) error {
+	if r.need.Negative() {
+		return apricotwinch.Errorf(apricotwinch.Invalid, "resources: %s is negative", r.need)
+	}
+	if p.capacities.fits(r.need) {
+		return nil
+	}
+	if p.firstJoin.IsZero() || now.Sub(p.firstJoin) < p.config.Learning {
+		return apricotwinch.Errorf(apricotwinch.NoCapacity, "attempt %s: the hosts are not all known yet", r.attempt)
+	}
+	return apricotwinch.Errorf(apricotwinch.Unschedulable, "job %s: %s", r.attempt.Job(), p.capacities.shortage(r.need))
+}
+
+// pick returns the cheapest host of a sample; nil means that none has room.
+func (p *Placer) pick(r Request) *host {
+	c := &choice{request: r, strict: true, budget: p.config.VisitBudget}
+	for _, name := range r.avoid {
+		if h := p.hosts[name]; h != nil {
+			c.failed = append(c.failed, h.locality)
+		}
+	}
+	p.rank(c)
+	p.sample(c)
+	if c.best == nil && len(r.avoid) > 0 && !p.alternative(r) {
+		c.strict = false
+		p.sample(c)
+	}
+	return c.best
+}
+
+// rank orders the data centres that may hold the request: those with the
+// smallest share of the job first, otherwise at random, the larger more often.
+func (p *Placer) rank(c *choice) {
+	p.options = p.options[:0]
+	counts := p.spread[c.request.attempt.Job()]
+	for _, d := range p.dataCentres {
+		if d.out || !d.index.holds(c.request.need) {
+			continue
+		}
+		share := float64(counts[d.locality]) / float64(d.count)
+		order := p.random.ExpFloat64() / float64(d.count)
+		p.options = append(p.options, option{place: d, share: share, order: order})
+	}
+	slices.SortFunc(p.options, func(a, b option) int {
+		return cmp.Or(cmp.Compare(a.share, b.share), cmp.Compare(a.order, b.order))
+	})
+}
+
+// sample compares hosts of the best data centres; when they hold none, it
+// searches the others.
+func (p *Placer) sample(c *choice) {
+	if len(p.options) == 0 {
+		return
+	}
+	near := p.options[:min(len(p.options), max(1, p.config.DataCentres))]
+	for i := range p.config.Samples {
+		p.draw(c, near[i%len(near)].place)
+	}
+	for i := 0; c.best == nil && i < len(p.options); i++ {
+		p.draw(c, p.options[i].place)
+	}
+}
+
+// draw compares one host of d, found from a random place on.
+func (p *Placer) draw(c *choice, d *dataCentre) {
+	s := &search{index: &d.index, need: c.request.need, budget: c.budget}
+	defer func() { c.budget = s.budget }()
+	start := p.random.IntN(len(d.hosts))
+	for range len(c.request.avoid) + 1 {
+		leaf := s.find(start)
+		if leaf < 0 {
+			return
+		}
+		h := d.hosts[leaf]
+		if !c.strict || !c.request.avoids(h.name) {
+			p.consider(c, h)
+			return
+		}
+		start = (leaf + 1) % d.index.leaves
+	}
+}
+
+func (p *Placer) consider(c *choice, h *host) {
+	if h == c.best {
+		return
+	}
+	cost := p.cost(c, h)
+	if c.best == nil || cost < c.cost {
+		c.best, c.cost = h, cost
+	}
+}
+
+// alternative reports whether a host that the request does not avoid and that
+// may get tasks can hold its need when empty.
+func (p *Placer) alternative(r Request) bool {
+	for _, d := range p.dataCentres {
+		if d.out {
+			continue
+		}
+		for _, h := range d.hosts {
+			if h != nil && h.accepts() && r.need.Fits(h.capacity) && !r.avoids(h.name) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// place records the attempt of r on h.
+func (p *Placer) place(now time.Time, r Request, h *host) {
+	pl := &placement{
+		attempt: r.attempt,
+		class:   r.class,
+		need:    r.need,
+		host:    h,
+		expires: now.Add(p.config.ReservationLife),
+	}
+	p.placements[r.attempt] = pl
+	p.spread.add(r.attempt.Job(), h.locality)
+	if h.standing == Trial {
+		h.standing = Closed
+	}
+	p.reserve(pl)
+}
--- /dev/null
+++ b/placer/config.go
@@ -0,0 +1,74 @@
+package placer
+
+import "time"
+
+// Config holds the bounds and weights of a Placer.
+type Config struct {
+	// Samples is the number of hosts that one choice compares.
+	Samples int
+	// DataCentres is the number of data centres that one choice samples from.
+	DataCentres int
+	// VisitBudget bounds the index nodes that one choice visits. A choice that
+	// spends it may miss a host with room; the next starts elsewhere.
+	VisitBudget int
+	// ReservationLife is how long a placement counts against its host when no
+	// summary covers it.
+	ReservationLife time.Duration
+	// RefusalPause is how long a host that refused an attempt is passed over when
+	// no newer summary arrives.
+	RefusalPause time.Duration
+	// Learning is how long after the first host joined no request is reported as
+	// unschedulable.
+	Learning time.Duration
+	// CapacityMemory is how long the capacity of a host that left still counts when
+	// a request is judged unschedulable.
+	CapacityMemory time.Duration
+	// Weights weighs the costs of a candidate.
+	Weights Weights
+	// Penalty returns the expected harm of putting work of class beside residents,
+	// 0 for none; nil means no penalty.
+	Penalty func(class string, residents []string) float64
+}
+
+// Weights weighs the costs of a candidate; the lowest sum wins.
+type Weights struct {
+	// Rack is the cost of each task of the same job in the rack.
+	Rack float64
+	// DataCentre is the cost of having all tasks of the job in the data centre.
+	DataCentre float64
+	// FailedRack is the cost of a rack in which an attempt failed.
+	FailedRack float64
+	// FailedDataCentre is the cost of a data centre in which an attempt failed.
+	FailedDataCentre float64
+	// Load is the cost of a host whose scarcest resource is full.
+	Load float64
+	// Imbalance is the cost of processors full and memory empty, or the reverse.
+	Imbalance float64
+	// Accelerator is the cost of a host with accelerators for work that needs none.
+	Accelerator float64
+	// Penalty multiplies the result of Config.Penalty.
+	Penalty float64
+}
+
+// DefaultConfig returns the bounds and weights for 24,000 hosts.
+func DefaultConfig() Config {
+	return Config{
+		Samples:         8,
+		DataCentres:     4,
+		VisitBudget:     4096,
+		ReservationLife: 10 * time.Second,
+		RefusalPause:    5 * time.Second,
+		Learning:        10 * time.Second,
+		CapacityMemory:  10 * time.Minute,
+		Weights: Weights{
+			Rack:             0.5,
+			DataCentre:       0.5,
+			FailedRack:       1,
+			FailedDataCentre: 0.5,
+			Load:             0.5,
+			Imbalance:        0.25,
+			Accelerator:      1,
+			Penalty:          1,
+		},
+	}
+}
--- /dev/null
+++ b/placer/placer.go
@@ -0,0 +1,193 @@
+// Package placer chooses hosts for batch tasks and watch services.
+//
+// A Placer keeps a table of hosts from summaries that may be seconds old, and
+// counts what it placed itself until a summary covers it. The agent of the host
+// decides in the end: a refusal is reported with Refuse. A Placer does no I/O,
+// takes the time as an argument and makes the same choices for the same seed and
+// events. It is not safe for concurrent use.
+package placer
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"apricotwinch"
+)
+
+// Placer chooses a host for each attempt.
+type Placer struct {
+	config       Config
+	random       *rand.Rand
+	hosts        map[string]*host
+	dataCentres  []*dataCentre
+	byLocality   map[apricotwinch.Locality]*dataCentre
+	placements   map[apricotwinch.AttemptID]*placement
+	spread       spread
+	capacities   *capacities
+	reservations []*placement
+	paused       []*host
+	firstJoin    time.Time
+	neighbors    []string
+	options      []option
+}
+
+// New returns a placer without hosts; the seed fixes its random choices.
+func New(config Config, seed uint64) *Placer {
+	return &Placer{
+		config:     config,
+		random:     rand.New(rand.NewPCG(seed, seed)),
+		hosts:      map[string]*host{},
+		byLocality: map[apricotwinch.Locality]*dataCentre{},
+		placements: map[apricotwinch.AttemptID]*placement{},
+		spread:     spread{},
+		capacities: newCapacities(),
+	}
+}
+
+// Join adds a host, or replaces it after a restart. A replaced host keeps its
+// standing and loses its summary and reservations.
+func (p *Placer) Join(now time.Time, name string, locality apricotwinch.Locality, capacity apricotwinch.Resources) {
+	standing := Open
+	if old := p.hosts[name]; old != nil {
+		standing = old.standing
+		p.Remove(now, name)
+	}
+	if p.firstJoin.IsZero() {
+		p.firstJoin = now
+	}
+	h := &host{name: name, locality: locality, capacity: capacity, standing: standing}
+	p.hosts[name] = h
+	p.capacities.add(capacity)
+	p.dataCentre(locality).add(h)
+}
+
+// Remove drops a host that left or is gone; a host that is not known is ignored.
+func (p *Placer) Remove(now time.Time, name string) {
+	h := p.hosts[name]
+	if h == nil {
+		return
+	}
+	delete(p.hosts, name)
+	h.place.remove(h)
+	for len(h.pending) > 0 {
+		h.pending[0].unreserve()
+	}
+	p.capacities.depart(h.capacity, now.Add(p.config.CapacityMemory))
+}
+
+// Update takes the summary of a host: what was committed at sampledAt, in the
+// time of the caller. It reports false, and changes nothing, for an unknown host
+// or a summary older than the last.
+func (p *Placer) Update(now time.Time, name string, committed apricotwinch.Resources, sampledAt time.Time) bool {
+	p.expire(now)
+	h := p.hosts[name]
+	if h == nil || sampledAt.Before(h.sampledAt) {
+		return false
+	}
+	h.committed = committed
+	h.sampledAt = sampledAt
+	h.blocked = false
+	h.cover(sampledAt)
+	h.place.refresh(h)
+	return true
+}
+
+// SetResidents names the classes of work that run on a host, for the penalty.
+func (p *Placer) SetResidents(name string, classes []string) {
+	if h := p.hosts[name]; h != nil {
+		h.residents = classes
+	}
+}
+
+// SetStanding sets the standing of a host; an unknown host is ignored.
+func (p *Placer) SetStanding(name string, standing Standing) {
+	if h := p.hosts[name]; h != nil {
+		h.standing = standing
+		h.place.refresh(h)
+	}
+}
+
+// SetDraining says whether a host is leaving and gets no task; an unknown host
+// is ignored.
+func (p *Placer) SetDraining(name string, draining bool) {
+	if h := p.hosts[name]; h != nil {
+		h.draining = draining
+		h.place.refresh(h)
+	}
+}
+
+// SetDataCentreOut takes a data centre out of service or brings it back.
+func (p *Placer) SetDataCentreOut(region, name string, out bool) {
+	p.dataCentre(apricotwinch.NewLocality(region, name, "")).out = out
+}
+
+// Confirm says that the agent accepted an attempt: a summary sampled from now
+// on covers its reservation.
+func (p *Placer) Confirm(now time.Time, attempt apricotwinch.AttemptID) {
+	if pl := p.placements[attempt]; pl != nil && !pl.confirmed {
+		pl.confirmed = true
+		pl.confirmedAt = now
+	}
+}
+
+// Refuse says that the agent refused an attempt for want of room: the host is
+// passed over until a newer summary, or for the pause of the configuration.
+func (p *Placer) Refuse(now time.Time, attempt apricotwinch.AttemptID) {
+	pl := p.placements[attempt]
+	if pl == nil {
+		return
+	}
+	pl.host.blocked = true
+	pl.host.blockedTo = now.Add(p.config.RefusalPause)
+	p.paused = append(p.paused, pl.host)
+	p.Release(attempt)
+}
+
+// Release says that an attempt ended or was withdrawn.
+func (p *Placer) Release(attempt apricotwinch.AttemptID) {
+	pl := p.placements[attempt]
+	if pl == nil {
+		return
+	}
+	delete(p.placements, attempt)
+	p.spread.remove(attempt.Job(), pl.host.locality)
+	pl.unreserve()
+	p.refresh(pl.host)
+}
+
+// Restore takes an attempt that an earlier owner placed, so that it counts for
+// the spread of its job; the summary of its host counts its size.
+func (p *Placer) Restore(request Request, name string) {
+	h := p.hosts[name]
+	if h == nil || p.placements[request.attempt] != nil {
+		return
+	}
+	p.placements[request.attempt] = &placement{
+		attempt: request.attempt, class: request.class, need: request.need, host: h, confirmed: true,
+	}
+	p.spread.add(request.attempt.Job(), h.locality)
+}
+
+// Hosts returns the number of hosts in the table.
+func (p *Placer) Hosts() int { return len(p.hosts) }
+
+// Free returns what a host has left as far as the table knows; false means that
+// the host is unknown.
+func (p *Placer) Free(name string) (apricotwinch.Resources, bool) {
+	h := p.hosts[name]
+	if h == nil {
+		return apricotwinch.Resources{}, false
+	}
+	return h.free(), true
+}
+
+func (p *Placer) dataCentre(l apricotwinch.Locality) *dataCentre {
+	key := dataCentreOf(l)
+	d := p.byLocality[key]
+	if d == nil {
+		d = &dataCentre{locality: key}
+		p.byLocality[key] = d
+		p.dataCentres = append(p.dataCentres, d)
+	}
+	return d
+}
--- /dev/null
+++ b/placer/placer_test.go
@@ -0,0 +1,152 @@
+package placer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"apricotwinch"
+	"apricotwinch/placer"
+)
+
+func TestUnschedulableNamesTheResource(t *testing.T) {
+	p := table(settled(), 3, 1)
+	p.Join(epoch, "gpu", locality(0, 1), apricotwinch.NewResources(8000, 16*gib, 2))
+	needs := []apricotwinch.Resources{
+		apricotwinch.NewResources(17_000, gib, 0),
+		apricotwinch.NewResources(1000, 63*gib, 0),
+		apricotwinch.NewResources(1000, gib, 3),
+		apricotwinch.NewResources(16_000, gib, 1),
+		apricotwinch.NewResources(-1, gib, 0),
+	}
+	var got []string
+	for i, need := range needs {
+		_, err := p.Choose(epoch, placer.NewRequest(attempt("job", i), "job", need))
+		got = append(got, fmt.Sprintf("%s: %v", apricotwinch.KindOf(err), err))
+	}
+	want := []string{
+		"unschedulable: job job: processors: need 17000m, the largest host has 16000m",
+		"unschedulable: job job: memory: need 67645734912B, the largest host has 66571993088B",
+		"unschedulable: job job: accelerators: need 3, the largest host has 2",
+		"unschedulable: job job: no host has the processors, memory and accelerators together: " +
+			"need 16000m/1073741824B/1a, the largest host has 16000m/66571993088B/0a",
+		"invalid: resources: -1m/1073741824B/0a is negative",
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("errors (-want +got):\n%s", diff)
+	}
+}
+
+func TestUnschedulableWaitsForTheTable(t *testing.T) {
+	config := placer.DefaultConfig()
+	p := table(config, 1, 1)
+	huge := placer.NewRequest(attempt("huge", 0), "huge", apricotwinch.NewResources(32_000, gib, 0))
+	kindAt := func(at time.Time) apricotwinch.Kind {
+		_, err := p.Choose(at, huge)
+		return apricotwinch.KindOf(err)
+	}
+	got := []apricotwinch.Kind{kindAt(epoch), kindAt(epoch.Add(config.Learning))}
+	p.Join(epoch, "large", locality(1, 1), apricotwinch.NewResources(32_000, gib, 0))
+	p.Remove(epoch, "large")
+	got = append(got, kindAt(epoch.Add(config.Learning)), kindAt(epoch.Add(config.CapacityMemory)))
+	want := []apricotwinch.Kind{apricotwinch.NoCapacity, apricotwinch.Unschedulable, apricotwinch.NoCapacity, apricotwinch.Unschedulable}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("kinds (-want +got):\n%s", diff)
+	}
+}
+
+func TestReservationLastsUntilCovered(t *testing.T) {
+	config := settled()
+	p := table(config, 1, 1)
+	need := apricotwinch.NewResources(16_000, gib, 0)
+	first, second := attempt("a", 0), attempt("b", 0)
+	choose := func(at time.Time, id apricotwinch.AttemptID) apricotwinch.Kind {
+		_, err := p.Choose(at, placer.NewRequest(id, "c", need))
+		return apricotwinch.KindOf(err)
+	}
+	at := func(d time.Duration) time.Time { return epoch.Add(d) }
+
+	got := []apricotwinch.Kind{choose(epoch, first), choose(epoch, second)}
+	// A summary from before the agent accepted the attempt frees nothing.
+	p.Confirm(at(2*time.Second), first)
+	p.Update(at(3*time.Second), "host-0", apricotwinch.Resources{}, at(time.Second))
+	got = append(got, choose(at(3*time.Second), second))
+	// One from after that covers it.
+	p.Update(at(4*time.Second), "host-0", apricotwinch.Resources{}, at(3*time.Second))
+	got = append(got, choose(at(4*time.Second), second))
+	// The second is never confirmed, and expires.
+	third := attempt("c", 0)
+	got = append(got, choose(at(5*time.Second), third), choose(at(4*time.Second+config.ReservationLife), third))
+	want := []apricotwinch.Kind{"", apricotwinch.NoCapacity, apricotwinch.NoCapacity, "", apricotwinch.NoCapacity, ""}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("kinds (-want +got):\n%s", diff)
+	}
+}
+
+func TestRefusedHostIsPassedOver(t *testing.T) {
+	p := table(settled(), 1, 1)
+	kind := func(at time.Time, task int) apricotwinch.Kind {
+		_, err := p.Choose(at, small("job", task))
+		return apricotwinch.KindOf(err)
+	}
+	got := []apricotwinch.Kind{kind(epoch, 0)}
+	p.Refuse(epoch, attempt("job", 0))
+	got = append(got, kind(epoch, 1))
+	p.Update(epoch, "host-0", apricotwinch.Resources{}, epoch)
+	got = append(got, kind(epoch, 2))
+	p.Refuse(epoch, attempt("job", 2))
+	got = append(got, kind(epoch.Add(settled().RefusalPause), 3))
+	want := []apricotwinch.Kind{"", apricotwinch.NoCapacity, "", ""}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("kinds (-want +got):\n%s", diff)
+	}
+}
+
+func TestAvoidedHostsAreTheLastResort(t *testing.T) {
+	p := table(settled(), 2, 1)
+	choose := func(task int, avoid ...string) string {
+		host, err := p.Choose(epoch, small("job", task).Avoiding(avoid...))
+		return fmt.Sprintf("%s %s", host, apricotwinch.KindOf(err))
+	}
+	got := []string{choose(0, "host-0"), choose(1, "host-1")}
+	p.Update(epoch, "host-1", worker(), epoch)
+	got = append(got, choose(2, "host-0"))
+	p.SetStanding("host-1", placer.Closed)
+	got = append(got, choose(3, "host-0"))
+	want := []string{"host-1 ", "host-0 ", " no_capacity", "host-0 "}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("choices (-want +got):\n%s", diff)
+	}
+}
+
+func TestTrialGetsOneTask(t *testing.T) {
+	p := table(settled(), 1, 1)
+	p.SetStanding("host-0", placer.Trial)
+	_, first := p.Choose(epoch, small("job", 0))
+	_, second := p.Choose(epoch, small("job", 1))
+	got := []apricotwinch.Kind{apricotwinch.KindOf(first), apricotwinch.KindOf(second)}
+	if diff := cmp.Diff([]apricotwinch.Kind{"", apricotwinch.NoCapacity}, got); diff != "" {
+		t.Errorf("kinds (-want +got):\n%s", diff)
+	}
+}
+
+func TestPenaltySeesWhatWasJustPlaced(t *testing.T) {
+	config := settled()
+	config.Penalty = func(class string, residents []string) float64 {
+		cost := 0.0
+		for _, resident := range residents {
+			if resident != class {
+				cost += 10
+			}
+		}
+		return cost
+	}
+	p := table(config, 2, 1)
+	first, _ := p.Choose(epoch, small("noisy", 0))
+	second, _ := p.Choose(epoch, small("quiet", 0))
+	if first == second {
+		t.Errorf("both on %s, want them apart", first)
+	}
+}
