Tell failing jobs from failing hosts

A job that fails everywhere and a host that fails everything look alike from one failure. Each failure now weighs against its host by how rarely the job fails elsewhere; a job alone that never completed accuses no host. Hosts go into quarantine up to a share of the fleet and come back by one trial task; jobs are parked after failures on distinct hosts and data centres. Lost leases count against neither.

--- /dev/null
+++ b/judge/example_test.go
@@ -0,0 +1,28 @@
+package judge_test
+
+import (
+	"fmt"
+	"time"
+
+	"apricotwinch"
+	"apricotwinch/judge"
+)
+
+func Example() {
+	now := time.Date(2026, time.January, 1, 0, 0, 0, 0, time.UTC)
+	j := judge.New(judge.DefaultConfig(), 1)
+	j.SetFleet(11, 3)
+	for _, job := range []string{"routes", "designs", "labels"} {
+		id := apricotwinch.NewAttemptID(job, 0, 1)
+		verdict := j.Failed(now, judge.NewAttempt(id, "kopli-1", "kopli"), 0)
+		fmt.Println(job, verdict.Reason(), verdict.Avoid())
+	}
+	for _, change := range j.Changes() {
+		fmt.Println(change.Host(), change.Standing(), change.Reason())
+	}
+	// Output:
+	// routes retry.failed [kopli-1]
+	// designs retry.failed [kopli-1]
+	// labels retry.bad_host [kopli-1]
+	// kopli-1 closed host.quarantined
+}
--- /dev/null
+++ b/judge/helper_test.go
@@ -0,0 +1,42 @@
+package judge_test
+
+import (
+	"flag"
+	"fmt"
+	"time"
+
+	"apricotwinch"
+	"apricotwinch/judge"
+)
+
+var epoch = time.Date(2026, time.January, 1, 0, 0, 0, 0, time.UTC)
+
+func init() {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+}
+
+// attempt returns attempt number at task of job on host number host; hosts
+// alternate between three data centres.
+func attempt(job string, task, number, host int) judge.Attempt {
+	id := apricotwinch.NewAttemptID(job, task, number)
+	return judge.NewAttempt(id, fmt.Sprintf("host-%d", host), fmt.Sprintf("dc-%d", host%3))
+}
+
+func newJudge(hosts int) *judge.Judge {
+	j := judge.New(judge.DefaultConfig(), 1)
+	j.SetFleet(hosts, min(hosts, 3))
+	return j
+}
+
+// changes returns the changes of j as text.
+func changes(j *judge.Judge) []string {
+	var lines []string
+	for _, c := range j.Changes() {
+		lines = append(lines, fmt.Sprintf("%s %s %s", c.Host(), c.Standing(), c.Reason()))
+	}
+	return lines
+}
--- /dev/null
+++ b/judge/judge_test.go
@@ -0,0 +1,147 @@
+package judge_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"apricotwinch/judge"
+	"apricotwinch/placer"
+)
+
+func TestJobThatFailsEverywhereIsParked(t *testing.T) {
+	j := newJudge(11)
+	var got []judge.Reason
+	for n := 1; n <= 5; n++ {
+		got = append(got, j.Failed(epoch, attempt("poison", 0, n, n), 0).Reason())
+	}
+	want := []judge.Reason{judge.RetryFailed, judge.RetryFailed, judge.RetryFailed, judge.RetryFailed, judge.ParkTask}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("reasons (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff([]string(nil), changes(j)); diff != "" {
+		t.Errorf("changes (-want +got):\n%s", diff)
+	}
+}
+
+func TestTasksOfOneJobParkItTogether(t *testing.T) {
+	j := newJudge(11)
+	var got []judge.Reason
+	for n := range 5 {
+		got = append(got, j.Failed(epoch, attempt("poison", n, 1, n), 0).Reason())
+	}
+	want := []judge.Reason{judge.RetryFailed, judge.RetryFailed, judge.RetryFailed, judge.RetryFailed, judge.ParkJob}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("reasons (-want +got):\n%s", diff)
+	}
+}
+
+func TestParkingNeedsDistinctDataCentres(t *testing.T) {
+	j := newJudge(30)
+	for n := 1; n <= 6; n++ {
+		if v := j.Failed(epoch, attempt("job", 0, n, 3*n), 0); v.Park() {
+			t.Fatalf("parked after %d failures in one data centre", n)
+		}
+	}
+	if v := j.Failed(epoch, attempt("job", 0, 7, 1), 0); !v.Park() {
+		t.Error("not parked after failures in two data centres")
+	}
+}
+
+func TestLossesDoNotPark(t *testing.T) {
+	j := newJudge(11)
+	for n := 1; n <= 30; n++ {
+		v := j.Lost(epoch, attempt("job", 0, n, n%11))
+		if v.Park() || v.Reason() != judge.RetryLost {
+			t.Fatalf("loss %d: park %t, reason %s", n, v.Park(), v.Reason())
+		}
+	}
+}
+
+func TestBackoffDoublesWithJitter(t *testing.T) {
+	config := judge.DefaultConfig()
+	j := newJudge(1000)
+	for n := 1; n < 5; n++ {
+		delay := j.Failed(epoch, attempt("job", 0, n, n), 100).NotBefore().Sub(epoch)
+		full := config.BackoffBase << (n - 1)
+		if delay < full/2 || delay > full {
+			t.Errorf("delay %d is %s, want between %s and %s", n, delay, full/2, full)
+		}
+	}
+}
+
+func TestOneJobAloneAccusesNoHost(t *testing.T) {
+	j := newJudge(11)
+	for n := range 4 {
+		j.Failed(epoch, attempt("job", n, 1, 7), 0)
+	}
+	if diff := cmp.Diff([]string(nil), changes(j)); diff != "" {
+		t.Errorf("changes before a completion elsewhere (-want +got):\n%s", diff)
+	}
+	// A completion on another host proves that the work is sound.
+	j.Completed(epoch, attempt("job", 4, 1, 1))
+	if diff := cmp.Diff([]string{"host-7 closed host.quarantined"}, changes(j)); diff != "" {
+		t.Errorf("changes after it (-want +got):\n%s", diff)
+	}
+}
+
+func TestProbation(t *testing.T) {
+	config := judge.DefaultConfig()
+	j := newJudge(11)
+	now := epoch
+	for n := range 3 {
+		j.Failed(now, attempt(fmt.Sprintf("job-%d", n), 0, 1, 7), 0)
+	}
+	tick := func() {
+		now = now.Add(config.ProbationBase)
+		j.Tick(now)
+	}
+	tick()
+	j.Failed(now, attempt("fresh", 0, 1, 7), 0)
+	tick()
+	tick()
+	j.Withdrawn(attempt("other", 0, 1, 7))
+	j.Completed(now, attempt("other", 1, 1, 7))
+	want := []string{
+		"host-7 closed host.quarantined",
+		"host-7 trial host.trial",
+		"host-7 closed host.trial_failed",
+		"host-7 trial host.trial",
+		"host-7 trial host.trial",
+		"host-7 open host.released",
+	}
+	if diff := cmp.Diff(want, changes(j)); diff != "" {
+		t.Errorf("changes (-want +got):\n%s", diff)
+	}
+}
+
+func TestRestartedHostGetsATrial(t *testing.T) {
+	j := newJudge(11)
+	for n := range 3 {
+		j.Failed(epoch, attempt(fmt.Sprintf("job-%d", n), 0, 1, 7), 0)
+	}
+	j.Left("host-7")
+	got := []placer.Standing{j.Joined("host-7"), j.Joined("host-8")}
+	if diff := cmp.Diff([]placer.Standing{placer.Trial, placer.Open}, got); diff != "" {
+		t.Errorf("standings (-want +got):\n%s", diff)
+	}
+}
+
+func TestQuarantineHasACap(t *testing.T) {
+	j := newJudge(20)
+	for host := range 10 {
+		for n := range 3 {
+			j.Failed(epoch, attempt(fmt.Sprintf("job-%d-%d", host, n), 0, 1, host), 0)
+		}
+	}
+	closed := 0
+	for _, c := range j.Changes() {
+		if c.Standing() == placer.Closed {
+			closed++
+		}
+	}
+	if closed != 2 {
+		t.Errorf("%d of 20 hosts closed, want 2", closed)
+	}
+}
--- /dev/null
+++ b/judge/trace_test.go
@@ -0,0 +1,55 @@
+package judge_test
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"apricotwinch/judge"
+)
+
+func TestDecisionTrace(t *testing.T) {
+	var trace bytes.Buffer
+	j := newJudge(11)
+	now := epoch
+	print := func(a judge.Attempt, v judge.Verdict) {
+		fmt.Fprintf(&trace, "%s %s on %s: %s park=%t after=%s avoid=%v\n", now.Format("04:05"), a.ID(), a.Host(),
+			v.Reason(), v.Park(), v.NotBefore().Sub(now).Truncate(time.Millisecond), v.Avoid())
+		for _, line := range changes(j) {
+			fmt.Fprintln(&trace, "      ", line)
+		}
+	}
+	fail := func(job string, number, host int) {
+		now = now.Add(time.Second)
+		a := attempt(job, 0, number, host)
+		v := j.Failed(now, a, 0)
+		if v.Park() {
+			fmt.Fprintf(&trace, "%s %s on %s: %s\n", now.Format("04:05"), a.ID(), a.Host(), v.Reason())
+			return
+		}
+		print(a, v)
+	}
+	for n := 1; n <= 3; n++ {
+		fail("poison", n, n)
+		fail(fmt.Sprintf("sound-%d", n), 1, 9)
+	}
+	now = now.Add(time.Second)
+	lost := attempt("sound-1", 0, 2, 4)
+	print(lost, j.Lost(now, lost))
+	for n := 4; n <= 5; n++ {
+		fail("poison", n, n)
+	}
+	now = now.Add(time.Minute)
+	j.Tick(now)
+	fail("sound-4", 1, 9)
+	now = now.Add(time.Minute)
+	j.Tick(now)
+	j.Completed(now, attempt("sound-5", 0, 1, 9))
+	for _, line := range changes(j) {
+		fmt.Fprintf(&trace, "%s %s\n", now.Format("04:05"), line)
+	}
+	goldie.New(t).Assert(t, "trace", trace.Bytes())
+}
