Correct declared sizes by observed use

Declared sizes are off by 0.3 to 3 times. Processors follow the decayed 0.9 quantile of observed use, between a quarter and four times the declaration, which is the prior; memory and accelerators never go below the declaration or the observed peak. Use held down by its grant counts for more, and a task that used up its memory doubles the next size, so that low declarations recover.

--- /dev/null
+++ b/estimator/estimator.go
@@ -0,0 +1,108 @@
+// Package estimator corrects declared sizes by observed use.
+//
+// Processors follow a quantile of the decayed use of earlier tasks of the same
+// class, within bounds around the declaration, which also is the prior. Memory
+// and accelerators never go below the observed peak. An Estimator does no I/O
+// and takes the time as an argument. It is not safe for concurrent use.
+package estimator
+
+import (
+	"container/list"
+	"time"
+
+	"apricotwinch"
+)
+
+// exhaustedGrowth is what the memory of a task that used up its grant is
+// multiplied by.
+const exhaustedGrowth = 2
+
+// Estimator corrects declared sizes.
+type Estimator struct {
+	config  Config
+	classes map[Class]*list.Element
+	recent  *list.List
+}
+
+// usage is what was observed of one class.
+type usage struct {
+	class        Class
+	processors   histogram
+	memory       int64
+	accelerators int64
+	exhausted    int64
+	exhaustedAt  time.Time
+}
+
+// New returns an estimator that has observed nothing.
+func New(config Config) *Estimator {
+	return &Estimator{config: config, classes: map[Class]*list.Element{}, recent: list.New()}
+}
+
+// Observe takes a report of the use of a running task.
+func (e *Estimator) Observe(s Sample) {
+	u := e.touch(s.class)
+	processors := float64(s.used.ProcessorMillis())
+	if granted := float64(s.granted.ProcessorMillis()); granted > 0 && processors >= e.config.Saturation*granted {
+		processors *= e.config.Growth
+	}
+	u.processors.add(s.sampledAt, processors, e.config.HalfLife)
+	u.memory = max(u.memory, s.used.MemoryBytes())
+	u.accelerators = max(u.accelerators, s.used.Accelerators())
+}
+
+// Exhausted takes a task that was stopped because it used up the memory that it
+// was granted; for a half-life, the class gets twice as much.
+func (e *Estimator) Exhausted(now time.Time, class Class, granted apricotwinch.Resources) {
+	u := e.touch(class)
+	u.memory = max(u.memory, granted.MemoryBytes())
+	u.exhausted = max(u.exhausted, exhaustedGrowth*granted.MemoryBytes())
+	u.exhaustedAt = now
+}
+
+// Size returns the corrected size of a task of a class.
+func (e *Estimator) Size(now time.Time, class Class, declared apricotwinch.Resources) apricotwinch.Resources {
+	element := e.classes[class]
+	if element == nil {
+		return declared
+	}
+	u := element.Value.(*usage)
+	return apricotwinch.NewResources(
+		e.processors(now, u, declared.ProcessorMillis()),
+		e.memory(now, u, declared.MemoryBytes()),
+		max(declared.Accelerators(), u.accelerators),
+	)
+}
+
+func (e *Estimator) processors(now time.Time, u *usage, declared int64) int64 {
+	prior := float64(declared)
+	size := u.processors.quantile(now, e.config.Quantile, e.config.PriorSamples, prior, e.config.HalfLife)
+	return int64(max(e.config.Floor*prior, min(e.config.Ceiling*prior, size)))
+}
+
+func (e *Estimator) memory(now time.Time, u *usage, declared int64) int64 {
+	size := int64(e.config.MemoryFloor * float64(declared))
+	size = max(size, u.memory+int64(e.config.MemoryMargin*float64(u.memory)))
+	if now.Sub(u.exhaustedAt) < e.config.HalfLife {
+		size = max(size, u.exhausted)
+	}
+	return size
+}
+
+// Classes returns the number of classes remembered.
+func (e *Estimator) Classes() int { return len(e.classes) }
+
+// touch returns the usage of a class, the latest observed.
+func (e *Estimator) touch(class Class) *usage {
+	if element := e.classes[class]; element != nil {
+		e.recent.MoveToFront(element)
+		return element.Value.(*usage)
+	}
+	u := &usage{class: class}
+	e.classes[class] = e.recent.PushFront(u)
+	if oldest := e.recent.Back(); e.recent.Len() > e.config.MaxClasses {
+		e.recent.Remove(oldest)
+		delete(e.classes, oldest.Value.(*usage).class)
+	}
+	return u
+}
--- /dev/null
+++ b/estimator/estimator_test.go
@@ -0,0 +1,83 @@
+package estimator_test
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/sebdah/goldie/v2"
+
+	"apricotwinch"
+	"apricotwinch/estimator"
+)
+
+func TestEvidenceDecaysToTheDeclaration(t *testing.T) {
+	config := estimator.DefaultConfig()
+	e := estimator.New(config)
+	declared := amount(4000, 1000, 0)
+	observe(e, 200, amount(1000, 500, 0), declared, epoch)
+	fresh := e.Size(epoch, routes, declared).ProcessorMillis()
+	stale := e.Size(epoch.Add(10*config.HalfLife), routes, declared).ProcessorMillis()
+	if fresh > 1200 {
+		t.Errorf("fresh size %dm, want about 1000m", fresh)
+	}
+	if stale < 4000 {
+		t.Errorf("stale size %dm, want the declared 4000m", stale)
+	}
+}
+
+func TestSaturatedUseGrows(t *testing.T) {
+	e := estimator.New(estimator.DefaultConfig())
+	granted := amount(1000, 1000, 0)
+	observe(e, 200, granted, granted, epoch)
+	if size := e.Size(epoch, routes, granted).ProcessorMillis(); size < 1500 {
+		t.Errorf("size %dm for use held down at 1000m, want at least 1500m", size)
+	}
+}
+
+func TestExhaustedMemoryDoubles(t *testing.T) {
+	config := estimator.DefaultConfig()
+	e := estimator.New(config)
+	declared := amount(1000, 1000, 0)
+	var got []int64
+	for range 2 {
+		e.Exhausted(epoch, routes, e.Size(epoch, routes, declared))
+		got = append(got, e.Size(epoch, routes, declared).MemoryBytes())
+	}
+	got = append(got, e.Size(epoch.Add(config.HalfLife), routes, declared).MemoryBytes())
+	if diff := cmp.Diff([]int64{2000, 4000, 2200}, got); diff != "" {
+		t.Errorf("memory (-want +got):\n%s", diff)
+	}
+}
+
+func TestOldClassesGoFirst(t *testing.T) {
+	config := estimator.DefaultConfig()
+	config.MaxClasses = 2
+	e := estimator.New(config)
+	declared := amount(1000, 10, 0)
+	sizeOf := func(name string) int64 {
+		return e.Size(epoch, estimator.NewClass("team", name), declared).MemoryBytes()
+	}
+	for _, name := range []string{"a", "b", "a", "c"} {
+		e.Observe(estimator.NewSample(estimator.NewClass("team", name), amount(500, 100, 0), declared, epoch))
+	}
+	got := []int64{sizeOf("a"), sizeOf("b"), sizeOf("c"), int64(e.Classes())}
+	if diff := cmp.Diff([]int64{110, 10, 110, 2}, got); diff != "" {
+		t.Errorf("memory (-want +got):\n%s", diff)
+	}
+}
+
+func TestDecisionTrace(t *testing.T) {
+	var trace bytes.Buffer
+	e := estimator.New(estimator.DefaultConfig())
+	declared := amount(2000, 4000, 0)
+	uses := []apricotwinch.Resources{amount(700, 1000, 0), amount(1900, 5000, 0), amount(6000, 3000, 0)}
+	for hour := range 24 {
+		now := epoch.Add(time.Duration(hour) * time.Hour)
+		observe(e, 10, uses[hour/8], amount(8000, 8000, 0), now.Add(-30*time.Second))
+		fmt.Fprintf(&trace, "%s used %s size %s\n", now.Format("15:04"), uses[hour/8], e.Size(now, routes, declared))
+	}
+	goldie.New(t).Assert(t, "trace", trace.Bytes())
+}
