--- a/router/router_test.go
+++ b/router/router_test.go
@@ -216,6 +216,26 @@
 	}
 }
 
+// succeedAlone has the target that is not among others answer one request.
+func succeedAlone(f *fixture, others ...string) {
+	target, kind := f.choose(others...)
+	if kind != "" {
+		f.t.Fatalf("no target but %v: %s", others, kind)
+	}
+	f.routes.Sent(f.now, target)
+	f.routes.Answered(f.now, target, 10*time.Millisecond, "")
+}
+
+// keep announces hosts each second.
+func (f *fixture) keep(seconds int, hosts ...string) {
+	for range seconds {
+		f.wait(time.Second)
+		for _, host := range hosts {
+			f.heartbeat(host)
+		}
+	}
+}
+
 // refuse has the local target refuse one request; an older heartbeat that was
 // on its way must not bring it back.
 func refuse(f *fixture, kind apricotwinch.Kind) {
@@ -361,6 +381,89 @@
 	}
 }
 
+// beat announces hosts each second while every request fails at host.
+func (f *fixture) beat(seconds int, host string, hosts ...string) map[string]int {
+	got := map[string]int{}
+	for range seconds {
+		for _, h := range hosts {
+			f.heartbeat(h)
+		}
+		for h, n := range f.ask(10, bad(host)) {
+			got[h] += n
+		}
+		f.wait(time.Second)
+	}
+	return got
+}
+
+func TestEjectionsOfATargetGetLonger(t *testing.T) {
+	f := newFixture(t)
+	hosts := []string{"kopli-1", "kopli-2", "kopli-3"}
+	first, later := f.beat(300, "kopli-2", hosts...)["kopli-2"], f.beat(600, "kopli-2", hosts...)["kopli-2"]
+	if first > 10 || later > 3 {
+		t.Errorf("%d requests in the first 5 min and %d in the next 10 went to the failing host, want at most 10 and 3", first, later)
+	}
+}
+
+func TestTheCapIsFreedWhenATargetIsBackOrLeaves(t *testing.T) {
+	ends := map[string]func(f *fixture){
+		"left":     func(f *fixture) { f.heartbeat("kopli-1", func(a *messenger.Announce) { a.Services = nil }) },
+		"restored": func(f *fixture) { f.keep(15, "kopli-1", "kopli-2", "kopli-3"); succeedAlone(f, "kopli-2", "kopli-3") },
+	}
+	for name, end := range ends {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			for _, host := range []string{"kopli-1", "kopli-2", "kopli-3"} {
+				f.heartbeat(host)
+			}
+			failAlone(f, "kopli-1", "kopli-2", "kopli-3")
+			end(f)
+			failAlone(f, "kopli-2", "kopli-1", "kopli-3")
+		})
+	}
+}
+
+func TestARestoredTargetStartsSlowly(t *testing.T) {
+	f := newFixture(t)
+	f.heartbeat("kopli-1")
+	f.heartbeat("kopli-2")
+	failAlone(f, "kopli-2", "kopli-1")
+	f.keep(15, "kopli-1", "kopli-2")
+	succeedAlone(f, "kopli-1")
+	check(t, "requests after one success", map[string]int{"kopli-1": 8, "kopli-2": 1}, f.send(9))
+}
+
+func TestFailingTargetsBeyondTheCapAreAvoided(t *testing.T) {
+	f := newFixture(t, router.WithEjectedShare(0))
+	hosts := []string{"kopli-1", "kopli-2", "kopli-3", "kopli-4"}
+	for _, host := range hosts {
+		f.heartbeat(host)
+	}
+	failAlone(f, "kopli-1", hosts[1:]...)
+	if got := f.ask(1000, bad("kopli-2"))["kopli-2"]; got > 3 {
+		t.Errorf("%d of 1000 requests went to the failing host", got)
+	}
+	f.keep(60, hosts...)
+	if got := f.ask(400, good)["kopli-2"]; got < 50 {
+		t.Errorf("%d of 400 requests went to the host that no longer fails", got)
+	}
+}
+
+func TestAnnouncedLatencyFromBeforeAnAnswerIsIgnored(t *testing.T) {
+	f := newFixture(t)
+	f.heartbeat("kopli-1")
+	f.heartbeat("kopli-2")
+	for range 20 {
+		f.ask(10, good)
+		f.heartbeat("kopli-2", func(a *messenger.Announce) {
+			a.Services[0].LatencyMicros, a.Services[0].LagMillis = 100_000, 5_000
+		})
+	}
+	if got := f.ask(100, good)["kopli-2"]; got < 20 {
+		t.Errorf("%d of 100 requests went to the host with an outdated latency", got)
+	}
+}
+
 func TestConfigErrorsNameTheParameter(t *testing.T) {
 	for name, option := range map[string]router.Option{
 		"choices":        router.WithChoices(1),
