Learn interference and react in steps

How much work slows its neighbors shows only in late measurements. The observer spreads the difference between measured and expected slowdown over the work that was present when it was sampled, the least certain pairs first; beliefs fade to what is known of the aggressor and then to the prior. Where critical work suffers, the batch work to blame is throttled, then evicted, one step for a host until its effect shows; each restoration that fails doubles the wait before the next. Evictions are capped by tick and by a share of starts.

--- /dev/null
+++ b/observer/observer.go
@@ -0,0 +1,176 @@
+// Package observer learns how much work slows down its neighbors and decides
+// what to do about it.
+//
+// Slowdowns are learned for each pair of classes from measurements that arrive
+// late, and decay. The placer asks for a penalty. Where latency-critical work
+// suffers, the batch work to blame is throttled first, then checkpointed and
+// evicted, with hysteresis and a cap on each. An Observer does no I/O and takes
+// the time as an argument. It is not safe for concurrent use.
+package observer
+
+import (
+	"time"
+
+	"apricotwinch"
+)
+
+// Observer learns interference and reacts to it.
+type Observer struct {
+	config   Config
+	model    *model
+	hosts    map[string]*host
+	troubled map[string]*host
+	critical map[string]bool
+	budget   budget
+}
+
+// New returns an observer that has learned nothing.
+func New(config Config) *Observer {
+	return &Observer{
+		config:   config,
+		model:    newModel(config),
+		hosts:    map[string]*host{},
+		troubled: map[string]*host{},
+		critical: map[string]bool{},
+		budget:   budget{share: config.EvictionShare, burst: config.EvictionBurst, left: config.EvictionBurst},
+	}
+}
+
+// Started takes work that runs on a host from now on.
+func (o *Observer) Started(now time.Time, name string, r Resident) {
+	h := o.hosts[name]
+	if h == nil {
+		h = &host{name: name, slowdown: map[apricotwinch.AttemptID]float64{}, patience: o.config.LowReports}
+		o.hosts[name] = h
+	}
+	if h.find(r.id) != nil {
+		return
+	}
+	h.prune(now.Add(-o.config.History))
+	h.stays = append(h.stays, &stay{Resident: r, since: now})
+	if r.urgency == apricotwinch.Batch {
+		o.budget.earn()
+		return
+	}
+	o.critical[r.class] = true
+}
+
+// Ended takes work that no longer runs on a host.
+func (o *Observer) Ended(now time.Time, name string, id apricotwinch.AttemptID) {
+	h := o.hosts[name]
+	if h == nil {
+		return
+	}
+	delete(h.slowdown, id)
+	if s := h.find(id); s != nil {
+		s.until = now
+		if s.throttled {
+			s.throttled = false
+			h.patience, h.restored = o.config.LowReports, false
+		}
+	}
+	h.prune(now.Add(-o.config.History))
+	if len(h.stays) == 0 {
+		o.Left(name)
+	}
+}
+
+// Left takes a host that is gone with its work.
+func (o *Observer) Left(name string) {
+	delete(o.hosts, name)
+	delete(o.troubled, name)
+}
+
+// Classes returns the classes of the work on a host, one for each resident.
+func (o *Observer) Classes(name string) []string {
+	h := o.hosts[name]
+	if h == nil {
+		return nil
+	}
+	classes := make([]string, 0, len(h.stays))
+	for _, s := range h.stays {
+		if s.until.IsZero() {
+			classes = append(classes, s.class)
+		}
+	}
+	return classes
+}
+
+// Report takes a measurement. One of work that is not on the host, or of a time
+// before it came, is ignored.
+func (o *Observer) Report(now time.Time, r Report) {
+	h := o.hosts[r.host]
+	if h == nil {
+		return
+	}
+	victim := h.find(r.id)
+	if victim == nil || !victim.present(r.sampledAt) {
+		return
+	}
+	if !h.throttled() && !r.sampledAt.Before(h.steppedAt.Add(o.config.Settle)) {
+		o.model.learn(now, victim.class, h.neighbors(victim, r.sampledAt), max(0, r.slowdown-1))
+	}
+	if victim.urgency != apricotwinch.Batch {
+		o.judge(h, r)
+	}
+}
+
+// neighbors returns the classes beside a resident at a time.
+func (h *host) neighbors(victim *stay, at time.Time) []string {
+	var classes []string
+	for _, s := range h.stays {
+		if s != victim && s.present(at) {
+			classes = append(classes, s.class)
+		}
+	}
+	return classes
+}
+
+// judge counts reports in a row of harm and of recovery.
+func (o *Observer) judge(h *host, r Report) {
+	if r.sampledAt.Before(h.steppedAt.Add(o.config.Settle)) {
+		return
+	}
+	h.slowdown[r.id] = r.slowdown
+	worst := h.worst()
+	switch {
+	case worst >= o.config.High:
+		h.high++
+		h.low = 0
+	case worst <= o.config.Low:
+		h.low++
+		h.high = 0
+	default:
+		h.high, h.low = 0, 0
+	}
+	if h.high > 0 || h.throttled() {
+		o.troubled[h.name] = h
+		return
+	}
+	delete(o.troubled, h.name)
+}
+
+// Penalty returns the expected harm of putting work of a class beside residents:
+// the slowdowns above 1 that it causes and suffers, those of critical work
+// multiplied by its weight.
+func (o *Observer) Penalty(now time.Time, class string, residents []string) float64 {
+	sum := 0.0
+	for _, resident := range residents {
+		sum += o.weigh(resident) * o.model.excess(now, pair{victim: resident, aggressor: class})
+		sum += o.weigh(class) * o.model.excess(now, pair{victim: class, aggressor: resident})
+	}
+	return sum
+}
+
+// Slowdown returns the expected slowdown, a ratio from 1, of work of class victim
+// beside work of class aggressor.
+func (o *Observer) Slowdown(now time.Time, victim, aggressor string) float64 {
+	return 1 + o.model.excess(now, pair{victim: victim, aggressor: aggressor})
+}
+
+func (o *Observer) weigh(class string) float64 {
+	if o.critical[class] {
+		return o.config.CriticalWeight
+	}
+	return 1
+}
--- /dev/null
+++ b/observer/observer_test.go
@@ -0,0 +1,143 @@
+package observer_test
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/sebdah/goldie/v2"
+
+	"apricotwinch"
+	"apricotwinch/observer"
+)
+
+// TestLearnsWhichNeighborHarms mixes classes at random on many hosts; the
+// slowdowns are the sums of those of the pairs, measured with noise.
+func TestLearnsWhichNeighborHarms(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	truth := map[string]float64{"a": 0, "b": 0.05, "c": 0.8, "d": 0.3}
+	classes := []string{"a", "b", "c", "d"}
+	o := observer.New(observer.DefaultConfig())
+	for host := range 500 {
+		name := fmt.Sprintf("host-%d", host)
+		start(o, name, "service", 0, apricotwinch.Critical)
+		slowdown := 1.0
+		for n := range 4 {
+			class := classes[random.IntN(len(classes))]
+			start(o, name, class, n, apricotwinch.Batch)
+			slowdown += truth[class]
+		}
+		report(o, epoch, name, "service", slowdown+0.1*random.NormFloat64(), 0)
+	}
+	for _, class := range classes {
+		if got, want := o.Slowdown(epoch, "service", class)-1, truth[class]; got < want-0.15 || got > want+0.15 {
+			t.Errorf("slowdown by %s is %.2f above 1, want about %.2f", class, got, want)
+		}
+	}
+}
+
+func TestUnseenPairsTakeThePrior(t *testing.T) {
+	config := observer.DefaultConfig()
+	o := observer.New(config)
+	unseen := o.Slowdown(epoch, "service", "noisy")
+	start(o, "host", "service", 0, apricotwinch.Critical)
+	start(o, "host", "noisy", 0, apricotwinch.Batch)
+	for range 20 {
+		report(o, epoch, "host", "service", 3, 0)
+	}
+	seen := o.Slowdown(epoch, "service", "noisy")
+	other := o.Slowdown(epoch, "other", "noisy")
+	faded := o.Slowdown(epoch.Add(20*config.HalfLife), "service", "noisy")
+	if unseen != 1+config.Prior || faded > unseen+0.001 {
+		t.Errorf("unseen %.3f, faded %.3f, want both %.3f", unseen, faded, 1+config.Prior)
+	}
+	if seen < 2.9 || other < 1.5 || other > seen {
+		t.Errorf("measured pair %.2f, other victim of the same work %.2f", seen, other)
+	}
+}
+
+func TestLateReportsBlameWhoWasThere(t *testing.T) {
+	o := observer.New(observer.DefaultConfig())
+	start(o, "host", "service", 0, apricotwinch.Critical)
+	start(o, "host", "gone", 0, apricotwinch.Batch)
+	o.Ended(epoch.Add(10*time.Second), "host", id("gone", 0))
+	o.Started(epoch.Add(10*time.Second), "host", observer.NewResident(id("new", 0), "new", apricotwinch.Batch))
+	report(o, epoch.Add(35*time.Second), "host", "service", 3, 30*time.Second)
+	if gone, fresh := o.Slowdown(epoch, "service", "gone"), o.Slowdown(epoch, "service", "new"); gone < 1.5 || fresh > 1.1 {
+		t.Errorf("slowdown by the work that was there %.2f, by the later %.2f", gone, fresh)
+	}
+	if diff := cmp.Diff([]string{"service", "new"}, o.Classes("host")); diff != "" {
+		t.Errorf("classes (-want +got):\n%s", diff)
+	}
+}
+
+func TestPenaltyWeighsCriticalWork(t *testing.T) {
+	o := observer.New(observer.DefaultConfig())
+	start(o, "host", "service", 0, apricotwinch.Critical)
+	start(o, "host", "noisy", 0, apricotwinch.Batch)
+	start(o, "host", "quiet", 0, apricotwinch.Batch)
+	for range 20 {
+		report(o, epoch, "host", "service", 2, 0)
+		report(o, epoch, "host", "quiet", 2, 0)
+	}
+	critical := o.Penalty(epoch, "noisy", []string{"service"})
+	batch := o.Penalty(epoch, "noisy", []string{"quiet"})
+	if critical < 2*batch {
+		t.Errorf("penalty beside critical work %.2f, beside batch work %.2f", critical, batch)
+	}
+}
+
+func TestEvictionsStayWithinTheirShare(t *testing.T) {
+	config := observer.DefaultConfig()
+	o := observer.New(config)
+	const hosts = 200
+	for n := range hosts {
+		name := fmt.Sprintf("host-%d", n)
+		start(o, name, "service", 0, apricotwinch.Critical)
+		start(o, name, "noisy", n, apricotwinch.Batch)
+	}
+	evicted := 0
+	now := epoch
+	for range 60 {
+		now = now.Add(2 * time.Second)
+		for n := range hosts {
+			report(o, now, fmt.Sprintf("host-%d", n), "service", 4, 0)
+		}
+		throttles, evictions := 0, 0
+		for _, action := range o.Tick(now) {
+			if action.Step() == observer.Evict {
+				evictions++
+				o.Ended(now, action.Host(), action.ID())
+				continue
+			}
+			throttles++
+		}
+		evicted += evictions
+		if throttles > config.MaxSteps || evictions > config.MaxEvictions {
+			t.Fatalf("%d throttles and %d evictions in a tick", throttles, evictions)
+		}
+	}
+	if bound := int(config.EvictionBurst + config.EvictionShare*hosts); evicted == 0 || evicted > bound {
+		t.Errorf("%d evictions of %d starts, want 1 to %d", evicted, hosts, bound)
+	}
+}
+
+func TestDecisionTrace(t *testing.T) {
+	var trace bytes.Buffer
+	o := observer.New(observer.DefaultConfig())
+	start(o, "host", "service", 0, apricotwinch.Critical)
+	start(o, "host", "noisy", 0, apricotwinch.Batch)
+	start(o, "host", "quiet", 0, apricotwinch.Batch)
+	now := epoch
+	slowdowns := []float64{1.1, 1.6, 1.4, 1.6, 1.7, 1.9, 1.1, 1.1, 1.1, 1, 1.1, 1.8, 1.9, 1.1, 1.1, 1.1, 1.1, 1.1, 1.1, 1.1, 2, 2, 2, 2, 2, 2, 2}
+	for _, slowdown := range slowdowns {
+		now = now.Add(5 * time.Second)
+		report(o, now, "host", "service", slowdown, 2*time.Second)
+		fmt.Fprintf(&trace, "%s slowdown %.1f by noisy %.2f by quiet %.2f %v\n", now.Format("04:05"), slowdown,
+			o.Slowdown(now, "service", "noisy"), o.Slowdown(now, "service", "quiet"), describe(o.Tick(now)))
+	}
+	goldie.New(t).Assert(t, "trace", trace.Bytes())
+}
