Tell a slow host from work that interferes

A host that is slow by itself slows everything on it, and its reports would put the blame on all classes that run there. The host is now a cause of its own in what is learned, less likely at first than a pair; the penalty takes the host.

--- a/observer/config.go
+++ b/observer/config.go
@@ -8,6 +8,9 @@
 	Prior float64
 	// PriorReports is how many reports the prior counts for.
 	PriorReports float64
+	// HostDoubt is how likely a host is to be slow by itself, against a pair of
+	// classes to interfere; 1 for equally.
+	HostDoubt float64
 	// Rate is the part of the difference between a measured and the expected
 	// slowdown that one report corrects, 0 to 1.
 	Rate float64
@@ -44,6 +47,7 @@
 	return Config{
 		Prior:          0.02,
 		PriorReports:   2,
+		HostDoubt:      0.2,
 		Rate:           0.5,
 		HalfLife:       6 * time.Hour,
 		CriticalWeight: 4,
--- a/observer/example_test.go
+++ b/observer/example_test.go
@@ -25,5 +25,5 @@
 	fmt.Printf("%.1f\n", o.Slowdown(now, "portal", "routes"))
 	// Output:
 	// throttle routes/0/1 on kopli-1
-	// 2.3
+	// 2.1
 }
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -70,15 +70,13 @@
 		}
 	}
 	h.prune(now.Add(-o.config.History))
-	if len(h.stays) == 0 {
-		o.Left(name)
-	}
 }
 
 // Left takes a host that is gone with its work.
 func (o *Observer) Left(name string) {
 	delete(o.hosts, name)
 	delete(o.troubled, name)
+	delete(o.model.hosts, name)
 }
 
 // Classes returns the classes of the work on a host, one for each resident.
@@ -108,7 +106,7 @@
 		return
 	}
 	if !h.throttled() && !r.sampledAt.Before(h.steppedAt.Add(o.config.Settle)) {
-		o.model.learn(now, victim.class, h.neighbors(victim, r.sampledAt), max(0, r.slowdown-1))
+		o.model.learn(now, h.name, victim.class, h.neighbors(victim, r.sampledAt), max(0, r.slowdown-1))
 	}
 	if victim.urgency != apricotwinch.Batch {
 		o.judge(h, r)
@@ -150,11 +148,11 @@
 	delete(o.troubled, h.name)
 }
 
-// Penalty returns the expected harm of putting work of a class beside residents:
-// the slowdowns above 1 that it causes and suffers, those of critical work
-// multiplied by its weight.
-func (o *Observer) Penalty(now time.Time, class string, residents []string) float64 {
-	sum := 0.0
+// Penalty returns the expected harm of putting work of a class on a host, beside
+// residents: the slowdowns above 1 that it causes and suffers, those of critical
+// work multiplied by its weight.
+func (o *Observer) Penalty(now time.Time, host, class string, residents []string) float64 {
+	sum := o.weigh(class) * o.model.hostExcess(now, host)
 	for _, resident := range residents {
 		sum += o.weigh(resident) * o.model.excess(now, pair{victim: resident, aggressor: class})
 		sum += o.weigh(class) * o.model.excess(now, pair{victim: class, aggressor: resident})
@@ -168,6 +166,12 @@
 	return 1 + o.model.excess(now, pair{victim: victim, aggressor: aggressor})
 }
 
+// HostSlowdown returns the slowdown, a ratio from 1, that a host is expected to
+// cause by itself.
+func (o *Observer) HostSlowdown(now time.Time, host string) float64 {
+	return 1 + o.model.hostExcess(now, host)
+}
+
 func (o *Observer) weigh(class string) float64 {
 	if o.critical[class] {
 		return o.config.CriticalWeight
--- a/placer/config.go
+++ b/placer/config.go
@@ -25,9 +25,9 @@
 	CapacityMemory time.Duration
 	// Weights weighs the costs of a candidate.
 	Weights Weights
-	// Penalty returns the expected harm of putting work of class beside residents,
-	// 0 for none; nil means no penalty.
-	Penalty func(class string, residents []string) float64
+	// Penalty returns the expected harm of putting work of class on host, beside
+	// residents, 0 for none; nil means no penalty.
+	Penalty func(host, class string, residents []string) float64
 }
 
 // Weights weighs the costs of a candidate; the lowest sum wins.
--- a/placer/cost.go
+++ b/placer/cost.go
@@ -14,7 +14,7 @@
 	}
 	if p.config.Penalty != nil {
 		p.neighbors = h.neighbors(p.neighbors)
-		cost += w.Penalty * p.config.Penalty(c.request.class, p.neighbors)
+		cost += w.Penalty * p.config.Penalty(h.name, c.request.class, p.neighbors)
 	}
 	return cost
 }
