--- a/retrier/retrier_test.go
+++ b/retrier/retrier_test.go
@@ -83,10 +83,10 @@
 	}
 	r := retrier.New(config, 1)
 	got := []retrier.Reason{}
-	for _, try := range [][2]string{{"a", "x"}, {"a", "y"}, {"b", "x"}, {"b", "z"}, {"a", "y"}} {
+	for _, try := range [][2]string{{"a", "x"}, {"b", "y"}, {"a", "x"}, {"c", "z"}, {"d", "y"}} {
 		got = append(got, r.Decide(start, retrier.NewTry(try[0], try[1], 1, true, start.Add(time.Second), apricotwinch.Unknown)).Reason())
 	}
-	want := []retrier.Reason{"", retrier.TeamBudget, retrier.TargetBudget, "", ""}
+	want := []retrier.Reason{"", "", retrier.TargetBudget, "", ""}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("reasons (-want +got):\n%s", diff)
 	}
