Compare the fold of a partition's stream with a naive model

Two faults of the fold are listed as known reds: a late second copy of a parked record parks a resumed job again, and a huge number of tasks makes the fold panic.

--- /dev/null
+++ b/checker/ledger_fold_test.go
@@ -0,0 +1,148 @@
+package checker_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"pgregory.net/rapid"
+
+	"apricotwinch"
+	"apricotwinch/bookkeeper"
+	"apricotwinch/messenger"
+)
+
+var ledgerTypes = []string{
+	messenger.RecordBegan, messenger.RecordSubmitted, messenger.RecordCanceled, messenger.RecordAssigned,
+	messenger.RecordReturned, messenger.RecordCompleted, messenger.RecordFailed, messenger.RecordEvicted,
+	messenger.RecordLost, messenger.RecordParked, messenger.RecordResumed,
+}
+
+// drawLedgerRecord draws a record that is valid often, given the model's state;
+// maxMillis bounds the time between two records.
+func drawLedgerRecord(t *rapid.T, model *ledgerModel, number, maxMillis int) messenger.LedgerRecord {
+	record := messenger.LedgerRecord{
+		Id:          fmt.Sprint("record-", number),
+		Type:        rapid.SampledFrom(ledgerTypes).Draw(t, "type"),
+		Epoch:       max(model.epoch+rapid.SampledFrom([]int{0, 0, 0, 0, 1, -1}).Draw(t, "epoch"), 0),
+		UnixMillis:  number * rapid.IntRange(0, maxMillis).Draw(t, "millis"),
+		Team:        "team",
+		Job:         rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "job"),
+		Task:        rapid.SampledFrom([]int{0, 0, 1, 1, 2, -1}).Draw(t, "task"),
+		Host:        rapid.SampledFrom([]string{"h1", "h2"}).Draw(t, "host"),
+		Incarnation: "i",
+		DataCentre:  "dc",
+		Reason:      "reason",
+	}
+	if record.Type == messenger.RecordSubmitted {
+		kind := rapid.SampledFrom([]string{messenger.JobBatch, messenger.JobBatch, messenger.JobWatch}).Draw(t, "kind")
+		record.Spec = &messenger.JobSpec{Name: "n", Kind: kind, Tasks: rapid.IntRange(0, 2).Draw(t, "tasks")}
+	}
+	if job := model.jobs[record.Job]; job != nil && record.Task >= 0 && record.Task < len(job.tasks) {
+		record.Attempt = job.attempt(record.Task)
+	}
+	if record.Type == messenger.RecordAssigned {
+		record.Attempt++
+	}
+	record.Attempt += rapid.SampledFrom([]int{0, 0, 0, 0, 1, -1}).Draw(t, "attempt")
+	if rapid.Bool().Draw(t, "bytes") {
+		record.Checkpoint = []byte(record.Id)
+		record.Result = []byte(record.Id)
+	}
+	return record
+}
+
+// ledgerRun folds one stream into the model, into a book that reads it from its
+// start, and into a book that knows only a snapshot and what came after.
+type ledgerRun struct {
+	model    *ledgerModel
+	book     *bookkeeper.Book
+	restored *bookkeeper.Book
+	offset   int64
+}
+
+func (r *ledgerRun) fold(record messenger.LedgerRecord) {
+	if record.Type != messenger.RecordSnapshot {
+		r.model.fold(int(r.offset), record)
+	}
+	_, _ = r.book.Fold(r.offset, record)
+	if r.restored != nil {
+		_, _ = r.restored.Fold(r.offset, record)
+	}
+	r.offset++
+}
+
+// cut lets all records so far expire and appends a snapshot.
+func (r *ledgerRun) cut() {
+	r.restored = bookkeeper.Restore(0, r.offset)
+	for _, part := range r.book.Snapshot() {
+		r.fold(messenger.LedgerRecord{Type: messenger.RecordSnapshot, Snapshot: &part})
+	}
+}
+
+// checkLedger folds random records with duplicates of earlier ones, and with the
+// stream cut short under a snapshot, and compares every state with the model's.
+// Only records of the given types are duplicated.
+func checkLedger(t *testing.T, maxMillis int, repeated []string) {
+	t.Helper()
+	rapid.Check(t, func(t *rapid.T) {
+		run := ledgerRun{model: newLedgerModel(), book: bookkeeper.New(0)}
+		var records []messenger.LedgerRecord
+		for number := range rapid.IntRange(1, 60).Draw(t, "length") {
+			record := drawLedgerRecord(t, run.model, number, maxMillis)
+			if len(records) > 0 && rapid.IntRange(0, 3).Draw(t, "duplicate") == 0 {
+				earlier := rapid.SampledFrom(records).Draw(t, "earlier")
+				if slices.Contains(repeated, earlier.Type) {
+					record = earlier
+				}
+			}
+			records = append(records, record)
+			run.fold(record)
+			if rapid.IntRange(0, 15).Draw(t, "cut") == 0 {
+				run.cut()
+			}
+			checkLedgerStates(t, "folded", run.model, run.book)
+			if run.restored != nil {
+				checkLedgerStates(t, "restored", run.model, run.restored)
+			}
+		}
+	})
+}
+
+func checkLedgerStates(t *rapid.T, name string, model *ledgerModel, book *bookkeeper.Book) {
+	if diff := cmp.Diff(model.states(), book.States(""), cmpopts.EquateEmpty()); diff != "" {
+		t.Fatalf("%s states (-model +book):\n%s", name, diff)
+	}
+}
+
+func TestLedgerFoldAgreesWithTheModel(t *testing.T) {
+	const maxMillis = 1000_000 // Finished jobs reach their retention.
+	checkLedger(t, maxMillis, []string{
+		messenger.RecordBegan, messenger.RecordAssigned, messenger.RecordReturned,
+		messenger.RecordCompleted, messenger.RecordFailed, messenger.RecordEvicted, messenger.RecordLost,
+	})
+}
+
+func TestLedgerFoldTakesNoRecordTwice(t *testing.T) {
+	knownRed(t)
+	const maxMillis = 1000 // A duplicate comes within the retention.
+	checkLedger(t, maxMillis, ledgerTypes)
+}
+
+func TestLedgerFoldRefusesAHugeJob(t *testing.T) {
+	knownRed(t)
+	defer func() {
+		if cause := recover(); cause != nil {
+			t.Errorf("the fold panics: %v", cause)
+		}
+	}()
+	_, err := bookkeeper.New(0).Fold(0, messenger.LedgerRecord{
+		Type: messenger.RecordSubmitted, Job: "a", Team: "t",
+		Spec: &messenger.JobSpec{Kind: messenger.JobBatch, Tasks: 1 << 50},
+	})
+	if diff := cmp.Diff(apricotwinch.Invalid, apricotwinch.KindOf(err)); diff != "" {
+		t.Errorf("kind (-want +got):\n%s", diff)
+	}
+}
