Free what an attempt held as soon as its end is known

A summary sampled at the very moment of an acceptance covered the reservation without showing it; a repeated summary ended the pause after a refusal; and what an attempt held stayed committed until the next summary. A summary now has to be newer than the acceptance or refusal, and a released attempt is credited until one shows it.

The four tests fail before the change.

--- a/placer/host.go
+++ b/placer/host.go
@@ -23,6 +23,12 @@
 // String returns the name of s.
 func (s Standing) String() string { return standingNames[s] }
 
+// credit is what an attempt held that ended after its host was last sampled.
+type credit struct {
+	amount apricotwinch.Resources
+	at     time.Time
+}
+
 // host is what the table knows of one host.
 type host struct {
 	name      string
@@ -33,17 +39,35 @@
 	residents []string
 	pending   []*placement
 	reserved  apricotwinch.Resources
+	credits   []credit
+	credited  apricotwinch.Resources
 	standing  Standing
 	draining  bool
 	blocked   bool
-	blockedTo time.Time
+	blockedAt time.Time
 	place     *dataCentre
 	leaf      int
 }
 
-// free returns what is neither committed nor reserved.
+// free returns what is neither committed nor reserved, with what was given back
+// since the last summary.
 func (h *host) free() apricotwinch.Resources {
-	return h.capacity.Sub(h.committed).Sub(h.reserved)
+	committed := greatest(h.committed.Sub(h.credited), apricotwinch.Resources{})
+	return h.capacity.Sub(committed).Sub(h.reserved)
+}
+
+// giveBack credits what an attempt held until a summary shows it.
+func (h *host) giveBack(amount apricotwinch.Resources, at time.Time) {
+	h.credits = append(h.credits, credit{amount: amount, at: at})
+	h.credited = h.credited.Add(amount)
+}
+
+// settle drops the credits that a summary sampled at the given time shows.
+func (h *host) settle(sampledAt time.Time) {
+	for len(h.credits) > 0 && h.credits[0].at.Before(sampledAt) {
+		h.credited = h.credited.Sub(h.credits[0].amount)
+		h.credits = h.credits[1:]
+	}
 }
 
 // accepts reports whether the host may get a task.
--- a/placer/placement.go
+++ b/placer/placement.go
@@ -44,7 +44,7 @@
 // includes.
 func (h *host) cover(sampledAt time.Time) {
 	for _, pl := range slices.Clone(h.pending) {
-		if pl.confirmed && !sampledAt.Before(pl.confirmedAt) {
+		if pl.confirmed && sampledAt.After(pl.confirmedAt) {
 			pl.unreserve()
 		}
 	}
@@ -52,6 +52,7 @@
 
 // expire drops the reservations, pauses and capacities whose time is over.
 func (p *Placer) expire(now time.Time) {
+	p.advance(now)
 	for len(p.reservations) > 0 && !now.Before(p.reservations[0].expires) {
 		pl := p.reservations[0]
 		p.reservations = p.reservations[1:]
@@ -60,7 +61,7 @@
 			p.refresh(pl.host)
 		}
 	}
-	for len(p.paused) > 0 && !now.Before(p.paused[0].blockedTo) {
+	for len(p.paused) > 0 && now.Sub(p.paused[0].blockedAt) >= p.config.RefusalPause {
 		h := p.paused[0]
 		p.paused = p.paused[1:]
 		h.blocked = false
@@ -69,6 +70,13 @@
 	p.capacities.expire(now)
 }
 
+// advance notes the latest time that the placer was told.
+func (p *Placer) advance(now time.Time) {
+	if now.After(p.latest) {
+		p.latest = now
+	}
+}
+
 // refresh brings the index up to date for a host that is still in the table.
 func (p *Placer) refresh(h *host) {
 	if p.hosts[h.name] == h {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -27,6 +27,7 @@
 	reservations []*placement
 	paused       []*host
 	firstJoin    time.Time
+	latest       time.Time
 	neighbors    []string
 	options      []option
 }
@@ -86,8 +87,11 @@
 	}
 	h.committed = committed
 	h.sampledAt = sampledAt
-	h.blocked = false
+	if sampledAt.After(h.blockedAt) {
+		h.blocked = false
+	}
 	h.cover(sampledAt)
+	h.settle(sampledAt)
 	h.place.refresh(h)
 	return true
 }
@@ -121,9 +125,10 @@
 	p.dataCentre(apricotwinch.NewLocality(region, name, "")).out = out
 }
 
-// Confirm says that the agent accepted an attempt: a summary sampled from now
-// on covers its reservation.
+// Confirm says that the agent accepted an attempt: a summary sampled after now
+// covers its reservation.
 func (p *Placer) Confirm(now time.Time, attempt apricotwinch.AttemptID) {
+	p.advance(now)
 	if pl := p.placements[attempt]; pl != nil && !pl.confirmed {
 		pl.confirmed = true
 		pl.confirmedAt = now
@@ -133,17 +138,19 @@
 // Refuse says that the agent refused an attempt for want of room: the host is
 // passed over until a newer summary, or for the pause of the configuration.
 func (p *Placer) Refuse(now time.Time, attempt apricotwinch.AttemptID) {
+	p.advance(now)
 	pl := p.placements[attempt]
 	if pl == nil {
 		return
 	}
 	pl.host.blocked = true
-	pl.host.blockedTo = now.Add(p.config.RefusalPause)
+	pl.host.blockedAt = now
 	p.paused = append(p.paused, pl.host)
 	p.Release(attempt)
 }
 
-// Release says that an attempt ended or was withdrawn.
+// Release says that an attempt ended or was withdrawn. What it held is free at
+// once, before a summary shows it.
 func (p *Placer) Release(attempt apricotwinch.AttemptID) {
 	pl := p.placements[attempt]
 	if pl == nil {
@@ -151,6 +158,9 @@
 	}
 	delete(p.placements, attempt)
 	p.spread.remove(attempt.Job(), pl.host.locality)
+	if pl.confirmed && !pl.reserved {
+		pl.host.giveBack(pl.need, p.latest)
+	}
 	pl.unreserve()
 	p.refresh(pl.host)
 }
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -73,13 +73,18 @@
 	p.Confirm(at(2*time.Second), first)
 	p.Update(at(3*time.Second), "host-0", apricotwinch.Resources{}, at(time.Second))
 	got = append(got, choose(at(3*time.Second), second))
+	// Nor does one of the same moment.
+	p.Update(at(3*time.Second), "host-0", apricotwinch.Resources{}, at(2*time.Second))
+	got = append(got, choose(at(3*time.Second), second))
 	// One from after that covers it.
 	p.Update(at(4*time.Second), "host-0", apricotwinch.Resources{}, at(3*time.Second))
 	got = append(got, choose(at(4*time.Second), second))
 	// The second is never confirmed, and expires.
 	third := attempt("c", 0)
 	got = append(got, choose(at(5*time.Second), third), choose(at(4*time.Second+config.ReservationLife), third))
-	want := []apricotwinch.Kind{"", apricotwinch.NoCapacity, apricotwinch.NoCapacity, "", apricotwinch.NoCapacity, ""}
+	want := []apricotwinch.Kind{
+		"", apricotwinch.NoCapacity, apricotwinch.NoCapacity, apricotwinch.NoCapacity, "", apricotwinch.NoCapacity, "",
+	}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("kinds (-want +got):\n%s", diff)
 	}
@@ -94,11 +99,42 @@
 	got := []apricotwinch.Kind{kind(epoch, 0)}
 	p.Refuse(epoch, attempt("job", 0))
 	got = append(got, kind(epoch, 1))
+	// The summary that was known before the refusal says nothing new.
 	p.Update(epoch, "host-0", apricotwinch.Resources{}, epoch)
 	got = append(got, kind(epoch, 2))
-	p.Refuse(epoch, attempt("job", 2))
-	got = append(got, kind(epoch.Add(settled().RefusalPause), 3))
-	want := []apricotwinch.Kind{"", apricotwinch.NoCapacity, "", ""}
+	later := epoch.Add(time.Second)
+	p.Update(later, "host-0", apricotwinch.Resources{}, later)
+	got = append(got, kind(later, 3))
+	p.Refuse(later, attempt("job", 3))
+	got = append(got, kind(later.Add(settled().RefusalPause), 4))
+	want := []apricotwinch.Kind{"", apricotwinch.NoCapacity, apricotwinch.NoCapacity, "", ""}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("kinds (-want +got):\n%s", diff)
+	}
+}
+
+func TestReleasedRoomIsFreeBeforeTheSummary(t *testing.T) {
+	p := table(settled(), 1, 1)
+	full := func(task int) placer.Request { return placer.NewRequest(attempt("job", task), "job", worker()) }
+	kind := func(task int) apricotwinch.Kind {
+		_, err := p.Choose(epoch, full(task))
+		return apricotwinch.KindOf(err)
+	}
+	got := []apricotwinch.Kind{kind(0)}
+	p.Confirm(epoch, attempt("job", 0))
+	sampledAt := epoch.Add(time.Second)
+	p.Update(sampledAt, "host-0", worker(), sampledAt)
+	got = append(got, kind(1))
+	p.Release(attempt("job", 0))
+	// The same summary again, as from another entry, takes nothing back.
+	p.Update(sampledAt, "host-0", worker(), sampledAt)
+	got = append(got, kind(2))
+	p.Release(attempt("job", 2))
+	// A later one counts what it shows.
+	later := sampledAt.Add(time.Second)
+	p.Update(later, "host-0", worker(), later)
+	got = append(got, kind(3))
+	want := []apricotwinch.Kind{"", apricotwinch.NoCapacity, "", apricotwinch.NoCapacity}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("kinds (-want +got):\n%s", diff)
 	}
--- a/placer/property_test.go
+++ b/placer/property_test.go
@@ -104,6 +104,20 @@
 	}
 }
 
+// summarize confirms all placements and delivers the summary of one host.
+func (m *model) summarize(t *rapid.T) {
+	name := fmt.Sprintf("host-%d", rapid.IntRange(0, modelHosts-1).Draw(t, "host"))
+	var committed apricotwinch.Resources
+	for id, host := range m.placed {
+		if host == name {
+			committed = committed.Add(m.need[id])
+			m.placer.Confirm(m.now, id)
+		}
+	}
+	m.now = m.now.Add(time.Second)
+	m.placer.Update(m.now, name, committed, m.now)
+}
+
 func (m *model) leaveAndJoin(t *rapid.T) {
 	number := rapid.IntRange(0, modelHosts-1).Draw(t, "host")
 	name := fmt.Sprintf("host-%d", number)
@@ -156,6 +170,7 @@
 			"choose":     m.choose,
 			"again":      m.choose,
 			"release":    m.release,
+			"summary":    m.summarize,
 			"rejoin":     m.leaveAndJoin,
 			"standing":   m.changeStanding,
 			"dataCentre": m.changeDataCentre,
