Take use held down by its grant as a lower bound

Tasks that were declared right use nearly all that they are granted. Held-down use is now censored and the quantile is the Kaplan-Meier one, so that it raises a size only while nothing better is known. Buckets are 8% wide in place of 12%.

--- a/estimator/config.go
+++ b/estimator/config.go
@@ -17,7 +17,8 @@
 	// MemoryMargin is added to the observed peak of memory, as a part of it.
 	MemoryMargin float64
 	// Saturation is the part of the granted processors from which on use counts as
-	// held down by the grant; Growth is what such a sample is multiplied by.
+	// held down by the grant. Growth multiplies the size when too much of the use
+	// was held down to tell the quantile.
 	Saturation, Growth float64
 	// MaxClasses bounds the classes remembered; those observed longest ago go first.
 	MaxClasses int
--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -42,11 +42,9 @@
 // Observe takes a report of the use of a running task.
 func (e *Estimator) Observe(s Sample) {
 	u := e.touch(s.class)
-	processors := float64(s.used.ProcessorMillis())
-	if granted := float64(s.granted.ProcessorMillis()); granted > 0 && processors >= e.config.Saturation*granted {
-		processors *= e.config.Growth
-	}
-	u.processors.add(s.sampledAt, processors, e.config.HalfLife)
+	used, granted := float64(s.used.ProcessorMillis()), float64(s.granted.ProcessorMillis())
+	censored := granted > 0 && used >= e.config.Saturation*granted
+	u.processors.add(s.sampledAt, used, censored, e.config.HalfLife)
 	u.memory = max(u.memory, s.used.MemoryBytes())
 	u.accelerators = max(u.accelerators, s.used.Accelerators())
 }
@@ -77,7 +75,10 @@
 func (e *Estimator) processors(now time.Time, u *usage, declared int64) int64 {
 	prior := float64(declared)
 	size := u.processors.quantile(now, e.config.Quantile, e.config.PriorSamples, prior, e.config.HalfLife)
-	return int64(max(e.config.Floor*prior, min(e.config.Ceiling*prior, size)))
+	if size.bound {
+		size.millis *= e.config.Growth
+	}
+	return int64(max(e.config.Floor*prior, min(e.config.Ceiling*prior, size.millis)))
 }
 
 func (e *Estimator) memory(now time.Time, u *usage, declared int64) int64 {
--- a/estimator/estimator_test.go
+++ b/estimator/estimator_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -37,6 +38,29 @@
 	}
 }
 
+// TestSizeSettles runs tasks of a true size under whatever the estimator grants
+// and declares another one. After a first part, no size is far from the truth.
+func TestSizeSettles(t *testing.T) {
+	const (
+		truth   = 2000
+		samples = 400
+		settled = 100
+	)
+	for _, declared := range []int64{600, 1900, 2000, 2100, 6000} {
+		e := estimator.New(estimator.DefaultConfig())
+		random := rand.New(rand.NewPCG(1, 1))
+		for n := range samples {
+			size := e.Size(epoch, routes, amount(declared, 1000, 0))
+			if got := size.ProcessorMillis(); n >= settled && (got < truth || got > truth*5/4) {
+				t.Errorf("declared %dm: size %d is %dm, want %dm to %dm", declared, n, got, truth, truth*5/4)
+				break
+			}
+			used := min(size.ProcessorMillis(), int64(truth*(1+0.05*random.NormFloat64())))
+			observe(e, 1, amount(used, 500, 0), size, epoch)
+		}
+	}
+}
+
 func TestExhaustedMemoryDoubles(t *testing.T) {
 	config := estimator.DefaultConfig()
 	e := estimator.New(config)
--- a/estimator/histogram.go
+++ b/estimator/histogram.go
@@ -7,11 +7,11 @@
 
 const (
 	// buckets is the number of buckets of a histogram.
-	buckets = 96
+	buckets = 128
 	// smallestMillis is the upper bound of the first bucket.
 	smallestMillis = 10.0
 	// bucketGrowth is the ratio of the bounds of neighboring buckets.
-	bucketGrowth = 1.12
+	bucketGrowth = 1.08
 	// rescaleHalfLives bounds the exponent of a weight.
 	rescaleHalfLives = 60
 	// roundingSlack keeps the rounding of sums from deciding an exact quantile.
@@ -20,9 +20,11 @@
 
 // histogram counts decaying samples in buckets of constant relative width. A
 // newer sample weighs more, in place of the older ones weighing less, so that
-// samples may come in any order.
+// samples may come in any order. A censored sample is known to be a lower bound
+// only: the work was held down to it.
 type histogram struct {
-	weights   [buckets]float32
+	exact     [buckets]float32
+	censored  [buckets]float32
 	total     float64
 	reference time.Time
 }
@@ -45,7 +47,7 @@
 	return math.Exp2(float64(at.Sub(h.reference)) / float64(halfLife))
 }
 
-func (h *histogram) add(at time.Time, millis float64, halfLife time.Duration) {
+func (h *histogram) add(at time.Time, millis float64, censored bool, halfLife time.Duration) {
 	if h.reference.IsZero() {
 		h.reference = at
 	}
@@ -53,43 +55,76 @@
 		h.rescale(at, halfLife)
 	}
 	weight := h.weightAt(at, halfLife)
-	h.weights[bucketOf(millis)] += float32(weight)
 	h.total += weight
+	if censored {
+		h.censored[bucketOf(millis)] += float32(weight)
+		return
+	}
+	h.exact[bucketOf(millis)] += float32(weight)
 }
 
 // rescale counts weights from a new reference.
 func (h *histogram) rescale(at time.Time, halfLife time.Duration) {
 	factor := 1 / h.weightAt(at, halfLife)
 	h.total = 0
-	for i := range h.weights {
-		h.weights[i] *= float32(factor)
-		h.total += float64(h.weights[i])
+	for i := range buckets {
+		h.exact[i] *= float32(factor)
+		h.censored[i] *= float32(factor)
+		h.total += float64(h.exact[i]) + float64(h.censored[i])
 	}
 	h.reference = at
 }
 
-// quantile returns the bound that the part q of the weight is below, with prior
-// samples of priorMillis added.
-func (h *histogram) quantile(now time.Time, q, prior, priorMillis float64, halfLife time.Duration) float64 {
+// estimate is a quantile, or a lower bound of it when too many of the greatest
+// samples are censored.
+type estimate struct {
+	millis float64
+	bound  bool
+}
+
+// quantile returns the value that the part q of the weight is below, by the
+// Kaplan-Meier estimator: a censored sample counts as spread over the greater
+// ones. The prior counts as so many samples of priorMillis, unless as many were
+// held down to that.
+func (h *histogram) quantile(now time.Time, q, prior, priorMillis float64, halfLife time.Duration) estimate {
 	if h.total == 0 {
-		return priorMillis
+		return estimate{millis: priorMillis}
 	}
-	prior *= h.weightAt(now, halfLife)
-	wanted := q * (h.total + prior) * (1 - roundingSlack)
 	priorBucket := bucketOf(priorMillis)
-	sum := 0.0
-	for i, weight := range h.weights {
-		sum += float64(weight)
+	prior *= h.weightAt(now, halfLife)
+	if float64(h.censored[priorBucket]) >= prior {
+		prior = 0
+	}
+	atRisk := h.total + prior
+	above := 1.0
+	greatest := 0
+	for i := range buckets {
+		exact, censored := float64(h.exact[i]), float64(h.censored[i])
 		if i == priorBucket {
-			sum += prior
+			exact += prior
 		}
-		if sum < wanted {
-			continue
+		if exact+censored > 0 {
+			greatest = i
 		}
-		if i == priorBucket {
-			return priorMillis
+		// A censored sample is above the exact ones of a smaller bucket, and is taken
+		// to be below those of its own.
+		atRisk -= censored
+		if exact > 0 {
+			above *= max(0, 1-exact/atRisk)
+			atRisk -= exact
+		}
+		if above <= (1-q)*(1+roundingSlack) {
+			return estimate{millis: bucketValue(i, priorBucket, priorMillis)}
 		}
-		return upperBound(i)
 	}
-	return upperBound(buckets - 1)
+	return estimate{millis: upperBound(greatest), bound: true}
+}
+
+// bucketValue returns the upper bound of a bucket, but the declared value itself
+// for its bucket.
+func bucketValue(bucket, priorBucket int, priorMillis float64) float64 {
+	if bucket == priorBucket {
+		return priorMillis
+	}
+	return upperBound(bucket)
 }
