--- a/checker/checker.go
+++ b/checker/checker.go
@@ -91,6 +91,8 @@
 	Service string
 	// Key is the idempotency key; empty for a request without one.
 	Key string
+	// Idempotent tells whether the request may run more than once.
+	Idempotent bool
 	// BodyHash is the hash of the body that was sent.
 	BodyHash string
 	// SentAt is the time before the request was sent.
@@ -164,7 +166,7 @@
 	{"overcommitted", checkOvercommitted},
 	{"started_out", checkStartedOut},
 	{"ran_after_not_run", checkRanAfterNotRun},
-	{"keyed_twice", checkKeyedTwice},
+	{"ran_twice", checkRanTwice},
 	{"wrong_answer", checkWrongAnswer},
 	{"leaving_served", checkLeavingServed},
 	{"cut_off", checkCutOff},
--- a/checker/checker_test.go
+++ b/checker/checker_test.go
@@ -139,6 +139,9 @@
 		e.Journal = append(e.Journal, served("a", "h2", 3, 4)...)
 		e.Journal = append(e.Journal, served("b", "h2", 3, 4)...)
 	}},
+	{"request without a key ran twice", func(e *checker.Evidence) {
+		e.Journal = append(e.Journal, served("r1", "h2", 3, 4)...)
+	}},
 	{"answer of another caller", func(e *checker.Evidence) { e.Requests[0].Answer = answer("r2") }},
 	{"answer cut short", func(e *checker.Evidence) { e.Requests[0].Answer = answer("r1")[:20] }},
 	{"answer that no target gave", func(e *checker.Evidence) {
@@ -217,6 +220,10 @@
 			e.Journal = append(e.Journal, attempt("j3", 1, "h1", 54.9, 56, "completed")...)
 			e.Journal = append(e.Journal, attempt("j4", 1, "h1", 70.1, 71, "completed")...)
 		},
+		"idempotent request ran twice": func(e *checker.Evidence) {
+			e.Requests[0].Idempotent = true
+			e.Journal = append(e.Journal, served("r1", "h2", 3, 4)...)
+		},
 		"unknown request ran": func(e *checker.Evidence) {
 			e.Requests = append(e.Requests, request("r6", checker.Unknown))
 			e.Journal = append(e.Journal, served("r6", "h2", 3, 4)...)
--- a/checker/requests.go
+++ b/checker/requests.go
@@ -35,30 +35,43 @@
 
 func mayRun(outcome Outcome) bool { return outcome != NotRun && outcome != NotConnected }
 
-// checkKeyedTwice finds keys under which more than one request ran.
-func checkKeyedTwice(f *facts) []string {
-	hashes := make(map[string][]string)
+// checkRanTwice finds requests that are not idempotent and ran more than once,
+// alone or under one key.
+func checkRanTwice(f *facts) []string {
+	bodies := make(map[string][]string)
 	for _, request := range f.Requests {
-		if request.Key != "" && !slices.Contains(hashes[request.Key], request.BodyHash) {
-			hashes[request.Key] = append(hashes[request.Key], request.BodyHash)
+		if name := onceName(request); name != "" && !slices.Contains(bodies[name], request.BodyHash) {
+			bodies[name] = append(bodies[name], request.BodyHash)
 		}
 	}
 	var found []string
-	for key, bodies := range hashes {
+	for name, hashes := range bodies {
 		var runs []string
-		for _, hash := range bodies {
+		for _, hash := range hashes {
 			for _, entry := range f.starts[hash] {
 				runs = append(runs, fmt.Sprintf("%s at %s", entry.Host, stamp(entry.At)))
 			}
 		}
 		sort.Strings(runs)
 		if len(runs) > 1 {
-			found = append(found, fmt.Sprintf("key %s ran on %v", key, runs))
+			found = append(found, fmt.Sprintf("%s ran on %v", name, runs))
 		}
 	}
 	return found
 }
 
+// onceName names what may run at most once: a key, or a request without one;
+// an idempotent request has no such name.
+func onceName(request Request) string {
+	switch {
+	case request.Key != "":
+		return "key " + request.Key
+	case request.Idempotent:
+		return ""
+	}
+	return "request of " + request.Caller
+}
+
 // checkWrongAnswer finds answers that are not whole, not the caller's own, or
 // for a request that no target answered.
 func checkWrongAnswer(f *facts) []string {
--- a/cmd/standin/target.go
+++ b/cmd/standin/target.go
@@ -16,12 +16,13 @@
 
 // targetCommand runs a target.
 type targetCommand struct {
-	address  string
-	journal  string
-	agent    string
-	leave    time.Duration
-	config   responder.Config
-	announce messenger.TargetAnnounce
+	address   string
+	advertise string
+	journal   string
+	agent     string
+	leave     time.Duration
+	config    responder.Config
+	announce  messenger.TargetAnnounce
 }
 
 // Name returns the name of the command.
@@ -38,6 +39,7 @@
 // SetFlags sets the flags of the command.
 func (c *targetCommand) SetFlags(flags *flag.FlagSet) {
 	flags.StringVar(&c.address, "listen", "127.0.0.1:0", "address to listen on")
+	flags.StringVar(&c.advertise, "advertise", "", "base URL to announce, empty for the bound address")
 	flags.StringVar(&c.journal, "journal", "", "file to append the journal to")
 	flags.StringVar(&c.agent, "agent", "", "base URL of the agent, empty for none")
 	flags.DurationVar(&c.leave, "leave", 5*time.Second, "how long to announce the leave before the shutdown")
@@ -90,6 +92,9 @@
 	announce := c.announce
 	announce.Service = c.config.Service
 	announce.Slots = c.config.Slots
-	announce.Address = "http://" + listener.Addr().String()
+	announce.Address = c.advertise
+	if announce.Address == "" {
+		announce.Address = "http://" + listener.Addr().String()
+	}
 	return responder.NewAnnouncer(c.agent, announce, clock)
 }
--- /dev/null
+++ b/prover/caller_test.go
@@ -0,0 +1,356 @@
+package prover_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"apricotwinch"
+	"apricotwinch/checker"
+	"apricotwinch/messenger"
+	"apricotwinch/standin/journaler"
+)
+
+// callerTimeout is how long a caller waits for an answer.
+const callerTimeout = 30 * time.Second
+
+// send makes one HTTP call and returns the body of its answer and what the
+// caller knows from it.
+func send(e *entry, method, path string, header http.Header, body []byte) ([]byte, checker.Outcome) {
+	request, err := http.NewRequest(method, "http://"+e.http+path, bytes.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	request.Header = header
+	client := http.Client{Timeout: callerTimeout, Transport: callers}
+	response, err := client.Do(request)
+	if err != nil {
+		return nil, lostOutcome(err)
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	if err != nil {
+		return answer, checker.Broken
+	}
+	if response.StatusCode < http.StatusMultipleChoices {
+		return answer, checker.Answered
+	}
+	var refusal messenger.ErrorAnswer
+	if json.Unmarshal(answer, &refusal) == nil && refusal.NotRun {
+		return answer, checker.NotRun
+	}
+	return answer, checker.Unknown
+}
+
+// callers opens a connection for each call, so that a refused connection is told
+// from a broken one.
+var callers = &http.Transport{DisableKeepAlives: true}
+
+func lostOutcome(err error) checker.Outcome {
+	var timeout *url.Error
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return checker.NotConnected
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return checker.Unknown
+	}
+	return checker.Broken
+}
+
+func bearer(token string) http.Header { return http.Header{"Authorization": {"Bearer " + token}} }
+
+// call makes one call with a JSON body and decodes its answer into reply.
+func (c *cluster) call(e *entry, method, path, token string, body, reply any) checker.Outcome {
+	c.t.Helper()
+	var encoded []byte
+	if body != nil {
+		var err error
+		if encoded, err = json.Marshal(body); err != nil {
+			c.t.Fatal(err)
+		}
+	}
+	answer, outcome := send(e, method, path, bearer(token), encoded)
+	if outcome == checker.Answered && reply != nil {
+		if err := json.Unmarshal(answer, reply); err != nil {
+			c.t.Errorf("%s %s: %v in %q", method, path, err, answer)
+		}
+	}
+	return outcome
+}
+
+// request sends one request with a body of its own, or one that its key decides,
+// and keeps what came back as evidence.
+func (c *cluster) request(e *entry, caller, key string, idempotent bool) checker.Request {
+	body := []byte(fmt.Sprintf("request of %s", caller))
+	if key != "" {
+		body = []byte("request with key " + key)
+	}
+	header := bearer(teamToken)
+	if key != "" {
+		header.Set("Idempotency-Key", key)
+	}
+	if idempotent {
+		header.Set("X-Idempotent", "true")
+	}
+	made := checker.Request{
+		Caller: caller, Service: service, Key: key, Idempotent: idempotent, BodyHash: journaler.Hash(body), SentAt: time.Now(),
+	}
+	made.Answer, made.Outcome = send(e, http.MethodPost, "/v1/services/"+service+"/requests", header, body)
+	made.ReceivedAt = time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.evidence.Requests = append(c.evidence.Requests, made)
+	return made
+}
+
+// load is callers that send requests one after another until stopped.
+type load struct {
+	stopped  atomic.Bool
+	group    sync.WaitGroup
+	answered atomic.Int64
+}
+
+// startLoad starts callers; caller number i begins with entry i and goes round.
+func (c *cluster) startLoad(callers int, idempotent bool) *load {
+	l := &load{}
+	for number := range callers {
+		l.group.Go(func() {
+			for i := 0; !l.stopped.Load(); i++ {
+				e := c.entries[(number+i)%len(c.entries)]
+				made := c.request(e, fmt.Sprintf("caller-%d-%d", number, i), "", idempotent)
+				if made.Outcome == checker.Answered {
+					l.answered.Add(1)
+				} else {
+					time.Sleep(10 * time.Millisecond)
+				}
+			}
+		})
+	}
+	return l
+}
+
+// awaitAnswers waits for count further answers.
+func (c *cluster) awaitAnswers(l *load, count int64) {
+	c.t.Helper()
+	goal := l.answered.Load() + count
+	await(c.t, fmt.Sprintf("%d further answers", count), func() bool { return l.answered.Load() >= goal })
+}
+
+func (l *load) stop() {
+	l.stopped.Store(true)
+	l.group.Wait()
+}
+
+// jobOptions sets a job.
+type jobOptions struct {
+	name      string
+	tasks     int
+	runMillis int
+	watch     bool
+	millis    int // Processors of a task, in thousandths.
+	payload   map[string]any
+}
+
+// submit submits a job with a payload of its own and keeps the outcome as
+// evidence. It returns the number of the job in the evidence.
+func (c *cluster) submit(e *entry, o jobOptions) int {
+	c.t.Helper()
+	payload := map[string]any{"id": o.name}
+	for key, value := range o.payload {
+		payload[key] = value
+	}
+	encoded, err := json.Marshal(payload)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	spec := messenger.JobSpec{
+		Name: o.name, Kind: messenger.JobBatch, Tasks: max(o.tasks, 1), RunMillis: o.runMillis, Urgency: "batch",
+		Resources: messenger.Resources{ProcessorMillis: max(o.millis, 500), MemoryBytes: 1 << 20}, Payload: encoded,
+	}
+	if o.watch {
+		spec.Kind = messenger.JobWatch
+	}
+	var answer messenger.SubmitAnswer
+	outcome := c.call(e, http.MethodPost, "/v1/jobs", teamToken, spec, &answer)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.evidence.Jobs = append(c.evidence.Jobs, checker.Job{
+		ID: answer.Job, BodyHash: journaler.Hash(encoded), Tasks: spec.Tasks, Watch: o.watch, Outcome: outcome,
+	})
+	return len(c.evidence.Jobs) - 1
+}
+
+// submitAccepted submits a job and fails the test unless it is accepted.
+func (c *cluster) submitAccepted(e *entry, o jobOptions) int {
+	c.t.Helper()
+	number := c.submit(e, o)
+	if outcome := c.job(number).Outcome; outcome != checker.Answered {
+		c.t.Fatalf("job %s: %s", o.name, outcome)
+	}
+	return number
+}
+
+func (c *cluster) job(number int) checker.Job {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.evidence.Jobs[number]
+}
+
+// status returns the state of a job as an entry tells it.
+func (c *cluster) status(e *entry, number int) (messenger.JobState, bool) {
+	var state messenger.JobState
+	outcome := c.call(e, http.MethodGet, "/v1/jobs/"+c.job(number).ID, teamToken, nil, &state)
+	return state, outcome == checker.Answered
+}
+
+// awaitCompleted waits until an entry tells that every task of a job is done,
+// and keeps that as evidence.
+func (c *cluster) awaitCompleted(e *entry, number int) {
+	c.t.Helper()
+	var completed []int
+	await(c.t, "job "+c.job(number).ID+" completes", func() bool {
+		state, ok := c.status(e, number)
+		completed = inPhase(state, messenger.TaskCompleted)
+		return ok && len(completed) == len(state.Tasks)
+	})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.evidence.Jobs[number].Completed = completed
+}
+
+// awaitRunning waits until count tasks of a job are told to be assigned and the
+// journals show as many running.
+func (c *cluster) awaitRunning(e *entry, number, count int) {
+	c.t.Helper()
+	await(c.t, fmt.Sprintf("%d tasks of job %s run", count, c.job(number).ID), func() bool {
+		state, ok := c.status(e, number)
+		return ok && len(inPhase(state, messenger.TaskAssigned)) >= count && len(c.running(c.job(number).ID)) >= count
+	})
+}
+
+func inPhase(state messenger.JobState, phase string) []int {
+	var found []int
+	for i, task := range state.Tasks {
+		if task.Phase == phase {
+			found = append(found, i)
+		}
+	}
+	return found
+}
+
+// running returns the journal entries of the starts of a job's attempts that
+// have not ended, by the workers' journals.
+func (c *cluster) running(job string) []journaler.Entry {
+	var found []journaler.Entry
+	for _, h := range c.hosts {
+		open := map[string]journaler.Entry{}
+		entries, err := journaler.ReadFile(h.journals[0])
+		if err != nil {
+			c.t.Error(err)
+		}
+		for _, entry := range entries {
+			switch {
+			case entry.Event == journaler.TaskStarted && entry.Job == job:
+				open[entry.AttemptID().String()] = entry
+			case entry.Event == journaler.TaskEnded:
+				delete(open, entry.AttemptID().String())
+			}
+		}
+		for _, entry := range open {
+			found = append(found, entry)
+		}
+	}
+	return found
+}
+
+// hostOf returns the host on which the first running attempt of a job runs.
+func (c *cluster) hostOf(number int) *host {
+	c.t.Helper()
+	running := c.running(c.job(number).ID)
+	if len(running) == 0 {
+		c.t.Fatalf("job %s does not run", c.job(number).ID)
+	}
+	return c.hostNamed(running[0].Host)
+}
+
+func (c *cluster) hostNamed(name string) *host {
+	for _, h := range c.hosts {
+		if h.name == name {
+			return h
+		}
+	}
+	c.t.Fatalf("there is no host %s", name)
+	return nil
+}
+
+// edit makes one edit of a leaf; an accepted one is kept as evidence.
+func (c *cluster) edit(e *entry, path string, base int, value any) (messenger.SettingsAnswer, checker.Outcome) {
+	c.t.Helper()
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	var answer messenger.SettingsAnswer
+	outcome := c.call(e, http.MethodPut, "/v1/settings/"+path, operatorToken, messenger.SettingsEdit{Base: base, Value: encoded}, &answer)
+	if outcome == checker.Answered {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.evidence.Accepted = append(c.evidence.Accepted, checker.Setting{
+			Path: path, Revision: answer.Revision, Value: string(answer.Value), At: time.Now(),
+		})
+	}
+	return answer, outcome
+}
+
+// revision returns the revision of a leaf that an entry shows, 0 for none, and
+// keeps it as evidence.
+func (c *cluster) revision(e *entry, path string) int {
+	c.t.Helper()
+	asked := time.Now()
+	data, outcome := send(e, http.MethodGet, "/v1/settings/"+path, bearer(operatorToken), nil)
+	var refusal messenger.ErrorAnswer
+	var answer messenger.SettingsAnswer
+	switch {
+	case outcome == checker.Answered:
+		if err := json.Unmarshal(data, &answer); err != nil {
+			c.t.Errorf("settings of %s: %v in %q", path, err, data)
+		}
+	case json.Unmarshal(data, &refusal) != nil || refusal.Kind != string(apricotwinch.NotFound):
+		return 0 // Nothing was observed.
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.evidence.Observed = append(c.evidence.Observed, checker.Setting{
+		Place: e.name, Path: path, Revision: answer.Revision, Value: string(answer.Value), At: asked,
+	})
+	return answer.Revision
+}
+
+// switchDataCentre takes a data centre out or brings it back, by any entry that
+// accepts it.
+func (c *cluster) switchDataCentre(e *entry, name, order string) {
+	c.t.Helper()
+	asked := time.Now()
+	await(c.t, name+" "+order, func() bool {
+		return c.call(e, http.MethodPost, "/v1/data-centres/"+name+"/"+order, operatorToken, nil, nil) == checker.Answered
+	})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if order == "out" {
+		c.evidence.Outs = append(c.evidence.Outs, checker.Window{Place: name, From: time.Now()})
+		return
+	}
+	for i := range c.evidence.Outs {
+		if c.evidence.Outs[i].Place == name && c.evidence.Outs[i].To.IsZero() {
+			c.evidence.Outs[i].To = asked
+		}
+	}
+}
