--- /dev/null
+++ b/assembler/exercise.go
@@ -0,0 +1,97 @@
+package assembler
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"apricotwinch"
+	"apricotwinch/generator"
+	"apricotwinch/messenger"
+	"apricotwinch/requester"
+)
+
+const (
+	maxInFlight   = 1000
+	bodyBytes     = 64
+	jobsPoll      = 250 * time.Millisecond
+	afterRequests = time.Minute
+)
+
+// Report is what a deployment did during an exercise.
+type Report struct {
+	requests generator.Summary
+	jobs     []messenger.JobState
+}
+
+// Requests returns what became of the requests.
+func (r Report) Requests() generator.Summary { return r.requests }
+
+// Jobs returns the jobs and watch services of the team.
+func (r Report) Jobs() []messenger.JobState { return r.jobs }
+
+// Exercise submits the deployment's jobs, sends its requests for duration and
+// waits until the batch jobs have ended and the watch services run, or ctx ends.
+func (a *Assembly) Exercise(ctx context.Context, duration time.Duration) (Report, error) {
+	team := a.Team(len(a.entries) - 1)
+	for i, spec := range a.deployment.Jobs {
+		key := fmt.Sprintf("exercise-%d", i)
+		err := a.retry(ctx, func() error {
+			_, err := team.Submit(ctx, "", key, spec)
+			return err
+		})
+		if err != nil {
+			return Report{}, fmt.Errorf("job %s: %w", spec.Name, err)
+		}
+	}
+	summary := generator.NewForService(a.plan(duration), a.clock, team).Run(ctx)
+	jobs, err := a.awaitJobs(ctx, team)
+	return Report{requests: summary, jobs: jobs}, err
+}
+
+func (a *Assembly) plan(duration time.Duration) generator.Plan {
+	return generator.Plan{
+		Service:     a.deployment.Service.Name,
+		PerSecond:   a.deployment.Requests.PerSecond,
+		Duration:    duration,
+		MaxInFlight: maxInFlight,
+		Body: func(n int) []byte {
+			return fmt.Appendf(make([]byte, 0, bodyBytes), "%s %d", a.deployment.Requests.Label, n)
+		},
+		Options: func(n int) requester.Options {
+			if a.deployment.Requests.Keyed {
+				return requester.Options{Key: fmt.Sprintf("request-%d", n)}
+			}
+			return requester.Options{Idempotent: true}
+		},
+	}
+}
+
+// awaitJobs waits until every batch job has ended and every watch task runs.
+func (a *Assembly) awaitJobs(ctx context.Context, team *requester.Requester) ([]messenger.JobState, error) {
+	ctx, cancel := context.WithTimeout(ctx, afterRequests)
+	defer cancel()
+	for {
+		jobs, err := team.Jobs(ctx, "")
+		if err == nil && len(jobs) == len(a.deployment.Jobs)+len(a.deployment.Watches) && !slices.ContainsFunc(jobs, unsettled) {
+			return jobs, nil
+		}
+		select {
+		case <-ctx.Done():
+			if err == nil {
+				err = apricotwinch.Errorf(apricotwinch.DeadlineExceeded, "jobs did not settle in time: %+v", jobs)
+			}
+			return jobs, err
+		case <-a.clock.After(jobsPoll):
+		}
+	}
+}
+
+func unsettled(job messenger.JobState) bool {
+	wanted := messenger.TaskCompleted
+	if job.Spec.Kind == messenger.JobWatch {
+		wanted = messenger.TaskAssigned
+	}
+	return slices.ContainsFunc(job.Tasks, func(t messenger.TaskState) bool { return t.Phase != wanted })
+}
--- a/bookkeeper/book.go
+++ b/bookkeeper/book.go
@@ -42,15 +42,18 @@
 	restore   *restore
 }
 
+// noEpoch is the epoch of a book in which none has begun.
+const noEpoch = -1
+
 // New returns an empty book of partition number partition, folded from offset 0.
 func New(partition int) *Book {
-	return &Book{partition: partition, jobs: make(map[string]*Job)}
+	return &Book{partition: partition, epoch: noEpoch, jobs: make(map[string]*Job)}
 }
 
 // Partition returns the number of the partition.
 func (b *Book) Partition() int { return b.partition }
 
-// Epoch returns the epoch in force, or 0.
+// Epoch returns the epoch in force, or -1 before the first.
 func (b *Book) Epoch() int64 { return b.epoch }
 
 // Next returns the offset of the next record to fold.
@@ -277,7 +280,7 @@
 
 func (b *Book) find(record messenger.LedgerRecord) (*Job, error) {
 	job, ok := b.jobs[record.Job]
-	if !ok {
+	if !ok || record.Team != "" && record.Team != job.team {
 		return nil, apricotwinch.Errorf(apricotwinch.NotFound, "job: %s is not known", record.Job)
 	}
 	return job, nil
--- /dev/null
+++ b/cmd/apricotwinch/main.go
@@ -0,0 +1,10 @@
+// Command apricotwinch runs the scheduler's processes and calls them.
+package main
+
+import (
+	"os"
+
+	"apricotwinch/commander"
+)
+
+func main() { os.Exit(commander.Main(os.Args[1:], os.Stdin, os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/dispatcher/admission.go
@@ -0,0 +1,93 @@
+package dispatcher
+
+import (
+	"sync"
+	"time"
+
+	"apricotwinch"
+	"apricotwinch/configurator"
+	"apricotwinch/limiter"
+	"apricotwinch/retrier"
+	"apricotwinch/tracker"
+)
+
+// admission joins the decisions on whether a request is let in and tried again.
+type admission struct {
+	entry *Entry
+
+	mu      sync.Mutex
+	limiter *limiter.Limiter
+	retrier *retrier.Retrier
+}
+
+func newAdmission(entry *Entry) *admission {
+	return &admission{
+		entry:   entry,
+		limiter: limiter.New(limiter.DefaultConfig(), decisionSeed),
+		retrier: retrier.New(retrier.DefaultConfig(), decisionSeed),
+	}
+}
+
+// setQuotas takes the teams' quotas of the settings in force.
+func (a *admission) setQuotas(view *configurator.View) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.entry.clock.Now()
+	for _, team := range view.Teams() {
+		quota, ok := view.Quota(team)
+		if !ok {
+			a.limiter.RemoveQuota(now, team)
+			continue
+		}
+		limit, err := limiter.NewQuota(quota.RequestsPerSecond(), quota.RequestBurst(), quota.RequestsInFlight())
+		if err != nil {
+			a.entry.count("quota.invalid")
+			continue
+		}
+		a.limiter.SetQuota(now, team, limit)
+	}
+}
+
+// admit lets a request in and returns the function that ends its stay.
+func (a *admission) admit(service tracker.Service, urgency apricotwinch.Urgency) (func(), error) {
+	capacity := a.entry.members.capacity(service)
+	entries, _ := a.entry.ownership.announced()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if err := a.limiter.SetCapacity(service, capacity.Slots(), capacity.Connections(), max(1, len(entries))); err != nil {
+		return nil, err
+	}
+	decision := a.limiter.Admit(a.entry.clock.Now(), service.Team(), service, urgency)
+	if err := decision.Err(); err != nil {
+		a.entry.count(decision.Counter())
+		return nil, err
+	}
+	return func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		decision.Place().Release()
+	}, nil
+}
+
+// began counts the first try of a request.
+func (a *admission) began(team, host string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.retrier.Began(team, host)
+}
+
+// remaining returns the time left for a try.
+func (a *admission) remaining(deadline time.Time) (time.Duration, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.retrier.Remaining(a.entry.clock.Now(), deadline)
+}
+
+// decide returns whether a try that ended is followed by another.
+func (a *admission) decide(try retrier.Try) retrier.Decision {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	decision := a.retrier.Decide(a.entry.clock.Now(), try)
+	a.entry.count(decision.Counter())
+	return decision
+}
--- /dev/null
+++ b/dispatcher/jobs.go
@@ -0,0 +1,249 @@
+package dispatcher
+
+import (
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"reflect"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"apricotwinch"
+	"apricotwinch/messenger"
+)
+
+// Bounds of a job.
+const (
+	maxTasks        = 100_000
+	maxPayloadBytes = 64 << 10
+	maxNameBytes    = 128
+	forwardTimeout  = 3 * time.Second
+	progressPeriod  = 250 * time.Millisecond
+)
+
+func init() {
+	register("POST /v1/jobs", (*Entry).submit)
+	register("GET /v1/jobs", (*Entry).listJobs)
+	register("GET /v1/jobs/{job}", (*Entry).showJob)
+	register("GET /v1/jobs/{job}/progress", (*Entry).followJob)
+	register("DELETE /v1/jobs/{job}", (*Entry).cancelJob)
+	register("POST /v1/jobs/{job}/resume", (*Entry).resumeJob)
+}
+
+// partitionOf returns the partition of a team's jobs and keys.
+func (e *Entry) partitionOf(team string) int {
+	return int(xxhash.Sum64String(team) % uint64(e.settings.Partitions))
+}
+
+// jobID returns the id of a new job; the same key of a team gives the same id.
+func jobID(team, key string) string {
+	if key == "" {
+		return uuid.NewString()
+	}
+	digest := uuid.NewSHA1(uuid.NameSpaceOID, []byte(team+"\x00"+key))
+	return hex.EncodeToString(digest[:])
+}
+
+func (e *Entry) submit(c *call) error {
+	team, err := c.team()
+	if err != nil {
+		return err
+	}
+	var spec messenger.JobSpec
+	if err := c.decode(&spec); err != nil {
+		return err
+	}
+	if err := checkSpec(&spec); err != nil {
+		return err
+	}
+	key := c.Header.Get("Idempotency-Key")
+	id := jobID(team, key)
+	if key != "" {
+		if err := e.checkResubmission(c.ctx, team, id, spec); err != nil {
+			return err
+		}
+	}
+	record := messenger.LedgerRecord{
+		Type: messenger.RecordSubmitted, Entry: e.settings.Name, Team: team, Job: id, Spec: &spec,
+	}
+	if _, err := e.appendRecord(c.ctx, e.partitionOf(team), record); err != nil {
+		return err
+	}
+	e.count("jobs.submitted")
+	writeJSON(c.writer, http.StatusAccepted, messenger.SubmitAnswer{Job: id})
+	return nil
+}
+
+// checkResubmission refuses a key that was used for another job.
+func (e *Entry) checkResubmission(ctx context.Context, team, id string, spec messenger.JobSpec) error {
+	reply, err := e.forward(ctx, messenger.Forward{Team: team, Job: id})
+	if apricotwinch.KindOf(err) == apricotwinch.NotFound {
+		return nil
+	}
+	if err != nil {
+		return apricotwinch.Errorf(apricotwinch.NotOwner, "Idempotency-Key: can't be checked now: %w", err)
+	}
+	if !reflect.DeepEqual(reply.Jobs[0].Spec, spec) {
+		return apricotwinch.Errorf(apricotwinch.Conflict, "Idempotency-Key: was used for another job")
+	}
+	return nil
+}
+
+// specCheck is one rule for the fields of a job.
+type specCheck struct {
+	field string
+	bad   func(*messenger.JobSpec) bool
+	want  string
+}
+
+var specChecks = []specCheck{
+	{"name", func(s *messenger.JobSpec) bool { return s.Name == "" || len(s.Name) > maxNameBytes }, "must have 1 to 128 bytes"},
+	{"kind", func(s *messenger.JobSpec) bool {
+		return !slices.Contains([]string{messenger.JobBatch, messenger.JobWatch}, s.Kind)
+	}, "must be batch or watch"},
+	{"tasks", func(s *messenger.JobSpec) bool { return s.Tasks < 1 || s.Tasks > maxTasks }, "must be 1 to 100000"},
+	{"resources", func(s *messenger.JobSpec) bool { return s.Resources.Value().Negative() || s.Resources.Value().Zero() }, "must be positive"},
+	{"runMillis", func(s *messenger.JobSpec) bool { return s.RunMillis < 0 }, "must not be negative"},
+	{"maxAttempts", func(s *messenger.JobSpec) bool { return s.MaxAttempts < 0 }, "must not be negative"},
+	{"payload", func(s *messenger.JobSpec) bool { return len(s.Payload) > maxPayloadBytes }, "must have at most 65536 bytes"},
+}
+
+// checkSpec fills in defaults and returns an error of kind Invalid that names
+// the first bad field.
+func checkSpec(spec *messenger.JobSpec) error {
+	if spec.Urgency == "" {
+		spec.Urgency = apricotwinch.Batch.String()
+	}
+	if _, err := apricotwinch.ParseUrgency(spec.Urgency); err != nil {
+		return err
+	}
+	for _, check := range specChecks {
+		if check.bad(spec) {
+			return apricotwinch.Errorf(apricotwinch.Invalid, "%s: %s", check.field, check.want)
+		}
+	}
+	return nil
+}
+
+func (e *Entry) listJobs(c *call) error {
+	team, err := c.team()
+	if err != nil {
+		return err
+	}
+	reply, err := e.forward(c.ctx, messenger.Forward{Team: team})
+	if err != nil {
+		return err
+	}
+	writeJSON(c.writer, http.StatusOK, messenger.JobList{Jobs: reply.Jobs})
+	return nil
+}
+
+// job returns the state of the job that a call names.
+func (e *Entry) job(c *call) (messenger.JobState, error) {
+	team, err := c.team()
+	if err != nil {
+		return messenger.JobState{}, err
+	}
+	reply, err := e.forward(c.ctx, messenger.Forward{Team: team, Job: c.PathValue("job")})
+	if err != nil {
+		return messenger.JobState{}, err
+	}
+	return reply.Jobs[0], nil
+}
+
+func (e *Entry) showJob(c *call) error {
+	state, err := e.job(c)
+	if err != nil {
+		return err
+	}
+	writeJSON(c.writer, http.StatusOK, state)
+	return nil
+}
+
+// followJob streams the state of a job, one JSON line for each change, until the
+// job has ended or the caller leaves.
+func (e *Entry) followJob(c *call) error {
+	state, err := e.job(c)
+	if err != nil {
+		return err
+	}
+	c.writer.Header().Set("Content-Type", "application/x-ndjson")
+	controller := http.NewResponseController(c.writer)
+	_ = controller.SetWriteDeadline(time.Time{})
+	encoder := json.NewEncoder(c.writer)
+	ticker := e.clock.NewTicker(progressPeriod)
+	defer ticker.Stop()
+	var last messenger.JobState
+	for {
+		if !reflect.DeepEqual(last, state) {
+			if encoder.Encode(state) != nil || controller.Flush() != nil {
+				return nil
+			}
+			last = state
+		}
+		if ended(state) || e.drainer.Draining() {
+			return nil
+		}
+		select {
+		case <-c.ctx.Done():
+			return nil
+		case <-ticker.Chan():
+		}
+		if next, err := e.job(c); err == nil {
+			state = next
+		}
+	}
+}
+
+// ended reports whether nothing of a job will run any more.
+func ended(state messenger.JobState) bool {
+	return !slices.ContainsFunc(state.Tasks, func(t messenger.TaskState) bool {
+		return t.Phase == messenger.TaskWaiting || t.Phase == messenger.TaskAssigned
+	})
+}
+
+func (e *Entry) cancelJob(c *call) error { return e.change(c, messenger.RecordCanceled) }
+
+func (e *Entry) resumeJob(c *call) error { return e.change(c, messenger.RecordResumed) }
+
+// change appends a caller's change of a job.
+func (e *Entry) change(c *call, recordType string) error {
+	state, err := e.job(c)
+	if err != nil {
+		return err
+	}
+	if recordType == messenger.RecordCanceled && (state.Canceled || ended(state)) {
+		return apricotwinch.Errorf(apricotwinch.Conflict, "job: %s has ended", state.Job)
+	}
+	record := messenger.LedgerRecord{Type: recordType, Entry: e.settings.Name, Team: state.Team, Job: state.Job}
+	if _, err := e.appendRecord(c.ctx, e.partitionOf(state.Team), record); err != nil {
+		return err
+	}
+	e.count("jobs." + recordType)
+	c.writer.WriteHeader(http.StatusAccepted)
+	return nil
+}
+
+// forward asks the owner of a team's partition about its jobs.
+func (e *Entry) forward(ctx context.Context, request messenger.Forward) (messenger.ForwardReply, error) {
+	request.Partition = e.partitionOf(request.Team)
+	if p := e.ownership.partition(request.Partition); p != nil {
+		return p.forward(request)
+	}
+	owner, ok := e.ownership.owner(request.Partition)
+	if !ok {
+		return messenger.ForwardReply{}, apricotwinch.Errorf(apricotwinch.NotOwner, "partition: %d has no owner now", request.Partition)
+	}
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	var reply messenger.ForwardReply
+	err := e.pool.Call(ctx, owner.Address, messenger.MethodForward, request, &reply)
+	if apricotwinch.KindOf(err) == apricotwinch.Unknown {
+		err = apricotwinch.Errorf(apricotwinch.Unreachable, "owner of partition %d: %w", request.Partition, err)
+	}
+	return reply, err
+}
--- /dev/null
+++ b/dispatcher/ownership.go
@@ -0,0 +1,240 @@
+package dispatcher
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"apricotwinch"
+	"apricotwinch/appender"
+	"apricotwinch/claimer"
+	"apricotwinch/messenger"
+)
+
+// claimTick is the period in which an entry looks at its claims.
+const claimTick = 200 * time.Millisecond
+
+// ownership drives the claimer and runs the partitions that the entry owns.
+type ownership struct {
+	entry *Entry
+
+	mu      sync.Mutex
+	claimer *claimer.Claimer
+	owned   map[int]*owned
+	// freshAt is when the entry's claims were last seen to be fresh.
+	freshAt time.Time
+	running sync.WaitGroup
+}
+
+// owned is a partition that the entry runs.
+type owned struct {
+	partition *partition
+	cancel    context.CancelFunc
+	done      chan struct{}
+}
+
+func newOwnership(entry *Entry) *ownership {
+	return &ownership{
+		entry:   entry,
+		claimer: claimer.New(entry.self(), entry.settings.Region, entry.settings.Partitions, entry.timing),
+		owned:   make(map[int]*owned),
+	}
+}
+
+// run follows the claims stream and heartbeats until ctx ends.
+func (o *ownership) run(ctx context.Context) {
+	var group sync.WaitGroup
+	group.Go(func() {
+		follower := appender.NewFollower(o.entry.log, appender.StreamClaims, o.entry.clock, o.entry.registry,
+			func(view appender.View) { o.handle(ctx, view) })
+		follower.Run(ctx, 0)
+	})
+	ticker := o.entry.clock.NewTicker(claimTick)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-ticker.Chan():
+			o.tick(ctx)
+		}
+	}
+	group.Wait()
+	o.loseAll()
+	o.running.Wait()
+}
+
+func (o *ownership) handle(ctx context.Context, view appender.View) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if view.Gap() {
+		o.do(ctx, o.claimer.Gap(view.Earliest()))
+	}
+	for _, record := range view.Records() {
+		var claim messenger.ClaimRecord
+		if err := json.Unmarshal(record.Data(), &claim); err != nil {
+			o.entry.count("claims.malformed_records")
+			o.claimer.Skip(record.Offset())
+			continue
+		}
+		o.do(ctx, o.claimer.Observe(o.entry.clock.Now(), record.Offset(), claim))
+	}
+	if view.Complete() {
+		o.claimer.Current(view.AsOf())
+	}
+}
+
+func (o *ownership) tick(ctx context.Context) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.entry.clock.Now()
+	for _, number := range o.claimer.Owned() {
+		if _, fresh := o.claimer.Holds(now, number); fresh {
+			o.freshAt = now
+		}
+	}
+	o.do(ctx, o.claimer.Tick(now))
+}
+
+// do carries out the claimer's actions in order; o.mu is held.
+func (o *ownership) do(ctx context.Context, actions []claimer.Action) {
+	for _, action := range actions {
+		switch action.Type() {
+		case claimer.Append:
+			go o.append(ctx, action.Record())
+		case claimer.Own:
+			o.own(ctx, action)
+		case claimer.Lose:
+			o.lose(action.Partition())
+		}
+	}
+}
+
+func (o *ownership) append(ctx context.Context, record messenger.ClaimRecord) {
+	data, err := json.Marshal(record)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, o.entry.settings.claimLease())
+	defer cancel()
+	if _, err := o.entry.claimsLog.Append(ctx, record.Id, data); err != nil {
+		o.entry.count("claims.append." + string(apricotwinch.KindOf(err)))
+	}
+}
+
+func (o *ownership) own(ctx context.Context, action claimer.Action) {
+	o.lose(action.Partition())
+	p := newPartition(o.entry, action.Partition(), action.Epoch(), action.Clean())
+	runCtx, cancel := context.WithCancel(ctx)
+	held := &owned{partition: p, cancel: cancel, done: make(chan struct{})}
+	o.owned[action.Partition()] = held
+	o.freshAt = o.entry.clock.Now()
+	o.running.Go(func() {
+		defer close(held.done)
+		p.run(runCtx)
+	})
+}
+
+// lose stops a partition at once: it grants no lease after this returns.
+func (o *ownership) lose(number int) {
+	held := o.owned[number]
+	if held == nil {
+		return
+	}
+	delete(o.owned, number)
+	held.cancel()
+	held.partition.close()
+}
+
+func (o *ownership) loseAll() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for number := range o.entry.settings.Partitions {
+		o.lose(number)
+	}
+}
+
+// leave releases every partition and waits until the stream shows it, or ctx ends.
+func (o *ownership) leave(ctx context.Context) {
+	o.mu.Lock()
+	actions := o.claimer.Leave(o.entry.clock.Now())
+	o.do(context.WithoutCancel(ctx), actions)
+	o.mu.Unlock()
+	ticker := o.entry.clock.NewTicker(claimTick)
+	defer ticker.Stop()
+	for {
+		o.mu.Lock()
+		left := o.claimer.Left()
+		o.mu.Unlock()
+		if left {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			o.entry.count("claims.leave_timeouts")
+			return
+		case <-ticker.Chan():
+		}
+	}
+}
+
+// partition returns the partition called number if the entry runs it.
+func (o *ownership) partition(number int) *partition {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if held := o.owned[number]; held != nil {
+		return held.partition
+	}
+	return nil
+}
+
+// partitions returns the partitions that the entry runs, in order.
+func (o *ownership) partitions() []*partition {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var running []*partition
+	for number := range o.entry.settings.Partitions {
+		if held := o.owned[number]; held != nil {
+			running = append(running, held.partition)
+		}
+	}
+	return running
+}
+
+// fresh reports whether the entry may append and command for the epoch.
+func (o *ownership) fresh(number int, epoch int64) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	held, fresh := o.claimer.Holds(o.entry.clock.Now(), number)
+	return fresh && held == epoch
+}
+
+// entitled reports whether the entry may still grant leases for the epoch: while
+// its claim is fresh, and through an outage of the log for the allowance.
+func (o *ownership) entitled(number int, epoch int64) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.entry.clock.Now()
+	held, fresh := o.claimer.Holds(now, number)
+	return held == epoch && (fresh || now.Sub(o.freshAt) < o.entry.settings.outageAllowance())
+}
+
+// owner returns the owner of a partition as the claims stream shows it.
+func (o *ownership) owner(number int) (messenger.PartitionOwner, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.claimer.Owner(number)
+}
+
+// announced returns the live entries and the owners of the partitions.
+func (o *ownership) announced() ([]messenger.EntryAddress, []messenger.PartitionOwner) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.claimer.Live(o.entry.clock.Now()), o.claimer.Owners()
+}
+
+// leads reports whether the entry is the first of the live ones.
+func (o *ownership) leads() bool {
+	live, _ := o.announced()
+	return len(live) > 0 && live[0].Entry == o.entry.settings.Name
+}
--- /dev/null
+++ b/dispatcher/requests.go
@@ -0,0 +1,275 @@
+package dispatcher
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+
+	"apricotwinch"
+	"apricotwinch/messenger"
+	"apricotwinch/retrier"
+	"apricotwinch/router"
+	"apricotwinch/tracker"
+)
+
+// Headers of the interface to callers.
+const (
+	headerKey        = "Idempotency-Key"
+	headerIdempotent = "X-Idempotent"
+	headerDeadline   = "X-Timeout-Millis"
+	headerUrgency    = "X-Urgency"
+	headerRequest    = "X-Request-Id"
+	headerErrorKind  = "X-Error-Kind"
+)
+
+// Bounds of a request.
+const (
+	maxTimeout    = 10 * time.Minute
+	maxKeyBytes   = 256
+	revokeTimeout = time.Second
+	// answerGrace is how long after its deadline a target's answer is awaited.
+	answerGrace = 100 * time.Millisecond
+)
+
+func init() {
+	register("POST /v1/services/{service}/requests", (*Entry).request)
+}
+
+// request is one request of a caller on its way to a target.
+type request struct {
+	id          string
+	service     tracker.Service
+	urgency     apricotwinch.Urgency
+	idempotent  bool
+	deadline    time.Time
+	contentType string
+	body        []byte
+	tried       []string
+}
+
+// request answers a request to a service.
+func (e *Entry) request(c *call) error {
+	r, err := e.newRequest(c)
+	if err != nil {
+		return err
+	}
+	leave, err := e.admission.admit(r.service, r.urgency)
+	if err != nil {
+		return err
+	}
+	defer leave()
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(c.ctx), r.deadline.Add(answerGrace))
+	defer cancel()
+	c.writer.Header().Set(headerRequest, r.id)
+	started := e.clock.Now()
+	reply, err := e.answer(ctx, c.Header.Get(headerKey), r)
+	if err != nil {
+		return err
+	}
+	e.observeLatency(r, e.clock.Since(started))
+	return writeReply(c.writer, reply)
+}
+
+// answer gets the answer of a keyed request once, of any other by trying.
+func (e *Entry) answer(ctx context.Context, key string, r *request) (messenger.DispatchReply, error) {
+	if key == "" {
+		return e.try(ctx, r, e.send)
+	}
+	return e.answerKeyed(ctx, key, r)
+}
+
+func writeReply(w http.ResponseWriter, reply messenger.DispatchReply) error {
+	if reply.ContentType != "" {
+		w.Header().Set("Content-Type", reply.ContentType)
+	}
+	w.WriteHeader(reply.Status)
+	_, _ = w.Write(reply.Body)
+	return nil
+}
+
+// newRequest reads and checks a call of a service.
+func (e *Entry) newRequest(c *call) (*request, error) {
+	team, err := c.team()
+	if err != nil {
+		return nil, err
+	}
+	service, ok := e.views.current().Service(team, c.PathValue("service"))
+	if !ok {
+		return nil, apricotwinch.Errorf(apricotwinch.NotFound, "service: %s has no service %q", team, c.PathValue("service"))
+	}
+	r := &request{
+		id:          uuid.NewString(),
+		service:     tracker.NewService(team, service.Name()),
+		urgency:     service.Urgency(),
+		contentType: c.Header.Get("Content-Type"),
+	}
+	if r.deadline, err = e.deadline(c, service.Timeout()); err != nil {
+		return nil, err
+	}
+	if err := c.readOptions(r); err != nil {
+		return nil, err
+	}
+	r.body, err = c.body()
+	return r, err
+}
+
+// readOptions reads the headers that change how a request is handled.
+func (c *call) readOptions(r *request) error {
+	if len(c.Header.Get(headerKey)) > maxKeyBytes {
+		return apricotwinch.Errorf(apricotwinch.Invalid, "%s: is over %d bytes", headerKey, maxKeyBytes)
+	}
+	if text := c.Header.Get(headerIdempotent); text != "" {
+		idempotent, err := strconv.ParseBool(text)
+		if err != nil {
+			return apricotwinch.Errorf(apricotwinch.Invalid, "%s: %q is not true or false", headerIdempotent, text)
+		}
+		r.idempotent = idempotent
+	}
+	if r.idempotent && c.Header.Get(headerKey) != "" {
+		return apricotwinch.Errorf(apricotwinch.Invalid, "%s: goes with a request that has no %s", headerIdempotent, headerKey)
+	}
+	if text := c.Header.Get(headerUrgency); text != "" {
+		urgency, err := apricotwinch.ParseUrgency(text)
+		if err != nil {
+			return err
+		}
+		r.urgency = min(r.urgency, urgency)
+	}
+	return nil
+}
+
+func (e *Entry) deadline(c *call, standard time.Duration) (time.Time, error) {
+	now := e.clock.Now()
+	text := c.Header.Get(headerDeadline)
+	if text == "" {
+		return now.Add(standard), nil
+	}
+	timeout, err := strconv.Atoi(text)
+	if err != nil || timeout < 1 || time.Duration(timeout)*time.Millisecond > maxTimeout {
+		return time.Time{}, apricotwinch.Errorf(apricotwinch.Invalid, "%s: %q is not 1 to %d", headerDeadline, text, maxTimeout.Milliseconds())
+	}
+	return now.Add(time.Duration(timeout) * time.Millisecond), nil
+}
+
+// sender sends one try of a request to a target. Its error has the kind that
+// the retrier judges; an answer is returned without an error.
+type sender func(ctx context.Context, r *request, target router.Target) (messenger.DispatchReply, error)
+
+// try sends a request to one target after another until one answers, or the
+// retrier allows no further try.
+func (e *Entry) try(ctx context.Context, r *request, send sender) (messenger.DispatchReply, error) {
+	for number := 1; ; number++ {
+		target, err := e.members.choose(r, e.settings.DataCentre)
+		if err != nil {
+			return messenger.DispatchReply{}, err
+		}
+		if number == 1 {
+			e.admission.began(r.service.Team(), target.Host())
+		}
+		reply, err := send(ctx, r, target)
+		if err == nil {
+			return reply, nil
+		}
+		r.tried = append(r.tried, target.Host())
+		try := retrier.NewTry(r.service.Team(), target.Host(), number, r.idempotent, r.deadline, apricotwinch.KindOf(err))
+		decision := e.admission.decide(try)
+		if !decision.Retry() {
+			return messenger.DispatchReply{}, err
+		}
+		if !e.sleepUntil(ctx, decision.At()) {
+			return messenger.DispatchReply{}, err
+		}
+	}
+}
+
+func (e *Entry) sleepUntil(ctx context.Context, at time.Time) bool {
+	timer := e.clock.NewTimer(at.Sub(e.clock.Now()))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.Chan():
+		return true
+	}
+}
+
+// send sends one try to a target and settles an unknown outcome by revoking it.
+func (e *Entry) send(ctx context.Context, r *request, target router.Target) (messenger.DispatchReply, error) {
+	left, err := e.admission.remaining(r.deadline)
+	if err != nil {
+		return messenger.DispatchReply{}, err
+	}
+	started := e.clock.Now()
+	e.members.sent(target)
+	reply, err := e.dispatch(ctx, r, target, left)
+	e.members.answered(target, e.clock.Since(started), apricotwinch.KindOf(err), reply)
+	return reply, err
+}
+
+func (e *Entry) dispatch(ctx context.Context, r *request, target router.Target, left time.Duration) (messenger.DispatchReply, error) {
+	command := messenger.Dispatch{
+		Request:        r.id,
+		Incarnation:    target.Incarnation(),
+		Service:        r.service.Name(),
+		Team:           r.service.Team(),
+		Urgency:        r.urgency.String(),
+		Idempotent:     r.idempotent,
+		DeadlineMillis: int(left.Milliseconds()),
+		ContentType:    r.contentType,
+		Body:           r.body,
+	}
+	ctx, cancel := context.WithTimeout(ctx, left+answerGrace)
+	defer cancel()
+	var reply messenger.DispatchReply
+	err := e.pool.Call(ctx, target.Address(), messenger.MethodDispatch, command, &reply)
+	if apricotwinch.KindOf(err) == apricotwinch.Unknown {
+		return e.revoke(r.id, target)
+	}
+	if err != nil {
+		return messenger.DispatchReply{}, err
+	}
+	return settle(reply)
+}
+
+// settle turns a refusal or an unknown outcome into an error of its kind.
+func settle(reply messenger.DispatchReply) (messenger.DispatchReply, error) {
+	if reply.Outcome == messenger.OutcomeAnswered {
+		return reply, nil
+	}
+	kind := apricotwinch.Kind(reply.Kind)
+	if reply.Outcome == messenger.OutcomeUnknown {
+		kind = apricotwinch.Unknown
+	}
+	return reply, apricotwinch.Errorf(kind, "%s", reply.Text)
+}
+
+// revoke asks the agent about a request whose answer was lost: a request that
+// had not started is not run, one that ended has its answer.
+func (e *Entry) revoke(id string, target router.Target) (messenger.DispatchReply, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), revokeTimeout)
+	defer cancel()
+	return e.revokeAt(ctx, id, target.Address(), target.Incarnation())
+}
+
+func (e *Entry) revokeAt(ctx context.Context, id, address, incarnation string) (messenger.DispatchReply, error) {
+	var reply messenger.RevokeReply
+	command := messenger.Revoke{Request: id, Incarnation: incarnation}
+	err := e.pool.Call(ctx, address, messenger.MethodRevoke, command, &reply)
+	switch {
+	case err != nil:
+		e.count("revoke.error." + string(apricotwinch.KindOf(err)))
+		return messenger.DispatchReply{}, apricotwinch.Errorf(apricotwinch.Unknown, "request %s: the outcome is not known: %w", id, err)
+	case reply.Revoked:
+		e.count("revoke.revoked")
+		return messenger.DispatchReply{}, apricotwinch.Errorf(apricotwinch.Revoked, "request %s: withdrawn before it started", id)
+	case reply.Reply != nil:
+		e.count("revoke.answered")
+		return settle(*reply.Reply)
+	default:
+		e.count("revoke.unknown")
+		return messenger.DispatchReply{}, apricotwinch.Errorf(apricotwinch.Unknown, "request %s: the outcome is not known", id)
+	}
+}
--- /dev/null
+++ b/dispatcher/routes.go
@@ -0,0 +1,181 @@
+package dispatcher
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"apricotwinch"
+	"apricotwinch/configurator"
+	"apricotwinch/messenger"
+)
+
+// operatorName is the name of the operator whose token the entry's settings hold.
+const operatorName = "root"
+
+// call is one HTTP request of an authenticated caller.
+type call struct {
+	ctx    context.Context
+	who    configurator.Principal
+	writer http.ResponseWriter
+	*http.Request
+}
+
+// route is one operation of the interface to callers and operators.
+type route struct {
+	pattern string
+	handle  func(*Entry, *call) error
+}
+
+// routes is the table of operations; each file that serves some adds its own.
+var routes []route
+
+func register(pattern string, handle func(*Entry, *call) error) {
+	routes = append(routes, route{pattern: pattern, handle: handle})
+}
+
+// handler returns the HTTP interface of the entry.
+func (e *Entry) handler() http.Handler {
+	mux := http.NewServeMux()
+	for _, r := range routes {
+		mux.HandleFunc(r.pattern, func(w http.ResponseWriter, req *http.Request) { e.serve(w, req, r) })
+	}
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	mux.HandleFunc("GET /readyz", e.serveReady)
+	mux.Handle("GET /metrics", e.metrics)
+	return mux
+}
+
+func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if reason := e.notReady(); reason != "" {
+		http.Error(w, reason, http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// serve authenticates the caller, bounds the body and answers errors by the
+// table of kinds.
+func (e *Entry) serve(w http.ResponseWriter, req *http.Request, r route) {
+	done, err := e.drainer.Enter()
+	if err != nil {
+		e.refuse(w, err)
+		return
+	}
+	defer done()
+	who, err := e.identify(req)
+	if err != nil {
+		e.refuse(w, err)
+		return
+	}
+	req.Body = http.MaxBytesReader(w, req.Body, int64(e.settings.Limits.BodyBytes))
+	c := &call{ctx: req.Context(), who: who, writer: w, Request: req}
+	if err := r.handle(e, c); err != nil {
+		e.refuse(w, err)
+	}
+}
+
+func (e *Entry) identify(req *http.Request) (configurator.Principal, error) {
+	token, ok := strings.CutPrefix(req.Header.Get("Authorization"), "Bearer ")
+	if !ok || token == "" {
+		return configurator.Principal{}, apricotwinch.Errorf(apricotwinch.Unauthenticated, "Authorization: a bearer token is required")
+	}
+	hash := TokenHash(token)
+	if hash == e.settings.OperatorTokenHash {
+		return configurator.Operator(operatorName), nil
+	}
+	if who, ok := e.views.current().Principal(hash); ok {
+		return who, nil
+	}
+	return configurator.Principal{}, apricotwinch.Errorf(apricotwinch.Unauthenticated, "Authorization: the token is not known")
+}
+
+// TokenHash returns the SHA-256 of a token in hexadecimal, as settings hold it.
+func TokenHash(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+// refuse answers err by the table of kinds and counts it.
+func (e *Entry) refuse(w http.ResponseWriter, err error) {
+	kind := apricotwinch.KindOf(err)
+	answer := kind.Answer()
+	e.count(answer.Counter())
+	if answer.RetryAfter() > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int((answer.RetryAfter()+time.Second-1)/time.Second)))
+	}
+	w.Header().Set(headerErrorKind, string(kind))
+	writeJSON(w, answer.Status(), messenger.ErrorAnswer{
+		Kind:             string(kind),
+		Text:             err.Error(),
+		NotRun:           answer.NotRun(),
+		Retryable:        answer.Retryable(),
+		RetryAfterMillis: int(answer.RetryAfter().Milliseconds()),
+	})
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+// body reads the whole body of a call.
+func (c *call) body() ([]byte, error) {
+	data, err := io.ReadAll(c.Body)
+	if err == nil {
+		return data, nil
+	}
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return nil, apricotwinch.Errorf(apricotwinch.TooLarge, "body: is over %d bytes", large.Limit)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, apricotwinch.Errorf(apricotwinch.TooSlow, "body: did not arrive in time")
+	default:
+		return nil, apricotwinch.Errorf(apricotwinch.Invalid, "body: %w", err)
+	}
+}
+
+// decode decodes the body of a call into v; unknown fields are refused by name.
+func (c *call) decode(v any) error {
+	data, err := c.body()
+	if err != nil {
+		return err
+	}
+	decoder := json.NewDecoder(strings.NewReader(string(data)))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(v); err != nil {
+		return apricotwinch.Errorf(apricotwinch.Invalid, "body: %w", err)
+	}
+	return nil
+}
+
+// team returns the team of the caller; an operator names one by the query
+// parameter team.
+func (c *call) team() (string, error) {
+	if !c.who.IsOperator() {
+		return c.who.Name(), nil
+	}
+	team := c.URL.Query().Get("team")
+	if team == "" {
+		return "", apricotwinch.Errorf(apricotwinch.Invalid, "team: an operator must name it in the query")
+	}
+	return team, nil
+}
+
+// operator returns an error of kind Forbidden unless the caller is an operator.
+func (c *call) operator() error {
+	if c.who.IsOperator() {
+		return nil
+	}
+	return apricotwinch.Errorf(apricotwinch.Forbidden, "this operation is for operators")
+}
--- /dev/null
+++ b/dispatcher/settings.go
@@ -0,0 +1,150 @@
+package dispatcher
+
+import (
+	_ "embed" // The schema of the settings file.
+	"time"
+
+	"apricotwinch/claimer"
+	"apricotwinch/connector"
+	"apricotwinch/loader"
+	"apricotwinch/scheduler"
+)
+
+//go:embed settings.schema.json
+var schemaData []byte
+
+// schema is the schema of an entry's settings file.
+var schema = loader.MustSchema(schemaData)
+
+// Settings is the settings file of an entry; a field that is absent takes its
+// default.
+type Settings struct {
+	Name              string           `json:"name"`
+	Region            string           `json:"region"`
+	DataCentre        string           `json:"dataCentre"`
+	HTTP              string           `json:"http"`
+	Peer              string           `json:"peer"`
+	Advertise         string           `json:"advertise,omitempty"`
+	Log               string           `json:"log"`
+	Partitions        int              `json:"partitions,omitempty"`
+	OperatorTokenHash string           `json:"operatorTokenHash"`
+	SharedKey         string           `json:"sharedKey,omitempty"`
+	TLS               *connector.Files `json:"tls,omitempty"`
+	HTTPTLS           *connector.Files `json:"httpTLS,omitempty"`
+	Limits            Limits           `json:"limits"`
+	Timing            Timing           `json:"timing"`
+}
+
+// Limits bounds what callers and peers may use.
+type Limits struct {
+	BodyBytes       int `json:"bodyBytes,omitempty"`
+	HeaderBytes     int `json:"headerBytes,omitempty"`
+	ReadMillis      int `json:"readMillis,omitempty"`
+	Connections     int `json:"connections,omitempty"`
+	PeerConnections int `json:"peerConnections,omitempty"`
+}
+
+// Timing is the periods of an entry in milliseconds; 0 takes the default.
+type Timing struct {
+	ClaimHeartbeatMillis  int  `json:"claimHeartbeatMillis,omitempty"`
+	ClaimLeaseMillis      int  `json:"claimLeaseMillis,omitempty"`
+	TakeoverMillis        int  `json:"takeoverMillis,omitempty"`
+	LeaseMillis           int  `json:"leaseMillis,omitempty"`
+	MarginMillis          int  `json:"marginMillis,omitempty"`
+	OutageAllowanceMillis *int `json:"outageAllowanceMillis,omitempty"`
+	DrainMillis           int  `json:"drainMillis,omitempty"`
+}
+
+// Defaults of an entry's settings.
+const (
+	defaultPartitions      = 16
+	defaultBodyBytes       = 1 << 20
+	defaultHeaderBytes     = 16 << 10
+	defaultReadMillis      = 10_000
+	defaultConnections     = 4096
+	defaultPeerConnections = 32_768
+	defaultClaimHeartbeat  = 2 * time.Second
+	defaultClaimLease      = 6 * time.Second
+	defaultTakeover        = 9 * time.Second
+	defaultDrain           = 20 * time.Second
+	steadyTakeovers        = 3
+)
+
+// Load reads the settings file at path. It fails with kind Invalid, naming the
+// file and the field.
+func Load(path string) (Settings, error) {
+	var s Settings
+	if err := loader.Load(path, schema, &s); err != nil {
+		return Settings{}, err
+	}
+	return s.withDefaults(), nil
+}
+
+func (s Settings) withDefaults() Settings {
+	s.Partitions = orDefault(s.Partitions, defaultPartitions)
+	s.Limits.BodyBytes = orDefault(s.Limits.BodyBytes, defaultBodyBytes)
+	s.Limits.HeaderBytes = orDefault(s.Limits.HeaderBytes, defaultHeaderBytes)
+	s.Limits.ReadMillis = orDefault(s.Limits.ReadMillis, defaultReadMillis)
+	s.Limits.Connections = orDefault(s.Limits.Connections, defaultConnections)
+	s.Limits.PeerConnections = orDefault(s.Limits.PeerConnections, defaultPeerConnections)
+	return s
+}
+
+func orDefault(value, standard int) int {
+	if value == 0 {
+		return standard
+	}
+	return value
+}
+
+func millis(value int, standard time.Duration) time.Duration {
+	if value == 0 {
+		return standard
+	}
+	return time.Duration(value) * time.Millisecond
+}
+
+func (s Settings) claimLease() time.Duration {
+	return millis(s.Timing.ClaimLeaseMillis, defaultClaimLease)
+}
+
+func (s Settings) takeover() time.Duration {
+	return millis(s.Timing.TakeoverMillis, defaultTakeover)
+}
+
+func (s Settings) drain() time.Duration { return millis(s.Timing.DrainMillis, defaultDrain) }
+
+// claimTiming returns the times by which the entry claims partitions, or an
+// error of kind Invalid when they don't grow.
+func (s Settings) claimTiming() (claimer.Timing, error) {
+	heartbeat := millis(s.Timing.ClaimHeartbeatMillis, defaultClaimHeartbeat)
+	return claimer.NewTiming(heartbeat, s.claimLease(), s.takeover(), steadyTakeovers*s.takeover())
+}
+
+func (s Settings) outageAllowance() time.Duration {
+	if s.Timing.OutageAllowanceMillis == nil {
+		return scheduler.DefaultConfig().OutageAllowance
+	}
+	return time.Duration(*s.Timing.OutageAllowanceMillis) * time.Millisecond
+}
+
+// schedulerConfig returns the timing of the partitions' schedulers.
+func (s Settings) schedulerConfig() scheduler.Config {
+	config := scheduler.DefaultConfig()
+	config.Lease = millis(s.Timing.LeaseMillis, config.Lease)
+	config.Margin = millis(s.Timing.MarginMillis, config.Margin)
+	config.OutageAllowance = s.outageAllowance()
+	return config
+}
+
+// security returns how peers prove who they are.
+func (s Settings) security() (connector.Security, error) {
+	if s.TLS == nil {
+		return connector.NewSecurity(nil, nil, []byte(s.SharedKey)), nil
+	}
+	server, client, err := s.TLS.Load()
+	if err != nil {
+		return connector.Security{}, err
+	}
+	return connector.NewSecurity(server, client, []byte(s.SharedKey)), nil
+}
--- /dev/null
+++ b/dispatcher/watches.go
@@ -0,0 +1,109 @@
+package dispatcher
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"apricotwinch/bookkeeper"
+	"apricotwinch/configurator"
+	"apricotwinch/messenger"
+)
+
+// Periods of the reconciliation of watch services.
+const (
+	watchPeriod = time.Second
+	watchResend = 5 * time.Second
+)
+
+// watchPrefix starts the ids of jobs that the settings ask for.
+const watchPrefix = "watch."
+
+// watchKeeper keeps the watch services of the settings running as jobs.
+type watchKeeper struct {
+	at   time.Time
+	sent map[string]time.Time
+}
+
+// watchID returns the id of the job of one revision of a watch service.
+func watchID(team, name string, revision int64) string {
+	return fmt.Sprintf("%s%s.%s.%d", watchPrefix, team, name, revision)
+}
+
+// reconcileWatches submits the jobs of watch services that are missing and
+// cancels those that the settings no longer ask for; p.mu is held.
+func (p *partition) reconcileWatches(ctx context.Context, now time.Time) {
+	if now.Sub(p.watches.at) < watchPeriod {
+		return
+	}
+	p.watches.at = now
+	view := p.entry.views.current()
+	wanted := make(map[string]bool)
+	ready := make(map[string]bool)
+	for _, team := range view.Teams() {
+		if p.entry.partitionOf(team) != p.number {
+			continue
+		}
+		for _, watch := range view.Watches(team) {
+			p.want(ctx, now, view, watch, wanted, ready)
+		}
+	}
+	p.cancelUnwanted(ctx, now, wanted, ready)
+}
+
+// want submits the job of a watch service unless it is known.
+func (p *partition) want(ctx context.Context, now time.Time, view *configurator.View, watch configurator.Watch, wanted, ready map[string]bool) {
+	if watch.Count() == 0 {
+		return
+	}
+	entry, _ := view.Entry("teams/" + watch.Team() + "/watches/" + watch.Name())
+	id := watchID(watch.Team(), watch.Name(), entry.Revision())
+	service := watch.Team() + "." + watch.Name()
+	wanted[id] = true
+	ready[service] = false
+	if job, ok := p.book.Job(id); ok {
+		ready[service] = allAssigned(job)
+		return
+	}
+	spec := watch.Spec()
+	p.sendOnce(ctx, now, messenger.LedgerRecord{
+		Type: messenger.RecordSubmitted, Entry: p.entry.settings.Name, Team: watch.Team(), Job: id, Spec: &spec,
+	})
+}
+
+func allAssigned(job *bookkeeper.Job) bool {
+	for i := range job.Tasks() {
+		if job.Task(i).Phase() != bookkeeper.Assigned {
+			return false
+		}
+	}
+	return true
+}
+
+// cancelUnwanted cancels jobs of older revisions once the job of the newer one
+// runs, and those of watch services that were removed.
+func (p *partition) cancelUnwanted(ctx context.Context, now time.Time, wanted, ready map[string]bool) {
+	for _, state := range p.book.States("") {
+		if !strings.HasPrefix(state.Job, watchPrefix) || state.Canceled || wanted[state.Job] {
+			continue
+		}
+		running, replaced := ready[state.Team+"."+state.Spec.Name]
+		if replaced && !running {
+			continue
+		}
+		p.sendOnce(ctx, now, messenger.LedgerRecord{
+			Type: messenger.RecordCanceled, Entry: p.entry.settings.Name, Team: state.Team, Job: state.Job,
+		})
+	}
+}
+
+// sendOnce appends a record unless the same was sent a moment ago.
+func (p *partition) sendOnce(ctx context.Context, now time.Time, record messenger.LedgerRecord) {
+	key := record.Type + record.Job
+	if now.Sub(p.watches.sent[key]) < watchResend {
+		return
+	}
+	p.watches.sent[key] = now
+	go p.appendFor(ctx, record)
+}
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -24,16 +24,8 @@
 	StartsPerTick int
 	// StopsPerTick caps the stop commands of one tick.
 	StopsPerTick int
-	// RetryBase is the delay before the second attempt of a failed task; it
-	// doubles with each failure.
-	RetryBase time.Duration
-	// RetryMax caps the delay before another attempt.
-	RetryMax time.Duration
 	// PlaceRetry is the delay before a task that found no host is tried again.
 	PlaceRetry time.Duration
-	// MaxAttempts is the number of failed attempts after which a job is parked,
-	// unless the job names another.
-	MaxAttempts int
 }
 
 // DefaultConfig returns the settings in force unless an operator changes them.
@@ -46,10 +38,7 @@
 		MaxTicketAge:    3 * time.Second,
 		StartsPerTick:   200,
 		StopsPerTick:    50,
-		RetryBase:       500 * time.Millisecond,
-		RetryMax:        time.Minute,
 		PlaceRetry:      500 * time.Millisecond,
-		MaxAttempts:     5,
 	}
 }
 
@@ -78,24 +67,37 @@
 	// Place chooses a host and reserves room on it, or fails with kind NoCapacity,
 	// Unschedulable or NoTarget.
 	Place func(now time.Time, request Request) (string, error)
+	// Accepted tells that the agent of its host accepted an attempt.
+	Accepted func(now time.Time, attempt apricotwinch.AttemptID)
+	// Adopted tells of an attempt that an earlier owner placed on a host.
+	Adopted func(host string, request Request)
 	// Unplace gives back the room of a placement that came to nothing.
 	Unplace func(host string, attempt apricotwinch.AttemptID)
 	// Lookup returns a live host by name.
 	Lookup func(host string) (Host, bool)
 	// DataCentreOut reports whether a data centre is out of service.
 	DataCentreOut func(dataCentre string) bool
-	// Ended tells how an attempt ended, for the judgement of hosts and jobs.
-	Ended func(now time.Time, end End)
+	// Ended tells how an attempt ended and returns what follows for its task.
+	Ended func(now time.Time, end End) Verdict
+}
+
+// Verdict is what follows for the task of an attempt that ended.
+type Verdict struct {
+	// NotBefore is the earliest time of the next attempt.
+	NotBefore time.Time
+	// Park is why the job must be parked, or "".
+	Park string
 }
 
 // End is how one attempt ended.
 type End struct {
-	Attempt apricotwinch.AttemptID
-	Team    string
-	Name    string
-	Host    string
+	Attempt     apricotwinch.AttemptID
+	Host        string
+	DataCentre  string
+	MaxAttempts int
 	// Type is the type of the record that ended the attempt.
-	Type   string
+	Type string
+	// Reason is the error kind or text of the cause.
 	Reason string
 }
 
--- a/scheduler/renew.go
+++ b/scheduler/renew.go
@@ -60,13 +60,13 @@
 		reply.Durable = append(reply.Durable, ref)
 		return nil
 	case ended:
-		a.accepted = true
+		s.accept(now, a)
 		return s.finish(a, rule.recordType, func(r *messenger.LedgerRecord) { rule.fill(r, report) })
 	case !current || a.final != nil:
 		reply.Stop = append(reply.Stop, ref)
 		return nil
 	}
-	a.accepted = true
+	s.accept(now, a)
 	if a.stop == stopCanceled {
 		reply.Stop = append(reply.Stop, ref)
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -73,6 +73,7 @@
 			a := newAttempt(job, i)
 			a.grantedUntil = grantedUntil
 			s.attempts.add(a)
+			s.seams.Adopted(a.host, request(job, i, a.id))
 		}
 	}
 }
@@ -114,37 +115,48 @@
 func (s *Scheduler) taskMoved(now time.Time, change bookkeeper.Change) []Action {
 	job := change.Job()
 	before := change.Before()
+	var verdict Verdict
 	if before.Phase() == bookkeeper.Assigned {
-		s.attempts.remove(apricotwinch.NewAttemptID(job.ID(), change.Task(), before.Attempt()))
+		verdict = s.ended(now, job, apricotwinch.NewAttemptID(job.ID(), change.Task(), before.Attempt()))
 	}
 	s.queue.remove(job.ID(), change.Task())
 	switch job.Task(change.Task()).Phase() {
 	case bookkeeper.Waiting:
-		s.requeue(now, job, change.Task())
+		return s.requeue(job, change.Task(), verdict)
 	case bookkeeper.Assigned:
 		return s.started(now, job, change.Task())
 	}
 	return nil
 }
 
-func (s *Scheduler) requeue(now time.Time, job *bookkeeper.Job, task int) {
-	if job.Parked() != "" {
-		return
-	}
-	w := &waiter{job: job, task: task}
-	if failures := job.Task(task).Failures(); failures > 0 {
-		w.notBefore = now.Add(s.backoff(failures))
+// ended forgets an attempt and returns what follows for its task.
+func (s *Scheduler) ended(now time.Time, job *bookkeeper.Job, id apricotwinch.AttemptID) Verdict {
+	a := s.attempts.get(id)
+	s.attempts.remove(id)
+	if a == nil || a.final == nil {
+		return Verdict{}
 	}
-	s.queue.add(w)
+	return s.seams.Ended(now, End{
+		Attempt:     id,
+		Host:        a.host,
+		DataCentre:  a.dataCentre,
+		MaxAttempts: job.Spec().MaxAttempts,
+		Type:        a.final.Type,
+		Reason:      a.final.Reason,
+	})
 }
 
-// backoff returns the delay before the attempt after the given number of failures.
-func (s *Scheduler) backoff(failures int) time.Duration {
-	delay := s.config.RetryBase
-	for range failures - 1 {
-		delay = min(2*delay, s.config.RetryMax)
+// requeue lets the task wait again, or parks its job; a watch service is never
+// parked.
+func (s *Scheduler) requeue(job *bookkeeper.Job, task int, verdict Verdict) []Action {
+	if job.Parked() != "" {
+		return nil
 	}
-	return delay
+	s.queue.add(&waiter{job: job, task: task, notBefore: verdict.NotBefore})
+	if verdict.Park == "" || job.Watch() || s.parking[job.ID()] {
+		return nil
+	}
+	return []Action{s.park(job, verdict.Park)}
 }
 
 // started sends the command of an assignment that is durable now.
@@ -189,13 +201,22 @@
 		return nil
 	}
 	if reply.Accepted {
-		a.accepted = true
+		s.accept(now, a)
 		a.grant(s.leaseEnd(now), true)
 		return nil
 	}
 	return s.finish(a, messenger.RecordReturned, func(r *messenger.LedgerRecord) { r.Reason = reply.Kind })
 }
 
+// accept notes that the agent has the attempt.
+func (s *Scheduler) accept(now time.Time, a *attempt) {
+	if a.accepted {
+		return
+	}
+	a.accepted = true
+	s.seams.Accepted(now, a.id)
+}
+
 // leaseEnd returns when a lease granted now is provably over.
 func (s *Scheduler) leaseEnd(now time.Time) time.Time {
 	return now.Add(s.config.Lease + s.config.Margin)
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -113,7 +113,9 @@
 		Place: func(time.Time, scheduler.Request) (string, error) {
 			return w.names[w.rand.IntN(len(w.names))], nil
 		},
-		Unplace: func(string, apricotwinch.AttemptID) {},
+		Accepted: func(time.Time, apricotwinch.AttemptID) {},
+		Adopted:  func(string, scheduler.Request) {},
+		Unplace:  func(string, apricotwinch.AttemptID) {},
 		Lookup: func(host string) (scheduler.Host, bool) {
 			a := w.agents[host]
 			seen := w.now.Add(-time.Duration(w.rand.IntN(2000)) * time.Millisecond)
@@ -126,7 +128,7 @@
 			}, !a.down.After(w.now)
 		},
 		DataCentreOut: func(string) bool { return false },
-		Ended:         func(time.Time, scheduler.End) {},
+		Ended:         func(time.Time, scheduler.End) scheduler.Verdict { return scheduler.Verdict{} },
 	}
 }
 
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -94,20 +94,11 @@
 // room now.
 func (s *Scheduler) place(now time.Time, w *waiter) (*Action, bool) {
 	task := w.job.Task(w.task)
-	if reason := s.parkReason(w.job, task); reason != "" {
-		return s.park(w.job, reason), false
-	}
 	id := apricotwinch.NewAttemptID(w.job.ID(), w.task, task.Attempt()+1)
-	name, err := s.seams.Place(now, Request{
-		Attempt:     id,
-		Team:        w.job.Team(),
-		Name:        w.job.Spec().Name,
-		Urgency:     urgencyOf(w.job),
-		Need:        w.job.Need(),
-		FailedHosts: task.FailedHosts(),
-	})
+	name, err := s.seams.Place(now, request(w.job, w.task, id))
 	if apricotwinch.KindOf(err) == apricotwinch.Unschedulable {
-		return s.park(w.job, err.Error()), false
+		action := s.park(w.job, err.Error())
+		return &action, false
 	}
 	if err != nil {
 		w.notBefore = now.Add(s.config.PlaceRetry)
@@ -129,21 +120,21 @@
 	return &Action{Append: record}, true
 }
 
-// parkReason returns why the job of task must be parked, or "".
-func (s *Scheduler) parkReason(job *bookkeeper.Job, task *bookkeeper.Task) string {
-	limit := job.Spec().MaxAttempts
-	if limit == 0 {
-		limit = s.config.MaxAttempts
-	}
-	if job.Watch() || task.Failures() < limit {
-		return ""
+// request returns what the placer needs to know of an attempt.
+func request(job *bookkeeper.Job, task int, id apricotwinch.AttemptID) Request {
+	return Request{
+		Attempt:     id,
+		Team:        job.Team(),
+		Name:        job.Spec().Name,
+		Urgency:     urgencyOf(job),
+		Need:        job.Need(),
+		FailedHosts: job.Task(task).FailedHosts(),
 	}
-	return "attempts_exhausted"
 }
 
-func (s *Scheduler) park(job *bookkeeper.Job, reason string) *Action {
+func (s *Scheduler) park(job *bookkeeper.Job, reason string) Action {
 	s.parking[job.ID()] = true
 	record := s.record(messenger.RecordParked, job)
 	record.Reason = reason
-	return &Action{Append: record}
+	return Action{Append: record}
 }
