--- a/dispatcher/jobs.go
+++ b/dispatcher/jobs.go
@@ -70,7 +70,7 @@
 	record := messenger.LedgerRecord{
 		Type: messenger.RecordSubmitted, Entry: e.settings.Name, Team: team, Job: id, Spec: &spec,
 	}
-	if _, err := e.appendRecord(c.ctx, e.partitionOf(team), record); err != nil {
+	if err := e.appendRecord(c.ctx, e.partitionOf(team), record); err != nil {
 		return err
 	}
 	e.count("jobs.submitted")
@@ -220,7 +220,7 @@
 		return apricotwinch.Errorf(apricotwinch.Conflict, "job: %s has ended", state.Job)
 	}
 	record := messenger.LedgerRecord{Type: recordType, Entry: e.settings.Name, Team: state.Team, Job: state.Job}
-	if _, err := e.appendRecord(c.ctx, e.partitionOf(state.Team), record); err != nil {
+	if err := e.appendRecord(c.ctx, e.partitionOf(state.Team), record); err != nil {
 		return err
 	}
 	e.count("jobs." + recordType)
--- a/dispatcher/partition.go
+++ b/dispatcher/partition.go
@@ -205,8 +205,7 @@
 func (p *partition) append(ctx context.Context, record messenger.LedgerRecord) error {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
-	_, err := p.entry.appendRecord(ctx, p.number, record)
-	return err
+	return p.entry.appendRecord(ctx, p.number, record)
 }
 
 func (p *partition) assign(ctx context.Context, address string, command messenger.Assign) {
@@ -301,7 +300,7 @@
 }
 
 // appendRecord makes a record of a partition's stream durable.
-func (e *Entry) appendRecord(ctx context.Context, number int, record messenger.LedgerRecord) (int64, error) {
+func (e *Entry) appendRecord(ctx context.Context, number int, record messenger.LedgerRecord) error {
 	if record.Id == "" {
 		record.Id = uuid.NewString()
 	}
@@ -310,7 +309,8 @@
 	}
 	data, err := json.Marshal(record)
 	if err != nil {
-		return 0, apricotwinch.Errorf(apricotwinch.Invalid, "record: %w", err)
+		return apricotwinch.Errorf(apricotwinch.Invalid, "record: %w", err)
 	}
-	return e.jobs[number].Append(ctx, record.Id, data)
+	_, err = e.jobs[number].Append(ctx, record.Id, data)
+	return err
 }
