Let an entry use the capacity that other entries leave

Cause: an equal part for each entry is small, and the load of one entry varies more than that of all; shares below 1 shed work that has a slot. The defaults are now 1.2, 1.35 and 1.5, and the requests of other entries at the targets, which answers and heartbeats tell, are left to them only when they are there.

The entry asks for the capacity at each admission, which scanned every target of the service; it is now a sum that events keep. SetOthers tells the limiter what other entries use; without it an entry gets an equal share.

--- a/limiter/config.go
+++ b/limiter/config.go
@@ -4,9 +4,9 @@
 
 // Defaults of Config.
 const (
-	defaultBatchShare    = 0.8
-	defaultStandardShare = 1.0
-	defaultCriticalShare = 1.2
+	defaultBatchShare    = 1.2
+	defaultStandardShare = 1.35
+	defaultCriticalShare = 1.5
 	defaultMaxTeams      = 4096
 )
 
--- a/limiter/example_test.go
+++ b/limiter/example_test.go
@@ -18,7 +18,7 @@
 		fmt.Println(err)
 		return
 	}
-	for _, urgency := range []apricotwinch.Urgency{apricotwinch.Batch, apricotwinch.Batch, apricotwinch.Batch, apricotwinch.Critical} {
+	for _, urgency := range []apricotwinch.Urgency{apricotwinch.Batch, apricotwinch.Batch, apricotwinch.Batch, apricotwinch.Batch, apricotwinch.Critical} {
 		decision := admission.Admit(now, "jua-paa", service, urgency)
 		fmt.Println(decision.Counter())
 		if place := decision.Place(); place != nil {
@@ -28,6 +28,7 @@
 	// Output:
 	// limiter.admitted.batch
 	// limiter.admitted.batch
+	// limiter.admitted.batch
 	// limiter.refused.load.batch
 	// limiter.admitted.critical
 }
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -49,16 +49,27 @@
 	}
 	state := l.loads[service]
 	if state == nil {
-		state = &load{}
+		state = &load{others: unknownOthers}
 		l.loads[service] = state
 	}
-	state.setLimits(l.config, slots, connections, entries)
+	state.slots, state.connections, state.entries = slots, connections, entries
+	state.setLimits(l.config)
 	if connections == 0 && state.total() == 0 {
 		delete(l.loads, service)
 	}
 	return nil
 }
 
+// SetOthers sets the estimate of the requests that other entries have at a
+// service's targets, so that this entry may use what they leave; without it, an
+// entry gets an equal share. It counts once the service has a capacity.
+func (l *Limiter) SetOthers(service tracker.Service, others int) {
+	if state := l.loads[service]; state != nil {
+		state.others = max(0, others)
+		state.setLimits(l.config)
+	}
+}
+
 // SetQuota gives a team a quota of its own.
 func (l *Limiter) SetQuota(now time.Time, name string, quota Quota) {
 	t := l.teams[name]
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -32,6 +32,15 @@
 	os.Exit(m.Run())
 }
 
+// fataler is what the tests, the benchmarks and the property tests have in common.
+type fataler interface{ Fatal(args ...any) }
+
+func setCapacity(t fataler, l *limiter.Limiter, slots, connections, entries int) {
+	if err := l.SetCapacity(quote, slots, connections, entries); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func admit(l *limiter.Limiter, urgency apricotwinch.Urgency) *limiter.Place {
 	return l.Admit(start, "jua-paa", quote, urgency).Place()
 }
@@ -40,9 +49,7 @@
 	l := limiter.New(limiter.DefaultConfig(), 1)
 	var lines strings.Builder
 	for _, step := range []struct{ slots, requests int }{{0, 3}, {30, 36}, {15, 6}} {
-		if err := l.SetCapacity(quote, step.slots, 8*step.slots, 3); err != nil {
-			t.Fatal(err)
-		}
+		setCapacity(t, l, step.slots, 8*step.slots, 3)
 		for i := range step.requests {
 			d := l.Admit(start, "jua-paa", quote, apricotwinch.Urgency(i%3))
 			fmt.Fprintf(&lines, "%d slots: %s %v\n", step.slots, d.Counter(), d.RetryAfter().Round(time.Millisecond))
@@ -51,11 +58,26 @@
 	goldie.New(t).Assert(t, "rising_load", []byte(lines.String()))
 }
 
+func TestAnEntryMayUseWhatTheOthersLeave(t *testing.T) {
+	got := map[string]int{}
+	for name, others := range map[string]int{"unknown": -1, "none": 0, "some": 8, "many": 30} {
+		l := limiter.New(limiter.DefaultConfig(), 1)
+		setCapacity(t, l, 20, 160, 2)
+		if others >= 0 {
+			l.SetOthers(quote, others)
+		}
+		for admit(l, apricotwinch.Standard) != nil {
+			got[name]++
+		}
+	}
+	if diff := cmp.Diff(map[string]int{"unknown": 14, "none": 27, "some": 19, "many": 14}, got); diff != "" {
+		t.Errorf("standard requests by those of others (-want +got):\n%s", diff)
+	}
+}
+
 func TestQuota(t *testing.T) {
 	l := limiter.New(limiter.DefaultConfig(), 1)
-	if err := l.SetCapacity(quote, 100, 800, 1); err != nil {
-		t.Fatal(err)
-	}
+	setCapacity(t, l, 100, 800, 1)
 	for _, burst := range []int{1, 3} {
 		quota, err := limiter.NewQuota(2, burst, 4)
 		if err != nil {
@@ -90,9 +112,7 @@
 		t.Fatal(err)
 	}
 	l := limiter.New(config, 1)
-	if err := l.SetCapacity(quote, 8, 64, 1); err != nil {
-		t.Fatal(err)
-	}
+	setCapacity(t, l, 8, 64, 1)
 	admit(l, apricotwinch.Critical)
 	refused := l.Admit(start, "jua-paa", quote, apricotwinch.Critical)
 	if wait := refused.RetryAfter(); wait < 4*time.Second || wait > 6*time.Second {
@@ -109,9 +129,7 @@
 		t.Fatal(err)
 	}
 	l := limiter.New(config, 1)
-	if err := l.SetCapacity(quote, 100, 800, 1); err != nil {
-		t.Fatal(err)
-	}
+	setCapacity(t, l, 100, 800, 1)
 	got := []limiter.Reason{}
 	places := []*limiter.Place{}
 	for _, team := range []string{"a", "b", "c"} {
@@ -138,6 +156,7 @@
 		return err
 	}
 	l := limiter.New(limiter.DefaultConfig(), 1)
+	setCapacity(t, l, 1, 1, 1)
 	for name, err := range map[string]error{
 		"perSecond":  quota(0, 1, 1),
 		"burst":      quota(1, 0, 1),
@@ -146,6 +165,7 @@
 		"standard":   config(1, 0.5, 1, 1),
 		"critical":   config(1, 1, 0.5, 1),
 		"maxTeams":   config(1, 1, 1, 0),
+		"slots":      l.SetCapacity(quote, -1, 1, 1),
 		"entries":    l.SetCapacity(quote, 1, 1, 0),
 		"urgency":    l.Admit(start, "t", quote, 7).Err(),
 	} {
@@ -208,9 +228,7 @@
 			"capacity": func(t *rapid.T) {
 				slots := rapid.IntRange(total()/4+1, 20).Draw(t, "slots")
 				connections = 4 * slots
-				if err := l.SetCapacity(quote, slots, connections, 1); err != nil {
-					t.Fatal(err)
-				}
+				setCapacity(t, l, slots, connections, 1)
 			},
 			"release": func(t *rapid.T) {
 				if len(places) == 0 {
@@ -235,9 +253,7 @@
 	for _, teams := range []int{10, 100, 1_100, 10_000, 24_000} {
 		b.Run(fmt.Sprint(teams), func(b *testing.B) {
 			l := limiter.New(limiter.DefaultConfig(), 1)
-			if err := l.SetCapacity(quote, 8*teams, 64*teams, 3); err != nil {
-				b.Fatal(err)
-			}
+			setCapacity(b, l, 8*teams, 64*teams, 3)
 			names := make([]string, teams)
 			for i := range names {
 				names[i] = fmt.Sprintf("team-%d", i)
--- a/limiter/load.go
+++ b/limiter/load.go
@@ -8,22 +8,32 @@
 
 // load is the requests of one service in flight against what its targets hold.
 type load struct {
-	limits   [apricotwinch.Critical + 1]int
-	hard     int
-	inFlight [apricotwinch.Critical + 1]int
+	slots       int
+	connections int
+	entries     int
+	others      int
+	limits      [apricotwinch.Critical + 1]int
+	hard        int
+	inFlight    [apricotwinch.Critical + 1]int
 }
 
-// setLimits sets the bounds of one of entries entries that share the service.
-func (l *load) setLimits(config Config, slots, connections, entries int) {
+// unknownOthers stands for requests of other entries of which nothing is known;
+// they leave an equal share.
+const unknownOthers = math.MaxInt32
+
+// setLimits computes the bounds of this entry.
+func (l *load) setLimits(config Config) {
 	for urgency, share := range config.shares {
-		l.limits[urgency] = portion(share*float64(slots), entries)
+		l.limits[urgency] = l.portion(share * float64(l.slots))
 	}
-	l.hard = portion(float64(connections), entries)
+	l.hard = l.portion(float64(l.connections))
 }
 
-// portion returns the part of total for one of entries, rounded up.
-func portion(total float64, entries int) int {
-	return int(math.Ceil(total / float64(entries)))
+// portion returns the part of total for this entry: what the others leave, and
+// at least an equal share.
+func (l *load) portion(total float64) int {
+	equal := total / float64(l.entries)
+	return int(math.Ceil(max(equal, total-float64(l.others))))
 }
 
 func (l *load) total() int {
--- a/router/bench_test.go
+++ b/router/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -11,17 +12,21 @@
 	"apricotwinch/tracker"
 )
 
-// fill returns a router that knows a number of hosts in 19 data centres of 5
-// regions, past their slow start.
+// fill returns a router that knows a number of hosts.
 func fill(tb testing.TB, hosts int) (*router.Router, time.Time) {
 	tb.Helper()
 	f := newFixture(tb)
+	f.fill(hosts)
+	return f.routes, f.now
+}
+
+// fill announces a number of hosts in 19 data centres of 5 regions.
+func (f *fixture) fill(hosts int) {
 	for i := range hosts {
 		f.heartbeat(fmt.Sprintf("dc%02d-%d", i%19, i), func(a *messenger.Announce) {
 			a.Region = fmt.Sprintf("r%d", i%19%5)
 		})
 	}
-	return f.routes, f.now
 }
 
 func cycle(tb testing.TB, routes *router.Router, now time.Time, exclude ...string) {
@@ -115,3 +120,23 @@
 		routes.Apply(start, changes[0])
 	}
 }
+
+// BenchmarkMemory reports what the tracker and the router hold of one host with
+// one service.
+func BenchmarkMemory(b *testing.B) {
+	for _, hosts := range sizes {
+		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
+			var before, after runtime.MemStats
+			for b.Loop() {
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				f := newFixture(b)
+				f.fill(hosts)
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				runtime.KeepAlive(f)
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(hosts), "B/host")
+		})
+	}
+}
--- a/router/pool.go
+++ b/router/pool.go
@@ -81,6 +81,7 @@
 	since    time.Time
 	size     int
 	ejected  int
+	capacity Capacity
 	baseline baseline
 }
 
@@ -114,9 +115,11 @@
 	return classFree
 }
 
-// refresh puts a target into the class that it has by now.
+// refresh puts a target into the class that it has by now and counts it there.
 func (r *Router) refresh(now time.Time, s *state) {
-	if !s.removed {
-		s.group.move(s, r.classify(now, s))
+	if s.removed {
+		return
 	}
+	s.group.move(s, r.classify(now, s))
+	r.recount(s)
 }
--- a/router/router.go
+++ b/router/router.go
@@ -157,6 +157,7 @@
 // drop takes a target out; answers of its requests may still come.
 func (r *Router) drop(s *state) {
 	s.group.leave(s)
+	r.recount(s)
 	s.pool.size--
 	if s.health.ejected || s.health.probing {
 		s.pool.ejected--
@@ -185,46 +186,3 @@
 		}
 	}
 }
-
-// Capacity is what the usable targets of a service can hold.
-type Capacity struct {
-	targets     int
-	slots       int
-	connections int
-}
-
-// Targets returns the number of usable targets.
-func (c Capacity) Targets() int { return c.targets }
-
-// Slots returns the number of requests that run at once.
-func (c Capacity) Slots() int { return c.slots }
-
-// Connections returns the number of requests that run or wait at once.
-func (c Capacity) Connections() int { return c.connections }
-
-// Capacity returns what the targets of a service hold that are neither
-// suspected, draining, ejected nor in a data centre that is out; a slow target
-// counts for less. Its cost grows with the number of targets.
-func (r *Router) Capacity(now time.Time, service tracker.Service) Capacity {
-	r.advance(now)
-	var c Capacity
-	p := r.pools[service]
-	if p == nil {
-		return c
-	}
-	for _, g := range p.groups {
-		if g.out {
-			continue
-		}
-		for _, s := range g.members {
-			if s.class == classClosed || s.class == classSuspected {
-				continue
-			}
-			slowness := p.baseline.slowness(s.health.latency, r.config.slownessFactor)
-			c.targets++
-			c.slots += max(1, int(float64(s.slots)/slowness))
-			c.connections += s.connections
-		}
-	}
-	return c
-}
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -245,6 +245,35 @@
 	f.heartbeat(target.Host())
 }
 
+func TestCapacityCountsUsableTargets(t *testing.T) {
+	f := newFixture(t)
+	var got [][4]int
+	for _, step := range []func(){
+		func() { f.heartbeat("kopli-1"); f.heartbeat("kalamaja-1", busy(5)) },
+		func() { f.send(1) },
+		func() { f.heartbeat("kopli-1", draining) },
+		func() { f.heartbeat("kopli-1"); f.routes.SetOut(f.now, "kalamaja", true) },
+		func() { f.routes.SetOut(f.now, "kalamaja", false) },
+		func() { f.heartbeat("kopli-1", func(a *messenger.Announce) { a.Incarnation = "b" }) },
+		func() {
+			f.wait(5 * time.Second)
+			f.heartbeat("kopli-1", func(a *messenger.Announce) { a.Incarnation = "b" })
+		},
+		func() { f.wait(5 * time.Second) },
+		func() { f.heartbeat("kalamaja-1", busy(7)) },
+		func() { f.wait(time.Minute) },
+	} {
+		step()
+		c := f.routes.Capacity(f.now, portal)
+		got = append(got, [4]int{c.Targets(), c.Slots(), c.Connections(), c.Others()})
+	}
+	two, one := [4]int{2, 16, 128, 5}, [4]int{1, 8, 64, 0}
+	want := [][4]int{two, two, {1, 8, 64, 5}, one, two, two, two, one, {2, 16, 128, 7}, {}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("targets, slots, connections, others (-want +got):\n%s", diff)
+	}
+}
+
 func TestSuspectedTargetsServeWhenNoOtherIsLeft(t *testing.T) {
 	f := newFixture(t)
 	f.heartbeat("kopli-1")
--- a/router/target.go
+++ b/router/target.go
@@ -58,7 +58,8 @@
 	startedAt time.Time
 	starting  bool
 
-	health health
+	health  health
+	counted Capacity
 
 	pool     *pool
 	group    *group
