--- /dev/null
+++ b/deduplicator/folder_test.go
@@ -0,0 +1,182 @@
+package deduplicator_test
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"apricotwinch"
+	"apricotwinch/deduplicator"
+	"apricotwinch/messenger"
+)
+
+var start = time.Unix(1000, 0)
+
+func TestMain(m *testing.M) {
+	flag.Set("rapid.seed", "1")
+	os.Exit(m.Run())
+}
+
+func newFolder() *deduplicator.Folder {
+	return deduplicator.New(deduplicator.NewBounds(time.Hour, 1000, 1<<20))
+}
+
+// record returns a record of one key; body is the answer of a settled one, with
+// "?" for an unknown outcome.
+func record(recordType, request, body string) messenger.KeyRecord {
+	r := messenger.KeyRecord{Type: recordType, Team: "t", Service: "s", Key: "k", Request: request, BodyHash: "h", Entry: "e", Host: "host-" + request}
+	if recordType == messenger.KeySettled {
+		r.Answer = &messenger.DispatchReply{Outcome: messenger.OutcomeAnswered, Body: []byte(body)}
+		if body == "?" {
+			r.Answer = &messenger.DispatchReply{Outcome: messenger.OutcomeUnknown}
+		}
+	}
+	return r
+}
+
+func state(f *deduplicator.Folder) string {
+	claim, ok := f.Lookup("t", "s", "k")
+	if !ok {
+		return "none"
+	}
+	return fmt.Sprintf("%s %d %s%s", claim.Request(), claim.Phase(), claim.Answer().Outcome, claim.Answer().Body)
+}
+
+// naiveState judges the whole history of the key at each record.
+func naiveState(records []messenger.KeyRecord) string {
+	holder, phase, answer := "", deduplicator.Released, messenger.DispatchReply{}
+	released := map[string]bool{}
+	for _, r := range records {
+		answered := phase == deduplicator.Settled && answer.Outcome == messenger.OutcomeAnswered
+		switch r.Type {
+		case messenger.KeyClaimed:
+			if phase == deduplicator.Released && !released[r.Request] {
+				holder, phase, answer = r.Request, deduplicator.Claimed, messenger.DispatchReply{}
+			}
+		case messenger.KeyReleased:
+			if r.Request == holder && answered {
+				continue
+			}
+			released[r.Request] = true
+			if r.Request == holder {
+				phase, answer = deduplicator.Released, messenger.DispatchReply{}
+			}
+		case messenger.KeySettled:
+			if holder == "" && !released[r.Request] {
+				holder = r.Request
+			}
+			if r.Request != holder || released[holder] || answered {
+				continue
+			}
+			if phase != deduplicator.Settled || r.Answer.Outcome == messenger.OutcomeAnswered {
+				phase, answer = deduplicator.Settled, *r.Answer
+			}
+		}
+	}
+	if holder == "" {
+		return "none"
+	}
+	return fmt.Sprintf("%s %d %s%s", holder, phase, answer.Outcome, answer.Body)
+}
+
+func TestFoldMatchesNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFolder()
+		var records []messenger.KeyRecord
+		for offset := range rapid.IntRange(0, 40).Draw(t, "records") {
+			recordType := rapid.SampledFrom([]string{messenger.KeyClaimed, messenger.KeyReleased, messenger.KeySettled}).Draw(t, "type")
+			request := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "request")
+			records = append(records, record(recordType, request, rapid.SampledFrom([]string{"x", "y", "?"}).Draw(t, "body")))
+			f.Fold(start, int64(offset), records[offset])
+			f.Fold(start, int64(offset), record(messenger.KeyClaimed, "read again", ""))
+			if diff := cmp.Diff(naiveState(records), state(f)); diff != "" {
+				t.Fatalf("state after %d records (-want +got):\n%s", offset+1, diff)
+			}
+		}
+	})
+}
+
+func TestRetentionAndBounds(t *testing.T) {
+	f := deduplicator.New(deduplicator.NewBounds(time.Minute, 2, 10))
+	f.Fold(start, 0, record(messenger.KeyClaimed, "a", ""))
+	f.Fold(start.Add(30*time.Second), 1, record(messenger.KeySettled, "a", "0123456789"))
+	if !f.Full() {
+		t.Error("not full at the bound of bytes")
+	}
+	f.Expire(start.Add(89 * time.Second))
+	if got := state(f); got != "a 2 answered0123456789" {
+		t.Errorf("state before the retention time = %s", got)
+	}
+	f.Expire(start.Add(90 * time.Second))
+	if got := state(f); got != "none" || f.Full() || f.Len() != 0 {
+		t.Errorf("state after the retention time = %s, %d keys", got, f.Len())
+	}
+	for i := range 2 {
+		r := record(messenger.KeyClaimed, "a", "")
+		r.Key = fmt.Sprint(i)
+		f.Fold(start, int64(2+i), r)
+	}
+	if !f.Full() {
+		t.Error("not full at the bound of keys")
+	}
+}
+
+func FuzzFoldData(f *testing.F) {
+	for _, recordType := range []string{messenger.KeyClaimed, messenger.KeyReleased, messenger.KeySettled, "other"} {
+		data, _ := json.Marshal(record(recordType, "a", "x"))
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		folder := newFolder()
+		for offset := range int64(2) {
+			if err := folder.FoldData(start, offset, data); err != nil && apricotwinch.KindOf(err) != apricotwinch.Invalid {
+				t.Errorf("kind of %v is not %s", err, apricotwinch.Invalid)
+			}
+		}
+		if folder.Next() != 2 {
+			t.Errorf("next = %d, want 2", folder.Next())
+		}
+	})
+}
+
+func BenchmarkFold(b *testing.B) {
+	for _, keys := range []int{1000, 10000, 100000} {
+		b.Run(fmt.Sprint("keys=", keys), func(b *testing.B) {
+			f := deduplicator.New(deduplicator.NewBounds(time.Duration(keys)*time.Second, 1<<30, 1<<40))
+			names := make([]string, 4*keys)
+			for i := range names {
+				names[i] = fmt.Sprint("key-", i)
+			}
+			types := []string{messenger.KeyClaimed, messenger.KeySettled}
+			fold := func(i int) {
+				r := record(types[i%2], "request", "x")
+				r.Key = names[i/2%len(names)]
+				f.Fold(start.Add(time.Duration(i/2)*time.Second), int64(i), r)
+			}
+			for i := range 2 * keys {
+				fold(i)
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				fold(2*keys + i)
+			}
+		})
+	}
+}
+
+func ExampleFolder() {
+	f := newFolder()
+	f.Fold(start, 0, record(messenger.KeyClaimed, "first", ""))
+	f.Fold(start, 1, record(messenger.KeyClaimed, "second", ""))
+	f.Fold(start, 2, record(messenger.KeySettled, "first", "paid"))
+	claim, _ := f.Lookup("t", "s", "k")
+	fmt.Printf("%s: %s\n", claim.Request(), claim.Answer().Body)
+	// Output: first: paid
+}
