Share starts between teams within their quotas

Cause: waiting tasks started in order of arrival, so that one team's wave held back every other team and no quota was in force. Before: one queue by urgency. After: the sharer orders starts, quotas and the fleet's size come from the settings and the announcements, a task over its team's quota parks its job; sizes are corrected by the estimator before a task is placed and started.

--- a/dispatcher/members.go
+++ b/dispatcher/members.go
@@ -10,6 +10,7 @@
 
 	"apricotwinch"
 	"apricotwinch/configurator"
+	"apricotwinch/estimator"
 	"apricotwinch/judge"
 	"apricotwinch/messenger"
 	"apricotwinch/placer"
@@ -29,26 +30,33 @@
 	logger   hclog.Logger
 	registry metrics.Registry
 
-	mu      sync.Mutex
-	tracker *tracker.Tracker
-	router  *router.Router
-	placer  *placer.Placer
-	judge   *judge.Judge
-	view    *configurator.View
-	centres map[string]int
+	mu        sync.Mutex
+	tracker   *tracker.Tracker
+	router    *router.Router
+	placer    *placer.Placer
+	judge     *judge.Judge
+	estimator *estimator.Estimator
+	// capacities holds the capacity of each host that is present, and capacitySum
+	// their sum.
+	capacities  map[string]apricotwinch.Resources
+	capacitySum apricotwinch.Resources
+	view        *configurator.View
+	centres     map[string]int
 }
 
 func newMembers(clock clockwork.Clock, logger hclog.Logger, registry metrics.Registry) *members {
 	return &members{
-		clock:    clock,
-		logger:   logger,
-		registry: registry,
-		tracker:  tracker.New(tracker.DefaultConfig()),
-		router:   router.New(router.DefaultConfig(), decisionSeed),
-		placer:   placer.New(placer.DefaultConfig(), decisionSeed),
-		judge:    judge.New(judge.DefaultConfig(), decisionSeed),
-		view:     configurator.New().View(),
-		centres:  make(map[string]int),
+		clock:      clock,
+		logger:     logger,
+		registry:   registry,
+		tracker:    tracker.New(tracker.DefaultConfig()),
+		router:     router.New(router.DefaultConfig(), decisionSeed),
+		placer:     placer.New(placer.DefaultConfig(), decisionSeed),
+		judge:      judge.New(judge.DefaultConfig(), decisionSeed),
+		view:       configurator.New().View(),
+		centres:    make(map[string]int),
+		estimator:  estimator.New(estimator.DefaultConfig()),
+		capacities: make(map[string]apricotwinch.Resources),
 	}
 }
 
@@ -135,6 +143,7 @@
 	if _, known := m.placer.Free(host.Name()); !known {
 		m.centres[host.Locality().DataCentre()]++
 	}
+	m.setCapacity(host.Name(), host.Capacity())
 	m.placer.Join(now, host.Name(), host.Locality(), host.Capacity())
 	m.placer.SetStanding(host.Name(), m.judge.Joined(host.Name()))
 	m.placer.SetDraining(host.Name(), host.State() != tracker.Alive)
@@ -149,11 +158,21 @@
 	if m.centres[centre] <= 0 {
 		delete(m.centres, centre)
 	}
+	m.setCapacity(host.Name(), apricotwinch.Resources{})
 	m.placer.Remove(now, host.Name())
 	m.judge.Left(host.Name())
 	m.judge.SetFleet(m.placer.Hosts(), len(m.centres))
 }
 
+// setCapacity keeps the sum of the hosts' capacities; a host that left has none.
+func (m *members) setCapacity(name string, capacity apricotwinch.Resources) {
+	m.capacitySum = m.capacitySum.Sub(m.capacities[name]).Add(capacity)
+	m.capacities[name] = capacity
+	if capacity.Zero() {
+		delete(m.capacities, name)
+	}
+}
+
 func (m *members) setOut(now time.Time, locality apricotwinch.Locality, out bool) {
 	m.router.SetOut(now, locality.DataCentre(), out)
 	m.placer.SetDataCentreOut(locality.Region(), locality.DataCentre(), out)
@@ -180,6 +199,9 @@
 // seams returns what a scheduler needs of the hosts.
 func (m *members) seams() scheduler.Seams {
 	return scheduler.Seams{
+		Quota:         m.quota,
+		Total:         m.total,
+		Size:          m.size,
 		Place:         m.place,
 		Accepted:      m.accepted,
 		Adopted:       m.adopted,
@@ -190,6 +212,28 @@
 	}
 }
 
+// quota returns what a team's tasks may hold at once and its weight.
+func (m *members) quota(team string) (apricotwinch.Resources, float64, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	quota, ok := m.view.Quota(team)
+	return quota.Maximum(), quota.Weight(), ok
+}
+
+// total returns the capacity of the hosts that are present.
+func (m *members) total() apricotwinch.Resources {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.capacitySum
+}
+
+// size corrects a declared size by the use observed so far.
+func (m *members) size(now time.Time, team, name string, declared apricotwinch.Resources) apricotwinch.Resources {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.estimator.Size(now, estimator.NewClass(team, name), declared)
+}
+
 func (m *members) place(now time.Time, request scheduler.Request) (string, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/dispatcher/partition.go
+++ b/dispatcher/partition.go
@@ -196,7 +196,7 @@
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		if p.scheduler != nil {
-			p.scheduler.AppendFailed(record)
+			p.scheduler.AppendFailed(p.entry.clock.Now(), record)
 		}
 	}
 }
--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -16,6 +16,7 @@
 	host        string
 	incarnation string
 	dataCentre  string
+	need        apricotwinch.Resources
 	// grantedUntil is when every lease that was granted is provably over.
 	grantedUntil time.Time
 	// accepted is whether the agent has accepted or reported the attempt.
@@ -40,6 +41,7 @@
 		host:        t.Host(),
 		incarnation: t.Incarnation(),
 		dataCentre:  t.DataCentre(),
+		need:        job.Need(),
 	}
 }
 
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -64,6 +64,13 @@
 
 // Seams are the decisions and views that a scheduler is given.
 type Seams struct {
+	// Quota returns what the tasks of a team may hold at once and the team's weight;
+	// false means that the team has no quota.
+	Quota func(team string) (apricotwinch.Resources, float64, bool)
+	// Total returns the capacity of the fleet.
+	Total func() apricotwinch.Resources
+	// Size corrects the declared size of a task of the jobs called name.
+	Size func(now time.Time, team, name string, declared apricotwinch.Resources) apricotwinch.Resources
 	// Place chooses a host and reserves room on it, or fails with kind NoCapacity,
 	// Unschedulable or NoTarget.
 	Place func(now time.Time, request Request) (string, error)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -27,6 +27,13 @@
 	queue    *queue
 	attempts *attemptSet
 	parking  map[string]bool
+	refused  []refusal
+}
+
+// refusal is a job that must be parked because the queue refused it.
+type refusal struct {
+	job    *bookkeeper.Job
+	reason string
 }
 
 // New returns a scheduler for epoch over a book that is folded through the
@@ -40,17 +47,17 @@
 		book:     book,
 		entry:    entry,
 		epoch:    epoch,
-		queue:    newQueue(),
 		attempts: newAttemptSet(),
 		parking:  make(map[string]bool),
 	}
+	s.queue = newQueue(&s.seams)
 	grantedUntil := s.leaseEnd(now)
 	if !clean {
 		grantedUntil = grantedUntil.Add(config.OutageAllowance)
 	}
 	for _, state := range book.States("") {
 		job, _ := book.Job(state.Job)
-		s.adopt(job, grantedUntil)
+		s.adopt(now, job, grantedUntil)
 	}
 	return s
 }
@@ -64,26 +71,42 @@
 // Running returns the number of assigned attempts.
 func (s *Scheduler) Running() int { return s.attempts.len() }
 
-func (s *Scheduler) adopt(job *bookkeeper.Job, grantedUntil time.Time) {
+// adopt takes over the tasks of a job from the last owner.
+func (s *Scheduler) adopt(now time.Time, job *bookkeeper.Job, grantedUntil time.Time) {
 	for i := range job.Tasks() {
 		switch job.Task(i).Phase() {
 		case bookkeeper.Waiting:
-			s.queue.add(&waiter{job: job, task: i})
+			s.wait(now, job, i, time.Time{})
 		case bookkeeper.Assigned:
 			a := newAttempt(job, i)
 			a.grantedUntil = grantedUntil
 			s.attempts.add(a)
-			s.seams.Adopted(a.host, request(job, i, a.id))
+			s.queue.adopt(now, job, a.id)
+			s.seams.Adopted(a.host, request(job, i, a.id, job.Need()))
+			if job.Canceled() {
+				a.stop = stopCanceled
+			}
 		}
 	}
 }
 
+// wait queues a task unless its job is parked. A task over its team's quota
+// parks its job at the next tick.
+func (s *Scheduler) wait(now time.Time, job *bookkeeper.Job, task int, notBefore time.Time) {
+	if job.Parked() != "" {
+		return
+	}
+	if err := s.queue.add(now, job, task, notBefore); err != nil {
+		s.refused = append(s.refused, refusal{job: job, reason: string(apricotwinch.KindOf(err))})
+	}
+}
+
 // Applied takes in the changes of one folded record.
 func (s *Scheduler) Applied(now time.Time, changes []bookkeeper.Change) []Action {
 	var actions []Action
 	for _, change := range changes {
 		if change.Task() < 0 {
-			s.jobChanged(change.Job())
+			s.jobChanged(now, change.Job())
 			continue
 		}
 		actions = append(actions, s.taskMoved(now, change)...)
@@ -91,17 +114,16 @@
 	return actions
 }
 
-func (s *Scheduler) jobChanged(job *bookkeeper.Job) {
+func (s *Scheduler) jobChanged(now time.Time, job *bookkeeper.Job) {
 	delete(s.parking, job.ID())
 	for i := range job.Tasks() {
-		if job.Task(i).Phase() == bookkeeper.Waiting && job.Parked() == "" {
-			s.queue.add(&waiter{job: job, task: i})
-		}
-		if job.Parked() != "" {
-			s.queue.remove(job.ID(), i)
-		}
-		if job.Canceled() && job.Task(i).Phase() == bookkeeper.Assigned {
-			s.markStop(apricotwinch.NewAttemptID(job.ID(), i, job.Task(i).Attempt()), stopCanceled)
+		switch task := job.Task(i); {
+		case task.Phase() == bookkeeper.Waiting && job.Parked() == "":
+			s.wait(now, job, i, time.Time{})
+		case task.Phase() == bookkeeper.Waiting:
+			s.queue.finish(nextID(job, i))
+		case task.Phase() == bookkeeper.Assigned && job.Canceled():
+			s.markStop(apricotwinch.NewAttemptID(job.ID(), i, task.Attempt()), stopCanceled)
 		}
 	}
 }
@@ -119,12 +141,13 @@
 	if before.Phase() == bookkeeper.Assigned {
 		verdict = s.ended(now, job, apricotwinch.NewAttemptID(job.ID(), change.Task(), before.Attempt()))
 	}
-	s.queue.remove(job.ID(), change.Task())
 	switch job.Task(change.Task()).Phase() {
 	case bookkeeper.Waiting:
-		return s.requeue(job, change.Task(), verdict)
+		return s.requeue(now, job, change.Task(), verdict)
 	case bookkeeper.Assigned:
 		return s.started(now, job, change.Task())
+	case bookkeeper.Canceled:
+		s.queue.finish(nextID(job, change.Task()))
 	}
 	return nil
 }
@@ -133,6 +156,7 @@
 func (s *Scheduler) ended(now time.Time, job *bookkeeper.Job, id apricotwinch.AttemptID) Verdict {
 	a := s.attempts.get(id)
 	s.attempts.remove(id)
+	s.queue.finish(id)
 	if a == nil || a.final == nil {
 		return Verdict{}
 	}
@@ -148,12 +172,9 @@
 
 // requeue lets the task wait again, or parks its job; a watch service is never
 // parked.
-func (s *Scheduler) requeue(job *bookkeeper.Job, task int, verdict Verdict) []Action {
-	if job.Parked() != "" {
-		return nil
-	}
-	s.queue.add(&waiter{job: job, task: task, notBefore: verdict.NotBefore})
-	if verdict.Park == "" || job.Watch() || s.parking[job.ID()] {
+func (s *Scheduler) requeue(now time.Time, job *bookkeeper.Job, task int, verdict Verdict) []Action {
+	s.wait(now, job, task, verdict.NotBefore)
+	if job.Parked() != "" || verdict.Park == "" || job.Watch() || s.parking[job.ID()] {
 		return nil
 	}
 	return []Action{s.park(job, verdict.Park)}
@@ -163,6 +184,10 @@
 func (s *Scheduler) started(now time.Time, job *bookkeeper.Job, task int) []Action {
 	a := newAttempt(job, task)
 	a.grantedUntil = now
+	if w := s.queue.waiting[a.id]; w != nil {
+		a.need = w.need
+	}
+	s.queue.started(a.id)
 	s.attempts.add(a)
 	return s.sendAssign(now, a)
 }
@@ -177,6 +202,8 @@
 	a.assignedAt = now
 	a.grant(s.leaseEnd(now), false)
 	task := a.job.Task(a.id.Task())
+	spec := a.job.Spec()
+	spec.Resources = messenger.FromResources(a.need)
 	return []Action{{Address: host.Address, Assign: &messenger.Assign{
 		Partition:    s.book.Partition(),
 		Epoch:        int(s.epoch),
@@ -187,7 +214,7 @@
 		Job:          a.id.Job(),
 		Task:         a.id.Task(),
 		Attempt:      a.id.Attempt(),
-		Spec:         a.job.Spec(),
+		Spec:         spec,
 		Checkpoint:   task.Checkpoint(),
 	}}}
 }
@@ -254,13 +281,12 @@
 
 // AppendFailed takes in that a record was refused or may or may not have landed.
 // An end that may have landed still bars new leases, and is appended again.
-func (s *Scheduler) AppendFailed(record messenger.LedgerRecord) {
+func (s *Scheduler) AppendFailed(now time.Time, record messenger.LedgerRecord) {
 	switch record.Type {
 	case messenger.RecordAssigned:
-		s.seams.Unplace(record.Host, apricotwinch.NewAttemptID(record.Job, record.Task, record.Attempt))
-		if w := s.queue.get(record.Job, record.Task); w != nil {
-			w.placing = false
-		}
+		id := apricotwinch.NewAttemptID(record.Job, record.Task, record.Attempt)
+		s.seams.Unplace(record.Host, id)
+		s.queue.putBack(now, id, now.Add(s.config.PlaceRetry))
 	case messenger.RecordParked:
 		delete(s.parking, record.Job)
 	default:
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -113,6 +113,11 @@
 		Place: func(time.Time, scheduler.Request) (string, error) {
 			return w.names[w.rand.IntN(len(w.names))], nil
 		},
+		Quota: func(string) (apricotwinch.Resources, float64, bool) { return apricotwinch.Resources{}, 0, false },
+		Total: func() apricotwinch.Resources { return apricotwinch.NewResources(1000, 1000, 0) },
+		Size: func(_ time.Time, _, _ string, declared apricotwinch.Resources) apricotwinch.Resources {
+			return declared
+		},
 		Accepted: func(time.Time, apricotwinch.AttemptID) {},
 		Adopted:  func(string, scheduler.Request) {},
 		Unplace:  func(string, apricotwinch.AttemptID) {},
@@ -161,7 +166,7 @@
 			record := *action.Append
 			w.inbox = append(w.inbox, message{at: w.now.Add(50 * time.Millisecond), deliver: func() {
 				if w.rand.IntN(20) == 0 {
-					o.scheduler.AppendFailed(record)
+					o.scheduler.AppendFailed(w.now, record)
 					if w.rand.IntN(2) == 0 {
 						return
 					}
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -68,66 +68,74 @@
 	}}, true
 }
 
+// tickQueue parks the jobs that the queue refused and assigns waiting tasks.
 func (s *Scheduler) tickQueue(now time.Time) []Action {
 	var actions []Action
-	starts := 0
-	s.queue.each(func(w *waiter) bool {
-		if starts >= s.config.StartsPerTick {
-			return false
+	for _, r := range s.refused {
+		if !s.parking[r.job.ID()] && r.job.Parked() == "" {
+			actions = append(actions, s.park(r.job, r.reason))
 		}
-		if w.placing || now.Before(w.notBefore) || s.parking[w.job.ID()] {
-			return true
+	}
+	s.refused = nil
+	s.queue.refresh(now)
+	for range s.config.StartsPerTick {
+		w := s.queue.next(now)
+		if w == nil {
+			break
 		}
-		action, placed := s.place(now, w)
-		if action != nil {
+		if action := s.place(now, w); action != nil {
 			actions = append(actions, *action)
 		}
-		if placed {
-			starts++
-		}
-		return true
-	})
+	}
 	return actions
 }
 
 // place returns the record that assigns or parks w, or nothing when no host has
 // room now.
-func (s *Scheduler) place(now time.Time, w *waiter) (*Action, bool) {
-	task := w.job.Task(w.task)
-	id := apricotwinch.NewAttemptID(w.job.ID(), w.task, task.Attempt()+1)
-	name, err := s.seams.Place(now, request(w.job, w.task, id))
-	if apricotwinch.KindOf(err) == apricotwinch.Unschedulable {
-		action := s.park(w.job, err.Error())
-		return &action, false
+func (s *Scheduler) place(now time.Time, w *waiter) *Action {
+	task := w.id.Task()
+	if s.parking[w.job.ID()] {
+		s.queue.putBack(now, w.id, now.Add(s.config.PlaceRetry))
+		return nil
 	}
+	name, err := s.seams.Place(now, request(w.job, task, w.id, w.need))
 	if err != nil {
-		w.notBefore = now.Add(s.config.PlaceRetry)
-		return nil, false
+		s.queue.putBack(now, w.id, now.Add(s.config.PlaceRetry))
+		return s.parkUnschedulable(w.job, err)
 	}
 	host, ok := s.seams.Lookup(name)
 	if !ok {
-		s.seams.Unplace(name, id)
-		return nil, false
+		s.seams.Unplace(name, w.id)
+		s.queue.putBack(now, w.id, now.Add(s.config.PlaceRetry))
+		return nil
 	}
-	w.placing = true
 	record := s.record(messenger.RecordAssigned, w.job)
 	record.UnixMillis = int(now.UnixMilli())
-	record.Task = id.Task()
-	record.Attempt = id.Attempt()
+	record.Task = task
+	record.Attempt = w.id.Attempt()
 	record.Host = host.Name
 	record.Incarnation = host.Incarnation
 	record.DataCentre = host.DataCentre
-	return &Action{Append: record}, true
+	return &Action{Append: record}
+}
+
+// parkUnschedulable parks a job that no host can ever hold.
+func (s *Scheduler) parkUnschedulable(job *bookkeeper.Job, err error) *Action {
+	if apricotwinch.KindOf(err) != apricotwinch.Unschedulable {
+		return nil
+	}
+	action := s.park(job, err.Error())
+	return &action
 }
 
 // request returns what the placer needs to know of an attempt.
-func request(job *bookkeeper.Job, task int, id apricotwinch.AttemptID) Request {
+func request(job *bookkeeper.Job, task int, id apricotwinch.AttemptID, need apricotwinch.Resources) Request {
 	return Request{
 		Attempt:     id,
 		Team:        job.Team(),
 		Name:        job.Spec().Name,
 		Urgency:     urgencyOf(job),
-		Need:        job.Need(),
+		Need:        need,
 		FailedHosts: job.Task(task).FailedHosts(),
 	}
 }
