--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -113,7 +113,14 @@
 		Place: func(time.Time, scheduler.Request) (string, error) {
 			return w.names[w.rand.IntN(len(w.names))], nil
 		},
-		Unplace: func(string, apricotwinch.AttemptID) {},
+		Quota: func(string) (apricotwinch.Resources, float64, bool) { return apricotwinch.Resources{}, 0, false },
+		Total: func() apricotwinch.Resources { return apricotwinch.NewResources(1000, 1000, 0) },
+		Size: func(_ time.Time, _, _ string, declared apricotwinch.Resources) apricotwinch.Resources {
+			return declared
+		},
+		Accepted: func(time.Time, apricotwinch.AttemptID) {},
+		Adopted:  func(string, scheduler.Request) {},
+		Unplace:  func(string, apricotwinch.AttemptID) {},
 		Lookup: func(host string) (scheduler.Host, bool) {
 			a := w.agents[host]
 			seen := w.now.Add(-time.Duration(w.rand.IntN(2000)) * time.Millisecond)
@@ -126,7 +133,7 @@
 			}, !a.down.After(w.now)
 		},
 		DataCentreOut: func(string) bool { return false },
-		Ended:         func(time.Time, scheduler.End) {},
+		Ended:         func(time.Time, scheduler.End) scheduler.Verdict { return scheduler.Verdict{} },
 	}
 }
 
@@ -159,7 +166,7 @@
 			record := *action.Append
 			w.inbox = append(w.inbox, message{at: w.now.Add(50 * time.Millisecond), deliver: func() {
 				if w.rand.IntN(20) == 0 {
-					o.scheduler.AppendFailed(record)
+					o.scheduler.AppendFailed(w.now, record)
 					if w.rand.IntN(2) == 0 {
 						return
 					}
