Check the log's answers, fuzz the decoders and measure the folds

Cause: a read with a hole or offsets out of order would have skipped records without a trace.

The HTTP client refuses offsets that don't grow or fit the next one, and a follower repeats a read that left out a record that the log still holds. Benchmarks give the cost and the memory of the folds at three sizes, and the records that one append carries.

Conclusion: the new test of a read with a hole fails without the check and passes with it; go test -race ./appender ./configurator ./claimer ./deduplicator passes; each fuzz target ran 8 s without a finding.

--- a/appender/follower.go
+++ b/appender/follower.go
@@ -59,6 +59,19 @@
 // is whole again only from a snapshot on.
 func (v View) Gap() bool { return v.gap }
 
+// contiguous reports whether no record is left out after offset from, or after the
+// earliest offset.
+func (v View) contiguous(from int64) bool {
+	next := max(from, v.earliest)
+	for _, r := range v.records {
+		if r.Offset() != next {
+			return false
+		}
+		next++
+	}
+	return true
+}
+
 // Follower follows one stream by long polls.
 type Follower struct {
 	log      Log
@@ -94,7 +107,10 @@
 	}
 }
 
-var errMoved = errors.New("offsets of the stream moved backwards")
+var (
+	errMoved   = errors.New("offsets of the stream moved backwards")
+	errMissing = errors.New("read left out a record that the log still holds")
+)
 
 func (f *Follower) poll(ctx context.Context, from int64) (View, error) {
 	f.count(counterPolls, 1)
@@ -112,6 +128,9 @@
 	if len(view.records) == 0 && !view.complete {
 		return View{}, errNoProgress
 	}
+	if !view.contiguous(from) {
+		return View{}, errMissing
+	}
 	return view, nil
 }
 
--- a/appender/follower_test.go
+++ b/appender/follower_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -138,3 +140,92 @@
 		t.Errorf("kind = %s (%v), want %s", kind, err, apricotwinch.LogUnavailable)
 	}
 }
+
+// TestFollowerRefusesLeftOutRecords holds that a read with a hole in it is repeated
+// and never passed on.
+func TestFollowerRefusesLeftOutRecords(t *testing.T) {
+	f := newFakeLog()
+	f.append(context.Background(), "s", [][]byte{record("0"), record("1"), record("2")})
+	reads := 0
+	log := appender.Log{Read: func(ctx context.Context, stream string, from int64, wait time.Duration) (appender.Batch, error) {
+		batch, err := f.read(ctx, stream, from, wait)
+		if reads++; reads == 1 {
+			records := batch.Records()
+			return appender.NewBatch([]appender.Record{records[0], records[2]}, 0, 3), err
+		}
+		return batch, err
+	}}
+	got := summarize(<-follow(t, log, 0))
+	if diff := cmp.Diff(seen{Offsets: []int64{0, 1, 2}, Complete: true}, got); diff != "" {
+		t.Errorf("first view (-want +got):\n%s", diff)
+	}
+}
+
+func FuzzHTTPReply(f *testing.F) {
+	for _, body := range []string{
+		`{"offset":5}`,
+		`{"earliest":0,"next":2,"records":[{"offset":0,"data":"e30="},{"offset":1,"data":""}]}`,
+		`{"earliest":3,"next":1,"records":[{"offset":-1,"data":"x"}]}`,
+		`[`,
+	} {
+		f.Add([]byte(body))
+	}
+	var body []byte
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Write(body) }))
+	client := &http.Client{}
+	f.Cleanup(func() { client.CloseIdleConnections(); server.Close() })
+	log := appender.NewHTTP(server.URL, client)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		body = data
+		_, err := log.Append(context.Background(), "s", nil)
+		batch, readErr := log.Read(context.Background(), "s", 0, 0)
+		for _, err := range []error{err, readErr} {
+			if err != nil && apricotwinch.KindOf(err) != apricotwinch.LogUnavailable {
+				t.Errorf("kind of %v is not %s", err, apricotwinch.LogUnavailable)
+			}
+		}
+		last := int64(-1)
+		for _, r := range batch.Records() {
+			if r.Offset() <= last || r.Offset() >= batch.Next() {
+				t.Errorf("offset %d after %d, next is %d", r.Offset(), last, batch.Next())
+			}
+			last = r.Offset()
+		}
+	})
+}
+
+// BenchmarkAppend measures how many records one append carries when the log takes
+// 4 ms for each, for numbers of callers that append one record after another.
+func BenchmarkAppend(b *testing.B) {
+	for _, callers := range []int{16, 128, 1024, 8192} {
+		b.Run(fmt.Sprint("callers=", callers), func(b *testing.B) {
+			appends, offset := 0, int64(0)
+			log := appender.Log{Append: func(_ context.Context, _ string, records [][]byte) (int64, error) {
+				time.Sleep(4 * time.Millisecond)
+				appends++
+				first := offset
+				offset += int64(len(records))
+				return first, nil
+			}}
+			a := appender.New(log, "s", clockwork.NewRealClock(), metrics.NewRegistry())
+			ctx, cancel := context.WithCancel(context.Background())
+			var running, group sync.WaitGroup
+			running.Go(func() { a.Run(ctx) })
+			data := record("x")
+			b.ResetTimer()
+			for i := range callers {
+				group.Go(func() {
+					for n := i; n < b.N; n += callers {
+						a.Append(ctx, "x", data)
+					}
+				})
+			}
+			group.Wait()
+			b.StopTimer()
+			cancel()
+			running.Wait()
+			b.ReportMetric(float64(b.N)/float64(appends), "records/append")
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "records/s")
+		})
+	}
+}
--- a/appender/http.go
+++ b/appender/http.go
@@ -68,6 +68,9 @@
 	if err := receive(ctx, call, &reply); err != nil {
 		return Batch{}, apricotwinch.Errorf(apricotwinch.LogUnavailable, "read stream %s: %w", stream, err)
 	}
+	if err := checkRead(reply); err != nil {
+		return Batch{}, apricotwinch.Errorf(apricotwinch.LogUnavailable, "read stream %s: %w", stream, err)
+	}
 	records := make([]Record, 0, len(reply.Records))
 	for _, r := range reply.Records {
 		records = append(records, NewRecord(int64(r.Offset), r.Data))
@@ -75,6 +78,21 @@
 	return NewBatch(records, int64(reply.Earliest), int64(reply.Next)), nil
 }
 
+// checkRead checks that the offsets of reply grow and lie below the next one.
+func checkRead(reply messenger.LogRead) error {
+	last := -1
+	for _, r := range reply.Records {
+		if r.Offset <= last {
+			return fmt.Errorf("records: offset %d after offset %d", r.Offset, last)
+		}
+		last = r.Offset
+	}
+	if reply.Earliest < 0 || reply.Next < reply.Earliest || reply.Next <= last {
+		return fmt.Errorf("earliest offset %d, last offset %d and next offset %d don't fit", reply.Earliest, last, reply.Next)
+	}
+	return nil
+}
+
 // receive sends call and decodes its answer into reply.
 func receive(ctx context.Context, call *sling.Sling, reply any) error {
 	request, err := call.Request()
--- a/claimer/table_test.go
+++ b/claimer/table_test.go
@@ -1,6 +1,7 @@
 package claimer_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"slices"
 	"testing"
@@ -180,8 +181,36 @@
 	}
 }
 
+func FuzzObserve(f *testing.F) {
+	for _, r := range []messenger.ClaimRecord{
+		record("a", -1, []int{0, 1, 5}, nil),
+		record("onlooker", 0, nil, []int{0}, messenger.PartitionEpoch{Partition: 1, Epoch: 0}),
+	} {
+		data, _ := json.Marshal(r)
+		f.Add(data, data)
+	}
+	f.Fuzz(func(t *testing.T, first, second []byte) {
+		c := claimer.New(messenger.EntryAddress{Entry: "onlooker"}, "region", 2, claimer.DefaultTiming())
+		for offset, data := range [][]byte{first, second} {
+			var r messenger.ClaimRecord
+			if json.Unmarshal(data, &r) != nil {
+				c.Skip(int64(offset))
+				continue
+			}
+			c.Observe(epochStart, int64(offset), r)
+		}
+		c.Current(epochStart)
+		c.Tick(epochStart)
+		for _, owner := range c.Owners() {
+			if owner.Epoch < 0 || owner.Epoch > 1 {
+				t.Errorf("epoch %d is no offset of a record", owner.Epoch)
+			}
+		}
+	})
+}
+
 func BenchmarkObserve(b *testing.B) {
-	for _, size := range []int{1000, 10000, 100000} {
+	for _, size := range []int{64, 1000, 10000, 100000} {
 		b.Run(fmt.Sprint("partitions=", size), func(b *testing.B) {
 			c := claimer.New(messenger.EntryAddress{Entry: "onlooker"}, "region", size, claimer.DefaultTiming())
 			all := make([]int, size)
@@ -194,11 +223,13 @@
 			}
 			c.Observe(epochStart, 0, record("a", -1, all, nil))
 			beat := record("a", 0, nil, nil, holds...)
+			data, _ := json.Marshal(beat)
 			b.ReportAllocs()
 			b.ResetTimer()
 			for i := range b.N {
 				c.Observe(epochStart, int64(i+1), beat)
 			}
+			b.ReportMetric(float64(len(data)), "log-B/heartbeat")
 		})
 	}
 }
--- a/configurator/property_test.go
+++ b/configurator/property_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"runtime"
 	"slices"
 	"strings"
 	"testing"
@@ -171,26 +172,90 @@
 	}
 }
 
+// newFilled returns a folder with leaves services, ten in each team, and the heap
+// bytes that each of them takes.
+func newFilled(b *testing.B, leaves int) (folder *configurator.Folder, bytesPerLeaf float64) {
+	before := heapBytes()
+	folder = configurator.New()
+	for i := range leaves {
+		foldService(b, folder, leaves, 0, i)
+	}
+	return folder, (heapBytes() - before) / float64(leaves)
+}
+
+func heapBytes() float64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc)
+}
+
+// foldService folds an edit of one of leaves services at offset.
+func foldService(b *testing.B, folder *configurator.Folder, leaves, base, offset int) {
+	i := offset % leaves
+	path := fmt.Sprintf("teams/t%d/services/s%d", i/10, i%10)
+	value := fmt.Sprintf(`{"urgency":"batch","timeoutMillis":%d}`, 1+offset%1000)
+	if err := folder.Fold(int64(offset), edit(fmt.Sprint(offset), "operators/o", path, base, value)).Err(); err != nil {
+		b.Fatal(err)
+	}
+}
+
+var sizes = []int{1000, 10000, 100000}
+
 func BenchmarkFold(b *testing.B) {
-	for _, leaves := range []int{1000, 10000, 100000} {
+	for _, leaves := range sizes {
 		b.Run(fmt.Sprint("leaves=", leaves), func(b *testing.B) {
-			folder := configurator.New()
-			path := func(i int) string { return fmt.Sprintf("teams/t%d/services/s%d", i/10, i%10) }
-			fold := func(offset, base int) {
-				value := fmt.Sprintf(`{"urgency":"batch","timeoutMillis":%d}`, 1+offset%1000)
-				o := folder.Fold(int64(offset), edit(fmt.Sprint(offset), "operators/o", path(offset%leaves), base, value))
-				if o.Err() != nil {
-					b.Fatal(o.Err())
-				}
+			folder, bytesPerLeaf := newFilled(b, leaves)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				foldService(b, folder, leaves, i+1, leaves+i)
 				folder.View()
 			}
-			for i := range leaves {
-				fold(i, 0)
+			b.ReportMetric(bytesPerLeaf, "heap-B/leaf")
+		})
+	}
+}
+
+func BenchmarkSnapshot(b *testing.B) {
+	for _, leaves := range sizes {
+		b.Run(fmt.Sprint("leaves=", leaves), func(b *testing.B) {
+			folder, _ := newFilled(b, leaves)
+			size, parts := 0, 0
+			b.ResetTimer()
+			for range b.N {
+				size, parts = 0, 0
+				for _, part := range folder.Snapshot(512 << 10) {
+					data, _ := json.Marshal(messenger.EditRecord{Id: "s", Author: "e", Snapshot: &part})
+					size += len(data)
+					parts++
+				}
+			}
+			b.ReportMetric(float64(size)/float64(leaves), "log-B/leaf")
+			b.ReportMetric(float64(parts), "parts")
+		})
+	}
+}
+
+func BenchmarkRecover(b *testing.B) {
+	for _, leaves := range sizes {
+		b.Run(fmt.Sprint("leaves=", leaves), func(b *testing.B) {
+			folder, _ := newFilled(b, leaves)
+			var records [][]byte
+			for _, part := range folder.Snapshot(512 << 10) {
+				data, _ := json.Marshal(messenger.EditRecord{Id: "s", Author: "e", Snapshot: &part})
+				records = append(records, data)
 			}
-			b.ReportAllocs()
 			b.ResetTimer()
-			for i := range b.N {
-				fold(leaves+i, i+1)
+			for range b.N {
+				restored := configurator.New()
+				restored.Gap(int64(leaves))
+				for i, data := range records {
+					restored.FoldData(int64(leaves+i), data)
+				}
+				if !restored.Whole() {
+					b.Fatal("not whole")
+				}
 			}
 		})
 	}
--- a/deduplicator/folder_test.go
+++ b/deduplicator/folder_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"runtime"
 	"testing"
 	"time"
 
@@ -159,18 +160,28 @@
 				r.Key = names[i/2%len(names)]
 				f.Fold(start.Add(time.Duration(i/2)*time.Second), int64(i), r)
 			}
+			before := heapBytes()
 			for i := range 2 * keys {
 				fold(i)
 			}
+			bytesPerKey := (heapBytes() - before) / float64(keys)
 			b.ReportAllocs()
 			b.ResetTimer()
 			for i := range b.N {
 				fold(2*keys + i)
 			}
+			b.ReportMetric(bytesPerKey, "heap-B/key")
 		})
 	}
 }
 
+func heapBytes() float64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc)
+}
+
 func ExampleFolder() {
 	f := newFolder()
 	f.Fold(start, 0, record(messenger.KeyClaimed, "first", ""))
