Give a slow log more time

Cause: a log that answers each call in over 3 s was given up every time, as if it were down, though its appends landed.

The timeout doubles after a call that timed out, up to 10 s, and is twice the latency of one that succeeded, 3 s at least.

Conclusion: go test -race -count=3 ./appender passes; the test of the timeouts runs on a fake clock.

--- a/appender/appender.go
+++ b/appender/appender.go
@@ -20,8 +20,9 @@
 	registry metrics.Registry
 	wake     chan struct{}
 
-	// tail is an offset that every later append gets or passes; Run alone uses it.
-	tail int64
+	// Run alone uses these. Every later append gets tail or a greater offset.
+	tail     int64
+	patience *patience
 
 	mu           sync.Mutex
 	waiting      queue
@@ -37,6 +38,7 @@
 		clock:    clock,
 		registry: registry,
 		wake:     make(chan struct{}, 1),
+		patience: newPatience(clock),
 	}
 }
 
--- a/appender/appender_test.go
+++ b/appender/appender_test.go
@@ -232,6 +232,31 @@
 	})
 }
 
+// TestTimeoutFollowsLatency holds that a slow log gets more time, up to a bound,
+// and a fast one less.
+func TestTimeoutFollowsLatency(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	call := appender.NewCall(clock)
+	var got []time.Duration
+	for _, take := range []time.Duration{7 * time.Second, 8 * time.Second, 14 * time.Second, 5 * time.Second, time.Second, 0} {
+		call(context.Background(), time.Second, func(ctx context.Context) error {
+			deadline, _ := ctx.Deadline()
+			timeout := deadline.Sub(clock.Now())
+			got = append(got, timeout-time.Second)
+			clock.Advance(take)
+			if take > timeout {
+				<-ctx.Done()
+				return ctx.Err()
+			}
+			return nil
+		})
+	}
+	want := []time.Duration{3 * time.Second, 6 * time.Second, 10 * time.Second, 10 * time.Second, 8 * time.Second, 3 * time.Second}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("timeouts (-want +got):\n%s", diff)
+	}
+}
+
 func waitFor(t *testing.T, condition func() bool) {
 	t.Helper()
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
--- a/appender/flush.go
+++ b/appender/flush.go
@@ -6,7 +6,6 @@
 	"errors"
 
 	"github.com/cenkalti/backoff/v5"
-	"github.com/jonboulle/clockwork"
 
 	"apricotwinch"
 )
@@ -37,10 +36,12 @@
 		records = append(records, p.data)
 	}
 	sent := a.clock.Now()
-	ctx, cancel := clockwork.WithTimeout(ctx, a.clock, appendTimeout)
-	defer cancel()
 	a.count(counterAppends, 1)
-	offset, err := a.log.Append(ctx, a.stream, records)
+	var offset int64
+	err := a.patience.call(ctx, 0, func(ctx context.Context) (err error) {
+		offset, err = a.log.Append(ctx, a.stream, records)
+		return err
+	})
 	if err != nil {
 		a.count(counterFailures, 1)
 		a.failed(sent)
@@ -171,9 +172,11 @@
 
 // readPage reads once without waiting and checks that the read got on.
 func (a *Appender) readPage(ctx context.Context, from int64) (Batch, error) {
-	ctx, cancel := clockwork.WithTimeout(ctx, a.clock, readTimeout)
-	defer cancel()
-	page, err := a.log.Read(ctx, a.stream, from, 0)
+	var page Batch
+	err := a.patience.call(ctx, 0, func(ctx context.Context) (err error) {
+		page, err = a.log.Read(ctx, a.stream, from, 0)
+		return err
+	})
 	if err != nil {
 		return Batch{}, err
 	}
--- a/appender/follower.go
+++ b/appender/follower.go
@@ -79,11 +79,19 @@
 	clock    clockwork.Clock
 	registry metrics.Registry
 	handle   func(View)
+	patience *patience
 }
 
 // NewFollower returns a follower that passes each view of stream to handle.
 func NewFollower(log Log, stream string, clock clockwork.Clock, registry metrics.Registry, handle func(View)) *Follower {
-	return &Follower{log: log, stream: stream, clock: clock, registry: registry, handle: handle}
+	return &Follower{
+		log:      log,
+		stream:   stream,
+		clock:    clock,
+		registry: registry,
+		handle:   handle,
+		patience: newPatience(clock),
+	}
 }
 
 // Run follows the stream from offset from until ctx ends. It calls handle after
@@ -114,10 +122,12 @@
 
 func (f *Follower) poll(ctx context.Context, from int64) (View, error) {
 	f.count(counterPolls, 1)
-	ctx, cancel := clockwork.WithTimeout(ctx, f.clock, pollWait+readTimeout)
-	defer cancel()
 	asOf := f.clock.Now()
-	batch, err := f.log.Read(ctx, f.stream, from, pollWait)
+	var batch Batch
+	err := f.patience.call(ctx, pollWait, func(ctx context.Context) (err error) {
+		batch, err = f.log.Read(ctx, f.stream, from, pollWait)
+		return err
+	})
 	if err != nil {
 		return View{}, err
 	}
--- a/appender/options.go
+++ b/appender/options.go
@@ -15,8 +15,8 @@
 
 // Times of an appender and a follower.
 const (
-	appendTimeout = 3 * time.Second
-	readTimeout   = 3 * time.Second
+	timeoutMin    = 3 * time.Second
+	timeoutMax    = 10 * time.Second
 	pollWait      = time.Second
 	failFastAfter = 2 * time.Second
 
