--- a/appender/follower.go
+++ b/appender/follower.go
@@ -59,6 +59,19 @@
 // is whole again only from a snapshot on.
 func (v View) Gap() bool { return v.gap }
 
+// contiguous reports whether no record is left out after offset from, or after the
+// earliest offset.
+func (v View) contiguous(from int64) bool {
+	next := max(from, v.earliest)
+	for _, r := range v.records {
+		if r.Offset() != next {
+			return false
+		}
+		next++
+	}
+	return true
+}
+
 // Follower follows one stream by long polls.
 type Follower struct {
 	log      Log
@@ -66,11 +79,19 @@
 	clock    clockwork.Clock
 	registry metrics.Registry
 	handle   func(View)
+	patience *patience
 }
 
 // NewFollower returns a follower that passes each view of stream to handle.
 func NewFollower(log Log, stream string, clock clockwork.Clock, registry metrics.Registry, handle func(View)) *Follower {
-	return &Follower{log: log, stream: stream, clock: clock, registry: registry, handle: handle}
+	return &Follower{
+		log:      log,
+		stream:   stream,
+		clock:    clock,
+		registry: registry,
+		handle:   handle,
+		patience: newPatience(clock),
+	}
 }
 
 // Run follows the stream from offset from until ctx ends. It calls handle after
@@ -94,14 +115,19 @@
 	}
 }
 
-var errMoved = errors.New("offsets of the stream moved backwards")
+var (
+	errMoved   = errors.New("offsets of the stream moved backwards")
+	errMissing = errors.New("read left out a record that the log still holds")
+)
 
 func (f *Follower) poll(ctx context.Context, from int64) (View, error) {
 	f.count(counterPolls, 1)
-	ctx, cancel := clockwork.WithTimeout(ctx, f.clock, pollWait+readTimeout)
-	defer cancel()
 	asOf := f.clock.Now()
-	batch, err := f.log.Read(ctx, f.stream, from, pollWait)
+	var batch Batch
+	err := f.patience.call(ctx, pollWait, func(ctx context.Context) (err error) {
+		batch, err = f.log.Read(ctx, f.stream, from, pollWait)
+		return err
+	})
 	if err != nil {
 		return View{}, err
 	}
@@ -112,6 +138,9 @@
 	if len(view.records) == 0 && !view.complete {
 		return View{}, errNoProgress
 	}
+	if !view.contiguous(from) {
+		return View{}, errMissing
+	}
 	return view, nil
 }
 
