--- a/leaser/assign.go
+++ b/leaser/assign.go
@@ -17,13 +17,16 @@
 	if known := l.attempts[id]; known != nil {
 		return known.assignReply(), Actions{}
 	}
+	if err := l.checkAge(now, command); err != nil {
+		return refusal(err), Actions{}
+	}
 	a := &attempt{
 		id:          id,
 		partition:   command.Partition,
 		routed:      true,
 		checkpoint:  command.Checkpoint,
 		startBefore: l.startBefore(command),
-		lease:       l.ticketTime(command.TicketMillis).Add(time.Duration(command.LeaseMillis) * time.Millisecond),
+		lease:       l.firstLease(command),
 		confirmed:   now,
 	}
 	l.attempts[id] = a
@@ -56,10 +59,15 @@
 	return before
 }
 
+// firstLease returns the end of the lease that command grants.
+func (l *Leaser) firstLease(command messenger.Assign) time.Time {
+	return l.ticketTime(command.TicketMillis).Add(time.Duration(command.LeaseMillis) * time.Millisecond)
+}
+
 // checkStart returns an error unless a may start now, and reserves its room.
 func (l *Leaser) checkStart(now time.Time, a *attempt, command messenger.Assign) error {
-	if err := l.checkTicket(now, a, command); err != nil {
-		return err
+	if command.TicketMillis < 0 || command.TicketMillis > l.Ticket(now) {
+		return apricotwinch.Errorf(apricotwinch.Invalid, "ticketMillis: %d is not a ticket of this agent", command.TicketMillis)
 	}
 	if l.draining {
 		return apricotwinch.Errorf(apricotwinch.Draining, "the host is leaving")
@@ -78,15 +86,13 @@
 	return l.arbiter.ReserveAttempt(a.id, resources(command.Spec.Resources))
 }
 
-func (l *Leaser) checkTicket(now time.Time, a *attempt, command messenger.Assign) error {
-	age := l.Ticket(now) - command.TicketMillis
-	if command.TicketMillis < 0 || age < 0 {
-		return apricotwinch.Errorf(apricotwinch.Invalid, "ticketMillis: %d is not a ticket of this agent", command.TicketMillis)
-	}
-	if time.Duration(age)*time.Millisecond > l.settings.TicketLife {
-		return apricotwinch.Errorf(apricotwinch.DeadlineExceeded, "ticketMillis: the ticket is %d ms old, over %s", age, l.settings.TicketLife)
+// checkAge returns an error when the command is too old. It stays too old, so
+// that its refusal needs no remembering.
+func (l *Leaser) checkAge(now time.Time, command messenger.Assign) error {
+	if age := now.Sub(l.ticketTime(command.TicketMillis)); age > l.settings.TicketLife {
+		return apricotwinch.Errorf(apricotwinch.DeadlineExceeded, "ticketMillis: the ticket is %s old, over %s", age, l.settings.TicketLife)
 	}
-	if !now.Before(a.lease) {
+	if !now.Before(l.firstLease(command)) {
 		return apricotwinch.Errorf(apricotwinch.DeadlineExceeded, "leaseMillis: the lease is over before the start")
 	}
 	return nil
--- a/leaser/attempt.go
+++ b/leaser/attempt.go
@@ -1,8 +1,6 @@
 package leaser
 
 import (
-	"strconv"
-	"strings"
 	"time"
 
 	"apricotwinch"
@@ -36,7 +34,11 @@
 	reason     string
 }
 
-// attempt is one attempt as the agent knows it.
+// attempt is one attempt as the agent knows it. Its partition isn't known while
+// routed is false: the task was found at the worker and no owner has claimed it.
+//
+// It is answered when its refusal was the answer to a command: nothing is left to
+// report, and a repeated command gets the same answer.
 type attempt struct {
 	id        apricotwinch.AttemptID
 	partition int
@@ -63,6 +65,7 @@
 	atWorker  bool
 	forgotten bool
 	revived   bool
+	unclaimed bool
 }
 
 // live reports whether a may run at the worker.
@@ -78,7 +81,7 @@
 
 // unreported reports whether the end of a must still reach the log.
 func (a *attempt) unreported() bool {
-	return a.phase == ended && !a.durable && !a.answered && a.routed
+	return a.phase == ended && !a.durable && !a.answered && !a.unclaimed
 }
 
 // stopDue reports whether the worker must be told to stop a.
@@ -99,7 +102,7 @@
 
 // forgetDue reports whether the worker may drop what it keeps of a.
 func (a *attempt) forgetDue() bool {
-	return a.phase == ended && a.atWorker && !a.revived && !a.forgotten && (a.durable || !a.routed)
+	return a.phase == ended && a.atWorker && !a.revived && !a.forgotten && (a.durable || a.unclaimed)
 }
 
 // order has a stopped; the first order stands.
@@ -121,6 +124,12 @@
 	return report
 }
 
+// probe returns the report by which the owner of a is found. It never tells an
+// end, which the owner of another partition would take for settled.
+func (a *attempt) probe() messenger.TaskReport {
+	return messenger.TaskReport{Job: a.id.Job(), Task: a.id.Task(), Attempt: a.id.Attempt(), Phase: messenger.ReportRunning}
+}
+
 // end ends a with report and gives its room back.
 func (l *Leaser) end(now time.Time, a *attempt, report messenger.TaskReport) {
 	if !a.live() {
@@ -144,17 +153,3 @@
 func IDOf(ref messenger.AttemptRef) apricotwinch.AttemptID {
 	return apricotwinch.NewAttemptID(ref.Job, ref.Task, ref.Attempt)
 }
-
-// PartitionOfJob returns the partition in a job id of the form pN-rest.
-func PartitionOfJob(job string) (int, bool) {
-	rest, ok := strings.CutPrefix(job, "p")
-	if !ok {
-		return 0, false
-	}
-	number, _, ok := strings.Cut(rest, "-")
-	if !ok {
-		return 0, false
-	}
-	partition, err := strconv.ParseUint(number, 10, 31)
-	return int(partition), err == nil
-}
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -17,6 +17,10 @@
 	"apricotwinch/messenger"
 )
 
+// failuresToExpire is the number of failed lists after which an attempt whose
+// lease is over is held for ended.
+const failuresToExpire = 8
+
 // Settings are the periods of a Leaser and the identity of its agent.
 type Settings struct {
 	// Incarnation is the incarnation of the agent's process.
@@ -49,8 +53,9 @@
 	AdoptedLease time.Duration
 	// Margin is added to the end of a lease before the attempt is held for over.
 	Margin time.Duration
-	// Partition returns the partition of a job, for attempts found at the worker.
-	Partition func(job string) (int, bool)
+	// ClaimWithin is how long an attempt that was found at the worker is kept after
+	// its end for an owner to claim it.
+	ClaimWithin time.Duration
 }
 
 // DefaultSettings returns the standard periods for an agent's incarnation whose
@@ -70,7 +75,7 @@
 		Silence:      6 * time.Second,
 		Margin:       2 * time.Second,
 		AdoptedLease: 10 * time.Second,
-		Partition:    PartitionOfJob,
+		ClaimWithin:  10 * time.Minute,
 	}
 }
 
@@ -85,6 +90,8 @@
 	draining bool
 	listing  bool
 	nextList time.Time
+	// listFailures is the number of lists that failed since one was answered.
+	listFailures int
 }
 
 // New returns a leaser that takes the attempts' room from room.
@@ -122,6 +129,7 @@
 	var actions Actions
 	for _, a := range l.sorted() {
 		l.expire(now, a)
+		l.disclaim(now, a)
 		l.advance(now, a, &actions)
 		l.remove(now, a)
 	}
@@ -166,15 +174,22 @@
 	return n
 }
 
-// expire ends an attempt whose lease is over and of which the worker says
-// nothing.
+// expire ends an attempt whose lease is over while the worker doesn't answer: it
+// can't tell how the attempt ended, but by its lease it has.
 func (l *Leaser) expire(now time.Time, a *attempt) {
-	if !a.live() || !l.silent(now, a) || now.Before(a.over().Add(l.settings.Margin)) {
+	if !a.live() || l.listFailures < failuresToExpire || now.Before(a.over().Add(l.settings.Margin)) {
 		return
 	}
 	l.end(now, a, messenger.TaskReport{Phase: messenger.ReportEvicted, Checkpoint: a.checkpoint, Reason: reasonLapsed})
 }
 
+// disclaim gives up an ended attempt that no owner claimed.
+func (l *Leaser) disclaim(now time.Time, a *attempt) {
+	if !a.live() && !a.routed && now.Sub(a.endedAt) >= l.settings.ClaimWithin {
+		a.unclaimed = true
+	}
+}
+
 func (l *Leaser) silent(now time.Time, a *attempt) bool {
 	return now.Sub(a.confirmed) > l.settings.Silence
 }
--- a/leaser/renewal.go
+++ b/leaser/renewal.go
@@ -50,15 +50,10 @@
 
 // renew asks owners to renew leases and to take final reports, as far as due.
 func (l *Leaser) renew(now time.Time, actions *Actions) {
-	reports := l.reports()
-	partitions := make([]int, 0, len(reports))
-	for partition := range reports {
-		partitions = append(partitions, partition)
-	}
-	slices.Sort(partitions)
-	for _, partition := range partitions {
-		o := l.owner(partition)
-		if o.address == "" || o.calling || !l.renewDue(now, partition, o) {
+	agendas := l.agendas()
+	for _, partition := range l.partitions() {
+		o, agenda := l.owners[partition], agendas[partition]
+		if o.address == "" || o.calling || !l.due(now, o, agenda) {
 			continue
 		}
 		o.calling = true
@@ -69,42 +64,67 @@
 			partition: partition,
 			epoch:     o.epoch,
 			ticket:    l.Ticket(now),
-			reports:   reports[partition],
+			reports:   agenda.reports,
 		})
 	}
 }
 
-// reports returns a report on each attempt that an owner must hear of, by
-// partition.
-func (l *Leaser) reports() map[int][]messenger.TaskReport {
-	reports := make(map[int][]messenger.TaskReport)
+// agenda is what the owner of one partition must hear.
+type agenda struct {
+	reports []messenger.TaskReport
+	live    bool
+	final   bool
+}
+
+// agendas returns the agenda of each partition. An attempt of no known partition
+// is on each: its owner is the one that grants it a lease.
+func (l *Leaser) agendas() map[int]agenda {
+	agendas := make(map[int]agenda, len(l.owners))
 	for _, a := range l.sorted() {
-		if a.routed && (a.live() || !a.durable) {
-			reports[a.partition] = append(reports[a.partition], a.reportNow())
+		if a.durable || a.unclaimed || a.answered {
+			continue
+		}
+		if a.routed {
+			agendas[a.partition] = agendas[a.partition].with(a.reportNow(), a.live(), a.unreported())
+			continue
+		}
+		for _, partition := range l.partitions() {
+			agendas[partition] = agendas[partition].with(a.probe(), true, false)
 		}
 	}
-	return reports
+	return agendas
 }
 
-func (l *Leaser) renewDue(now time.Time, partition int, o *owner) bool {
-	live, final := false, false
-	for _, a := range l.attempts {
-		if a.routed && a.partition == partition {
-			live = live || a.live()
-			final = final || a.unreported()
-		}
-	}
+func (g agenda) with(report messenger.TaskReport, live, final bool) agenda {
+	g.reports = append(g.reports, report)
+	g.live = g.live || live
+	g.final = g.final || final
+	return g
+}
+
+// due reports whether the owner must hear its agenda now.
+func (l *Leaser) due(now time.Time, o *owner, g agenda) bool {
 	since := now.Sub(o.lastCall)
 	switch {
-	case final:
+	case g.final:
 		return o.urgent || since >= l.settings.ReportEvery
-	case live:
+	case g.live:
 		return o.urgent || since >= l.settings.RenewEvery
 	default:
 		return false
 	}
 }
 
+// partitions returns the known partitions in order.
+func (l *Leaser) partitions() []int {
+	partitions := make([]int, 0, len(l.owners))
+	for partition := range l.owners {
+		partitions = append(partitions, partition)
+	}
+	slices.Sort(partitions)
+	return partitions
+}
+
 // Renewed takes an owner's answer to renewal, however late. Leases that it
 // grants are counted from the ticket of the renewal. The answer of a replaced
 // owner is dropped, which the second result reports.
@@ -118,6 +138,7 @@
 		return l.Tick(now), false
 	}
 	until := l.ticketTime(renewal.ticket).Add(time.Duration(reply.LeaseMillis) * time.Millisecond)
+	l.route(renewal.partition, reply.Granted)
 	for _, a := range l.named(renewal.partition, reply.Granted) {
 		l.grant(now, a, until)
 	}
@@ -130,6 +151,19 @@
 	return l.Tick(now), true
 }
 
+// route notes that the owner of partition claimed refs by granting them a lease.
+func (l *Leaser) route(partition int, refs []messenger.AttemptRef) {
+	for _, ref := range refs {
+		a := l.attempts[IDOf(ref)]
+		if a == nil || a.routed {
+			continue
+		}
+		a.routed = true
+		a.partition = partition
+		l.owner(partition).urgent = !a.live()
+	}
+}
+
 // grant moves the end of a's lease to until, never back.
 func (l *Leaser) grant(now time.Time, a *attempt, until time.Time) {
 	if !a.live() || l.silent(now, a) || !until.After(a.lease) {
--- a/leaser/worker.go
+++ b/leaser/worker.go
@@ -102,9 +102,11 @@
 func (l *Leaser) Listed(now, sent time.Time, tasks []messenger.WorkerTask, err error) Actions {
 	l.listing = false
 	if err != nil {
+		l.listFailures++
 		l.nextList = now.Add(l.settings.RetryEvery)
 		return l.Tick(now)
 	}
+	l.listFailures = 0
 	l.nextList = now.Add(l.settings.ListEvery)
 	present := make(map[apricotwinch.AttemptID]bool, len(tasks))
 	for _, task := range tasks {
@@ -129,11 +131,8 @@
 
 // adopt takes over a task that an earlier incarnation of the agent started.
 func (l *Leaser) adopt(sent time.Time, id apricotwinch.AttemptID) *attempt {
-	partition, routed := l.settings.Partition(id.Job())
 	a := &attempt{
 		id:        id,
-		partition: partition,
-		routed:    routed,
 		phase:     running,
 		startedAt: sent,
 		confirmed: sent,
