--- a/agent/agent.go
+++ b/agent/agent.go
@@ -17,6 +17,7 @@
 	"apricotwinch"
 	"apricotwinch/arbiter"
 	"apricotwinch/connector"
+	"apricotwinch/drainer"
 	"apricotwinch/leaser"
 	"apricotwinch/messenger"
 )
@@ -72,7 +73,7 @@
 		security:    security,
 		pool:        connector.NewPool(security, registry),
 		incarnation: uuid.NewString(),
-		room:        arbiter.New(resourcesOf(settings.Capacity)),
+		room:        arbiter.New(settings.Capacity.Value()),
 	}
 	a.leaser = leaser.New(a.leaserSettings(), a.room)
 	a.requests = a.newRequests()
@@ -101,7 +102,7 @@
 		room:        a.room,
 		targets:     newTargets(a.room, millis(a.settings.TargetTimeoutMillis, 3*time.Second)),
 		exchanges:   newExchanges(keepAnswers, maxExchanges, maxAnswerBytes),
-		idle:        make(chan struct{}),
+		drainer:     drainer.New(),
 	}
 }
 
@@ -222,15 +223,11 @@
 	a.logger.Info("agent draining", "host", a.settings.Name)
 	ctx, cancel := clockwork.WithTimeout(ctx, a.clock, millis(a.settings.DrainMillis, 30*time.Second))
 	defer cancel()
-	a.mu.Lock()
-	a.requests.drain()
-	a.mu.Unlock()
+	a.requests.drainer.Start()
 	a.heartbeat.wake()
 	a.attempts.step(a.leaser.Drain)
-	select {
-	case <-a.requests.idle:
-	case <-ctx.Done():
-		a.logger.Warn("requests are still running at the end of the drain period")
+	if a.requests.drainer.Wait(ctx) != nil {
+		a.logger.Warn("requests are still running at the end of the drain period", "requests", a.requests.drainer.InFlight())
 	}
 	if !a.awaitDrained(ctx) {
 		a.logger.Warn("attempts are not settled at the end of the drain period")
@@ -270,9 +267,9 @@
 		DataCentre:   a.settings.DataCentre,
 		Rack:         a.settings.Rack,
 		TicketMillis: a.leaser.Ticket(now),
-		Draining:     a.requests.draining,
-		Capacity:     messageOf(a.room.Capacity()),
-		Committed:    messageOf(a.committed()),
+		Draining:     a.requests.drainer.Draining(),
+		Capacity:     messenger.FromResources(a.room.Capacity()),
+		Committed:    messenger.FromResources(a.committed()),
 		Services:     a.requests.targets.summaries(now),
 	}
 }
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -129,7 +129,7 @@
 	h := startHost(t, nil)
 	h.dispatch(t, "a", nil)
 	status, text := h.get(t, "/metrics")
-	if status != http.StatusOK || !strings.Contains(text, "apricotwinch_refused_no_target 1\n") {
+	if status != http.StatusOK || !strings.Contains(text, "apricotwinch_refused_no_target_total 1\n") {
 		t.Errorf("status %d:\n%s", status, text)
 	}
 	if status, _ := h.get(t, "/readyz"); status != http.StatusOK {
--- a/agent/exchange.go
+++ b/agent/exchange.go
@@ -29,6 +29,7 @@
 	deadline time.Time
 	state    exchangeState
 	timer    clockwork.Timer
+	leave    func()
 	answered chan struct{}
 	reply    messenger.DispatchReply
 	endedAt  time.Time
@@ -85,6 +86,9 @@
 		x.timer.Stop()
 	}
 	x.answer(reply)
+	if x.leave != nil {
+		x.leave()
+	}
 	e.ended = append(e.ended, x)
 	e.bytes += len(reply.Body)
 	e.trim()
--- a/agent/request.go
+++ b/agent/request.go
@@ -10,12 +10,15 @@
 
 	"apricotwinch"
 	"apricotwinch/arbiter"
+	"apricotwinch/drainer"
 	"apricotwinch/messenger"
 )
 
 const (
 	// MaxBodyBytes bounds the body of a request and of its answer.
 	MaxBodyBytes = 1 << 20
+	// maxDeadlineMillis bounds the deadline of a request, in milliseconds.
+	maxDeadlineMillis = 3_600_000
 	// keepAnswers is how long an answer is kept for an entry that lost it.
 	keepAnswers = time.Minute
 	// maxExchanges bounds the requests that are known at once.
@@ -36,9 +39,7 @@
 	room        *arbiter.Arbiter
 	targets     *targets
 	exchanges   *exchanges
-	draining    bool
-	running     int
-	idle        chan struct{}
+	drainer     *drainer.Drainer
 }
 
 // dispatch answers one request of an entry. A request id that is known joins the
@@ -93,7 +94,7 @@
 		request:  d,
 		service:  serviceKey{team: d.Team, service: d.Service},
 		urgency:  urgency,
-		deadline: now.Add(time.Duration(d.DeadlineMillis) * time.Millisecond),
+		deadline: now.Add(time.Duration(min(d.DeadlineMillis, maxDeadlineMillis)) * time.Millisecond),
 		answered: make(chan struct{}),
 	}
 	if !r.exchanges.add(now, x) {
@@ -113,9 +114,11 @@
 	if !now.Before(x.deadline) {
 		return apricotwinch.Errorf(apricotwinch.DeadlineExceeded, "deadlineMillis: the deadline passed before the request was sent")
 	}
-	if r.draining {
-		return apricotwinch.Errorf(apricotwinch.Draining, "the host is leaving")
+	leave, err := r.drainer.Enter()
+	if err != nil {
+		return err
 	}
+	x.leave = leave
 	known, err := r.targets.find(x.service)
 	if err != nil {
 		return err
@@ -134,7 +137,6 @@
 // start sends x, which holds a slot.
 func (r *requests) start(x *exchange) {
 	x.state = sent
-	r.running++
 	go r.send(x)
 }
 
@@ -152,9 +154,7 @@
 	r.countOutcome(reply)
 	r.exchanges.end(now, x, reply)
 	r.room.Release(x.service.String())
-	r.running--
 	r.pump(x.service)
-	r.signal()
 }
 
 func (r *requests) lookup(key serviceKey) *target {
@@ -205,7 +205,6 @@
 		known.dequeue(x)
 	}
 	r.refuse(r.clock.Now(), x, err)
-	r.signal()
 }
 
 func (r *requests) refuse(now time.Time, x *exchange, err error) {
@@ -249,24 +248,6 @@
 		r.refuse(now, x, apricotwinch.Errorf(apricotwinch.NoTarget, "service %s: its target on this host is gone", x.service))
 	}
 	r.exchanges.sweep(now)
-	r.signal()
-}
-
-// drain refuses new requests; idle is closed when none is under way.
-func (r *requests) drain() {
-	r.draining = true
-	r.signal()
-}
-
-func (r *requests) signal() {
-	if !r.draining || r.running > 0 {
-		return
-	}
-	select {
-	case <-r.idle:
-	default:
-		close(r.idle)
-	}
 }
 
 func (r *requests) count(name string) {
--- a/agent/server.go
+++ b/agent/server.go
@@ -10,6 +10,7 @@
 
 	"apricotwinch"
 	"apricotwinch/messenger"
+	"apricotwinch/reporter"
 )
 
 // Bounds of the HTTP server for local targets.
@@ -20,18 +21,11 @@
 	shutdownTimeout   = time.Second
 )
 
-// errorAnswer is the body of an HTTP refusal.
-type errorAnswer struct {
-	Kind   apricotwinch.Kind `json:"kind"`
-	Text   string            `json:"text"`
-	NotRun bool              `json:"notRun"`
-}
-
 // handler returns the HTTP handler for local targets and for metrics.
 func (a *Agent) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/targets", a.serveTargets)
-	mux.HandleFunc("GET /metrics", a.serveMetrics)
+	mux.Handle("GET /metrics", reporter.New(a.registry))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", a.serveReady)
 	return mux
@@ -87,22 +81,19 @@
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(answer.Status())
 	// An error here is a target that has gone away.
-	_ = json.NewEncoder(w).Encode(errorAnswer{Kind: answer.Kind(), Text: err.Error(), NotRun: answer.NotRun()})
+	_ = json.NewEncoder(w).Encode(messenger.ErrorAnswer{
+		Kind:             string(answer.Kind()),
+		Text:             err.Error(),
+		NotRun:           answer.NotRun(),
+		Retryable:        answer.Retryable(),
+		RetryAfterMillis: int(answer.RetryAfter().Milliseconds()),
+	})
 }
 
 func (a *Agent) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if err := a.ready(); err != nil {
-		writeError(w, err)
+	if a.requests.drainer.Draining() {
+		writeError(w, apricotwinch.Errorf(apricotwinch.Draining, "the host is leaving"))
 		return
 	}
 	w.WriteHeader(http.StatusOK)
 }
-
-func (a *Agent) ready() error {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.requests.draining {
-		return apricotwinch.Errorf(apricotwinch.Draining, "the host is leaving")
-	}
-	return nil
-}
--- a/agent/settings.go
+++ b/agent/settings.go
@@ -1,24 +1,20 @@
 package agent
 
 import (
-	"bytes"
-	"crypto/tls"
-	"crypto/x509"
 	_ "embed" // The schema of the settings file.
-	"encoding/json"
 	"net"
-	"os"
 	"time"
 
 	"apricotwinch"
 	"apricotwinch/connector"
+	"apricotwinch/loader"
 	"apricotwinch/messenger"
 )
 
-// Schema is the JSON schema of the settings file.
-//
 //go:embed settings.schema.json
-var Schema []byte
+var schemaData []byte
+
+var schema = loader.MustSchema(schemaData)
 
 // Settings are the contents of an agent's settings file. A period of zero takes
 // its default.
@@ -44,32 +40,19 @@
 	DrainMillis         int  `json:"drainMillis,omitempty"`
 	SettleMillis        *int `json:"settleMillis,omitempty"`
 
-	SharedKey string       `json:"sharedKey,omitempty"`
-	TLS       *TLSSettings `json:"tls,omitempty"`
-}
-
-// TLSSettings name the files for mutual TLS between processes.
-type TLSSettings struct {
-	Certificate string `json:"certificate"`
-	Key         string `json:"key"`
-	Authority   string `json:"authority"`
+	SharedKey string           `json:"sharedKey,omitempty"`
+	TLS       *connector.Files `json:"tls,omitempty"`
 }
 
 // Load reads the settings file at path. It fails with kind Invalid, naming the
 // file and the field.
 func Load(path string) (Settings, error) {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return Settings{}, apricotwinch.Errorf(apricotwinch.Invalid, "agent settings: %w", err)
-	}
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
 	var s Settings
-	if err := decoder.Decode(&s); err != nil {
-		return Settings{}, apricotwinch.Errorf(apricotwinch.Invalid, "agent settings %s: %w", path, err)
+	if err := loader.Load(path, schema, &s); err != nil {
+		return Settings{}, err
 	}
 	if err := s.Check(); err != nil {
-		return Settings{}, apricotwinch.Errorf(apricotwinch.Invalid, "agent settings %s: %w", path, err)
+		return Settings{}, apricotwinch.Errorf(apricotwinch.Invalid, "%s: %w", path, err)
 	}
 	return s, nil
 }
@@ -93,7 +76,7 @@
 	if len(s.Entries) == 0 {
 		return apricotwinch.Errorf(apricotwinch.Invalid, "entries: names no entry")
 	}
-	if c := resourcesOf(s.Capacity); c.Negative() || c.Zero() {
+	if c := s.Capacity.Value(); c.Negative() || c.Zero() {
 		return apricotwinch.Errorf(apricotwinch.Invalid, "capacity: %s is not the capacity of a host", c)
 	}
 	return checkLoopback("http", s.HTTP)
@@ -131,49 +114,9 @@
 	if s.TLS == nil {
 		return connector.NewSecurity(nil, nil, []byte(s.SharedKey)), nil
 	}
-	certificate, err := tls.LoadX509KeyPair(s.TLS.Certificate, s.TLS.Key)
+	server, client, err := s.TLS.Load()
 	if err != nil {
-		return connector.Security{}, apricotwinch.Errorf(apricotwinch.Invalid, "tls: %w", err)
-	}
-	authority, err := os.ReadFile(s.TLS.Authority)
-	if err != nil {
-		return connector.Security{}, apricotwinch.Errorf(apricotwinch.Invalid, "tls.authority: %w", err)
-	}
-	roots := x509.NewCertPool()
-	if !roots.AppendCertsFromPEM(authority) {
-		return connector.Security{}, apricotwinch.Errorf(apricotwinch.Invalid, "tls.authority: %s holds no certificate", s.TLS.Authority)
-	}
-	server := &tls.Config{
-		MinVersion:   tls.VersionTLS13,
-		Certificates: []tls.Certificate{certificate},
-		ClientCAs:    roots,
-		ClientAuth:   tls.RequireAndVerifyClientCert,
-	}
-	client := &tls.Config{
-		MinVersion:   tls.VersionTLS13,
-		Certificates: []tls.Certificate{certificate},
-		RootCAs:      roots,
-		ServerName:   certificateName(certificate),
+		return connector.Security{}, err
 	}
 	return connector.NewSecurity(server, client, []byte(s.SharedKey)), nil
 }
-
-// certificateName returns the name that the fleet's certificates share.
-func certificateName(certificate tls.Certificate) string {
-	if certificate.Leaf == nil || len(certificate.Leaf.DNSNames) == 0 {
-		return ""
-	}
-	return certificate.Leaf.DNSNames[0]
-}
-
-func resourcesOf(r messenger.Resources) apricotwinch.Resources {
-	return apricotwinch.NewResources(int64(r.ProcessorMillis), int64(r.MemoryBytes), int64(r.Accelerators))
-}
-
-func messageOf(r apricotwinch.Resources) messenger.Resources {
-	return messenger.Resources{
-		ProcessorMillis: int(r.ProcessorMillis()),
-		MemoryBytes:     int(r.MemoryBytes()),
-		Accelerators:    int(r.Accelerators()),
-	}
-}
--- a/agent/target.go
+++ b/agent/target.go
@@ -55,7 +55,7 @@
 		return apricotwinch.Errorf(apricotwinch.Conflict,
 			"address: service %s is served at %s on this host", key, known.address)
 	}
-	if err := t.room.ReserveTarget(key.String(), resourcesOf(message.Reserved), message.Slots, message.Connections); err != nil {
+	if err := t.room.ReserveTarget(key.String(), message.Reserved.Value(), message.Slots, message.Connections); err != nil {
 		return err
 	}
 	if known == nil || known.address != message.Address || known.announce.Connections != message.Connections {
--- a/leaser/assign.go
+++ b/leaser/assign.go
@@ -83,7 +83,7 @@
 			return apricotwinch.Errorf(apricotwinch.Conflict, "attempt %s of the same task may still run", other.id)
 		}
 	}
-	return l.arbiter.ReserveAttempt(a.id, resources(command.Spec.Resources))
+	return l.arbiter.ReserveAttempt(a.id, command.Spec.Resources.Value())
 }
 
 // checkAge returns an error when the command is too old. It stays too old, so
@@ -110,10 +110,6 @@
 	return messenger.AssignReply{Kind: string(apricotwinch.KindOf(err)), Text: err.Error()}
 }
 
-func resources(r messenger.Resources) apricotwinch.Resources {
-	return apricotwinch.NewResources(int64(r.ProcessorMillis), int64(r.MemoryBytes), int64(r.Accelerators))
-}
-
 func workerStart(now time.Time, a *attempt, command messenger.Assign) messenger.WorkerStart {
 	return messenger.WorkerStart{
 		Attempt:               refOf(a.id),
--- a/leaser/world_test.go
+++ b/leaser/world_test.go
@@ -171,7 +171,7 @@
 	var sum apricotwinch.Resources
 	for _, k := range w.tasks {
 		if k.phase == "running" {
-			sum = sum.Add(value(k.need))
+			sum = sum.Add(k.need.Value())
 		}
 	}
 	if !sum.Fits(w.capacity) {
@@ -429,7 +429,3 @@
 	}
 	return refs
 }
-
-func value(r messenger.Resources) apricotwinch.Resources {
-	return apricotwinch.NewResources(int64(r.ProcessorMillis), int64(r.MemoryBytes), int64(r.Accelerators))
-}
