Add the bench of what a daemon costs

Benchmarks start an entry and agents, as processes up to 200 hosts and embedded beyond, and read processor time, memory and bytes from the system.

--- /dev/null
+++ b/measurer/capacity_test.go
@@ -0,0 +1,149 @@
+package measurer_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"apricotwinch/messenger"
+	"apricotwinch/requester"
+)
+
+// BenchmarkIdle measures agents and one entry without work, by hosts.
+func BenchmarkIdle(b *testing.B) {
+	for _, hosts := range []int{50, 100, 200} {
+		b.Run(fmt.Sprintf("processes=%d", hosts), func(b *testing.B) {
+			newFleet(b, shape{entries: 1, partitions: 16, hosts: hosts, targets: true}).measure()
+		})
+	}
+	for _, hosts := range []int{400, 800, 1600} {
+		b.Run(fmt.Sprintf("embedded=%d", hosts), func(b *testing.B) {
+			newFleet(b, shape{entries: 1, partitions: 16, hosts: hosts, embedded: true, targets: true}).measure()
+		})
+	}
+}
+
+// BenchmarkEntries measures agents and entries without work, by entries.
+func BenchmarkEntries(b *testing.B) {
+	for _, entries := range []int{1, 2, 4} {
+		b.Run(fmt.Sprintf("entries=%d", entries), func(b *testing.B) {
+			newFleet(b, shape{entries: entries, partitions: 16, hosts: 50, targets: true}).measure()
+		})
+	}
+}
+
+// BenchmarkPartitions measures agents without work, by partitions.
+func BenchmarkPartitions(b *testing.B) {
+	for _, partitions := range []int{16, 32, 64} {
+		b.Run(fmt.Sprintf("partitions=%d", partitions), func(b *testing.B) {
+			newFleet(b, shape{entries: 1, partitions: partitions, hosts: 25, targets: true}).measure()
+		})
+	}
+}
+
+// submit submits a job of the fleet's team.
+func (f *fleet) submit(kind string, tasks, runMillis int) string {
+	f.b.Helper()
+	id, err := f.calls.Submit(f.ctx, team, "", messenger.JobSpec{
+		Name: kind, Kind: kind, Urgency: "batch", Tasks: tasks, RunMillis: runMillis,
+		Resources: messenger.Resources{ProcessorMillis: 500, MemoryBytes: 1 << 28},
+	})
+	if err != nil {
+		f.b.Fatal(err)
+	}
+	return id
+}
+
+// phases counts the tasks of a job in a phase.
+func (f *fleet) phases(job, phase string) int {
+	state, err := f.calls.Job(f.ctx, team, job)
+	if err != nil {
+		return -1
+	}
+	n := 0
+	for _, task := range state.Tasks {
+		if task.Phase == phase {
+			n++
+		}
+	}
+	return n
+}
+
+// BenchmarkTasks measures agents and one entry by running tasks a host.
+func BenchmarkTasks(b *testing.B) {
+	for _, perHost := range []int{4, 8, 16} {
+		b.Run(fmt.Sprintf("perHost=%d", perHost), func(b *testing.B) {
+			f := newFleet(b, shape{entries: 1, partitions: 16, hosts: 50, targets: true})
+			job := f.submit(messenger.JobWatch, 50*perHost, 0)
+			f.await("running tasks", func() bool { return f.phases(job, messenger.TaskAssigned) == 50*perHost })
+			f.measure()
+		})
+	}
+}
+
+// BenchmarkRequests measures agents and one entry by requests a second.
+func BenchmarkRequests(b *testing.B) {
+	for _, perSecond := range []int{100, 200, 400} {
+		b.Run(fmt.Sprintf("perSecond=%d", perSecond), func(b *testing.B) {
+			f := newFleet(b, shape{entries: 1, partitions: 16, hosts: 20, targets: true, latency: 10 * time.Millisecond})
+			ctx, cancel := context.WithCancel(f.ctx)
+			var calls sync.WaitGroup
+			var answered, failed atomic.Int64
+			calls.Go(func() { f.load(ctx, perSecond, &answered, &failed) })
+			time.Sleep(2 * time.Second)
+			before := answered.Load()
+			f.measure()
+			b.ReportMetric(float64(answered.Load()-before)/window.Seconds(), "answered/s")
+			cancel()
+			calls.Wait()
+			b.ReportMetric(float64(failed.Load()), "failed")
+		})
+	}
+}
+
+// load sends requests at a rate until ctx ends.
+func (f *fleet) load(ctx context.Context, perSecond int, answered, failed *atomic.Int64) {
+	limiter := rate.NewLimiter(rate.Limit(perSecond), 1)
+	body := make([]byte, 256)
+	var calls sync.WaitGroup
+	for limiter.Wait(ctx) == nil {
+		calls.Go(func() {
+			_, err := f.calls.Request(f.ctx, service, body, requester.Options{Team: team, Idempotent: true})
+			if err != nil {
+				failed.Add(1)
+				return
+			}
+			answered.Add(1)
+		})
+	}
+	calls.Wait()
+}
+
+// BenchmarkStarts runs jobs of short tasks and measures one entry for each task
+// from submission to completion.
+func BenchmarkStarts(b *testing.B) {
+	for _, tasks := range []int{1000, 2000, 4000} {
+		b.Run(fmt.Sprintf("tasks=%d", tasks), func(b *testing.B) {
+			f := newFleet(b, shape{entries: 1, partitions: 16, hosts: 100, embedded: true})
+			entries, stats, began := f.costs(f.entries), f.log.Stats(), time.Now()
+			job := f.submit(messenger.JobBatch, tasks, 200)
+			f.await("completed tasks", func() bool { return f.phases(job, messenger.TaskCompleted) == tasks })
+			seconds, after := time.Since(began).Seconds(), f.log.Stats()
+			used := ratesOf(entries, f.costs(f.entries))
+			n := float64(tasks)
+			b.ReportMetric(n/seconds, "tasks/s")
+			b.ReportMetric(used.corePercent/100*seconds*1e6/n, "entry-µs/task")
+			b.ReportMetric((used.readRate+used.writeRate)*seconds/n, "entry-B/task")
+			b.ReportMetric(float64(after.Appends-stats.Appends)/n, "appends/task")
+			b.ReportMetric(float64(after.Records-stats.Records)/n, "records/task")
+			b.ReportMetric(float64(after.Bytes-stats.Bytes)/n, "logB/task")
+			b.ReportMetric(used.megabytes, "entry-MB")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
