Run keyed requests at most once, and never call a forgotten request withdrawn

Cause: keyed requests were refused, for the entry did not fold the keys streams. Two faults were found on the way. (1) An agent that was asked about a request that it had run and forgotten answered that it never would run; the key would have been claimed and run again. (2) An agent refused a command whose ticket was too old without remembering it; a fresher copy, sent before the owner saw the refusal, then started an attempt whose task the owner had already given to another host. Ruled out for (1): keeping answers for ever (unbounded). Before: TestRevokeOfForgottenRequest fails with Revoked true; TestStaleCommandBarsFresherCopy fails with the second copy accepted. After: both pass. A dispatch and a revocation carry the agent's ticket; beyond what the agent remembers it answers forgotten, which is an unknown outcome, and a dispatch with a ticket older than half of that is refused.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -99,9 +99,10 @@
 		registry:    a.registry,
 		grace:       millis(a.settings.RequestGraceMillis, 10*time.Second),
 		incarnation: a.incarnation,
+		origin:      a.leaser.Origin(),
 		room:        a.room,
 		targets:     newTargets(a.room, millis(a.settings.TargetTimeoutMillis, 3*time.Second)),
-		exchanges:   newExchanges(keepAnswers, maxExchanges, maxAnswerBytes),
+		exchanges:   newExchanges(millis(a.settings.KeepAnswersMillis, defaultKeepAnswers), maxExchanges, maxAnswerBytes),
 		drainer:     drainer.New(),
 	}
 }
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -1,6 +1,7 @@
 package agent_test
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -189,3 +190,39 @@
 		t.Errorf("requests at the target (-want +got):\n%s", diff)
 	}
 }
+
+// TestRevokeOfForgottenRequest asks about a request that ran and was forgotten:
+// the agent must not say that it was withdrawn.
+func TestRevokeOfForgottenRequest(t *testing.T) {
+	h := startHost(t, func(s *agent.Settings) { s.KeepAnswersMillis = 500 })
+	target := newFakeTarget(t, closed())
+	h.announceTarget(t, target, 1, false)
+	id, ticket := "", 0
+	eventually(t, "a request that ran", func() bool {
+		ticket = h.ticket(t)
+		id = fmt.Sprintf("at %d", ticket)
+		reply := h.dispatch(t, id, func(d *messenger.Dispatch) { d.TicketMillis = ticket })
+		return reply.Outcome == messenger.OutcomeAnswered
+	})
+	eventually(t, "the request to be forgotten", func() bool {
+		reply, err := call[messenger.RevokeReply](t, h, messenger.MethodRevoke,
+			messenger.Revoke{Request: id, Incarnation: h.Incarnation(), TicketMillis: ticket})
+		if err != nil || reply.Revoked {
+			t.Fatalf("a request that ran was revoked: %+v, %v", reply, err)
+		}
+		return reply.Forgotten
+	})
+}
+
+// TestDispatchWithOldTicket refuses a request whose entry was paused for longer
+// than the agent remembers a revocation.
+func TestDispatchWithOldTicket(t *testing.T) {
+	h := startHost(t, func(s *agent.Settings) { s.KeepAnswersMillis = 20 })
+	h.announceTarget(t, newFakeTarget(t, closed()), 1, false)
+	old := h.ticket(t)
+	eventually(t, "a later ticket", func() bool { return h.ticket(t) > old+20 })
+	reply := h.dispatch(t, "a", func(d *messenger.Dispatch) { d.TicketMillis = old })
+	if diff := cmp.Diff("refused stale_view", reply.Outcome+" "+reply.Kind); diff != "" {
+		t.Errorf("outcome (-want +got):\n%s", diff)
+	}
+}
--- a/agent/request.go
+++ b/agent/request.go
@@ -19,8 +19,9 @@
 	MaxBodyBytes = 1 << 20
 	// maxDeadlineMillis bounds the deadline of a request, in milliseconds.
 	maxDeadlineMillis = 3_600_000
-	// keepAnswers is how long an answer is kept for an entry that lost it.
-	keepAnswers = time.Minute
+	// defaultKeepAnswers is how long a request that ended is remembered for an
+	// entry that lost its answer.
+	defaultKeepAnswers = time.Minute
 	// maxExchanges bounds the requests that are known at once.
 	maxExchanges = 100_000
 	// maxAnswerBytes bounds the bodies of the answers that are kept.
@@ -36,6 +37,7 @@
 	registry    metrics.Registry
 	grace       time.Duration
 	incarnation string
+	origin      time.Time
 	room        *arbiter.Arbiter
 	targets     *targets
 	exchanges   *exchanges
@@ -76,10 +78,18 @@
 	if len(d.Body) > MaxBodyBytes {
 		return apricotwinch.Errorf(apricotwinch.TooLarge, "body: %d bytes are over %d", len(d.Body), MaxBodyBytes)
 	}
+	if age := r.ticketAge(d.TicketMillis); age > r.exchanges.keep/2 {
+		return apricotwinch.Errorf(apricotwinch.StaleView, "ticketMillis: the ticket is %s old, over %s", age, r.exchanges.keep/2)
+	}
 	_, err := apricotwinch.ParseUrgency(d.Urgency)
 	return err
 }
 
+// ticketAge returns the age of a ticket of this agent.
+func (r *requests) ticketAge(ticketMillis int) time.Duration {
+	return r.clock.Since(r.origin) - time.Duration(ticketMillis)*time.Millisecond
+}
+
 // join returns the exchange of a request id, a new one when it isn't known.
 func (r *requests) join(d messenger.Dispatch) *exchange {
 	r.mu.Lock()
@@ -213,7 +223,8 @@
 }
 
 // revoke withdraws a request that has not started. A request that isn't known is
-// refused when it arrives later.
+// refused when it arrives later; but when its ticket is older than what the agent
+// remembers, it may have run and been forgotten.
 func (r *requests) revoke(_ context.Context, m messenger.Revoke) (messenger.RevokeReply, error) {
 	if m.Incarnation != r.incarnation {
 		return messenger.RevokeReply{}, apricotwinch.Errorf(apricotwinch.StaleIncarnation,
@@ -224,6 +235,10 @@
 	now := r.clock.Now()
 	revoked := apricotwinch.Errorf(apricotwinch.Revoked, "the entry withdrew the request")
 	x := r.exchanges.byID[m.Request]
+	if x == nil && r.ticketAge(m.TicketMillis) >= r.exchanges.keep {
+		r.count("requests.forgotten")
+		return messenger.RevokeReply{Forgotten: true}, nil
+	}
 	if x == nil {
 		x = &exchange{request: messenger.Dispatch{Request: m.Request}, answered: make(chan struct{})}
 		if !r.exchanges.add(now, x) {
--- a/agent/settings.go
+++ b/agent/settings.go
@@ -37,6 +37,7 @@
 	WorkerTimeoutMillis int  `json:"workerTimeoutMillis,omitempty"`
 	TargetTimeoutMillis int  `json:"targetTimeoutMillis,omitempty"`
 	RequestGraceMillis  int  `json:"requestGraceMillis,omitempty"`
+	KeepAnswersMillis   int  `json:"keepAnswersMillis,omitempty"`
 	DrainMillis         int  `json:"drainMillis,omitempty"`
 	SettleMillis        *int `json:"settleMillis,omitempty"`
 
--- a/deduplicator/claim.go
+++ b/deduplicator/claim.go
@@ -26,6 +26,7 @@
 	entryIncarnation string
 	host             string
 	incarnation      string
+	ticketMillis     int
 	deadline         time.Time
 	phase            Phase
 	answer           messenger.DispatchReply
@@ -39,6 +40,7 @@
 		entryIncarnation: record.EntryIncarnation,
 		host:             record.Host,
 		incarnation:      record.Incarnation,
+		ticketMillis:     record.TicketMillis,
 		deadline:         time.UnixMilli(int64(record.DeadlineUnixMillis)),
 	}
 }
@@ -61,6 +63,9 @@
 // Incarnation returns the incarnation of that host's agent.
 func (c Claim) Incarnation() string { return c.incarnation }
 
+// TicketMillis returns the ticket that the request is sent with.
+func (c Claim) TicketMillis() int { return c.ticketMillis }
+
 // Deadline returns the deadline of the request.
 func (c Claim) Deadline() time.Time { return c.deadline }
 
--- a/deduplicator/request.go
+++ b/deduplicator/request.go
@@ -17,15 +17,20 @@
 
 // Target is the agent that a request is sent to.
 type Target struct {
-	host        string
-	incarnation string
+	host         string
+	incarnation  string
+	ticketMillis int
 }
 
-// NewTarget returns the agent on host with its incarnation.
-func NewTarget(host, incarnation string) Target {
-	return Target{host: host, incarnation: incarnation}
+// NewTarget returns the agent on host with its incarnation and its ticket, as of
+// when the request was claimed for it.
+func NewTarget(host, incarnation string, ticketMillis int) Target {
+	return Target{host: host, incarnation: incarnation, ticketMillis: ticketMillis}
 }
 
+// TicketMillis returns the ticket that the request is sent with.
+func (t Target) TicketMillis() int { return t.ticketMillis }
+
 // Host returns the name of the host.
 func (t Target) Host() string { return t.host }
 
@@ -233,7 +238,7 @@
 		return
 	}
 	q.nextAsk = now.Add(askInterval)
-	q.do(Action{actionType: Ask, target: NewTarget(q.subject.host, q.subject.incarnation), request: q.subject.request})
+	q.do(Action{actionType: Ask, target: NewTarget(q.subject.host, q.subject.incarnation, q.subject.ticketMillis), request: q.subject.request})
 }
 
 // Asked tells what a host said about request, which an Ask named. What comes late,
@@ -247,6 +252,8 @@
 		q.giveUp("the agent that had the request was replaced")
 	case err != nil:
 		// The next question may reach the host.
+	case reply.Forgotten:
+		q.giveUp("the agent that had the request no longer remembers it")
 	case reply.Revoked:
 		q.withdrawn(q.subject, apricotwinch.Revoked, "the request was withdrawn before it started")
 	case reply.Reply != nil && reply.Reply.Outcome != messenger.OutcomeUnknown:
@@ -306,6 +313,7 @@
 		entryIncarnation: q.self.Incarnation,
 		host:             q.target.host,
 		incarnation:      q.target.incarnation,
+		ticketMillis:     q.target.ticketMillis,
 		deadline:         q.spec.deadline,
 	}
 }
@@ -325,6 +333,7 @@
 		EntryIncarnation:   q.self.Incarnation,
 		Host:               claim.host,
 		Incarnation:        claim.incarnation,
+		TicketMillis:       claim.ticketMillis,
 		DeadlineUnixMillis: int(claim.deadline.UnixMilli()),
 	}
 }
--- a/deduplicator/request_test.go
+++ b/deduplicator/request_test.go
@@ -17,7 +17,7 @@
 func newRequest(id, entry, bodyHash string, gone bool) *deduplicator.Request {
 	spec := deduplicator.NewSpec(id, "t", "s", "k", bodyHash, start.Add(10*time.Second))
 	self := messenger.EntryAddress{Entry: entry, Incarnation: entry + "-1"}
-	return deduplicator.NewRequest(spec, self, deduplicator.NewTarget("host-"+id, "i"), func(string, string) bool { return gone })
+	return deduplicator.NewRequest(spec, self, deduplicator.NewTarget("host-"+id, "i", 0), func(string, string) bool { return gone })
 }
 
 func describe(actions []deduplicator.Action) string {
--- a/deduplicator/simulation_test.go
+++ b/deduplicator/simulation_test.go
@@ -171,7 +171,7 @@
 		}
 		return w.chance(10)
 	}
-	e.requests[id] = deduplicator.NewRequest(spec, self, deduplicator.NewTarget("host", "i"), gone)
+	e.requests[id] = deduplicator.NewRequest(spec, self, deduplicator.NewTarget("host", "i", 0), gone)
 	e.order = append(e.order, id)
 }
 
--- a/dispatcher/entry.go
+++ b/dispatcher/entry.go
@@ -61,6 +61,7 @@
 	views       *views
 	ownership   *ownership
 	admission   *admission
+	keys        []*keyPartition
 	claimsLog   *appender.Appender
 	settingsLog *appender.Appender
 	jobs        []*appender.Appender
@@ -110,6 +111,7 @@
 	e.settingsLog = e.newAppender(appender.StreamSettings)
 	for number := range e.settings.Partitions {
 		e.jobs = append(e.jobs, e.newAppender(appender.JobsStream(number)))
+		e.keys = append(e.keys, newKeyPartition(e, number))
 	}
 	e.members = newMembers(e.clock, e.logger, e.registry)
 	e.admission = newAdmission(e)
@@ -174,6 +176,9 @@
 	for _, jobs := range e.jobs {
 		parts = append(parts, jobs.Run)
 	}
+	for _, keys := range e.keys {
+		parts = append(parts, keys.run)
+	}
 	return parts
 }
 
--- a/dispatcher/keyed.go
+++ b/dispatcher/keyed.go
@@ -2,11 +2,273 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
 
 	"apricotwinch"
+	"apricotwinch/appender"
+	"apricotwinch/deduplicator"
 	"apricotwinch/messenger"
+	"apricotwinch/retrier"
+	"apricotwinch/router"
+)
+
+// What an entry remembers of the keys of one partition.
+const (
+	keyRetention = time.Hour
+	maxKeys      = 200_000
+	maxKeyState  = 48 << 20
+)
+
+const (
+	keyTick        = 50 * time.Millisecond
+	keyExpiry      = time.Minute
+	keyAppendLimit = 10 * time.Second
 )
 
-func (e *Entry) answerKeyed(_ context.Context, _ string, _ *request) (messenger.DispatchReply, error) {
-	return messenger.DispatchReply{}, apricotwinch.Errorf(apricotwinch.LogUnavailable, "tmp")
+// keyPartition follows the keys stream of one partition.
+type keyPartition struct {
+	entry    *Entry
+	stream   string
+	appender *appender.Appender
+
+	mu     sync.Mutex
+	folder *deduplicator.Folder
+	moved  chan struct{}
+}
+
+func newKeyPartition(entry *Entry, number int) *keyPartition {
+	stream := appender.KeysStream(number)
+	return &keyPartition{
+		entry:    entry,
+		stream:   stream,
+		appender: entry.newAppender(stream),
+		folder:   deduplicator.New(deduplicator.NewBounds(keyRetention, maxKeys, maxKeyState)),
+		moved:    make(chan struct{}),
+	}
+}
+
+// run follows the stream and appends to it until ctx ends.
+func (k *keyPartition) run(ctx context.Context) {
+	var group sync.WaitGroup
+	group.Go(func() { k.appender.Run(ctx) })
+	group.Go(func() {
+		appender.NewFollower(k.entry.log, k.stream, k.entry.clock, k.entry.registry, k.handle).Run(ctx, 0)
+	})
+	ticker := k.entry.clock.NewTicker(keyExpiry)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case now := <-ticker.Chan():
+			k.mu.Lock()
+			k.folder.Expire(now)
+			k.mu.Unlock()
+		}
+	}
+	group.Wait()
+}
+
+func (k *keyPartition) handle(view appender.View) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if view.Gap() {
+		k.folder.Gap(view.Earliest())
+	}
+	now := k.entry.clock.Now()
+	for _, record := range view.Records() {
+		if err := k.folder.FoldData(now, record.Offset(), record.Data()); err != nil {
+			k.entry.count("keys.malformed_records")
+		}
+	}
+	if len(view.Records()) > 0 {
+		close(k.moved)
+		k.moved = make(chan struct{})
+	}
+}
+
+func (k *keyPartition) append(record messenger.KeyRecord) (int64, error) {
+	data, err := json.Marshal(record)
+	if err != nil {
+		return 0, apricotwinch.Errorf(apricotwinch.Invalid, "record: %w", err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), keyAppendLimit)
+	defer cancel()
+	return k.appender.Append(ctx, record.Id, data)
+}
+
+// answerKeyed answers a request that must run at most once.
+func (e *Entry) answerKeyed(ctx context.Context, key string, r *request) (messenger.DispatchReply, error) {
+	k := e.keys[e.partitionOf(r.service.Team())]
+	sum := sha256.Sum256(r.body)
+	hash := hex.EncodeToString(sum[:])
+	for number := 1; ; number++ {
+		r.id = uuid.NewString()
+		target, err := e.members.choose(r, e.settings.DataCentre)
+		if err != nil {
+			return messenger.DispatchReply{}, err
+		}
+		if number == 1 {
+			e.admission.began(r.service.Team(), target.Host())
+		}
+		x := newKeyedExchange(e, k, r, key, hash, target)
+		reply, err := x.run(ctx)
+		if err == nil {
+			return reply, nil
+		}
+		if !x.sent || !e.retryKeyed(ctx, r, target, number, err) {
+			return messenger.DispatchReply{}, err
+		}
+		x.writes.Wait()
+	}
+}
+
+// retryKeyed reports whether a keyed request that provably did not run is sent
+// to another target, and waits until then.
+func (e *Entry) retryKeyed(ctx context.Context, r *request, target router.Target, number int, err error) bool {
+	r.tried = append(r.tried, target.Host())
+	kind := apricotwinch.KindOf(err)
+	if !kind.Answer().NotRun() {
+		return false
+	}
+	decision := e.admission.decide(retrier.NewTry(r.service.Team(), target.Host(), number, false, r.deadline, kind))
+	return decision.Retry() && e.sleepUntil(ctx, decision.At())
+}
+
+// keyedExchange drives the state machine of one keyed request.
+type keyedExchange struct {
+	entry   *Entry
+	keys    *keyPartition
+	request *request
+	target  router.Target
+	ticket  int
+	machine *deduplicator.Request
+	wake    chan struct{}
+	writes  sync.WaitGroup
+	// sent is whether the request was dispatched.
+	sent bool
+}
+
+func newKeyedExchange(e *Entry, k *keyPartition, r *request, key, hash string, target router.Target) *keyedExchange {
+	ticket := e.members.ticket(target.Host())
+	spec := deduplicator.NewSpec(r.id, r.service.Team(), r.service.Name(), key, hash, r.deadline)
+	return &keyedExchange{
+		entry:   e,
+		keys:    k,
+		request: r,
+		target:  target,
+		ticket:  ticket,
+		machine: deduplicator.NewRequest(spec, e.self(),
+			deduplicator.NewTarget(target.Host(), target.Incarnation(), ticket), e.ownership.gone),
+		wake: make(chan struct{}, 1),
+	}
+}
+
+// run steps the machine after each event until it answers, refuses or ctx ends.
+func (x *keyedExchange) run(ctx context.Context) (messenger.DispatchReply, error) {
+	ticker := x.entry.clock.NewTicker(keyTick)
+	defer ticker.Stop()
+	for {
+		actions, moved := x.step()
+		for _, action := range actions {
+			if reply, err, done := x.do(ctx, action); done {
+				return reply, err
+			}
+		}
+		select {
+		case <-x.wake:
+		case <-moved:
+		case <-ticker.Chan():
+		case <-ctx.Done():
+			return messenger.DispatchReply{}, apricotwinch.Errorf(apricotwinch.Unknown, "request %s: no outcome by the deadline", x.request.id)
+		}
+	}
+}
+
+func (x *keyedExchange) step() ([]deduplicator.Action, <-chan struct{}) {
+	x.keys.mu.Lock()
+	defer x.keys.mu.Unlock()
+	return x.machine.Step(x.entry.clock.Now(), x.keys.folder), x.keys.moved
+}
+
+// event tells the machine of an event and wakes the loop.
+func (x *keyedExchange) event(tell func()) {
+	x.keys.mu.Lock()
+	tell()
+	x.keys.mu.Unlock()
+	select {
+	case x.wake <- struct{}{}:
+	default:
+	}
+}
+
+// do carries out one action; done tells that the caller has its answer.
+func (x *keyedExchange) do(ctx context.Context, action deduplicator.Action) (reply messenger.DispatchReply, err error, done bool) { //nolint:revive // The error goes with the reply.
+	switch action.Type() {
+	case deduplicator.ClaimKey:
+		go x.claim(action.Record())
+	case deduplicator.Append:
+		x.writes.Go(func() {
+			if _, err := x.keys.append(action.Record()); err != nil {
+				x.entry.count("keys.append." + string(apricotwinch.KindOf(err)))
+			}
+		})
+	case deduplicator.Dispatch:
+		x.sent = true
+		go x.dispatch(ctx)
+	case deduplicator.Ask:
+		go x.ask(ctx, action)
+	case deduplicator.Answer:
+		return action.Reply(), nil, true
+	case deduplicator.Refuse:
+		return messenger.DispatchReply{}, action.Err(), true
+	}
+	return messenger.DispatchReply{}, nil, false
+}
+
+func (x *keyedExchange) claim(record messenger.KeyRecord) {
+	offset, err := x.keys.append(record)
+	if err != nil {
+		x.entry.count("keys.claim." + string(apricotwinch.KindOf(err)))
+	}
+	x.event(func() { x.machine.ClaimEnded(offset, err) })
+}
+
+func (x *keyedExchange) dispatch(ctx context.Context) {
+	reply, err := x.entry.sendOnce(ctx, x.request, x.target, x.ticket)
+	if err != nil {
+		reply = replyOf(x.request.id, err)
+	}
+	x.event(func() { x.machine.Dispatched(reply) })
+}
+
+// replyOf returns the outcome that an error of a dispatch stands for.
+func replyOf(id string, err error) messenger.DispatchReply {
+	kind := apricotwinch.KindOf(err)
+	outcome := messenger.OutcomeUnknown
+	if kind.Answer().NotRun() {
+		outcome = messenger.OutcomeRefused
+	}
+	return messenger.DispatchReply{Request: id, Outcome: outcome, Kind: string(kind), Text: err.Error()}
+}
+
+func (x *keyedExchange) ask(ctx context.Context, action deduplicator.Action) {
+	target := action.Target()
+	ctx, cancel := context.WithTimeout(ctx, revokeTimeout)
+	defer cancel()
+	var reply messenger.RevokeReply
+	err := apricotwinch.Errorf(apricotwinch.Unreachable, "host %s is not known", target.Host())
+	if host, ok := x.entry.members.lookup(target.Host()); ok {
+		command := messenger.Revoke{Request: action.Request(), Incarnation: target.Incarnation(), TicketMillis: target.TicketMillis()}
+		err = x.entry.pool.Call(ctx, host.Address, messenger.MethodRevoke, command, &reply)
+	}
+	if err != nil {
+		x.entry.count("keys.ask." + string(apricotwinch.KindOf(err)))
+	}
+	x.event(func() { x.machine.Asked(action.Request(), reply, err) })
 }
--- a/dispatcher/ownership.go
+++ b/dispatcher/ownership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -238,3 +239,11 @@
 	live, _ := o.announced()
 	return len(live) > 0 && live[0].Entry == o.entry.settings.Name
 }
+
+// gone reports whether an entry's process is not among the live ones.
+func (o *ownership) gone(entry, incarnation string) bool {
+	live, _ := o.announced()
+	return !slices.ContainsFunc(live, func(e messenger.EntryAddress) bool {
+		return e.Entry == entry && e.Incarnation == incarnation
+	})
+}
--- a/dispatcher/requests.go
+++ b/dispatcher/requests.go
@@ -202,17 +202,30 @@
 	if err != nil {
 		return messenger.DispatchReply{}, err
 	}
-	started := e.clock.Now()
-	e.members.sent(target)
-	reply, err := e.dispatch(ctx, r, target, left)
-	e.members.answered(target, e.clock.Since(started), apricotwinch.KindOf(err), reply)
+	ticket := e.members.ticket(target.Host())
+	reply, err := e.dispatch(ctx, r, target, left, ticket)
+	if apricotwinch.KindOf(err) == apricotwinch.Unknown && reply.Outcome == "" {
+		return e.revoke(r.id, target, ticket)
+	}
 	return reply, err
 }
 
-func (e *Entry) dispatch(ctx context.Context, r *request, target router.Target, left time.Duration) (messenger.DispatchReply, error) {
+// sendOnce sends a keyed request; its outcome may be unknown.
+func (e *Entry) sendOnce(ctx context.Context, r *request, target router.Target, ticket int) (messenger.DispatchReply, error) {
+	left, err := e.admission.remaining(r.deadline)
+	if err != nil {
+		return messenger.DispatchReply{}, err
+	}
+	return e.dispatch(ctx, r, target, left, ticket)
+}
+
+// dispatch sends a request to its target by way of the agent and tells the router
+// how it ended.
+func (e *Entry) dispatch(ctx context.Context, r *request, target router.Target, left time.Duration, ticket int) (messenger.DispatchReply, error) {
 	command := messenger.Dispatch{
 		Request:        r.id,
 		Incarnation:    target.Incarnation(),
+		TicketMillis:   ticket,
 		Service:        r.service.Name(),
 		Team:           r.service.Team(),
 		Urgency:        r.urgency.String(),
@@ -223,15 +236,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, left+answerGrace)
 	defer cancel()
+	started := e.clock.Now()
+	e.members.sent(target)
 	var reply messenger.DispatchReply
 	err := e.pool.Call(ctx, target.Address(), messenger.MethodDispatch, command, &reply)
-	if apricotwinch.KindOf(err) == apricotwinch.Unknown {
-		return e.revoke(r.id, target)
-	}
-	if err != nil {
-		return messenger.DispatchReply{}, err
+	if err == nil {
+		reply, err = settle(reply)
 	}
-	return settle(reply)
+	e.members.answered(target, e.clock.Since(started), apricotwinch.KindOf(err), reply)
+	return reply, err
 }
 
 // settle turns a refusal or an unknown outcome into an error of its kind.
@@ -248,16 +261,12 @@
 
 // revoke asks the agent about a request whose answer was lost: a request that
 // had not started is not run, one that ended has its answer.
-func (e *Entry) revoke(id string, target router.Target) (messenger.DispatchReply, error) {
+func (e *Entry) revoke(id string, target router.Target, ticket int) (messenger.DispatchReply, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), revokeTimeout)
 	defer cancel()
-	return e.revokeAt(ctx, id, target.Address(), target.Incarnation())
-}
-
-func (e *Entry) revokeAt(ctx context.Context, id, address, incarnation string) (messenger.DispatchReply, error) {
 	var reply messenger.RevokeReply
-	command := messenger.Revoke{Request: id, Incarnation: incarnation}
-	err := e.pool.Call(ctx, address, messenger.MethodRevoke, command, &reply)
+	command := messenger.Revoke{Request: id, Incarnation: target.Incarnation(), TicketMillis: ticket}
+	err := e.pool.Call(ctx, target.Address(), messenger.MethodRevoke, command, &reply)
 	switch {
 	case err != nil:
 		e.count("revoke.error." + string(apricotwinch.KindOf(err)))
--- a/dispatcher/routing.go
+++ b/dispatcher/routing.go
@@ -42,3 +42,9 @@
 	defer m.mu.Unlock()
 	return m.router.Capacity(m.clock.Now(), service)
 }
+
+// ticket returns the latest ticket of a host that the entry has seen.
+func (m *members) ticket(name string) int {
+	host, _ := m.lookup(name)
+	return host.TicketMillis
+}
--- a/leaser/assign.go
+++ b/leaser/assign.go
@@ -17,9 +17,6 @@
 	if known := l.attempts[id]; known != nil {
 		return known.assignReply(), Actions{}
 	}
-	if err := l.checkAge(now, command); err != nil {
-		return refusal(err), Actions{}
-	}
 	a := &attempt{
 		id:          id,
 		partition:   command.Partition,
@@ -69,6 +66,9 @@
 	if command.TicketMillis < 0 || command.TicketMillis > l.Ticket(now) {
 		return apricotwinch.Errorf(apricotwinch.Invalid, "ticketMillis: %d is not a ticket of this agent", command.TicketMillis)
 	}
+	if err := l.checkAge(now, command); err != nil {
+		return err
+	}
 	if l.draining {
 		return apricotwinch.Errorf(apricotwinch.Draining, "the host is leaving")
 	}
@@ -86,8 +86,8 @@
 	return l.arbiter.ReserveAttempt(a.id, command.Spec.Resources.Value())
 }
 
-// checkAge returns an error when the command is too old. It stays too old, so
-// that its refusal needs no remembering.
+// checkAge returns an error when the command is too old. Its refusal must be
+// remembered: the owner may have sent a fresher copy.
 func (l *Leaser) checkAge(now time.Time, command messenger.Assign) error {
 	if age := now.Sub(l.ticketTime(command.TicketMillis)); age > l.settings.TicketLife {
 		return apricotwinch.Errorf(apricotwinch.DeadlineExceeded, "ticketMillis: the ticket is %s old, over %s", age, l.settings.TicketLife)
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -110,6 +110,9 @@
 	return int(now.Sub(l.settings.Origin).Milliseconds())
 }
 
+// Origin returns the time of ticket 0.
+func (l *Leaser) Origin() time.Time { return l.settings.Origin }
+
 // ticketTime returns the time of a ticket.
 func (l *Leaser) ticketTime(ticket int) time.Time {
 	return l.settings.Origin.Add(time.Duration(ticket) * time.Millisecond)
--- a/leaser/leaser_test.go
+++ b/leaser/leaser_test.go
@@ -268,3 +268,21 @@
 		h.Tick(h.now.Add(time.Hour))
 	})
 }
+
+// TestStaleCommandBarsFresherCopy refuses a command that arrived late; a fresher
+// copy of it, sent before the owner saw the refusal, must be refused as well,
+// for the owner may have given the task to another host by then.
+func TestStaleCommandBarsFresherCopy(t *testing.T) {
+	h := newHost()
+	late := h.command(0, 1)
+	h.now = h.now.Add(5 * time.Second)
+	h.prove(false)
+	var accepted []bool
+	for _, command := range []messenger.Assign{late, h.command(0, 1)} {
+		reply, actions := h.Assign(h.now, command)
+		accepted = append(accepted, reply.Accepted || len(actions.Starts) > 0)
+	}
+	if diff := cmp.Diff([]bool{false, false}, accepted); diff != "" {
+		t.Errorf("accepted (-want +got):\n%s", diff)
+	}
+}
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -219,6 +219,9 @@
 	// Team that owns the service.
 	Team string `json:"team"`
 
+	// Latest ticket of the agent that the entry has seen; an old one is refused.
+	TicketMillis int `json:"ticketMillis,omitempty,omitzero"`
+
 	// batch, standard or critical.
 	Urgency string `json:"urgency"`
 }
@@ -470,6 +473,9 @@
 	// Team that owns the key.
 	Team string `json:"team"`
 
+	// Ticket of the agent that the request is sent with.
+	TicketMillis int `json:"ticketMillis,omitempty,omitzero"`
+
 	// claimed, released or settled.
 	Type string `json:"type"`
 }
@@ -671,10 +677,16 @@
 
 	// Id of the request.
 	Request string `json:"request"`
+
+	// Ticket that the request was sent with.
+	TicketMillis int `json:"ticketMillis,omitempty,omitzero"`
 }
 
 // The agent's answer to a revocation.
 type RevokeReply struct {
+	// Whether the ticket is so old that the agent can't tell whether the request ran.
+	Forgotten bool `json:"forgotten,omitempty,omitzero"`
+
 	// Answer of the request, when it ended already.
 	Reply *DispatchReply `json:"reply,omitempty,omitzero"`
 
