Keep what a chosen target tells unchanged

A heartbeat wrote the address of a target that callers read after their choice, in other goroutines: a data race. A target whose address or data centre changes within an incarnation is now another target; a test that read the new address from an earlier choice failed before.

--- a/router/router.go
+++ b/router/router.go
@@ -105,10 +105,11 @@
 	r.hosts[host.Name()] = listed
 }
 
-// target returns the known target of a service, or enters a new one.
+// target returns the known target of a service, or enters a new one: a target
+// that moved is another.
 func (r *Router) target(now time.Time, host tracker.Host, known []*state, service tracker.Service) *state {
 	for _, s := range known {
-		if s.service == service {
+		if s.service == service && s.at(host) {
 			return s
 		}
 	}
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -296,6 +296,18 @@
 	}
 }
 
+func TestAMovedAgentIsANewTarget(t *testing.T) {
+	f := newFixture(t)
+	f.heartbeat("kopli-1")
+	before, _ := f.choose()
+	f.heartbeat("kopli-1", func(a *messenger.Announce) { a.Address, a.DataCentre = "127.0.0.1:7001", "kalamaja" })
+	after, _ := f.choose()
+	got := []string{before.Address(), before.Locality().DataCentre(), after.Address(), after.Locality().DataCentre()}
+	if diff := cmp.Diff([]string{"127.0.0.1:7000", "kopli", "127.0.0.1:7001", "kalamaja"}, got); diff != "" {
+		t.Errorf("addresses and data centres (-want +got):\n%s", diff)
+	}
+}
+
 func TestTheSameNameOfTwoTeamsIsTwoServices(t *testing.T) {
 	f := newFixture(t)
 	f.heartbeat("kopli-1", func(a *messenger.Announce) { a.Services[0].Team = "jua-paa" })
--- a/router/target.go
+++ b/router/target.go
@@ -9,7 +9,8 @@
 )
 
 // Target is one service on one host in one incarnation, as chosen for a request.
-// The zero Target stands for none.
+// The zero Target stands for none. All but InFlight never changes and may be read
+// while the router is in use.
 type Target struct {
 	state *state
 }
@@ -78,9 +79,13 @@
 	}
 }
 
+// at reports whether the target is still where host announces it.
+func (s *state) at(host tracker.Host) bool {
+	return s.address == host.Address() && s.locality == host.Locality()
+}
+
 // announce takes the load that the target's agent announced.
 func (s *state) announce(now time.Time, host tracker.Host, summary messenger.ServiceSummary) {
-	s.address = host.Address()
 	s.slots = min(summary.Slots, summary.Connections)
 	s.connections = summary.Connections
 	s.suspected = host.State() == tracker.Suspected
