Ignore an announced load from before the latest answer

A digest tells the load of some seconds ago. Requests of this entry that were answered since counted as those of others, so that a free target seemed busy until the next heartbeat. The test, a digest 1.5 s old after eight answers, counted 8 before and 0 now.

--- a/router/outcome.go
+++ b/router/outcome.go
@@ -72,7 +72,7 @@
 
 // Loaded takes the load that target told in an answer, in requests.
 func (r *Router) Loaded(now time.Time, target Target, busy, queued int) {
-	target.state.setLoad(busy, queued)
+	target.state.setLoad(now, busy, queued)
 	r.refresh(now, target.state)
 }
 
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -164,6 +164,34 @@
 	check(t, "requests after the others' ended", map[string]int{"kopli-1": 60, "overloaded": 1}, f.send(61))
 }
 
+func TestALateDigestDoesNotCountOwnRequestsAsThoseOfOthers(t *testing.T) {
+	f := newFixture(t)
+	f.heartbeat("kopli-1")
+	for range 8 {
+		target, _ := f.choose()
+		f.routes.Sent(f.now, target)
+	}
+	running := messenger.Announce{
+		Host: "kopli-1", Incarnation: "a", Sequence: 2, Address: "127.0.0.1:7000", Region: "harju", DataCentre: "kopli",
+		Services: []messenger.ServiceSummary{{Team: "ketioli", Service: "vahaportaal", Slots: 8, Connections: 64, Busy: 8}},
+	}
+	f.now = f.now.Add(time.Second)
+	target, _ := f.choose()
+	for range 8 {
+		f.routes.Answered(f.now, target, time.Second, "")
+		f.routes.Loaded(f.now, target, 0, 0)
+	}
+	f.now = f.now.Add(time.Second)
+	changes, err := f.members.ObserveDigest(f.now, messenger.Digest{Hosts: []messenger.Announce{running}, AgesMillis: []int{1500}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.apply(changes)
+	if got := f.routes.Capacity(f.now, portal).Others(); got != 0 {
+		t.Errorf("%d requests of others are counted, want 0", got)
+	}
+}
+
 func TestUrgencyBoundsTheQueueAtATarget(t *testing.T) {
 	got := map[string]int{}
 	for _, urgency := range []apricotwinch.Urgency{apricotwinch.Batch, apricotwinch.Standard, apricotwinch.Critical} {
--- a/router/target.go
+++ b/router/target.go
@@ -49,6 +49,7 @@
 	connections int
 	inFlight    int
 	others      int
+	loadedAt    time.Time
 
 	suspected      bool
 	draining       bool
@@ -91,12 +92,17 @@
 	s.suspected = host.State() == tracker.Suspected
 	s.draining = host.State() == tracker.Draining
 	s.withdrawn = s.withdrawn && now.Before(s.withdrawnUntil)
-	s.setLoad(summary.Busy, summary.Queued)
+	s.setLoad(host.Received(), summary.Busy, summary.Queued)
 }
 
-// setLoad takes the target's own count of its requests, of which those that this
-// router did not send are the work of others.
-func (s *state) setLoad(busy, queued int) {
+// setLoad takes the target's own count of its requests as of a time, of which
+// those that this router did not send are the work of others. A count from before
+// the latest one would count answered requests of this router as those of others.
+func (s *state) setLoad(at time.Time, busy, queued int) {
+	if at.Before(s.loadedAt) {
+		return
+	}
+	s.loadedAt = at
 	s.others = max(0, busy+queued-s.inFlight)
 }
 
