--- a/router/target.go
+++ b/router/target.go
@@ -9,7 +9,8 @@
 )
 
 // Target is one service on one host in one incarnation, as chosen for a request.
-// The zero Target stands for none.
+// The zero Target stands for none. All but InFlight never changes and may be read
+// while the router is in use.
 type Target struct {
 	state *state
 }
@@ -48,6 +49,7 @@
 	connections int
 	inFlight    int
 	others      int
+	loadedAt    time.Time
 
 	suspected      bool
 	draining       bool
@@ -78,20 +80,29 @@
 	}
 }
 
+// at reports whether the target is still where host announces it.
+func (s *state) at(host tracker.Host) bool {
+	return s.address == host.Address() && s.locality == host.Locality()
+}
+
 // announce takes the load that the target's agent announced.
 func (s *state) announce(now time.Time, host tracker.Host, summary messenger.ServiceSummary) {
-	s.address = host.Address()
 	s.slots = min(summary.Slots, summary.Connections)
 	s.connections = summary.Connections
 	s.suspected = host.State() == tracker.Suspected
 	s.draining = host.State() == tracker.Draining
 	s.withdrawn = s.withdrawn && now.Before(s.withdrawnUntil)
-	s.setLoad(summary.Busy, summary.Queued)
+	s.setLoad(host.Received(), summary.Busy, summary.Queued)
 }
 
-// setLoad takes the target's own count of its requests, of which those that this
-// router did not send are the work of others.
-func (s *state) setLoad(busy, queued int) {
+// setLoad takes the target's own count of its requests as of a time, of which
+// those that this router did not send are the work of others. A count from before
+// the latest one would count answered requests of this router as those of others.
+func (s *state) setLoad(at time.Time, busy, queued int) {
+	if at.Before(s.loadedAt) {
+		return
+	}
+	s.loadedAt = at
 	s.others = max(0, busy+queued-s.inFlight)
 }
 
