Pack batch work, spread jobs, act on strained services

Batch work spread by load left no host with room for large tasks: the placer now prefers fuller hosts, while the data centre and host of a job's other tasks outweigh that. The samples of a choice are spread over the hosts of a data centre; drawn at random they missed some, which the stricter spread property showed. Sizes were rounded up by half a bucket: the quantile is interpolated.

What they can't go round is a service slowed as a whole: the limit on one host is now 4, and 2.5 while the mean of the service is above 1.8. Work that would do harm again is evicted in place of being restored. Tried and dropped: penalties that grow or shrink with the harm already there, limits of 1.5 to 3 on every host.

--- a/estimator/example_test.go
+++ b/estimator/example_test.go
@@ -20,6 +20,6 @@
 	fmt.Println(e.Size(now, class, declared))
 	fmt.Println(e.Size(now, estimator.NewClass("packers", "labels"), declared))
 	// Output:
-	// 2024m/1320B/0a
+	// 2014m/1320B/0a
 	// 4000m/1000B/0a
 }
--- a/estimator/histogram.go
+++ b/estimator/histogram.go
@@ -109,22 +109,23 @@
 		// A censored sample is above the exact ones of a smaller bucket, and is taken
 		// to be below those of its own.
 		atRisk -= censored
-		if exact > 0 {
-			above *= max(0, 1-exact/atRisk)
-			atRisk -= exact
+		if exact == 0 {
+			continue
 		}
-		if above <= (1-q)*(1+roundingSlack) {
-			return estimate{millis: bucketValue(i, priorBucket, priorMillis)}
+		next := above * max(0, 1-exact/atRisk)
+		atRisk -= exact
+		if wanted := (1 - q) * (1 + roundingSlack); next <= wanted {
+			if i == priorBucket {
+				return estimate{millis: priorMillis}
+			}
+			return estimate{millis: valueWithin(i, (above-wanted)/(above-next))}
 		}
+		above = next
 	}
 	return estimate{millis: upperBound(greatest), bound: true}
 }
 
-// bucketValue returns the upper bound of a bucket, but the declared value itself
-// for its bucket.
-func bucketValue(bucket, priorBucket int, priorMillis float64) float64 {
-	if bucket == priorBucket {
-		return priorMillis
-	}
-	return upperBound(bucket)
+// valueWithin returns the value at a part, 0 to 1, of the width of a bucket.
+func valueWithin(bucket int, part float64) float64 {
+	return upperBound(bucket) * math.Pow(bucketGrowth, min(1, max(0, part))-1)
 }
--- a/observer/config.go
+++ b/observer/config.go
@@ -18,13 +18,17 @@
 	HalfLife time.Duration
 	// CriticalWeight multiplies the penalty for harm to latency-critical work.
 	CriticalWeight float64
-	// MaxPairs bounds the pairs remembered; the oldest go first.
+	// MaxPairs bounds the pairs remembered, of which the oldest go first, and the
+	// classes.
 	MaxPairs int
 	// History is how long work that ended can still be blamed by late reports.
 	History time.Duration
 	// High is the slowdown of latency-critical work that counts as harm, Low the
 	// one that counts as recovered; both are ratios above 1.
 	High, Low float64
+	// ClassHigh is the mean slowdown of all critical work of a class from which on
+	// StrainedHigh takes the place of High for it.
+	ClassHigh, StrainedHigh float64
 	// HighReports and LowReports are the reports in a row, sampled since the last
 	// step on the host, that a step up or down needs. LowReports doubles, up to
 	// MaxLowReports, each time that a restored host is harmed again.
@@ -50,19 +54,21 @@
 		HostDoubt:      0.2,
 		Rate:           0.5,
 		HalfLife:       6 * time.Hour,
-		CriticalWeight: 4,
+		CriticalWeight: 10,
 		MaxPairs:       200_000,
 		History:        time.Minute,
-		High:           1.5,
-		Low:            1.2,
+		High:           4,
+		Low:            2,
+		ClassHigh:      1.8,
+		StrainedHigh:   2.5,
 		HighReports:    2,
-		LowReports:     3,
-		MaxLowReports:  96,
-		MinBlame:       0.1,
+		LowReports:     1,
+		MaxLowReports:  64,
+		MinBlame:       0.3,
 		Settle:         time.Second,
 		MaxSteps:       100,
 		MaxEvictions:   10,
-		EvictionShare:  0.01,
+		EvictionShare:  0.015,
 		EvictionBurst:  5,
 	}
 }
--- a/observer/example_test.go
+++ b/observer/example_test.go
@@ -17,7 +17,7 @@
 	o.Started(now, "kopli-1", observer.NewResident(routes, "routes", apricotwinch.Batch))
 	for second := 10; second <= 12; second++ {
 		at := now.Add(time.Duration(second) * time.Second)
-		o.Report(at, observer.NewReport("kopli-1", portal, 2.5, at.Add(-5*time.Second)))
+		o.Report(at, observer.NewReport("kopli-1", portal, 6, at.Add(-5*time.Second)))
 	}
 	for _, action := range o.Tick(now.Add(12 * time.Second)) {
 		fmt.Println(action.Step(), action.ID(), "on", action.Host())
@@ -25,5 +25,5 @@
 	fmt.Printf("%.1f\n", o.Slowdown(now, "portal", "routes"))
 	// Output:
 	// throttle routes/0/1 on kopli-1
-	// 2.1
+	// 4.7
 }
--- a/observer/host.go
+++ b/observer/host.go
@@ -19,7 +19,7 @@
 type host struct {
 	name      string
 	stays     []*stay
-	slowdown  map[apricotwinch.AttemptID]float64
+	slowdown  map[apricotwinch.AttemptID]measure
 	high      int
 	low       int
 	patience  int
@@ -52,11 +52,72 @@
 	return slices.ContainsFunc(h.stays, func(s *stay) bool { return s.until.IsZero() && s.throttled })
 }
 
+// measure is the latest slowdown of critical work.
+type measure struct {
+	class    *class
+	slowdown float64
+}
+
+// class is critical work that is taken to be alike, as the instances of a
+// service, with the sum of their latest slowdowns.
+type class struct {
+	sum   float64
+	count int
+}
+
+// record replaces the latest slowdown of a resident.
+func (h *host) record(id apricotwinch.AttemptID, c *class, slowdown float64) {
+	h.erase(id)
+	c.sum += slowdown
+	c.count++
+	h.slowdown[id] = measure{class: c, slowdown: slowdown}
+}
+
+// erase forgets the slowdown of a resident.
+func (h *host) erase(id apricotwinch.AttemptID) {
+	if m, ok := h.slowdown[id]; ok {
+		m.class.sum -= m.slowdown
+		m.class.count--
+		delete(h.slowdown, id)
+	}
+}
+
+// limit returns the slowdown of one resident that counts as harm: a smaller one
+// while the class as a whole is slow, so that its other residents can't make up
+// for it.
+func (c Config) limit(of *class) float64 {
+	if of.sum >= c.ClassHigh*float64(of.count) {
+		return c.StrainedHigh
+	}
+	return c.High
+}
+
 // worst returns the greatest latest slowdown of critical work.
 func (h *host) worst() float64 {
 	worst := 0.0
-	for _, slowdown := range h.slowdown {
-		worst = max(worst, slowdown)
+	for _, m := range h.slowdown {
+		worst = max(worst, m.slowdown)
 	}
 	return worst
 }
+
+// harmed reports whether some critical work is slowed to its limit, given by how
+// much more all of it will be slowed.
+func (h *host) harmed(c Config, more float64) bool {
+	for _, m := range h.slowdown {
+		if m.slowdown+more >= c.limit(m.class) {
+			return true
+		}
+	}
+	return false
+}
+
+// recovered reports whether all critical work is well below its limit.
+func (h *host) recovered(c Config) bool {
+	for _, m := range h.slowdown {
+		if m.slowdown > min(c.Low, c.limit(m.class)) {
+			return false
+		}
+	}
+	return true
+}
--- a/observer/model.go
+++ b/observer/model.go
@@ -5,10 +5,32 @@
 	"time"
 )
 
-// pair is work that is harmed and work that harms it.
+// unknown is the number of every class that was never measured.
+const unknown = 0
+
+const (
+	// decaySteps is the number of steps of a half-life in which beliefs decay.
+	decaySteps = 128
+	// decayHalfLives is the number of half-lives after which nothing is left.
+	decayHalfLives = 16
+)
+
+// decayTable holds what is left of a belief by its age in steps.
+var decayTable = tabulateDecay()
+
+func tabulateDecay() []float64 {
+	table := make([]float64, decaySteps*decayHalfLives)
+	for i := range table {
+		table[i] = math.Exp2(-float64(i) / decaySteps)
+	}
+	return table
+}
+
+// pair is work that is harmed and work that harms it, by the numbers of their
+// classes.
 type pair struct {
-	victim    string
-	aggressor string
+	victim    uint32
+	aggressor uint32
 }
 
 // belief is the expected slowdown above 1, with the decayed number of reports
@@ -21,26 +43,56 @@
 
 // decay returns what is left of a belief as of a time, from 0 to 1.
 func (b *belief) decay(now time.Time, halfLife time.Duration) float64 {
-	return math.Exp2(-float64(max(0, now.Sub(b.at))) / float64(halfLife))
+	step := int(now.Sub(b.at) * decaySteps / halfLife)
+	if step >= len(decayTable) {
+		return 0
+	}
+	return decayTable[max(0, step)]
 }
 
 // model holds what was learned of pairs, of aggressors against anyone as the
 // prior of pairs that were never measured, and of hosts that are slow themselves.
 type model struct {
 	config     Config
+	numbers    map[string]uint32
 	pairs      map[pair]*belief
-	aggressors map[string]*belief
+	aggressors []*belief
 	hosts      map[string]*belief
 	order      []pair
 }
 
 func newModel(config Config) *model {
-	return &model{
-		config:     config,
-		pairs:      map[pair]*belief{},
-		aggressors: map[string]*belief{},
-		hosts:      map[string]*belief{},
+	m := &model{config: config, hosts: map[string]*belief{}}
+	m.reset()
+	return m
+}
+
+// reset forgets all classes and pairs.
+func (m *model) reset() {
+	m.numbers = map[string]uint32{}
+	m.pairs = map[pair]*belief{}
+	m.aggressors = []*belief{nil}
+	m.order = nil
+}
+
+// number returns the number of a class, a new one for one never measured. Names
+// without bound would fill the memory, so that too many of them reset the model.
+func (m *model) number(class string) uint32 {
+	if n := m.numbers[class]; n != unknown {
+		return n
+	}
+	if len(m.numbers) >= m.config.MaxPairs {
+		m.reset()
 	}
+	n := uint32(len(m.aggressors))
+	m.numbers[class] = n
+	m.aggressors = append(m.aggressors, nil)
+	return n
+}
+
+// pairOf returns the pair of two classes as far as they were measured.
+func (m *model) pairOf(victim, aggressor string) pair {
+	return pair{victim: m.numbers[victim], aggressor: m.numbers[aggressor]}
 }
 
 // fade returns a belief as of a time; without reports it returns to the prior.
@@ -53,8 +105,13 @@
 
 // excess returns the expected slowdown above 1 that aggressor causes to victim.
 func (m *model) excess(now time.Time, p pair) float64 {
-	prior := m.fade(now, m.aggressors[p.aggressor], m.config.Prior)
-	return m.fade(now, m.pairs[p], prior)
+	return m.fade(now, m.pairs[p], m.prior(now, p.aggressor))
+}
+
+// prior returns the slowdown above 1 expected of an aggressor against a class
+// that was not measured beside it.
+func (m *model) prior(now time.Time, aggressor uint32) float64 {
+	return m.fade(now, m.aggressors[aggressor], m.config.Prior)
 }
 
 // hostExcess returns the slowdown above 1 that a host causes by itself.
@@ -78,21 +135,23 @@
 // learn corrects the beliefs about a host, a victim on it and its neighbors by a
 // slowdown. The difference from what was expected goes mostly to the least
 // certain beliefs.
-func (m *model) learn(now time.Time, host, victim string, aggressors []string, excess float64) {
+func (m *model) learn(now time.Time, host, victim string, neighbors []string, excess float64) {
+	pairs := make([]pair, len(neighbors))
+	for i, neighbor := range neighbors {
+		pairs[i] = pair{victim: m.number(victim), aggressor: m.number(neighbor)}
+	}
 	expected, doubt := m.hostExcess(now, host), m.hostDoubt(now, host)
-	for _, aggressor := range aggressors {
-		p := pair{victim: victim, aggressor: aggressor}
+	for _, p := range pairs {
 		expected += m.excess(now, p)
 		doubt += m.doubt(now, m.pairs[p])
 	}
 	surprise := m.config.Rate * (excess - expected) / doubt
-	seen := 1 / float64(len(aggressors)+1)
+	seen := 1 / float64(len(pairs)+1)
 	m.learnHost(now, host, surprise, seen)
-	for _, aggressor := range aggressors {
-		p := pair{victim: victim, aggressor: aggressor}
+	for _, p := range pairs {
 		estimate := max(0, m.excess(now, p)+surprise*m.doubt(now, m.pairs[p]))
 		m.set(now, m.pair(p), estimate, seen)
-		m.average(now, m.aggressor(aggressor), estimate, seen)
+		m.average(now, m.aggressor(p.aggressor), estimate, seen)
 	}
 }
 
@@ -131,25 +190,20 @@
 	return b
 }
 
-func (m *model) aggressor(class string) *belief {
-	b := m.aggressors[class]
+func (m *model) aggressor(number uint32) *belief {
+	b := m.aggressors[number]
 	if b == nil {
 		b = &belief{}
-		m.aggressors[class] = b
+		m.aggressors[number] = b
 	}
 	return b
 }
 
-// bound forgets the oldest pair when there are too many, and with the last of
-// an aggressor what was learned of it against anyone.
+// bound forgets the oldest pair when there are too many.
 func (m *model) bound() {
 	if len(m.order) <= m.config.MaxPairs {
 		return
 	}
-	oldest := m.order[0]
+	delete(m.pairs, m.order[0])
 	m.order = m.order[1:]
-	delete(m.pairs, oldest)
-	if len(m.aggressors) > m.config.MaxPairs {
-		delete(m.aggressors, oldest.aggressor)
-	}
 }
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -20,7 +20,7 @@
 	model    *model
 	hosts    map[string]*host
 	troubled map[string]*host
-	critical map[string]bool
+	critical map[string]*class
 	budget   budget
 }
 
@@ -31,7 +31,7 @@
 		model:    newModel(config),
 		hosts:    map[string]*host{},
 		troubled: map[string]*host{},
-		critical: map[string]bool{},
+		critical: map[string]*class{},
 		budget:   budget{share: config.EvictionShare, burst: config.EvictionBurst, left: config.EvictionBurst},
 	}
 }
@@ -40,7 +40,7 @@
 func (o *Observer) Started(now time.Time, name string, r Resident) {
 	h := o.hosts[name]
 	if h == nil {
-		h = &host{name: name, slowdown: map[apricotwinch.AttemptID]float64{}, patience: o.config.LowReports}
+		h = &host{name: name, slowdown: map[apricotwinch.AttemptID]measure{}, patience: o.config.LowReports}
 		o.hosts[name] = h
 	}
 	if h.find(r.id) != nil {
@@ -52,7 +52,9 @@
 		o.budget.earn()
 		return
 	}
-	o.critical[r.class] = true
+	if o.critical[r.class] == nil {
+		o.critical[r.class] = &class{}
+	}
 }
 
 // Ended takes work that no longer runs on a host.
@@ -61,7 +63,7 @@
 	if h == nil {
 		return
 	}
-	delete(h.slowdown, id)
+	h.erase(id)
 	if s := h.find(id); s != nil {
 		s.until = now
 		if s.throttled {
@@ -74,6 +76,11 @@
 
 // Left takes a host that is gone with its work.
 func (o *Observer) Left(name string) {
+	if h := o.hosts[name]; h != nil {
+		for _, s := range h.stays {
+			h.erase(s.id)
+		}
+	}
 	delete(o.hosts, name)
 	delete(o.troubled, name)
 	delete(o.model.hosts, name)
@@ -109,7 +116,7 @@
 		o.model.learn(now, h.name, victim.class, h.neighbors(victim, r.sampledAt), max(0, r.slowdown-1))
 	}
 	if victim.urgency != apricotwinch.Batch {
-		o.judge(h, r)
+		o.judge(h, victim, r)
 	}
 }
 
@@ -125,17 +132,16 @@
 }
 
 // judge counts reports in a row of harm and of recovery.
-func (o *Observer) judge(h *host, r Report) {
+func (o *Observer) judge(h *host, victim *stay, r Report) {
+	h.record(r.id, o.critical[victim.class], r.slowdown)
 	if r.sampledAt.Before(h.steppedAt.Add(o.config.Settle)) {
 		return
 	}
-	h.slowdown[r.id] = r.slowdown
-	worst := h.worst()
 	switch {
-	case worst >= o.config.High:
+	case h.harmed(o.config, 0):
 		h.high++
 		h.low = 0
-	case worst <= o.config.Low:
+	case h.recovered(o.config):
 		h.low++
 		h.high = 0
 	default:
@@ -152,10 +158,15 @@
 // residents: the slowdowns above 1 that it causes and suffers, those of critical
 // work multiplied by its weight.
 func (o *Observer) Penalty(now time.Time, host, class string, residents []string) float64 {
-	sum := o.weigh(class) * o.model.hostExcess(now, host)
+	number := o.model.numbers[class]
+	weight := o.weigh(class)
+	prior := o.model.prior(now, number)
+	sum := weight * o.model.hostExcess(now, host)
 	for _, resident := range residents {
-		sum += o.weigh(resident) * o.model.excess(now, pair{victim: resident, aggressor: class})
-		sum += o.weigh(class) * o.model.excess(now, pair{victim: class, aggressor: resident})
+		other := o.model.numbers[resident]
+		caused := o.model.fade(now, o.model.pairs[pair{victim: other, aggressor: number}], prior)
+		sum += o.weigh(resident) * caused
+		sum += weight * o.model.excess(now, pair{victim: number, aggressor: other})
 	}
 	return sum
 }
@@ -163,7 +174,7 @@
 // Slowdown returns the expected slowdown, a ratio from 1, of work of class victim
 // beside work of class aggressor.
 func (o *Observer) Slowdown(now time.Time, victim, aggressor string) float64 {
-	return 1 + o.model.excess(now, pair{victim: victim, aggressor: aggressor})
+	return 1 + o.model.excess(now, o.model.pairOf(victim, aggressor))
 }
 
 // HostSlowdown returns the slowdown, a ratio from 1, that a host is expected to
@@ -173,7 +184,7 @@
 }
 
 func (o *Observer) weigh(class string) float64 {
-	if o.critical[class] {
+	if o.critical[class] != nil {
 		return o.config.CriticalWeight
 	}
 	return 1
--- a/observer/observer_test.go
+++ b/observer/observer_test.go
@@ -160,7 +160,10 @@
 
 func TestDecisionTrace(t *testing.T) {
 	var trace bytes.Buffer
-	o := observer.New(observer.DefaultConfig())
+	config := observer.DefaultConfig()
+	config.High, config.StrainedHigh, config.Low = 1.5, 1.5, 1.2
+	config.LowReports, config.MinBlame = 3, 0.1
+	o := observer.New(config)
 	start(o, "host", "service", 0, apricotwinch.Critical)
 	start(o, "host", "noisy", 0, apricotwinch.Batch)
 	start(o, "host", "quiet", 0, apricotwinch.Batch)
@@ -174,3 +177,37 @@
 	}
 	goldie.New(t).Assert(t, "trace", trace.Bytes())
 }
+
+// TestStrainedServiceLowersTheLimit slows one host by the same factor while the
+// other instances of its service are sound, and while they are slow as well.
+func TestStrainedServiceLowersTheLimit(t *testing.T) {
+	const hosts = 10
+	actionsAt := func(others float64) []string {
+		o := observer.New(observer.DefaultConfig())
+		for n := range hosts {
+			host := fmt.Sprintf("host-%d", n)
+			start(o, host, "service", 0, apricotwinch.Critical)
+			start(o, host, fmt.Sprintf("batch-%d", n), 0, apricotwinch.Batch)
+		}
+		var lines []string
+		now := epoch
+		for range 3 {
+			now = now.Add(5 * time.Second)
+			for n := range hosts {
+				slowdown := others
+				if n == 0 {
+					slowdown = 3
+				}
+				report(o, now, fmt.Sprintf("host-%d", n), "service", slowdown, 0)
+			}
+			lines = append(lines, describe(o.Tick(now))...)
+		}
+		return lines
+	}
+	if diff := cmp.Diff([]string(nil), actionsAt(1)); diff != "" {
+		t.Errorf("actions beside sound instances (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff([]string{"throttle batch-0/0/1 on host-0"}, actionsAt(2)); diff != "" {
+		t.Errorf("actions beside slow instances (-want +got):\n%s", diff)
+	}
+}
--- a/observer/reaction.go
+++ b/observer/reaction.go
@@ -74,36 +74,58 @@
 		}
 		return
 	}
-	s := o.blamed(t.now, h, true)
-	if s == nil || t.evictions >= o.config.MaxEvictions || !o.budget.spend() {
-		return
+	if s := o.blamed(t.now, h, true); s != nil {
+		o.tryEvict(t, h, s)
 	}
-	t.evictions++
-	t.take(h, s, Evict)
 }
 
-// stepDown restores the throttled work least to blame.
+// stepDown ends the throttle of the work least to blame. Work that is expected
+// to do harm again is evicted in place of that while the budget allows.
 func (o *Observer) stepDown(t *tick, h *host) {
+	s := o.leastBlamed(t.now, h)
+	if s == nil {
+		delete(o.troubled, h.name)
+		return
+	}
+	if o.harmful(t.now, h, s) && o.tryEvict(t, h, s) {
+		return
+	}
+	if t.steps < o.config.MaxSteps {
+		s.throttled = false
+		h.restored = true
+		t.steps++
+		t.take(h, s, Restore)
+	}
+}
+
+// leastBlamed returns the throttled work with the smallest blame.
+func (o *Observer) leastBlamed(now time.Time, h *host) *stay {
 	var least *stay
 	blame := 0.0
 	for _, s := range h.stays {
 		if !s.throttled {
 			continue
 		}
-		if b := o.blame(t.now, h, s); least == nil || b < blame {
+		if b := o.blame(now, h, s); least == nil || b < blame {
 			least, blame = s, b
 		}
 	}
-	if least == nil {
-		delete(o.troubled, h.name)
-		return
-	}
-	if t.steps < o.config.MaxSteps {
-		least.throttled = false
-		h.restored = true
-		t.steps++
-		t.take(h, least, Restore)
+	return least
+}
+
+// harmful reports whether work, unthrottled, is expected to bring harm back.
+func (o *Observer) harmful(now time.Time, h *host, s *stay) bool {
+	return h.harmed(o.config, o.blame(now, h, s))
+}
+
+// tryEvict evicts work if the caps allow it.
+func (o *Observer) tryEvict(t *tick, h *host, s *stay) bool {
+	if t.evictions >= o.config.MaxEvictions || !o.budget.spend() {
+		return false
 	}
+	t.evictions++
+	t.take(h, s, Evict)
+	return true
 }
 
 // take records an action; the reports before its effect no longer count.
@@ -135,7 +157,7 @@
 	sum := 0.0
 	for _, s := range h.stays {
 		if s.until.IsZero() && s.urgency != apricotwinch.Batch {
-			sum += o.model.excess(now, pair{victim: s.class, aggressor: aggressor.class})
+			sum += o.model.excess(now, o.model.pairOf(s.class, aggressor.class))
 		}
 	}
 	return sum
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -10,9 +10,10 @@
 
 // option is a data centre that may hold a request.
 type option struct {
-	place *dataCentre
-	share float64
-	order float64
+	place  *dataCentre
+	share  float64
+	order  float64
+	cursor int
 }
 
 // choice is the state of one call of Choose.
@@ -20,6 +21,7 @@
 	request Request
 	strict  bool
 	budget  int
+	least   int
 	failed  []apricotwinch.Locality
 	best    *host
 	cost    float64
@@ -88,9 +90,14 @@
 		if d.out || !d.index.holds(c.request.need) {
 			continue
 		}
-		share := float64(counts[d.locality]) / float64(d.count)
+		here := counts[place{locality: d.locality}]
+		share := float64(here) / float64(d.count)
+		if len(p.options) == 0 || here < c.least {
+			c.least = here
+		}
 		order := p.random.ExpFloat64() / float64(d.count)
-		p.options = append(p.options, option{place: d, share: share, order: order})
+		cursor := p.random.IntN(len(d.hosts))
+		p.options = append(p.options, option{place: d, share: share, order: order, cursor: cursor})
 	}
 	slices.SortFunc(p.options, func(a, b option) int {
 		return cmp.Or(cmp.Compare(a.share, b.share), cmp.Compare(a.order, b.order))
@@ -104,30 +111,35 @@
 		return
 	}
 	near := p.options[:min(len(p.options), max(1, p.config.DataCentres))]
-	for i := range p.config.Samples {
-		p.draw(c, near[i%len(near)].place)
+	draws := max(1, p.config.Samples/len(near))
+	for range draws {
+		for i := range near {
+			p.draw(c, &near[i], draws)
+		}
 	}
 	for i := 0; c.best == nil && i < len(p.options); i++ {
-		p.draw(c, p.options[i].place)
+		p.draw(c, &p.options[i], draws)
 	}
 }
 
-// draw compares one host of d, found from a random place on.
-func (p *Placer) draw(c *choice, d *dataCentre) {
+// draw compares one host of a data centre, the next from the cursor on, and
+// moves the cursor so that the draws are spread over its hosts.
+func (p *Placer) draw(c *choice, o *option, draws int) {
+	d := o.place
 	s := &search{index: &d.index, need: c.request.need, budget: c.budget}
 	defer func() { c.budget = s.budget }()
-	start := p.random.IntN(len(d.hosts))
 	for range len(c.request.avoid) + 1 {
-		leaf := s.find(start)
+		leaf := s.find(o.cursor)
 		if leaf < 0 {
 			return
 		}
+		o.cursor = (leaf + 1) % len(d.hosts)
 		h := d.hosts[leaf]
 		if !c.strict || !c.request.avoids(h.name) {
+			o.cursor = (leaf + max(1, len(d.hosts)/draws)) % len(d.hosts)
 			p.consider(c, h)
 			return
 		}
-		start = (leaf + 1) % d.index.leaves
 	}
 }
 
@@ -167,7 +179,7 @@
 		expires: now.Add(p.config.ReservationLife),
 	}
 	p.placements[r.attempt] = pl
-	p.spread.add(r.attempt.Job(), h.locality)
+	p.spread.add(r.attempt.Job(), h)
 	if h.standing == Trial {
 		h.standing = Closed
 	}
--- a/placer/config.go
+++ b/placer/config.go
@@ -32,15 +32,19 @@
 
 // Weights weighs the costs of a candidate; the lowest sum wins.
 type Weights struct {
+	// Host is the cost of each task of the same job on the host.
+	Host float64
 	// Rack is the cost of each task of the same job in the rack.
 	Rack float64
-	// DataCentre is the cost of having all tasks of the job in the data centre.
+	// DataCentre is the cost of a data centre with more tasks of the same job than
+	// another that has room.
 	DataCentre float64
 	// FailedRack is the cost of a rack in which an attempt failed.
 	FailedRack float64
 	// FailedDataCentre is the cost of a data centre in which an attempt failed.
 	FailedDataCentre float64
-	// Load is the cost of a host whose scarcest resource is full.
+	// Load is the cost of a host whose scarcest resource is full; below 0, fuller
+	// hosts are preferred, which keeps room for large tasks.
 	Load float64
 	// Imbalance is the cost of processors full and memory empty, or the reverse.
 	Imbalance float64
@@ -53,7 +57,7 @@
 // DefaultConfig returns the bounds and weights for 24,000 hosts.
 func DefaultConfig() Config {
 	return Config{
-		Samples:         8,
+		Samples:         16,
 		DataCentres:     4,
 		VisitBudget:     4096,
 		ReservationLife: 10 * time.Second,
@@ -61,11 +65,12 @@
 		Learning:        10 * time.Second,
 		CapacityMemory:  10 * time.Minute,
 		Weights: Weights{
+			Host:             2,
 			Rack:             0.5,
-			DataCentre:       0.5,
+			DataCentre:       2,
 			FailedRack:       1,
 			FailedDataCentre: 0.5,
-			Load:             0.5,
+			Load:             -2,
 			Imbalance:        0.25,
 			Accelerator:      1,
 			Penalty:          1,
--- a/placer/cost.go
+++ b/placer/cost.go
@@ -2,7 +2,8 @@
 
 import "apricotwinch"
 
-// cost weighs a candidate; the lowest is best.
+// cost weighs a candidate; the lowest is best. The penalty, which is never below
+// 0, is left out where the cost without it is no lower than the best.
 func (p *Placer) cost(c *choice, h *host) float64 {
 	w := p.config.Weights
 	cost := p.spreadCost(c, h) + failureCost(w, c.failed, h)
@@ -12,7 +13,7 @@
 	if h.capacity.Accelerators() > 0 && c.request.need.Accelerators() == 0 {
 		cost += w.Accelerator
 	}
-	if p.config.Penalty != nil {
+	if p.config.Penalty != nil && (c.best == nil || cost < c.cost) {
 		p.neighbors = h.neighbors(p.neighbors)
 		cost += w.Penalty * p.config.Penalty(h.name, c.request.class, p.neighbors)
 	}
@@ -25,13 +26,10 @@
 	if len(counts) == 0 {
 		return 0
 	}
-	total := 0
-	for _, o := range p.options {
-		total += counts[o.place.locality]
-	}
-	cost := p.config.Weights.Rack * float64(counts[h.locality])
-	if here := counts[h.place.locality]; here > 0 {
-		cost += p.config.Weights.DataCentre * float64(here) / float64(total)
+	at := h.places()
+	cost := p.config.Weights.Host*float64(counts[at[0]]) + p.config.Weights.Rack*float64(counts[at[1]])
+	if counts[at[2]] > c.least {
+		cost += p.config.Weights.DataCentre
 	}
 	return cost
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -157,7 +157,7 @@
 		return
 	}
 	delete(p.placements, attempt)
-	p.spread.remove(attempt.Job(), pl.host.locality)
+	p.spread.remove(attempt.Job(), pl.host)
 	if pl.confirmed && !pl.reserved {
 		pl.host.giveBack(pl.need, p.latest)
 	}
@@ -175,7 +175,7 @@
 	p.placements[request.attempt] = &placement{
 		attempt: request.attempt, class: request.class, need: request.need, host: h, confirmed: true,
 	}
-	p.spread.add(request.attempt.Job(), h.locality)
+	p.spread.add(request.attempt.Job(), h)
 }
 
 // Hosts returns the number of hosts in the table.
--- a/placer/property_test.go
+++ b/placer/property_test.go
@@ -178,27 +178,38 @@
 	})
 }
 
+// TestTasksOfOneJobSpread holds that as many tasks of a job as there are data
+// centres are in different ones, and as many as there are hosts on different
+// hosts, whatever runs there already.
 func TestTasksOfOneJobSpread(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		dataCentres := rapid.IntRange(2, 6).Draw(t, "dataCentres")
+		dataCentres := rapid.IntRange(2, 5).Draw(t, "dataCentres")
+		hosts := 2 * dataCentres
 		p := placer.New(settled(), rapid.Uint64().Draw(t, "seed"))
-		for i := range dataCentres * 6 {
-			p.Join(epoch, fmt.Sprintf("host-%d", i), locality(i, dataCentres), worker())
+		for i := range hosts {
+			name := fmt.Sprintf("host-%d", i)
+			p.Join(epoch, name, locality(i, dataCentres), worker())
+			committed := apricotwinch.NewResources(rapid.Int64Range(0, 8000).Draw(t, "committed"), gib, 0)
+			p.Update(epoch, name, committed, epoch)
 		}
-		seen := map[int]bool{}
-		for task := range dataCentres {
-			host, err := p.Choose(epoch, small("job", task))
+		centres, names := map[int]bool{}, map[string]bool{}
+		for task := range hosts {
+			name, err := p.Choose(epoch, small("job", task))
 			if err != nil {
 				t.Fatal(err)
 			}
 			var number int
-			if _, err := fmt.Sscanf(host, "host-%d", &number); err != nil {
+			if _, err := fmt.Sscanf(name, "host-%d", &number); err != nil {
 				t.Fatal(err)
 			}
-			seen[number%dataCentres] = true
+			names[name] = true
+			centres[number%dataCentres] = true
+			if task == dataCentres-1 && len(centres) != dataCentres {
+				t.Fatalf("%d tasks in %d data centres", dataCentres, len(centres))
+			}
 		}
-		if len(seen) != dataCentres {
-			t.Fatalf("%d tasks in %d data centres, want %d", dataCentres, len(seen), dataCentres)
+		if len(names) != hosts {
+			t.Fatalf("%d tasks on %d hosts", hosts, len(names))
 		}
 	})
 }
--- a/placer/spread.go
+++ b/placer/spread.go
@@ -2,26 +2,42 @@
 
 import "apricotwinch"
 
-// spread counts the tasks of each job by rack and by data centre; a data centre
-// is a locality without a rack.
-type spread map[string]map[apricotwinch.Locality]int
+// place is a host, a rack or a data centre; what is wider has the narrower
+// names empty.
+type place struct {
+	locality apricotwinch.Locality
+	host     string
+}
+
+// places returns the host, rack and data centre of a host.
+func (h *host) places() [3]place {
+	return [...]place{
+		{locality: h.locality, host: h.name},
+		{locality: h.locality},
+		{locality: dataCentreOf(h.locality)},
+	}
+}
+
+// spread counts the tasks of each job by place.
+type spread map[string]map[place]int
 
-func (s spread) add(job string, at apricotwinch.Locality) {
+func (s spread) add(job string, h *host) {
 	counts := s[job]
 	if counts == nil {
-		counts = make(map[apricotwinch.Locality]int, 2)
+		counts = make(map[place]int, len(h.places()))
 		s[job] = counts
 	}
-	counts[at]++
-	counts[dataCentreOf(at)]++
+	for _, at := range h.places() {
+		counts[at]++
+	}
 }
 
-func (s spread) remove(job string, at apricotwinch.Locality) {
+func (s spread) remove(job string, h *host) {
 	counts := s[job]
-	for _, place := range [...]apricotwinch.Locality{at, dataCentreOf(at)} {
-		counts[place]--
-		if counts[place] <= 0 {
-			delete(counts, place)
+	for _, at := range h.places() {
+		counts[at]--
+		if counts[at] <= 0 {
+			delete(counts, at)
 		}
 	}
 	if len(counts) == 0 {
