Let the log's timeout grow only after three timeouts in a row

Cause: a cut of 5 s doubled the timeout of the read-back under way, to 6 s, so that an owner's heartbeats could stay away for longer than the takeover time.

Conclusion: go test -race ./appender passes; the test of the timeouts has a short cut and a long one.

--- a/appender/appender_test.go
+++ b/appender/appender_test.go
@@ -233,12 +233,13 @@
 }
 
 // TestTimeoutFollowsLatency holds that a slow log gets more time, up to a bound,
-// and a fast one less.
+// a fast one less, and a short cut of the network none.
 func TestTimeoutFollowsLatency(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	call := appender.NewCall(clock)
 	var got []time.Duration
-	for _, take := range []time.Duration{7 * time.Second, 8 * time.Second, 14 * time.Second, 5 * time.Second, time.Second, 0} {
+	const down, slow = time.Minute, 5 * time.Second
+	for _, take := range []time.Duration{down, down, 0, down, down, down, down, down, down, slow, time.Second, 0} {
 		call(context.Background(), time.Second, func(ctx context.Context) error {
 			deadline, _ := ctx.Deadline()
 			timeout := deadline.Sub(clock.Now())
@@ -251,7 +252,10 @@
 			return nil
 		})
 	}
-	want := []time.Duration{3 * time.Second, 6 * time.Second, 10 * time.Second, 10 * time.Second, 8 * time.Second, 3 * time.Second}
+	var want []time.Duration
+	for _, seconds := range []time.Duration{3, 3, 3, 3, 3, 3, 6, 6, 6, 10, 8, 3} {
+		want = append(want, seconds*time.Second)
+	}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("timeouts (-want +got):\n%s", diff)
 	}
--- a/appender/patience.go
+++ b/appender/patience.go
@@ -7,11 +7,17 @@
 	"github.com/jonboulle/clockwork"
 )
 
+// timeoutsInRow is the number of calls that time out one after another before the
+// timeout grows. A short cut of the network is over before, and must not make the
+// calls after it wait for longer.
+const timeoutsInRow = 3
+
 // patience is the timeout of calls to the log. It grows while calls time out, so
 // that a log that is slow but works isn't given up, and follows the log's latency.
 type patience struct {
-	clock   clockwork.Clock
-	current time.Duration
+	clock    clockwork.Clock
+	current  time.Duration
+	timeouts int
 }
 
 func newPatience(clock clockwork.Clock) *patience {
@@ -26,13 +32,21 @@
 	err := do(bounded)
 	switch {
 	case err == nil:
+		p.timeouts = 0
 		p.current = min(max(timeoutMin, 2*(p.clock.Since(started)-extra)), timeoutMax)
 	case ended(bounded) && ctx.Err() == nil:
-		p.current = min(2*p.current, timeoutMax)
+		p.timedOut()
 	}
 	return err
 }
 
+func (p *patience) timedOut() {
+	p.timeouts++
+	if p.timeouts%timeoutsInRow == 0 {
+		p.current = min(2*p.current, timeoutMax)
+	}
+}
+
 // ended reports whether ctx is over, without waiting for it.
 func ended(ctx context.Context) bool {
 	select {
