--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -18,6 +18,7 @@
 	"apricotwinch"
 	"apricotwinch/agent"
 	"apricotwinch/appender"
+	"apricotwinch/authenticator"
 	"apricotwinch/dispatcher"
 	"apricotwinch/messenger"
 	"apricotwinch/reporter"
@@ -128,7 +129,7 @@
 		HTTP:              loopback,
 		Peer:              loopback,
 		Log:               a.logURL,
-		OperatorTokenHash: dispatcher.TokenHash(OperatorToken),
+		OperatorTokenHash: authenticator.HashToken(OperatorToken),
 	}
 	entry, err := dispatcher.New(settings, dispatcher.Deps{
 		Log:      appender.NewHTTP(a.logURL, a.client),
@@ -255,7 +256,7 @@
 			},
 			"requestsPerSecond": requestsPerSec, "requestBurst": requestsPerSec, "requestsInFlight": requestsPerSec, "weight": 1,
 		}},
-		setting{"teams/" + d.Team + "/access", map[string]any{"tokenHashes": []string{dispatcher.TokenHash(TeamToken)}}},
+		setting{"teams/" + d.Team + "/access", map[string]any{"tokenHashes": []string{authenticator.HashToken(TeamToken)}}},
 		setting{"teams/" + d.Team + "/services/" + d.Service.Name, map[string]any{
 			"urgency": d.Service.Urgency, "timeoutMillis": d.Service.TimeoutMillis,
 		}},
--- a/dispatcher/entry.go
+++ b/dispatcher/entry.go
@@ -21,6 +21,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"apricotwinch/appender"
+	"apricotwinch/authenticator"
 	"apricotwinch/claimer"
 	"apricotwinch/connector"
 	"apricotwinch/drainer"
@@ -55,16 +56,17 @@
 	registry metrics.Registry
 	metrics  http.Handler
 
-	pool        *connector.Pool
-	drainer     *drainer.Drainer
-	members     *members
-	views       *views
-	ownership   *ownership
-	admission   *admission
-	keys        []*keyPartition
-	claimsLog   *appender.Appender
-	settingsLog *appender.Appender
-	jobs        []*appender.Appender
+	pool          *connector.Pool
+	drainer       *drainer.Drainer
+	members       *members
+	views         *views
+	ownership     *ownership
+	admission     *admission
+	authenticator *authenticator.Authenticator
+	keys          []*keyPartition
+	claimsLog     *appender.Appender
+	settingsLog   *appender.Appender
+	jobs          []*appender.Appender
 
 	httpListener net.Listener
 	peerListener net.Listener
@@ -85,18 +87,23 @@
 	if err := security.CheckListen(settings.Peer); err != nil {
 		return nil, err
 	}
+	callers, err := authenticator.New(operatorName, settings.OperatorTokenHash, deps.Registry)
+	if err != nil {
+		return nil, err
+	}
 	e := &Entry{
-		settings:    settings,
-		timing:      timing,
-		security:    security,
-		incarnation: uuid.NewString(),
-		log:         deps.Log,
-		clock:       deps.Clock,
-		logger:      deps.Logger.With("entry", settings.Name),
-		registry:    deps.Registry,
-		metrics:     deps.Metrics,
-		pool:        connector.NewPool(security, deps.Registry),
-		drainer:     drainer.New(),
+		settings:      settings,
+		timing:        timing,
+		security:      security,
+		incarnation:   uuid.NewString(),
+		log:           deps.Log,
+		clock:         deps.Clock,
+		logger:        deps.Logger.With("entry", settings.Name),
+		registry:      deps.Registry,
+		metrics:       deps.Metrics,
+		pool:          connector.NewPool(security, deps.Registry),
+		drainer:       drainer.New(),
+		authenticator: callers,
 	}
 	if err := e.listen(); err != nil {
 		return nil, err
--- a/dispatcher/operators.go
+++ b/dispatcher/operators.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"apricotwinch"
+	"apricotwinch/authenticator"
 	"apricotwinch/configurator"
 	"apricotwinch/messenger"
 )
@@ -146,7 +147,7 @@
 // switchDataCentre takes a data centre out of service or brings it back,
 // whatever its revision: the latest order counts.
 func (e *Entry) switchDataCentre(c *call, out bool) error {
-	if err := c.operator(); err != nil {
+	if err := authenticator.CheckOperator(c.who); err != nil {
 		return err
 	}
 	name := c.PathValue("name")
--- a/dispatcher/routes.go
+++ b/dispatcher/routes.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"io"
@@ -71,7 +69,7 @@
 		return
 	}
 	defer done()
-	who, err := e.identify(req)
+	who, err := e.authenticator.Authenticate(e.views.current(), req.Header.Get("Authorization"))
 	if err != nil {
 		e.refuse(w, err)
 		return
@@ -83,27 +81,6 @@
 	}
 }
 
-func (e *Entry) identify(req *http.Request) (configurator.Principal, error) {
-	token, ok := strings.CutPrefix(req.Header.Get("Authorization"), "Bearer ")
-	if !ok || token == "" {
-		return configurator.Principal{}, apricotwinch.Errorf(apricotwinch.Unauthenticated, "Authorization: a bearer token is required")
-	}
-	hash := TokenHash(token)
-	if hash == e.settings.OperatorTokenHash {
-		return configurator.Operator(operatorName), nil
-	}
-	if who, ok := e.views.current().Principal(hash); ok {
-		return who, nil
-	}
-	return configurator.Principal{}, apricotwinch.Errorf(apricotwinch.Unauthenticated, "Authorization: the token is not known")
-}
-
-// TokenHash returns the SHA-256 of a token in hexadecimal, as settings hold it.
-func TokenHash(token string) string {
-	sum := sha256.Sum256([]byte(token))
-	return hex.EncodeToString(sum[:])
-}
-
 // refuse answers err by the table of kinds and counts it.
 func (e *Entry) refuse(w http.ResponseWriter, err error) {
 	kind := apricotwinch.KindOf(err)
@@ -171,11 +148,3 @@
 	}
 	return team, nil
 }
-
-// operator returns an error of kind Forbidden unless the caller is an operator.
-func (c *call) operator() error {
-	if c.who.IsOperator() {
-		return nil
-	}
-	return apricotwinch.Errorf(apricotwinch.Forbidden, "this operation is for operators")
-}
