--- a/measurer/fleet_test.go
+++ b/measurer/fleet_test.go
@@ -22,7 +22,7 @@
 
 	"apricotwinch"
 	"apricotwinch/agent"
-	"apricotwinch/dispatcher"
+	"apricotwinch/authenticator"
 	"apricotwinch/messenger"
 	"apricotwinch/requester"
 	"apricotwinch/standin/journaler"
@@ -170,7 +170,7 @@
 	name := fmt.Sprintf("entry-%d", number)
 	d.command = f.start(name, "entry", map[string]any{
 		"name": name, "region": "r", "dataCentre": "dc", "http": d.http, "peer": d.peer, "log": f.logURL,
-		"partitions": f.shape.partitions, "operatorTokenHash": dispatcher.TokenHash(operatorToken),
+		"partitions": f.shape.partitions, "operatorTokenHash": authenticator.HashToken(operatorToken),
 	})
 	f.entries = append(f.entries, d)
 }
