Answer every refused call of the entry in the documented form

Now each is refused as API.md says and counted; connections that end with an unread request count as refused.unread; a keyed submission waits until the owner shows which job got the key; nothing is sent to the log while the entry's own heartbeats don't reach it, and a partition's begin no longer spins while the log is down.

--- a/dispatcher/jobs.go
+++ b/dispatcher/jobs.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"bytes"
 	"context"
 	"encoding/hex"
 	"encoding/json"
@@ -23,6 +24,8 @@
 	maxNameBytes    = 128
 	forwardTimeout  = 3 * time.Second
 	progressPeriod  = 250 * time.Millisecond
+	confirmTimeout  = 10 * time.Second
+	confirmPeriod   = 20 * time.Millisecond
 )
 
 func init() {
@@ -60,10 +63,13 @@
 	if err := checkSpec(&spec); err != nil {
 		return err
 	}
-	key := c.Header.Get("Idempotency-Key")
+	key, err := c.key()
+	if err != nil {
+		return err
+	}
 	id := jobID(team, key)
 	if key != "" {
-		if err := e.checkResubmission(c.ctx, team, id, spec); err != nil {
+		if _, err := e.checkKey(c.ctx, team, id, spec); err != nil {
 			return err
 		}
 	}
@@ -73,24 +79,53 @@
 	if err := e.appendRecord(c.ctx, e.partitionOf(team), record); err != nil {
 		return err
 	}
+	if key != "" {
+		if err := e.confirmKey(c.ctx, team, id, spec); err != nil {
+			return err
+		}
+	}
 	e.count("jobs.submitted")
 	writeJSON(c.writer, http.StatusAccepted, messenger.SubmitAnswer{Job: id})
 	return nil
 }
 
-// checkResubmission refuses a key that was used for another job.
-func (e *Entry) checkResubmission(ctx context.Context, team, id string, spec messenger.JobSpec) error {
+// checkKey reports whether the job that a key stands for is known; it refuses a
+// key that stands for another job than spec.
+func (e *Entry) checkKey(ctx context.Context, team, id string, spec messenger.JobSpec) (bool, error) {
 	reply, err := e.forward(ctx, messenger.Forward{Team: team, Job: id})
 	if apricotwinch.KindOf(err) == apricotwinch.NotFound {
-		return nil
+		return false, nil
 	}
 	if err != nil {
-		return apricotwinch.Errorf(apricotwinch.NotOwner, "Idempotency-Key: can't be checked now: %w", err)
+		return false, apricotwinch.Errorf(apricotwinch.NotOwner, "%s: can't be checked now: %w", headerKey, err)
 	}
-	if !reflect.DeepEqual(reply.Jobs[0].Spec, spec) {
-		return apricotwinch.Errorf(apricotwinch.Conflict, "Idempotency-Key: was used for another job")
+	if !sameSpec(reply.Jobs[0].Spec, spec) {
+		return true, apricotwinch.Errorf(apricotwinch.Conflict, "%s: was used for another job", headerKey)
+	}
+	return true, nil
+}
+
+// sameSpec reports whether a and b are the same job on the wire.
+func sameSpec(a, b messenger.JobSpec) bool {
+	one, errOne := json.Marshal(a)
+	two, errTwo := json.Marshal(b)
+	return errOne == nil && errTwo == nil && bytes.Equal(one, two)
+}
+
+// confirmKey waits until the owner shows the job that got a key first, now that
+// the record of spec is durable; it refuses the key when that is another job.
+func (e *Entry) confirmKey(ctx context.Context, team, id string, spec messenger.JobSpec) error {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	for {
+		known, err := e.checkKey(ctx, team, id, spec)
+		if known {
+			return err
+		}
+		if !e.sleepUntil(ctx, e.clock.Now().Add(confirmPeriod)) {
+			return apricotwinch.Errorf(apricotwinch.Unknown, "%s: the job is durable, but whether another one has the key was not seen in time; submit it again", headerKey)
+		}
 	}
-	return nil
 }
 
 // specCheck is one rule for the fields of a job.
--- a/dispatcher/keyed.go
+++ b/dispatcher/keyed.go
@@ -232,7 +232,11 @@
 }
 
 func (x *keyedExchange) claim(record messenger.KeyRecord) {
-	offset, err := x.keys.append(record)
+	err := x.entry.checkLog()
+	var offset int64
+	if err == nil {
+		offset, err = x.keys.append(record)
+	}
 	if err != nil {
 		x.entry.count("keys.claim." + string(apricotwinch.KindOf(err)))
 	}
--- a/dispatcher/listen.go
+++ b/dispatcher/listen.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -18,6 +20,10 @@
 	idleTimeout   = 2 * time.Minute
 )
 
+// hardHeaderFactor times the bound on headers is where a connection is closed
+// without the answer that headers over the bound get.
+const hardHeaderFactor = 2
+
 // listen opens the entry's listeners.
 func (e *Entry) listen() error {
 	config := net.ListenConfig{}
@@ -51,9 +57,13 @@
 		ReadHeaderTimeout: min(headerTimeout, read),
 		ReadTimeout:       read,
 		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    e.settings.Limits.HeaderBytes,
+		MaxHeaderBytes:    hardHeaderFactor * e.settings.Limits.HeaderBytes,
 		TLSConfig:         e.httpTLS,
 		ErrorLog:          e.logger.StandardLogger(nil),
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, boundedOf(conn))
+		},
+		ConnState: e.noteState,
 	}
 }
 
@@ -98,10 +108,50 @@
 	l.open--
 }
 
+// connKey is the key of a caller's connection in the context of its requests.
+type connKey struct{}
+
+// boundedOf returns the bounded connection under conn, nil when there is none.
+func boundedOf(conn net.Conn) *boundedConn {
+	if secured, ok := conn.(*tls.Conn); ok {
+		conn = secured.NetConn()
+	}
+	bounded, _ := conn.(*boundedConn)
+	return bounded
+}
+
+// noteState counts connections that end while a request on them is unread: the
+// head was too large, too slow or malformed, or the TLS handshake failed.
+func (e *Entry) noteState(conn net.Conn, state http.ConnState) {
+	bounded := boundedOf(conn)
+	if bounded == nil {
+		return
+	}
+	switch state {
+	case http.StateNew:
+		bounded.unread.Store(e.httpTLS != nil)
+	case http.StateActive:
+		bounded.unread.Store(true)
+	case http.StateClosed:
+		if bounded.unread.Load() {
+			e.count("refused.unread")
+		}
+	}
+}
+
+// noteRead notes that the head of a request arrived whole.
+func noteRead(req *http.Request) {
+	if bounded, ok := req.Context().Value(connKey{}).(*boundedConn); ok && bounded != nil {
+		bounded.unread.Store(false)
+	}
+}
+
 // boundedConn leaves its listener when it closes.
 type boundedConn struct {
 	net.Conn
 	leave func()
+	// unread is whether something arrived that is no whole request yet.
+	unread atomic.Bool
 }
 
 // Close closes the connection.
--- a/dispatcher/partition.go
+++ b/dispatcher/partition.go
@@ -85,6 +85,7 @@
 			return
 		}
 		p.entry.count("partition.begin_retries")
+		p.entry.sleepUntil(ctx, p.entry.clock.Now().Add(ownerTick))
 	}
 }
 
@@ -209,8 +210,6 @@
 
 // append makes a record of the partition durable.
 func (p *partition) append(ctx context.Context, record messenger.LedgerRecord) error {
-	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
-	defer cancel()
 	return p.entry.appendRecord(ctx, p.number, record)
 }
 
@@ -305,8 +304,23 @@
 	return missing
 }
 
+// checkLog returns an error of kind LogUnavailable while the entry's own
+// heartbeats don't reach the log, so that nothing is sent whose end would be
+// unknown.
+func (e *Entry) checkLog() error {
+	if e.claimsLog.Failing() {
+		return apricotwinch.Errorf(apricotwinch.LogUnavailable, "not sent: the log is failing")
+	}
+	return nil
+}
+
 // appendRecord makes a record of a partition's stream durable.
 func (e *Entry) appendRecord(ctx context.Context, number int, record messenger.LedgerRecord) error {
+	if err := e.checkLog(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
 	if record.Id == "" {
 		record.Id = uuid.NewString()
 	}
--- a/dispatcher/requests.go
+++ b/dispatcher/requests.go
@@ -46,6 +46,7 @@
 	idempotent  bool
 	deadline    time.Time
 	contentType string
+	key         string
 	body        []byte
 	tried       []string
 }
@@ -65,7 +66,7 @@
 	defer cancel()
 	c.writer.Header().Set(headerRequest, r.id)
 	started := e.clock.Now()
-	reply, err := e.answer(ctx, c.Header.Get(headerKey), r)
+	reply, err := e.answer(ctx, r)
 	if err != nil {
 		return err
 	}
@@ -74,11 +75,11 @@
 }
 
 // answer gets the answer of a keyed request once, of any other by trying.
-func (e *Entry) answer(ctx context.Context, key string, r *request) (messenger.DispatchReply, error) {
-	if key == "" {
+func (e *Entry) answer(ctx context.Context, r *request) (messenger.DispatchReply, error) {
+	if r.key == "" {
 		return e.try(ctx, r, e.send)
 	}
-	return e.answerKeyed(ctx, key, r)
+	return e.answerKeyed(ctx, r.key, r)
 }
 
 func writeReply(w http.ResponseWriter, reply messenger.DispatchReply) error {
@@ -117,9 +118,9 @@
 }
 
 // readOptions reads the headers that change how a request is handled.
-func (c *call) readOptions(r *request) error {
-	if len(c.Header.Get(headerKey)) > maxKeyBytes {
-		return apricotwinch.Errorf(apricotwinch.Invalid, "%s: is over %d bytes", headerKey, maxKeyBytes)
+func (c *call) readOptions(r *request) (err error) {
+	if r.key, err = c.key(); err != nil {
+		return err
 	}
 	if text := c.Header.Get(headerIdempotent); text != "" {
 		idempotent, err := strconv.ParseBool(text)
@@ -128,13 +129,13 @@
 		}
 		r.idempotent = idempotent
 	}
-	if r.idempotent && c.Header.Get(headerKey) != "" {
+	if r.idempotent && r.key != "" {
 		return apricotwinch.Errorf(apricotwinch.Invalid, "%s: goes with a request that has no %s", headerIdempotent, headerKey)
 	}
 	if text := c.Header.Get(headerUrgency); text != "" {
 		urgency, err := apricotwinch.ParseUrgency(text)
 		if err != nil {
-			return err
+			return apricotwinch.Errorf(apricotwinch.Invalid, "%s: %w", headerUrgency, err)
 		}
 		r.urgency = min(r.urgency, urgency)
 	}
@@ -148,7 +149,7 @@
 		return now.Add(standard), nil
 	}
 	timeout, err := strconv.Atoi(text)
-	if err != nil || timeout < 1 || time.Duration(timeout)*time.Millisecond > maxTimeout {
+	if err != nil || timeout < 1 || int64(timeout) > maxTimeout.Milliseconds() {
 		return time.Time{}, apricotwinch.Errorf(apricotwinch.Invalid, "%s: %q is not 1 to %d", headerDeadline, text, maxTimeout.Milliseconds())
 	}
 	return now.Add(time.Duration(timeout) * time.Millisecond), nil
--- a/dispatcher/routes.go
+++ b/dispatcher/routes.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -8,10 +9,10 @@
 	"net/http"
 	"os"
 	"strconv"
-	"strings"
 	"time"
 
 	"apricotwinch"
+	"apricotwinch/authenticator"
 	"apricotwinch/configurator"
 	"apricotwinch/messenger"
 )
@@ -49,9 +50,62 @@
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
 	mux.HandleFunc("GET /readyz", e.serveReady)
 	mux.Handle("GET /metrics", e.metrics)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		noteRead(req)
+		if err := e.checkHead(w, req, mux); err != nil {
+			e.refuse(w, err)
+			return
+		}
+		mux.ServeHTTP(w, req)
+	})
+}
+
+// checkHead returns an error that names what is wrong with the headers, the path
+// or the method of a request.
+func (e *Entry) checkHead(w http.ResponseWriter, req *http.Request, mux *http.ServeMux) error {
+	if limit := e.settings.Limits.HeaderBytes; headBytes(req) > limit {
+		return apricotwinch.Errorf(apricotwinch.TooLarge, "headers: are over %d bytes", limit)
+	}
+	handler, pattern := mux.Handler(req)
+	if pattern != "" {
+		return nil
+	}
+	found := probe{header: make(http.Header)}
+	handler.ServeHTTP(&found, req)
+	if found.status != http.StatusMethodNotAllowed {
+		return apricotwinch.Errorf(apricotwinch.NotFound, "path: %q is not known", req.URL.Path)
+	}
+	allow := found.header.Get("Allow")
+	w.Header().Set("Allow", allow)
+	return apricotwinch.Errorf(apricotwinch.Invalid, "method: %s is none of %s", req.Method, allow)
+}
+
+// headBytes returns the length of the request line and the headers.
+func headBytes(req *http.Request) int {
+	length := len(req.Method) + len(req.RequestURI) + len(req.Host)
+	for name, values := range req.Header {
+		for _, value := range values {
+			length += len(name) + len(value) + len(": \r\n")
+		}
+	}
+	return length
+}
+
+// probe takes the head of an answer and drops the body.
+type probe struct {
+	header http.Header
+	status int
 }
 
+// Header returns the headers of the answer.
+func (p *probe) Header() http.Header { return p.header }
+
+// WriteHeader takes the status of the answer.
+func (p *probe) WriteHeader(status int) { p.status = status }
+
+// Write drops data.
+func (p *probe) Write(data []byte) (int, error) { return len(data), nil }
+
 func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if reason := e.notReady(); reason != "" {
 		http.Error(w, reason, http.StatusServiceUnavailable)
@@ -128,23 +182,40 @@
 	if err != nil {
 		return err
 	}
-	decoder := json.NewDecoder(strings.NewReader(string(data)))
+	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(v); err != nil {
 		return apricotwinch.Errorf(apricotwinch.Invalid, "body: %w", err)
 	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return apricotwinch.Errorf(apricotwinch.Invalid, "body: goes on after its value")
+	}
 	return nil
 }
 
-// team returns the team of the caller; an operator names one by the query
-// parameter team.
+// team returns the team that a call is about: the caller's, or the one that the
+// query parameter team names, which the caller must be allowed to act for.
 func (c *call) team() (string, error) {
-	if !c.who.IsOperator() {
-		return c.who.Name(), nil
-	}
 	team := c.URL.Query().Get("team")
-	if team == "" {
+	if team != "" {
+		return team, authenticator.CheckTeam(c.who, team)
+	}
+	if c.who.IsOperator() {
 		return "", apricotwinch.Errorf(apricotwinch.Invalid, "team: an operator must name it in the query")
 	}
-	return team, nil
+	return c.who.Name(), nil
+}
+
+// key returns the idempotency key of a call, "" for none.
+func (c *call) key() (string, error) {
+	values, ok := c.Header[headerKey]
+	switch {
+	case !ok:
+		return "", nil
+	case len(values) != 1 || values[0] == "":
+		return "", apricotwinch.Errorf(apricotwinch.Invalid, "%s: must be one key that is not empty", headerKey)
+	case len(values[0]) > maxKeyBytes:
+		return "", apricotwinch.Errorf(apricotwinch.Invalid, "%s: is over %d bytes", headerKey, maxKeyBytes)
+	}
+	return values[0], nil
 }
--- a/dispatcher/views.go
+++ b/dispatcher/views.go
@@ -104,6 +104,9 @@
 	if err := v.current().Check(record); err != nil {
 		return configurator.Outcome{}, err
 	}
+	if err := v.entry.checkLog(); err != nil {
+		return configurator.Outcome{}, err
+	}
 	record.Id = uuid.NewString()
 	data, err := json.Marshal(record)
 	if err != nil {
