Refuse and count peers and callers that can't prove who they are

Cause: a peer without a certificate, with one of another authority or with a wrong shared key was refused, but counted nowhere, kept its connection, and the failure came up as an unknown outcome of the first call. A connection on which no key was ever proved was held without end. A certificate without an authority let an address be opened to other hosts unproved. -check did not read the files that the settings name.

Now both sides end the TLS handshake within a bound before the first call; connector.refused_tls and connector.refused_key count; the key must be proved within 10 s; CheckListen asks for an authority or a key; dispatcher and agent check the whole settings on load, naming the field.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -62,9 +62,6 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := security.CheckListen(settings.Listen); err != nil {
-		return nil, err
-	}
 	a := &Agent{
 		settings:    settings,
 		clock:       clock,
--- a/agent/settings.go
+++ b/agent/settings.go
@@ -58,7 +58,8 @@
 	return s, nil
 }
 
-// Check returns an error of kind Invalid that names the first wrong field.
+// Check returns an error of kind Invalid that names the first wrong field. It
+// reads the files that the settings name.
 func (s Settings) Check() error {
 	required := []struct{ field, value string }{
 		{"name", s.Name},
@@ -80,7 +81,17 @@
 	if c := s.Capacity.Value(); c.Negative() || c.Zero() {
 		return apricotwinch.Errorf(apricotwinch.Invalid, "capacity: %s is not the capacity of a host", c)
 	}
-	return checkLoopback("http", s.HTTP)
+	if err := checkLoopback("http", s.HTTP); err != nil {
+		return err
+	}
+	security, err := s.security()
+	if err != nil {
+		return err
+	}
+	if err := security.CheckListen(s.Listen); err != nil {
+		return apricotwinch.Errorf(apricotwinch.Invalid, "listen: %w", err)
+	}
+	return nil
 }
 
 func checkLoopback(field, address string) error {
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -16,6 +16,11 @@
 type message struct{ Text string }
 
 func serve(t *testing.T, security connector.Security) string {
+	t.Helper()
+	return serveCounted(t, security, metrics.NewRegistry())
+}
+
+func serveCounted(t *testing.T, security connector.Security, registry metrics.Registry) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -33,7 +38,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
-	server := connector.NewServer(table, security, metrics.NewRegistry(), 10)
+	server := connector.NewServer(table, security, registry, 10)
 	go func() { defer close(done); server.Serve(ctx, listener) }()
 	t.Cleanup(func() { cancel(); <-done })
 	return listener.Addr().String()
--- a/connector/files.go
+++ b/connector/files.go
@@ -37,6 +37,9 @@
 		return nil, nil, apricotwinch.Errorf(apricotwinch.Invalid, "tls.authority: %w", err)
 	}
 	pool := x509.NewCertPool()
+	if client.ServerName == "" {
+		return nil, nil, apricotwinch.Errorf(apricotwinch.Invalid, "tls.certificate: %s bears no DNS name, by which peers know each other", f.Certificate)
+	}
 	if !pool.AppendCertsFromPEM(pem) {
 		return nil, nil, apricotwinch.Errorf(apricotwinch.Invalid, "tls.authority: %s holds no certificate", f.Authority)
 	}
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -114,9 +114,10 @@
 		return nil, err
 	}
 	metered := newMeteredConn(conn, p.registry)
-	var secured net.Conn = metered
-	if p.security.client != nil {
-		secured = tls.Client(metered, p.security.client)
+	secured, err := p.secure(ctx, metered)
+	if err != nil {
+		conn.Close()
+		return nil, err
 	}
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	rpc := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(secured, codec{}), refuseCalls{}, jsonrpc2.SetLogger(silent{}))
@@ -135,6 +136,15 @@
 	return remote, nil
 }
 
+// secure returns conn under TLS, when that is set, once the peer proved who it is.
+func (p *Pool) secure(ctx context.Context, conn net.Conn) (net.Conn, error) {
+	if p.security.client == nil {
+		return conn, nil
+	}
+	secured := tls.Client(conn, p.security.client)
+	return secured, secured.HandshakeContext(ctx)
+}
+
 func (p *Pool) keep(address string, remote *peer) {
 	p.mu.Lock()
 	p.peers[address] = remote
@@ -169,5 +179,3 @@
 
 // Handle drops the request.
 func (refuseCalls) Handle(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) {}
-
-func tlsServer(conn net.Conn, config *tls.Config) net.Conn { return tls.Server(conn, config) }
--- a/connector/security.go
+++ b/connector/security.go
@@ -8,6 +8,8 @@
 	"crypto/tls"
 	"encoding/json"
 	"net"
+	"sync"
+	"sync/atomic"
 
 	"apricotwinch"
 )
@@ -26,9 +28,9 @@
 }
 
 // CheckListen returns an error of kind Invalid when address is not a loopback
-// address and neither TLS nor a shared key is set.
+// address and peers need neither a certificate of an authority nor a shared key.
 func (s Security) CheckListen(address string) error {
-	if s.server != nil || len(s.key) > 0 {
+	if s.server != nil && s.server.ClientAuth == tls.RequireAndVerifyClientCert || len(s.key) > 0 {
 		return nil
 	}
 	host, _, err := net.SplitHostPort(address)
@@ -37,7 +39,7 @@
 	}
 	if ip := net.ParseIP(host); ip == nil || !ip.IsLoopback() {
 		return apricotwinch.Errorf(apricotwinch.Invalid,
-			"listen address %q: without TLS or a shared key only a loopback address is allowed", address)
+			"listen address %q: without an authority for TLS or a shared key only a loopback address is allowed", address)
 	}
 	return nil
 }
@@ -62,17 +64,24 @@
 type gate struct {
 	key   []byte
 	nonce []byte
-	open  bool
+	open  atomic.Bool
+	// refuse counts the connection as refused, once.
+	refuse func()
 }
 
-func newGate(key []byte) (*gate, error) {
+func newGate(key []byte, count func()) (*gate, error) {
 	nonce := make([]byte, nonceBytes)
 	if _, err := rand.Read(nonce); err != nil {
 		return nil, err
 	}
-	return &gate{key: key, nonce: nonce, open: len(key) == 0}, nil
+	g := &gate{key: key, nonce: nonce, refuse: sync.OnceFunc(count)}
+	g.open.Store(len(key) == 0)
+	return g, nil
 }
 
+// opened reports whether the peer proved the key, or none is asked for.
+func (g *gate) opened() bool { return g.open.Load() }
+
 func (g *gate) handle(method string, params json.RawMessage) (any, error) {
 	if method == methodChallenge {
 		return challenge{Nonce: g.nonce}, nil
@@ -84,7 +93,7 @@
 	if !hmac.Equal(p.MAC, sign(g.key, g.nonce)) {
 		return nil, apricotwinch.Errorf(apricotwinch.Unauthenticated, "mac: the shared keys differ")
 	}
-	g.open = true
+	g.open.Store(true)
 	return struct{}{}, nil
 }
 
--- a/connector/server.go
+++ b/connector/server.go
@@ -4,10 +4,12 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/jsonrpc2"
@@ -15,6 +17,15 @@
 	"apricotwinch"
 )
 
+// handshakeTimeout bounds the time in which a peer proves who it is.
+const handshakeTimeout = 10 * time.Second
+
+// Names of the counters of peers that are refused.
+const (
+	counterTLS = "connector.refused_tls" // No certificate, or not of the authority.
+	counterKey = "connector.refused_key" // The shared key was not proved.
+)
+
 // Handler answers one method; its error travels to the caller with its kind.
 type Handler func(ctx context.Context, params json.RawMessage) (any, error)
 
@@ -40,7 +51,7 @@
 	maxConns int
 
 	mu     sync.Mutex
-	conns  map[*jsonrpc2.Conn]struct{}
+	conns  map[net.Conn]struct{}
 	closed bool
 }
 
@@ -51,7 +62,7 @@
 		security: security,
 		registry: registry,
 		maxConns: maxConns,
-		conns:    make(map[*jsonrpc2.Conn]struct{}),
+		conns:    make(map[net.Conn]struct{}),
 	}
 }
 
@@ -74,7 +85,8 @@
 }
 
 func (s *Server) accept(ctx context.Context, conn net.Conn) {
-	guard, err := newGate(s.security.key)
+	refused := metrics.GetOrRegisterCounter(counterKey, s.registry)
+	guard, err := newGate(s.security.key, func() { refused.Inc(1) })
 	if err != nil {
 		conn.Close()
 		return
@@ -86,17 +98,41 @@
 		conn.Close()
 		return
 	}
-	rpc := jsonrpc2.NewConn(ctx, s.stream(conn), s.handler(guard), jsonrpc2.SetLogger(silent{}))
-	s.conns[rpc] = struct{}{}
-	go s.forgetWhenClosed(rpc)
+	s.conns[conn] = struct{}{}
+	go s.serveConn(ctx, conn, guard)
 }
 
-func (s *Server) stream(conn net.Conn) jsonrpc2.ObjectStream {
-	var metered net.Conn = newMeteredConn(conn, s.registry)
-	if s.security.server != nil {
-		metered = tlsServer(metered, s.security.server)
+// serveConn answers the calls on one connection until it closes.
+func (s *Server) serveConn(ctx context.Context, conn net.Conn, guard *gate) {
+	defer s.forget(conn)
+	secured, err := s.secure(ctx, conn)
+	if err != nil {
+		metrics.GetOrRegisterCounter(counterTLS, s.registry).Inc(1)
+		return
 	}
-	return jsonrpc2.NewBufferedStream(metered, codec{})
+	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(secured, codec{}), s.handler(guard), jsonrpc2.SetLogger(silent{}))
+	defer rpc.Close()
+	late := time.AfterFunc(handshakeTimeout, func() {
+		if !guard.opened() {
+			guard.refuse()
+			rpc.Close()
+		}
+	})
+	defer late.Stop()
+	<-rpc.DisconnectNotify()
+}
+
+// secure returns conn with its bytes counted, and under TLS once the peer proved
+// who it is.
+func (s *Server) secure(ctx context.Context, conn net.Conn) (net.Conn, error) {
+	metered := newMeteredConn(conn, s.registry)
+	if s.security.server == nil {
+		return metered, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	secured := tls.Server(metered, s.security.server)
+	return secured, secured.HandshakeContext(ctx)
 }
 
 // handler answers the handshake in order of arrival and every other call in a
@@ -106,12 +142,13 @@
 	handshake := jsonrpc2.HandlerWithError(func(_ context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
 		result, err := guard.handle(req.Method, params(req))
 		if err != nil {
+			guard.refuse()
 			return nil, encodeError(err)
 		}
 		return result, nil
 	}).SuppressErrClosed()
 	return handlerFunc(func(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
-		if !guard.open {
+		if !guard.opened() {
 			handshake.Handle(ctx, conn, req)
 			return
 		}
@@ -131,23 +168,20 @@
 	return result, nil
 }
 
-func (s *Server) forgetWhenClosed(rpc *jsonrpc2.Conn) {
-	<-rpc.DisconnectNotify()
+// forget closes a connection and makes room for another.
+func (s *Server) forget(conn net.Conn) {
+	conn.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.conns, rpc)
+	delete(s.conns, conn)
 }
 
 func (s *Server) closeAll() {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.closed = true
-	conns := make([]*jsonrpc2.Conn, 0, len(s.conns))
-	for rpc := range s.conns {
-		conns = append(conns, rpc)
-	}
-	s.mu.Unlock()
-	for _, rpc := range conns {
-		rpc.Close()
+	for conn := range s.conns {
+		conn.Close()
 	}
 }
 
--- a/dispatcher/entry.go
+++ b/dispatcher/entry.go
@@ -76,6 +76,9 @@
 // them. It fails with kind Invalid, naming the field, when a setting is bad.
 func New(settings Settings, deps Deps) (*Entry, error) {
 	settings = settings.withDefaults()
+	if err := settings.Check(); err != nil {
+		return nil, err
+	}
 	timing, err := settings.claimTiming()
 	if err != nil {
 		return nil, err
@@ -84,7 +87,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := security.CheckListen(settings.Peer); err != nil {
+	httpTLS, err := settings.httpTLS()
+	if err != nil {
 		return nil, err
 	}
 	callers, err := authenticator.New(operatorName, settings.OperatorTokenHash, deps.Registry)
@@ -95,6 +99,7 @@
 		settings:      settings,
 		timing:        timing,
 		security:      security,
+		httpTLS:       httpTLS,
 		incarnation:   uuid.NewString(),
 		log:           deps.Log,
 		clock:         deps.Clock,
--- a/dispatcher/fixture_test.go
+++ b/dispatcher/fixture_test.go
@@ -61,6 +61,7 @@
 	entry    *dispatcher.Entry
 	registry metrics.Registry
 	client   *http.Client
+	scheme   string
 	stop     func()
 }
 
@@ -77,8 +78,15 @@
 	if change != nil {
 		change(&settings)
 	}
-	w.client = &http.Client{Transport: &http.Transport{}}
+	transport := &http.Transport{}
+	w.client, w.scheme = &http.Client{Transport: transport}, "http://"
 	var err error
+	if settings.HTTPTLS != nil {
+		w.scheme = "https://"
+		if _, transport.TLSClientConfig, err = settings.HTTPTLS.Load(); err != nil {
+			t.Fatal(err)
+		}
+	}
 	w.entry, err = dispatcher.New(settings, dispatcher.Deps{
 		Log: appender.NewHTTP(log, w.client), Clock: clockwork.NewRealClock(), Logger: hclog.NewNullLogger(),
 		Registry: w.registry, Metrics: reporter.New(w.registry),
@@ -121,7 +129,7 @@
 func (w *world) call(t *testing.T, what, token, body string, headers ...string) answer {
 	t.Helper()
 	method, path, _ := strings.Cut(what, " ")
-	request, err := http.NewRequest(method, "http://"+w.entry.HTTPAddress()+path, strings.NewReader(body))
+	request, err := http.NewRequest(method, w.scheme+w.entry.HTTPAddress()+path, strings.NewReader(body))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/dispatcher/listen.go
+++ b/dispatcher/listen.go
@@ -28,11 +28,6 @@
 func (e *Entry) listen() error {
 	config := net.ListenConfig{}
 	var err error
-	if e.settings.HTTPTLS != nil {
-		if e.httpTLS, _, err = e.settings.HTTPTLS.Load(); err != nil {
-			return err
-		}
-	}
 	if e.httpListener, err = config.Listen(context.Background(), "tcp", e.settings.HTTP); err != nil {
 		return apricotwinch.Errorf(apricotwinch.Invalid, "http: %w", err)
 	}
--- a/dispatcher/settings.go
+++ b/dispatcher/settings.go
@@ -1,9 +1,12 @@
 package dispatcher
 
 import (
+	"crypto/tls"
 	_ "embed" // The schema of the settings file.
+	"net"
 	"time"
 
+	"apricotwinch"
 	"apricotwinch/claimer"
 	"apricotwinch/connector"
 	"apricotwinch/loader"
@@ -77,7 +80,43 @@
 	if err := loader.Load(path, schema, &s); err != nil {
 		return Settings{}, err
 	}
-	return s.withDefaults(), nil
+	s = s.withDefaults()
+	if err := s.Check(); err != nil {
+		return Settings{}, apricotwinch.Errorf(apricotwinch.Invalid, "%s: %w", path, err)
+	}
+	return s, nil
+}
+
+// Check returns an error of kind Invalid that names the first wrong field. It
+// reads the files that the settings name.
+func (s Settings) Check() error {
+	if _, err := s.claimTiming(); err != nil {
+		return apricotwinch.Errorf(apricotwinch.Invalid, "timing: %w", err)
+	}
+	security, err := s.security()
+	if err != nil {
+		return err
+	}
+	if err := security.CheckListen(s.Peer); err != nil {
+		return apricotwinch.Errorf(apricotwinch.Invalid, "peer: %w", err)
+	}
+	if _, _, err := net.SplitHostPort(s.HTTP); err != nil {
+		return apricotwinch.Errorf(apricotwinch.Invalid, "http: %w", err)
+	}
+	_, err = s.httpTLS()
+	return err
+}
+
+// httpTLS returns the TLS settings of the interface to callers, nil for none.
+func (s Settings) httpTLS() (*tls.Config, error) {
+	if s.HTTPTLS == nil {
+		return nil, nil
+	}
+	server, _, err := s.HTTPTLS.Load()
+	if err != nil {
+		return nil, apricotwinch.Errorf(apricotwinch.Invalid, "httpTLS: %w", err)
+	}
+	return server, nil
 }
 
 func (s Settings) withDefaults() Settings {
