Test the commands, and mend what the tests showed

Cause: submit dropped unknown fields of its file; settings set sent malformed JSON on without naming the file; -wait and -follow ended with exit code 0 when the entry closed the stream before the job had ended; -log-level took any word; load ended with 0 when nothing was answered; the daemons wrote their log past the console that they are given.

--- a/commander/daemons.go
+++ b/commander/daemons.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"flag"
+	"io"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/google/subcommands"
@@ -42,8 +42,22 @@
 	flags.BoolVar(&f.check, "check", false, "check the settings file and exit")
 }
 
-func (f *daemonFlags) logger(name string) hclog.Logger {
-	return hclog.New(&hclog.LoggerOptions{Name: name, Level: hclog.LevelFromString(f.level), Output: os.Stderr, JSONFormat: true})
+// wrong returns what is wrong with the flags, or "".
+func (f *daemonFlags) wrong(args []string) string {
+	switch {
+	case len(args) > 0:
+		return "takes flags only"
+	case f.config == "":
+		return "needs -config"
+	case hclog.LevelFromString(f.level) == hclog.NoLevel:
+		return "-log-level: is none of trace, debug, info, warn, error"
+	}
+	return ""
+}
+
+// logger returns a logger that writes changes of state as JSON to w.
+func (f *daemonFlags) logger(name string, w io.Writer) hclog.Logger {
+	return hclog.New(&hclog.LoggerOptions{Name: name, Level: hclog.LevelFromString(f.level), Output: w, JSONFormat: true})
 }
 
 // platformClient returns the HTTP client for the log or the worker.
@@ -65,7 +79,10 @@
   apricotwinch entry -config entry-1.json -check
 `,
 		setFlags: flags.setFlags,
-		run: func(ctx context.Context, _ []string) subcommands.ExitStatus {
+		run: func(ctx context.Context, args []string) subcommands.ExitStatus {
+			if wrong := flags.wrong(args); wrong != "" {
+				return c.usage("entry %s", wrong)
+			}
 			settings, err := dispatcher.Load(flags.config)
 			if err != nil {
 				return c.fail(err)
@@ -77,7 +94,7 @@
 			entry, err := dispatcher.New(settings, dispatcher.Deps{
 				Log:      appender.NewHTTP(settings.Log, platformClient()),
 				Clock:    clockwork.NewRealClock(),
-				Logger:   flags.logger("entry"),
+				Logger:   flags.logger("entry", c.err),
 				Registry: registry,
 				Metrics:  reporter.New(registry),
 			})
@@ -103,9 +120,13 @@
 requests in flight end and has its tasks checkpointed and evicted.
 
   apricotwinch agent -config host-1.json
+  apricotwinch agent -config host-1.json -check
 `,
 		setFlags: flags.setFlags,
-		run: func(ctx context.Context, _ []string) subcommands.ExitStatus {
+		run: func(ctx context.Context, args []string) subcommands.ExitStatus {
+			if wrong := flags.wrong(args); wrong != "" {
+				return c.usage("agent %s", wrong)
+			}
 			settings, err := agent.Load(flags.config)
 			if err != nil {
 				return c.fail(err)
@@ -114,7 +135,7 @@
 				return subcommands.ExitSuccess
 			}
 			worker := agent.NewHTTPWorker(settings.Worker, platformClient())
-			process, err := agent.New(settings, worker, clockwork.NewRealClock(), flags.logger("agent"), metrics.NewRegistry())
+			process, err := agent.New(settings, worker, clockwork.NewRealClock(), flags.logger("agent", c.err), metrics.NewRegistry())
 			if err != nil {
 				return c.fail(err)
 			}
--- a/commander/jobs.go
+++ b/commander/jobs.go
@@ -1,12 +1,14 @@
 package commander
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"flag"
 	"fmt"
 	"io"
 	"os"
+	"slices"
 
 	"github.com/google/subcommands"
 
@@ -21,6 +23,19 @@
 	register(groupCallers, resumeCommand)
 }
 
+// readValue reads the JSON value in the file at path, or standard input for "-".
+func (c *console) readValue(path string) (json.RawMessage, error) {
+	data, err := c.readFile(path)
+	if err != nil {
+		return nil, err
+	}
+	var value json.RawMessage
+	if err := json.Unmarshal(data, &value); err != nil {
+		return nil, apricotwinch.Errorf(apricotwinch.Invalid, "%s: %w", path, err)
+	}
+	return value, nil
+}
+
 // readFile reads the file at path, or standard input for "-".
 func (c *console) readFile(path string) ([]byte, error) {
 	if path == "-" {
@@ -80,7 +95,9 @@
 		return "", err
 	}
 	var spec messenger.JobSpec
-	if err := json.Unmarshal(data, &spec); err != nil {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&spec); err != nil {
 		return "", apricotwinch.Errorf(apricotwinch.Invalid, "%s: %w", path, err)
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -88,17 +105,22 @@
 	return t.requester().Submit(ctx, t.team, key, spec)
 }
 
-// follow prints the progress of a job until it has ended.
+// follow prints the progress of a job until it has ended. A stream that ends
+// before the job is taken up again.
 func (c *console) follow(ctx context.Context, t *target, job string) subcommands.ExitStatus {
 	var last messenger.JobState
-	err := t.requester().Follow(ctx, t.team, job, func(state messenger.JobState) {
-		last = state
-		if !t.json {
-			fmt.Fprintln(c.out, summary(state))
+	line := ""
+	for !ended(last) {
+		err := t.requester().Follow(ctx, t.team, job, func(state messenger.JobState) {
+			last = state
+			if next := summary(state); !t.json && next != line {
+				line = next
+				fmt.Fprintln(c.out, line)
+			}
+		})
+		if err != nil {
+			return c.fail(err)
 		}
-	})
-	if err != nil {
-		return c.fail(err)
 	}
 	if t.json {
 		return c.printJSON(last)
@@ -106,6 +128,13 @@
 	return subcommands.ExitSuccess
 }
 
+// ended reports whether a job is known and nothing of it will run any more.
+func ended(state messenger.JobState) bool {
+	return len(state.Tasks) > 0 && !slices.ContainsFunc(state.Tasks, func(t messenger.TaskState) bool {
+		return t.Phase == messenger.TaskWaiting || t.Phase == messenger.TaskAssigned
+	})
+}
+
 // summary returns one line on a job.
 func summary(state messenger.JobState) string {
 	counts := map[string]int{}
--- a/commander/operators.go
+++ b/commander/operators.go
@@ -80,7 +80,7 @@
 }
 
 func setSettings(ctx context.Context, c *console, t *target, base int, args []string) subcommands.ExitStatus {
-	value, err := c.readFile(args[1])
+	value, err := c.readValue(args[1])
 	if err != nil {
 		return c.fail(err)
 	}
@@ -96,7 +96,7 @@
 }
 
 func validateSettings(ctx context.Context, c *console, t *target, base int, args []string) subcommands.ExitStatus {
-	value, err := c.readFile(args[1])
+	value, err := c.readValue(args[1])
 	if err != nil {
 		return c.fail(err)
 	}
--- a/commander/tools.go
+++ b/commander/tools.go
@@ -5,7 +5,9 @@
 	"flag"
 	"fmt"
 	"io"
+	"maps"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -58,7 +60,8 @@
 		usage: `load [-rate N] [-duration D] [-keyed] [-bytes N] [-json] SERVICE
 
 Requests go out on time whether or not earlier ones were answered; latency counts
-from when a request was due.
+from when a request was due. When none is answered the exit code is that of the
+most frequent failure.
 
   apricotwinch load -rate 200 -duration 30s quote-engine
 `,
@@ -75,15 +78,31 @@
 				return c.usage("load takes one service, and a positive rate and duration")
 			}
 			summary := generator.NewForService(f.plan(t, args[0]), clockwork.NewRealClock(), t.requester()).Run(ctx)
-			if t.json {
-				return c.printJSON(summary)
+			if !t.json {
+				fmt.Fprintln(c.out, summary)
+			} else if status := c.printJSON(summary); status != subcommands.ExitSuccess {
+				return status
 			}
-			fmt.Fprintln(c.out, summary)
-			return subcommands.ExitSuccess
+			return loadStatus(summary)
 		},
 	}
 }
 
+// loadStatus returns the exit code of the most frequent failure when nothing was
+// answered.
+func loadStatus(summary generator.Summary) subcommands.ExitStatus {
+	if summary.Answered > 0 || len(summary.Failures) == 0 {
+		return subcommands.ExitSuccess
+	}
+	worst := ""
+	for _, kind := range slices.Sorted(maps.Keys(summary.Failures)) {
+		if summary.Failures[kind] > summary.Failures[worst] {
+			worst = kind
+		}
+	}
+	return subcommands.ExitStatus(apricotwinch.Kind(worst).Answer().ExitCode())
+}
+
 func (f *loadFlags) plan(t *target, service string) generator.Plan {
 	run := time.Now().UnixNano()
 	return generator.Plan{
--- a/dispatcher/doors_test.go
+++ b/dispatcher/doors_test.go
@@ -110,7 +110,9 @@
 	w.configure(t)
 	submitted := w.call(t, "POST /v1/jobs", ketioli, job)
 	id := strings.Split(submitted.body, `"`)[3]
-	eventually(t, "the job", func() bool { return w.call(t, "GET /v1/jobs/"+id, ketioli, "").status == http.StatusOK })
+	if got := w.call(t, "GET /v1/jobs/"+id, ketioli, ""); got.status != http.StatusOK {
+		t.Errorf("the job at once after its submission: %d %s", got.status, got.body)
+	}
 	for _, what := range []string{"GET /v1/jobs/" + id, "GET /v1/jobs/" + id + "/progress", "DELETE /v1/jobs/" + id, "POST /v1/jobs/" + id + "/resume"} {
 		if got := w.call(t, what, jua, ""); got.kind != "not_found" {
 			t.Errorf("%s: %d %s", what, got.status, got.body)
--- a/dispatcher/jobs.go
+++ b/dispatcher/jobs.go
@@ -24,7 +24,7 @@
 	maxNameBytes    = 128
 	forwardTimeout  = 3 * time.Second
 	progressPeriod  = 250 * time.Millisecond
-	confirmTimeout  = 10 * time.Second
+	confirmTimeout  = 5 * time.Second
 	confirmPeriod   = 20 * time.Millisecond
 )
 
@@ -79,10 +79,8 @@
 	if err := e.appendRecord(c.ctx, e.partitionOf(team), record); err != nil {
 		return err
 	}
-	if key != "" {
-		if err := e.confirmKey(c.ctx, team, id, spec); err != nil {
-			return err
-		}
+	if err := e.confirm(c.ctx, team, id, key, spec); err != nil {
+		return err
 	}
 	e.count("jobs.submitted")
 	writeJSON(c.writer, http.StatusAccepted, messenger.SubmitAnswer{Job: id})
@@ -112,9 +110,10 @@
 	return errOne == nil && errTwo == nil && bytes.Equal(one, two)
 }
 
-// confirmKey waits until the owner shows the job that got a key first, now that
-// the record of spec is durable; it refuses the key when that is another job.
-func (e *Entry) confirmKey(ctx context.Context, team, id string, spec messenger.JobSpec) error {
+// confirm waits, now that the record of spec is durable, until the owner shows the
+// job, so that its submitter can see it. It refuses a key that another job got
+// first; without a key a job that is not shown in time is there all the same.
+func (e *Entry) confirm(ctx context.Context, team, id, key string, spec messenger.JobSpec) error {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	for {
@@ -122,9 +121,13 @@
 		if known {
 			return err
 		}
-		if !e.sleepUntil(ctx, e.clock.Now().Add(confirmPeriod)) {
-			return apricotwinch.Errorf(apricotwinch.Unknown, "%s: the job is durable, but whether another one has the key was not seen in time; submit it again", headerKey)
+		if e.sleepUntil(ctx, e.clock.Now().Add(confirmPeriod)) {
+			continue
+		}
+		if key == "" {
+			return nil
 		}
+		return apricotwinch.Errorf(apricotwinch.Unknown, "%s: the job is durable, but whether another one has the key was not seen in time; submit it again", headerKey)
 	}
 }
 
--- a/dispatcher/outcomes_test.go
+++ b/dispatcher/outcomes_test.go
@@ -193,3 +193,15 @@
 		t.Errorf("last line: %s", last)
 	}
 }
+
+// TestSubmittedJobShows looks for each job at once after its submission.
+func TestSubmittedJobShows(t *testing.T) {
+	w := start(t, nil)
+	w.configure(t)
+	for range 100 {
+		id := strings.Split(w.call(t, "POST /v1/jobs", ketioli, job).body, `"`)[3]
+		if got := w.call(t, "GET /v1/jobs/"+id, ketioli, ""); got.status != http.StatusOK {
+			t.Fatalf("%d %s", got.status, got.body)
+		}
+	}
+}
