--- a/dispatcher/entry.go
+++ b/dispatcher/entry.go
@@ -31,6 +31,10 @@
 // housekeepingTick is the period of the entry's own housekeeping.
 const housekeepingTick = 100 * time.Millisecond
 
+// hostsGrace is how long a new entry waits for the first heartbeat of a host
+// before it takes calls.
+const hostsGrace = 5 * time.Second
+
 // Deps is what an entry is given by its driver.
 type Deps struct {
 	Log      appender.Log
@@ -49,6 +53,7 @@
 	httpTLS     *tls.Config
 	incarnation string
 	address     string
+	startedAt   time.Time
 
 	log      appender.Log
 	clock    clockwork.Clock
@@ -263,6 +268,9 @@
 	if e.views.age() == maxAge {
 		return "the settings were not read yet"
 	}
+	if e.members.known() == 0 && e.clock.Since(e.startedAt) < hostsGrace {
+		return "no host has announced itself yet"
+	}
 	return ""
 }
 
--- a/dispatcher/members.go
+++ b/dispatcher/members.go
@@ -329,6 +329,13 @@
 	return scheduler.Verdict{NotBefore: verdict.NotBefore()}
 }
 
+// known returns the number of hosts that are known.
+func (m *members) known() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.tracker.Len()
+}
+
 // hosts returns what is known of every host, in order of name.
 func (m *members) hosts() []messenger.HostView {
 	m.mu.Lock()
--- a/dispatcher/partition.go
+++ b/dispatcher/partition.go
@@ -161,7 +161,7 @@
 	now := p.entry.clock.Now()
 	p.do(ctx, p.scheduler.Tick(now))
 	p.reconcileWatches(ctx, now)
-	if p.folded >= snapshotRecords || (p.folded > 0 && now.Sub(p.snapAt) >= snapshotPeriod) {
+	if p.folded >= snapshotRecords || now.Sub(p.snapAt) >= snapshotPeriod {
 		p.writeSnapshot(ctx, now)
 	}
 }
--- a/dispatcher/requests.go
+++ b/dispatcher/requests.go
@@ -32,6 +32,8 @@
 	revokeTimeout = time.Second
 	// answerGrace is how long after its deadline a target's answer is awaited.
 	answerGrace = 100 * time.Millisecond
+	// minTry is the least time that a try gets, as far as it is left.
+	minTry = 100 * time.Millisecond
 )
 
 func init() {
@@ -196,13 +198,18 @@
 	}
 }
 
-// send sends one try to a target and settles an unknown outcome by revoking it.
+// send sends one try to a target. A try of an idempotent request gets half of the
+// time left, so that another target can still answer; of any other request, an
+// unknown outcome is settled by revoking it.
 func (e *Entry) send(ctx context.Context, r *request, target router.Target) (messenger.DispatchReply, error) {
 	left, err := e.admission.remaining(r.deadline)
 	if err != nil {
 		return messenger.DispatchReply{}, err
 	}
 	ticket := e.members.ticket(target.Host())
+	if r.idempotent {
+		return e.dispatch(ctx, r, target, max(left/2, min(left, minTry)), ticket)
+	}
 	reply, err := e.dispatch(ctx, r, target, left, ticket)
 	if apricotwinch.KindOf(err) == apricotwinch.Unknown && reply.Outcome == "" {
 		return e.revoke(r.id, target, ticket)
--- a/dispatcher/views.go
+++ b/dispatcher/views.go
@@ -28,7 +28,6 @@
 	mu      sync.Mutex
 	folder  *configurator.Folder
 	asOf    time.Time
-	folded  int
 	snapAt  time.Time
 	changed chan struct{}
 }
@@ -56,7 +55,6 @@
 	if view.Complete() && v.folder.Whole() {
 		v.asOf = view.AsOf()
 	}
-	v.folded += len(view.Records())
 	changed := len(view.Records()) > 0
 	if changed {
 		close(v.changed)
@@ -133,8 +131,8 @@
 	}
 }
 
-// tick appends a snapshot when enough was folded since the last one; the first
-// entry in the order of names does it.
+// tick appends a snapshot from time to time, also when nothing was edited, for
+// the log drops the last one as well; the first entry in the order of names does it.
 func (v *views) tick(ctx context.Context) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -142,13 +140,11 @@
 	if v.snapAt.IsZero() {
 		v.snapAt = now
 	}
-	if now.Sub(v.snapAt) < settingsSnapshotPeriod || v.folded == 0 || !v.entry.ownership.leads() {
+	if now.Sub(v.snapAt) < settingsSnapshotPeriod || !v.folder.Whole() || !v.entry.ownership.leads() {
 		return
 	}
 	v.snapAt = now
-	v.folded = 0
-	parts := v.folder.Snapshot(settingsPartBytes)
-	go v.appendSnapshot(ctx, parts)
+	go v.appendSnapshot(ctx, v.folder.Snapshot(settingsPartBytes))
 }
 
 func (v *views) appendSnapshot(ctx context.Context, parts []messenger.SettingsSnapshot) {
