Test forgotten requests and tickets in the traces of keyed requests

Cause: no test of the deduplicator failed when a forgotten request was passed over, or when the question to a host had no ticket.

--- a/deduplicator/folder_test.go
+++ b/deduplicator/folder_test.go
@@ -31,7 +31,7 @@
 // record returns a record of one key; body is the answer of a settled one, with
 // "?" for an unknown outcome.
 func record(recordType, request, body string) messenger.KeyRecord {
-	r := messenger.KeyRecord{Type: recordType, Team: "t", Service: "s", Key: "k", Request: request, BodyHash: "h", Entry: "e", Host: "host-" + request}
+	r := messenger.KeyRecord{Type: recordType, Team: "t", Service: "s", Key: "k", Request: request, BodyHash: "h", Entry: "e", Host: "host-" + request, TicketMillis: 30}
 	if recordType == messenger.KeySettled {
 		r.Answer = &messenger.DispatchReply{Outcome: messenger.OutcomeAnswered, Body: []byte(body)}
 		if body == "?" {
--- a/deduplicator/request_test.go
+++ b/deduplicator/request_test.go
@@ -17,7 +17,7 @@
 func newRequest(id, entry, bodyHash string, gone bool) *deduplicator.Request {
 	spec := deduplicator.NewSpec(id, "t", "s", "k", bodyHash, start.Add(10*time.Second))
 	self := messenger.EntryAddress{Entry: entry, Incarnation: entry + "-1"}
-	return deduplicator.NewRequest(spec, self, deduplicator.NewTarget("host-"+id, "i", 0), func(string, string) bool { return gone })
+	return deduplicator.NewRequest(spec, self, deduplicator.NewTarget("host-"+id, "i", 70), func(string, string) bool { return gone })
 }
 
 func describe(actions []deduplicator.Action) string {
@@ -25,9 +25,9 @@
 	for _, a := range actions {
 		switch a.Type() {
 		case deduplicator.ClaimKey, deduplicator.Append:
-			all = append(all, fmt.Sprintf("%s %s of %s", a.Type(), a.Record().Type, a.Record().Request))
+			all = append(all, fmt.Sprintf("%s %s of %s, ticket %d", a.Type(), a.Record().Type, a.Record().Request, a.Record().TicketMillis))
 		case deduplicator.Dispatch, deduplicator.Ask:
-			all = append(all, fmt.Sprintf("%s %s at %s", a.Type(), a.Request(), a.Target().Host()))
+			all = append(all, fmt.Sprintf("%s %s at %s, ticket %d", a.Type(), a.Request(), a.Target().Host(), a.Target().TicketMillis()))
 		case deduplicator.Answer:
 			all = append(all, fmt.Sprintf("answer %s: %s", a.Reply().Request, a.Reply().Body))
 		case deduplicator.Refuse:
@@ -145,6 +145,10 @@
 	step("asked")
 	fold(record(messenger.KeyReleased, "b", ""))
 
+	begin("claimant gone, its host has forgotten the request", newRequest("a", "e", "h", true), record(messenger.KeyClaimed, "b", ""))
+	request.Asked("b", messenger.RevokeReply{Forgotten: true}, nil)
+	step("asked")
+
 	begin("late reply about an earlier claim", newRequest("a", "e", "h", true), record(messenger.KeyClaimed, "b", ""))
 	fold(record(messenger.KeyReleased, "b", ""))
 	request.ClaimEnded(2, nil)
