--- a/bookkeeper/book.go
+++ b/bookkeeper/book.go
@@ -3,6 +3,8 @@
 package bookkeeper
 
 import (
+	"iter"
+	"slices"
 	"time"
 
 	"apricotwinch"
@@ -38,6 +40,7 @@
 	next      int64
 	clock     int64
 	jobs      map[string]*Job
+	order     []*Job
 	finished  []*Job
 	restore   *restore
 }
@@ -144,7 +147,7 @@
 		return nil, apricotwinch.Errorf(apricotwinch.Invalid, "spec.tasks: job %s has no task", record.Job)
 	}
 	job := newJob(offset, record)
-	b.jobs[job.id] = job
+	b.insert(job)
 	return []Change{{job: job, task: wholeJob}}, nil
 }
 
@@ -328,4 +331,29 @@
 		delete(b.jobs, b.finished[0].id)
 		b.finished = b.finished[1:]
 	}
+	b.compact()
+}
+
+func (b *Book) insert(job *Job) {
+	b.jobs[job.id] = job
+	b.order = append(b.order, job)
+}
+
+// compact drops the jobs that left the book from the order once they are half of it.
+func (b *Book) compact() {
+	if len(b.order) < 2*len(b.jobs)+1 {
+		return
+	}
+	b.order = slices.DeleteFunc(b.order, func(job *Job) bool { return b.jobs[job.id] != job })
+}
+
+// All returns the jobs in order of submission.
+func (b *Book) All() iter.Seq[*Job] {
+	return func(yield func(*Job) bool) {
+		for _, job := range b.order {
+			if b.jobs[job.id] == job && !yield(job) {
+				return
+			}
+		}
+	}
 }
--- a/bookkeeper/snapshot.go
+++ b/bookkeeper/snapshot.go
@@ -36,14 +36,11 @@
 // order of submission.
 func (b *Book) States(team string) []messenger.JobState {
 	states := make([]messenger.JobState, 0, len(b.jobs))
-	for _, job := range b.jobs {
+	for job := range b.All() {
 		if team == "" || job.team == team {
 			states = append(states, job.state())
 		}
 	}
-	slices.SortFunc(states, func(x, y messenger.JobState) int {
-		return cmp.Or(cmp.Compare(x.SubmittedAt, y.SubmittedAt), cmp.Compare(x.Job, y.Job))
-	})
 	return states
 }
 
@@ -118,7 +115,7 @@
 	for _, part := range parts {
 		for _, state := range part.Jobs {
 			job := restoreJob(state)
-			b.jobs[job.id] = job
+			b.insert(job)
 			if job.Finished() {
 				b.finished = append(b.finished, job)
 			}
--- a/checker/ledger_model_test.go
+++ b/checker/ledger_model_test.go
@@ -36,8 +36,10 @@
 	resumes int
 }
 
+// newLedgerModel returns the model of an empty stream. An epoch is an offset, so
+// that 0 is one; before the first began no epoch is in force.
 func newLedgerModel() *ledgerModel {
-	return &ledgerModel{seen: map[string]bool{}, jobs: map[string]*modelJob{}}
+	return &ledgerModel{seen: map[string]bool{}, epoch: -1, jobs: map[string]*modelJob{}}
 }
 
 // typeCanceledTask marks a task that was canceled while it waited.
--- a/dispatcher/entry.go
+++ b/dispatcher/entry.go
@@ -31,6 +31,9 @@
 // housekeepingTick is the period of the entry's own housekeeping.
 const housekeepingTick = 100 * time.Millisecond
 
+// reportPeriod is the period in which gauges are set.
+const reportPeriod = time.Second
+
 // hostsGrace is how long a new entry waits for the first heartbeat of a host
 // before it takes calls.
 const hostsGrace = 5 * time.Second
@@ -228,7 +231,7 @@
 func (e *Entry) keepHouse(ctx context.Context) {
 	ticker := e.clock.NewTicker(housekeepingTick)
 	defer ticker.Stop()
-	for {
+	for reportedAt := e.clock.Now(); ; {
 		select {
 		case <-ctx.Done():
 			return
@@ -236,7 +239,10 @@
 		}
 		e.members.tick()
 		e.views.tick(ctx)
-		e.report()
+		if e.clock.Since(reportedAt) >= reportPeriod {
+			reportedAt = e.clock.Now()
+			e.report()
+		}
 	}
 }
 
--- a/dispatcher/partition.go
+++ b/dispatcher/partition.go
@@ -292,19 +292,25 @@
 		return 0
 	}
 	missing := 0
-	for _, state := range p.book.States("") {
-		if state.Spec.Kind != messenger.JobWatch || state.Canceled {
-			continue
-		}
-		for _, task := range state.Tasks {
-			if task.Phase != messenger.TaskAssigned {
-				missing++
-			}
+	for job := range p.book.All() {
+		if job.Watch() && !job.Canceled() {
+			missing += unassigned(job)
 		}
 	}
 	return missing
 }
 
+// unassigned returns the number of tasks of a job that no host has.
+func unassigned(job *bookkeeper.Job) int {
+	n := 0
+	for i := range job.Tasks() {
+		if job.Task(i).Phase() != bookkeeper.Assigned {
+			n++
+		}
+	}
+	return n
+}
+
 // appendRecord makes a record of a partition's stream durable.
 func (e *Entry) appendRecord(ctx context.Context, number int, record messenger.LedgerRecord) error {
 	if record.Id == "" {
--- a/dispatcher/watches.go
+++ b/dispatcher/watches.go
@@ -6,7 +6,6 @@
 	"strings"
 	"time"
 
-	"apricotwinch/bookkeeper"
 	"apricotwinch/configurator"
 	"apricotwinch/messenger"
 )
@@ -63,7 +62,7 @@
 	wanted[id] = true
 	ready[service] = false
 	if job, ok := p.book.Job(id); ok {
-		ready[service] = allAssigned(job)
+		ready[service] = unassigned(job) == 0
 		return
 	}
 	spec := watch.Spec()
@@ -72,28 +71,19 @@
 	})
 }
 
-func allAssigned(job *bookkeeper.Job) bool {
-	for i := range job.Tasks() {
-		if job.Task(i).Phase() != bookkeeper.Assigned {
-			return false
-		}
-	}
-	return true
-}
-
 // cancelUnwanted cancels jobs of older revisions once the job of the newer one
 // runs, and those of watch services that were removed.
 func (p *partition) cancelUnwanted(ctx context.Context, now time.Time, wanted, ready map[string]bool) {
-	for _, state := range p.book.States("") {
-		if !strings.HasPrefix(state.Job, watchPrefix) || state.Canceled || wanted[state.Job] {
+	for job := range p.book.All() {
+		if !strings.HasPrefix(job.ID(), watchPrefix) || job.Canceled() || wanted[job.ID()] {
 			continue
 		}
-		running, replaced := ready[state.Team+"."+state.Spec.Name]
+		running, replaced := ready[job.Team()+"."+job.Spec().Name]
 		if replaced && !running {
 			continue
 		}
 		p.sendOnce(ctx, now, messenger.LedgerRecord{
-			Type: messenger.RecordCanceled, Entry: p.entry.settings.Name, Team: state.Team, Job: state.Job,
+			Type: messenger.RecordCanceled, Entry: p.entry.settings.Name, Team: job.Team(), Job: job.ID(),
 		})
 	}
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -55,8 +55,7 @@
 	if !clean {
 		grantedUntil = grantedUntil.Add(config.OutageAllowance)
 	}
-	for _, state := range book.States("") {
-		job, _ := book.Job(state.Job)
+	for job := range book.All() {
 		s.adopt(now, job, grantedUntil)
 	}
 	return s
