--- /dev/null
+++ b/scheduler/bench_test.go
@@ -0,0 +1,123 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"apricotwinch"
+	"apricotwinch/bookkeeper"
+	"apricotwinch/messenger"
+	"apricotwinch/scheduler"
+)
+
+var sizes = []int{1_000, 10_000, 100_000}
+
+const (
+	benchHosts   = 1000
+	tasksPerHost = 15
+	benchTickets = time.Second
+)
+
+func benchSeams(now *time.Time) scheduler.Seams {
+	next := 0
+	return scheduler.Seams{
+		Quota: func(string) (apricotwinch.Resources, float64, bool) { return apricotwinch.Resources{}, 0, false },
+		Total: func() apricotwinch.Resources { return apricotwinch.NewResources(1<<30, 1<<40, 0) },
+		Size: func(_ time.Time, _, _ string, declared apricotwinch.Resources) apricotwinch.Resources {
+			return declared
+		},
+		Accepted: func(time.Time, apricotwinch.AttemptID) {},
+		Adopted:  func(string, scheduler.Request) {},
+		Place: func(time.Time, scheduler.Request) (string, error) {
+			next++
+			return hostName(next % benchHosts), nil
+		},
+		Unplace: func(string, apricotwinch.AttemptID) {},
+		Lookup: func(host string) (scheduler.Host, bool) {
+			return scheduler.Host{Name: host, Address: host, Incarnation: "i", TicketAt: now.Add(-benchTickets)}, true
+		},
+		DataCentreOut: func(string) bool { return false },
+		Ended:         func(time.Time, scheduler.End) scheduler.Verdict { return scheduler.Verdict{} },
+	}
+}
+
+func hostName(n int) string { return fmt.Sprintf("host-%d", n) }
+
+// runningBook returns a book of n running tasks, tasksPerHost on each host.
+func runningBook(b *testing.B, n int) *bookkeeper.Book {
+	b.Helper()
+	book := bookkeeper.New(0)
+	offset := int64(0)
+	fold := func(record messenger.LedgerRecord) {
+		if _, err := book.Fold(offset, record); err != nil {
+			b.Fatal(err)
+		}
+		offset++
+	}
+	fold(messenger.LedgerRecord{Type: messenger.RecordBegan, Epoch: 1})
+	for i := range n {
+		job := fmt.Sprintf("job-%d", i)
+		fold(messenger.LedgerRecord{Type: messenger.RecordSubmitted, Team: "team", Job: job,
+			Spec: &messenger.JobSpec{Name: "plan", Kind: messenger.JobBatch, Tasks: 1, Resources: messenger.Resources{ProcessorMillis: 1}}})
+		fold(messenger.LedgerRecord{Type: messenger.RecordAssigned, Epoch: 1, Job: job, Attempt: 1,
+			Host: hostName(i / tasksPerHost), Incarnation: "i"})
+	}
+	return book
+}
+
+// BenchmarkTick runs the periodic work of an owner of n running tasks.
+func BenchmarkTick(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("running=%d", n), func(b *testing.B) {
+			now := time.UnixMilli(0)
+			s := scheduler.New(now, scheduler.DefaultConfig(), benchSeams(&now), runningBook(b, n), "entry", 1, false)
+			s.Tick(now)
+			for b.Loop() {
+				s.Tick(now)
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(n), "ns/task")
+		})
+	}
+}
+
+// BenchmarkRenew answers one host's request for the leases of its 15 tasks, in
+// partitions of n running tasks.
+func BenchmarkRenew(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("running=%d", n), func(b *testing.B) {
+			now := time.UnixMilli(0)
+			s := scheduler.New(now, scheduler.DefaultConfig(), benchSeams(&now), runningBook(b, n), "entry", 1, false)
+			renew := messenger.Renew{Host: hostName(1), Epoch: 1}
+			for i := range tasksPerHost {
+				renew.Reports = append(renew.Reports, messenger.TaskReport{
+					Job: fmt.Sprintf("job-%d", tasksPerHost+i), Attempt: 1, Phase: messenger.ReportRunning,
+				})
+			}
+			for b.Loop() {
+				reply, _ := s.Renew(now, renew)
+				if len(reply.Granted) != tasksPerHost {
+					b.Fatalf("granted %d leases", len(reply.Granted))
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/tasksPerHost, "ns/lease")
+		})
+	}
+}
+
+// BenchmarkTakeOver builds the scheduler of a new owner over n running tasks.
+func BenchmarkTakeOver(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("running=%d", n), func(b *testing.B) {
+			now := time.UnixMilli(0)
+			book := runningBook(b, n)
+			for b.Loop() {
+				s := scheduler.New(now, scheduler.DefaultConfig(), benchSeams(&now), book, "entry", 1, false)
+				if s.Running() != n {
+					b.Fatalf("adopted %d of %d attempts", s.Running(), n)
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(n), "ns/task")
+		})
+	}
+}
