Keep harmful work away from services it slows too much

The penalty is now infinite, and the placer passes the host over, where work known to harm critical work would slow it beyond twice, except as the only such work on a sound instance, and while its service as a whole is at 1.5. Work hardly measured starts slowly: 16 tasks of a class, and one more for each report of critical work beside it. A service's slowdown is the harmonic mean of its instances, so that one very slow host doesn't count for many.

--- a/observer/config.go
+++ b/observer/config.go
@@ -18,6 +18,13 @@
 	HalfLife time.Duration
 	// CriticalWeight multiplies the penalty for harm to latency-critical work.
 	CriticalWeight float64
+	// MaxHarm is the slowdown of critical work, a ratio above 1, beyond which no
+	// more work that harms it is placed beside it; ClassLimit is the harmonic mean
+	// for its class from which on none is.
+	MaxHarm, ClassLimit float64
+	// Probes is the number of tasks of a class that may run before any critical
+	// work beside them was measured; each report allows ProbeGrowth more.
+	Probes, ProbeGrowth int
 	// MaxPairs bounds the pairs remembered, of which the oldest go first, and the
 	// classes.
 	MaxPairs int
@@ -26,8 +33,8 @@
 	// High is the slowdown of latency-critical work that counts as harm, Low the
 	// one that counts as recovered; both are ratios above 1.
 	High, Low float64
-	// ClassHigh is the mean slowdown of all critical work of a class from which on
-	// StrainedHigh takes the place of High for it.
+	// ClassHigh is the harmonic mean of the slowdowns of all critical work of a class
+	// from which on StrainedHigh takes the place of High for it.
 	ClassHigh, StrainedHigh float64
 	// HighReports and LowReports are the reports in a row, sampled since the last
 	// step on the host, that a step up or down needs. LowReports doubles, up to
@@ -55,6 +62,10 @@
 		Rate:           0.5,
 		HalfLife:       6 * time.Hour,
 		CriticalWeight: 10,
+		MaxHarm:        2,
+		ClassLimit:     1.5,
+		Probes:         16,
+		ProbeGrowth:    1,
 		MaxPairs:       200_000,
 		History:        time.Minute,
 		High:           4,
--- a/observer/host.go
+++ b/observer/host.go
@@ -10,9 +10,20 @@
 // stay is a resident's time on a host; until is zero while it lasts.
 type stay struct {
 	Resident
-	since     time.Time
-	until     time.Time
-	throttled bool
+	since       time.Time
+	until       time.Time
+	throttled   bool
+	throttledAt time.Time
+	restoredAt  time.Time
+}
+
+func (s *stay) throttle(now time.Time) { s.throttled, s.throttledAt = true, now }
+
+func (s *stay) restore(now time.Time) { s.throttled, s.restoredAt = false, now }
+
+// throttledDuring reports whether the stay was throttled at a time.
+func (s *stay) throttledDuring(at time.Time) bool {
+	return !s.throttledAt.IsZero() && !s.throttledAt.After(at) && (s.throttled || !s.restoredAt.Before(at))
 }
 
 // host is what is known of the work on one host.
@@ -52,6 +63,18 @@
 	return slices.ContainsFunc(h.stays, func(s *stay) bool { return s.until.IsZero() && s.throttled })
 }
 
+// undisturbed reports whether nothing on the host was throttled at a time, and
+// nothing came or went within settle of it.
+func (h *host) undisturbed(at time.Time, settle time.Duration) bool {
+	return !slices.ContainsFunc(h.stays, func(s *stay) bool {
+		return within(s.since, at, settle) || within(s.until, at, settle) || (s.present(at) && s.throttledDuring(at))
+	})
+}
+
+func within(event, at time.Time, settle time.Duration) bool {
+	return !event.IsZero() && event.Sub(at).Abs() < settle
+}
+
 // measure is the latest slowdown of critical work.
 type measure struct {
 	class    *class
@@ -59,16 +82,26 @@
 }
 
 // class is critical work that is taken to be alike, as the instances of a
-// service, with the sum of their latest slowdowns.
+// service: their number and the sum of the speeds that are left to them.
 type class struct {
-	sum   float64
+	speed float64
 	count int
 }
 
+// slowdown returns the harmonic mean of the latest slowdowns, so that one very
+// slow instance of many counts for no more than its own part.
+func (c *class) slowdown() float64 {
+	if c.count == 0 {
+		return 1
+	}
+	return float64(c.count) / c.speed
+}
+
 // record replaces the latest slowdown of a resident.
 func (h *host) record(id apricotwinch.AttemptID, c *class, slowdown float64) {
 	h.erase(id)
-	c.sum += slowdown
+	slowdown = max(1, slowdown)
+	c.speed += 1 / slowdown
 	c.count++
 	h.slowdown[id] = measure{class: c, slowdown: slowdown}
 }
@@ -76,7 +109,7 @@
 // erase forgets the slowdown of a resident.
 func (h *host) erase(id apricotwinch.AttemptID) {
 	if m, ok := h.slowdown[id]; ok {
-		m.class.sum -= m.slowdown
+		m.class.speed -= 1 / m.slowdown
 		m.class.count--
 		delete(h.slowdown, id)
 	}
@@ -86,7 +119,7 @@
 // while the class as a whole is slow, so that its other residents can't make up
 // for it.
 func (c Config) limit(of *class) float64 {
-	if of.sum >= c.ClassHigh*float64(of.count) {
+	if of.slowdown() >= c.ClassHigh {
 		return c.StrainedHigh
 	}
 	return c.High
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -9,6 +9,7 @@
 package observer
 
 import (
+	"math"
 	"time"
 
 	"apricotwinch"
@@ -21,6 +22,7 @@
 	hosts    map[string]*host
 	troubled map[string]*host
 	critical map[string]*class
+	batch    map[string]*probe
 	budget   budget
 }
 
@@ -32,6 +34,7 @@
 		hosts:    map[string]*host{},
 		troubled: map[string]*host{},
 		critical: map[string]*class{},
+		batch:    map[string]*probe{},
 		budget:   budget{share: config.EvictionShare, burst: config.EvictionBurst, left: config.EvictionBurst},
 	}
 }
@@ -50,6 +53,7 @@
 	h.stays = append(h.stays, &stay{Resident: r, since: now})
 	if r.urgency == apricotwinch.Batch {
 		o.budget.earn()
+		o.probe(r.class).running++
 		return
 	}
 	if o.critical[r.class] == nil {
@@ -65,9 +69,10 @@
 	}
 	h.erase(id)
 	if s := h.find(id); s != nil {
+		o.leave(s)
 		s.until = now
 		if s.throttled {
-			s.throttled = false
+			s.restore(now)
 			h.patience, h.restored = o.config.LowReports, false
 		}
 	}
@@ -79,6 +84,7 @@
 	if h := o.hosts[name]; h != nil {
 		for _, s := range h.stays {
 			h.erase(s.id)
+			o.leave(s)
 		}
 	}
 	delete(o.hosts, name)
@@ -112,8 +118,12 @@
 	if victim == nil || !victim.present(r.sampledAt) {
 		return
 	}
-	if !h.throttled() && !r.sampledAt.Before(h.steppedAt.Add(o.config.Settle)) {
-		o.model.learn(now, h.name, victim.class, h.neighbors(victim, r.sampledAt), max(0, r.slowdown-1))
+	neighbors := h.neighbors(victim, r.sampledAt)
+	if victim.urgency != apricotwinch.Batch {
+		o.countReport(neighbors)
+	}
+	if h.undisturbed(r.sampledAt, o.config.Settle) && !r.sampledAt.Before(h.steppedAt.Add(o.config.Settle)) {
+		o.model.learn(now, h.name, victim.class, neighbors, max(0, r.slowdown-1))
 	}
 	if victim.urgency != apricotwinch.Batch {
 		o.judge(h, victim, r)
@@ -156,7 +166,8 @@
 
 // Penalty returns the expected harm of putting work of a class on a host, beside
 // residents: the slowdowns above 1 that it causes and suffers, those of critical
-// work multiplied by its weight.
+// work multiplied by its weight. It is infinite where the harm to critical work
+// would be too great.
 func (o *Observer) Penalty(now time.Time, host, class string, residents []string) float64 {
 	number := o.model.numbers[class]
 	weight := o.weigh(class)
@@ -165,12 +176,39 @@
 	for _, resident := range residents {
 		other := o.model.numbers[resident]
 		caused := o.model.fade(now, o.model.pairs[pair{victim: other, aggressor: number}], prior)
+		if c := o.critical[resident]; c != nil && o.excessive(now, c, other, caused, residents) {
+			return math.Inf(1)
+		}
 		sum += o.weigh(resident) * caused
 		sum += weight * o.model.excess(now, pair{victim: number, aggressor: other})
 	}
 	return sum
 }
 
+// excessive reports whether work that harms a victim by so much is kept away from
+// it: while the victim's class is slow as a whole, and where the victim, harmed
+// by its neighbors already, would be slowed beyond MaxHarm.
+func (o *Observer) excessive(now time.Time, c *class, victim uint32, more float64, residents []string) bool {
+	if more < o.config.MinBlame {
+		return false
+	}
+	if c.slowdown() >= o.config.ClassLimit {
+		return true
+	}
+	sum := 0.0
+	for _, resident := range residents {
+		sum += o.model.excess(now, pair{victim: victim, aggressor: o.model.numbers[resident]})
+	}
+	return sum >= o.config.MinBlame && 1+sum+more > o.config.MaxHarm
+}
+
+// Admit reports whether one more task of a class may start: work that was hardly
+// measured beside critical work starts slowly, and faster with each report.
+func (o *Observer) Admit(class string) bool {
+	c := o.batch[class]
+	return c == nil || c.running < o.config.Probes+o.config.ProbeGrowth*c.reports
+}
+
 // Slowdown returns the expected slowdown, a ratio from 1, of work of class victim
 // beside work of class aggressor.
 func (o *Observer) Slowdown(now time.Time, victim, aggressor string) float64 {
--- a/observer/reaction.go
+++ b/observer/reaction.go
@@ -65,7 +65,7 @@
 func (o *Observer) stepUp(t *tick, h *host) {
 	if s := o.blamed(t.now, h, false); s != nil {
 		if t.steps < o.config.MaxSteps {
-			s.throttled = true
+			s.throttle(t.now)
 			t.steps++
 			if h.restored {
 				h.patience = min(o.config.MaxLowReports, 2*h.patience)
@@ -91,7 +91,7 @@
 		return
 	}
 	if t.steps < o.config.MaxSteps {
-		s.throttled = false
+		s.restore(t.now)
 		h.restored = true
 		t.steps++
 		t.take(h, s, Restore)
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -148,7 +149,7 @@
 		return
 	}
 	cost := p.cost(c, h)
-	if c.best == nil || cost < c.cost {
+	if !math.IsInf(cost, 1) && (c.best == nil || cost < c.cost) {
 		c.best, c.cost = h, cost
 	}
 }
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -168,6 +169,27 @@
 	}
 }
 
+func TestInfinitePenaltyKeepsWorkOff(t *testing.T) {
+	config := settled()
+	config.Penalty = func(host, class string, _ []string) float64 {
+		if host == "host-0" || class == "banned" {
+			return math.Inf(1)
+		}
+		return 0
+	}
+	p := table(config, 2, 1)
+	var got []string
+	for task := range 3 {
+		host, _ := p.Choose(epoch, small("job", task))
+		got = append(got, host)
+	}
+	_, err := p.Choose(epoch, placer.NewRequest(attempt("job", 3), "banned", apricotwinch.NewResources(1, 1, 0)))
+	got = append(got, string(apricotwinch.KindOf(err)))
+	if diff := cmp.Diff([]string{"host-1", "host-1", "host-1", "no_capacity"}, got); diff != "" {
+		t.Errorf("choices (-want +got):\n%s", diff)
+	}
+}
+
 func TestPenaltySeesWhatWasJustPlaced(t *testing.T) {
 	config := settled()
 	config.Penalty = func(_, class string, residents []string) float64 {
