Prove the promises with real processes under faults

Clusters of a log, two entries and up to four hosts run as processes; faults are injected singly and in pairs: processes killed, paused, replaced and shut down, connections cut, held, slowed and reset, the log down or losing answers, workers down, losing answers or letting leases lapse. The checker then works from the journals and from what callers received.

--- a/prover/caller_test.go
+++ b/prover/caller_test.go
@@ -1,6 +1,7 @@
 package prover_test
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/json"
 	"errors"
@@ -124,8 +125,7 @@
 	for number := range callers {
 		l.group.Go(func() {
 			for i := 0; !l.stopped.Load(); i++ {
-				e := c.entries[(number+i)%len(c.entries)]
-				made := c.request(e, fmt.Sprintf("caller-%d-%d", number, i), "", idempotent)
+				made := c.request(c.pick(number+i), fmt.Sprintf("caller-%d-%d", number, i), "", idempotent)
 				if made.Outcome == checker.Answered {
 					l.answered.Add(1)
 				} else {
@@ -198,6 +198,19 @@
 	return number
 }
 
+// submitEventually submits a job again and again until it is accepted; each try
+// is a job of its own.
+func (c *cluster) submitEventually(e *entry, o jobOptions) int {
+	c.t.Helper()
+	number, name := 0, o.name
+	await(c.t, "job "+name+" is accepted", func() bool {
+		o.name = fmt.Sprintf("%s-%d", name, time.Now().UnixNano())
+		number = c.submit(e, o)
+		return c.job(number).Outcome == checker.Answered
+	})
+	return number
+}
+
 func (c *cluster) job(number int) checker.Job {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -246,6 +259,23 @@
 	return found
 }
 
+// assigned returns the number of attempts that an entry says it looks after.
+func (c *cluster) assigned(e *entry) int {
+	response, err := http.Get("http://" + e.http + "/metrics")
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		var value float64
+		if n, _ := fmt.Sscanf(lines.Text(), "apricotwinch_tasks_assigned %f", &value); n == 1 {
+			return int(value)
+		}
+	}
+	return 0
+}
+
 // running returns the journal entries of the starts of a job's attempts that
 // have not ended, by the workers' journals.
 func (c *cluster) running(job string) []journaler.Entry {
--- a/prover/cluster_test.go
+++ b/prover/cluster_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -55,6 +56,7 @@
 	log       *process
 	entries   []*entry
 	hosts     []*host
+	balanced  bool // Whether a balancer chooses entries.
 
 	mu       sync.Mutex
 	evidence checker.Evidence
@@ -67,6 +69,7 @@
 	name     string
 	file     string
 	http     string
+	balanced atomic.Bool // Whether the balancer sends calls to the entry.
 	peerLink *interrupter.Proxy
 	logLink  *interrupter.Proxy
 }
@@ -87,12 +90,17 @@
 	journals   []string
 }
 
+// clusters bounds the clusters that run at once.
+var clusters = make(chan struct{}, 4)
+
 // newCluster starts a cluster and waits until its entries see every host.
 func newCluster(t *testing.T, o options) *cluster {
 	t.Helper()
 	if len(o.dataCentres) == 0 {
 		o.dataCentres = []string{"kopli"}
 	}
+	clusters <- struct{}{}
+	t.Cleanup(func() { <-clusters })
 	c := &cluster{t: t, options: o, directory: t.TempDir()}
 	c.evidence.Capacities = make(map[string]apricotwinch.Resources)
 	c.log = start(t, "log", "standin", "log")
--- /dev/null
+++ b/prover/jobs_test.go
@@ -0,0 +1,315 @@
+package prover_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"apricotwinch/checker"
+	"apricotwinch/messenger"
+	"apricotwinch/standin/disrupter"
+	"apricotwinch/standin/recorder"
+	"apricotwinch/standin/runner"
+)
+
+// hold is how long a fault lasts: longer than a lease and its margin, and than
+// the takeover of a partition.
+const hold = 5 * time.Second
+
+// fault is one fault of a cluster that runs a job; inject returns what ends it,
+// or nil.
+type fault struct {
+	name   string
+	inject func(c *cluster, job int) func()
+}
+
+// loseAll loses every answer after its act.
+var loseAll = disrupter.Faults{LoseAnswers: disrupter.LoseAll}
+
+var (
+	hostDies = fault{"host dies", func(c *cluster, job int) func() {
+		c.killHost(c.hostOf(job))
+		return nil
+	}}
+	agentPaused = fault{"agent paused", func(c *cluster, job int) func() {
+		h := c.hostOf(job)
+		c.cutOff(h)
+		h.agent.pause()
+		return h.agent.resume
+	}}
+	agentReplaced = fault{"agent replaced", func(c *cluster, job int) func() {
+		h := c.hostOf(job)
+		c.cutOff(h)
+		h.agent.kill()
+		return func() { h.startAgent(c) }
+	}}
+	ownerPaused = fault{"owner paused", func(c *cluster, job int) func() {
+		e := c.owner(job)
+		e.pause()
+		return e.resume
+	}}
+	ownerReplaced = fault{"owner replaced", func(c *cluster, job int) func() {
+		e := c.owner(job)
+		e.kill()
+		return func() { e.start(c) }
+	}}
+	ownerShutDown = fault{"owner shut down", func(c *cluster, job int) func() {
+		e := c.owner(job)
+		e.terminate()
+		return func() { e.start(c) }
+	}}
+	ownerCutFromAgents = fault{"owner cut off from agents", func(c *cluster, job int) func() {
+		e := c.owner(job)
+		e.peerLink.Partition()
+		return e.peerLink.Heal
+	}}
+	ownerCutFromLog = fault{"owner cut off from the log", func(c *cluster, job int) func() {
+		e := c.owner(job)
+		e.logLink.Partition()
+		return e.logLink.Heal
+	}}
+	logDown = fault{"log down", func(c *cluster, _ int) func() {
+		c.logFaults(recorder.Faults{Faults: disrupter.Faults{Down: true}})
+		return func() { c.logFaults(recorder.Faults{}) }
+	}}
+	logLosesAnswers = fault{"log loses answers", func(c *cluster, _ int) func() {
+		c.logFaults(recorder.Faults{Faults: loseAll})
+		return func() { c.logFaults(recorder.Faults{}) }
+	}}
+	workerDown = fault{"worker down", func(c *cluster, job int) func() {
+		h := c.hostOf(job)
+		c.faults(h.worker, runner.Faults{Faults: disrupter.Faults{Down: true}})
+		return func() { c.faults(h.worker, runner.Faults{}) }
+	}}
+	workerLosesAnswers = fault{"worker loses answers", func(c *cluster, job int) func() {
+		h := c.hostOf(job)
+		c.faults(h.worker, runner.Faults{Faults: loseAll})
+		return func() { c.faults(h.worker, runner.Faults{}) }
+	}}
+	leasesLapse = fault{"leases lapse", func(c *cluster, job int) func() {
+		c.faults(c.hostOf(job).worker, runner.Faults{LapseAll: true})
+		return nil
+	}}
+)
+
+// schedules are the faults in the order in which they begin; they end together.
+var schedules = [][]fault{
+	{hostDies}, {agentPaused}, {agentReplaced}, {ownerPaused}, {ownerReplaced}, {ownerShutDown},
+	{ownerCutFromAgents}, {ownerCutFromLog}, {logDown}, {logLosesAnswers}, {workerDown},
+	{workerLosesAnswers}, {leasesLapse},
+	{agentPaused, ownerReplaced}, {agentPaused, ownerPaused}, {ownerPaused, hostDies},
+	{logLosesAnswers, ownerReplaced}, {workerLosesAnswers, ownerPaused}, {ownerCutFromAgents, leasesLapse},
+	{ownerCutFromLog, agentReplaced}, {logDown, hostDies}, {workerLosesAnswers, agentReplaced},
+}
+
+// TestJobsFinishExactlyOnce runs a batch job and a watch job under each schedule
+// of faults: no task runs in two places, none is lost or doubled, evicted work
+// resumes, and no host holds more than it can.
+func TestJobsFinishExactlyOnce(t *testing.T) {
+	for _, schedule := range schedules {
+		name := schedule[0].name
+		if len(schedule) > 1 {
+			name += " and " + schedule[1].name
+		}
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, options{entries: 2, hosts: 3, outage: hold})
+			watch := c.submitAccepted(c.entries[0], jobOptions{name: "watch", tasks: 2, watch: true})
+			batch := c.submitAccepted(c.entries[1], jobOptions{name: "batch", tasks: 9, runMillis: 4000, millis: 1000})
+			c.awaitRunning(c.entries[0], watch, 2)
+			c.awaitRunning(c.entries[0], batch, 6)
+			var ends []func()
+			for _, f := range schedule {
+				if end := f.inject(c, batch); end != nil {
+					ends = append(ends, end)
+				}
+			}
+			time.Sleep(hold)
+			for _, end := range ends {
+				end()
+			}
+			c.awaitReady()
+			c.awaitCompleted(c.entries[0], batch)
+			c.awaitRunning(c.entries[1], watch, 2)
+			c.check()
+		})
+	}
+}
+
+// owner returns the entry that owns the partition of the team, by its own word;
+// it only decides where a fault goes.
+func (c *cluster) owner(_ int) *entry {
+	c.t.Helper()
+	var owner *entry
+	await(c.t, "a partition owner", func() bool {
+		for _, e := range c.entries {
+			if c.assigned(e) > 0 {
+				owner = e
+			}
+		}
+		return owner != nil
+	})
+	return owner
+}
+
+// TestDataCentreOut takes a data centre out of service and brings it back, alone
+// and under a second fault: nothing starts there meanwhile, and its tasks resume
+// elsewhere.
+func TestDataCentreOut(t *testing.T) {
+	tests := []struct {
+		name   string
+		inject func(c *cluster) func()
+	}{
+		{"alone", func(*cluster) func() { return func() {} }},
+		{"agent paused", func(c *cluster) func() {
+			c.cutOff(c.hosts[0])
+			c.hosts[0].agent.pause()
+			return c.hosts[0].agent.resume
+		}},
+		{"other entry cut off from the log", func(c *cluster) func() {
+			c.entries[1].logLink.Partition()
+			return c.entries[1].logLink.Heal
+		}},
+		{"log loses answers", func(c *cluster) func() {
+			c.logFaults(recorder.Faults{Faults: loseAll})
+			return func() { c.logFaults(recorder.Faults{}) }
+		}},
+		{"entry replaced", func(c *cluster) func() {
+			c.entries[1].kill()
+			return func() { c.entries[1].start(c) }
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, options{entries: 2, dataCentres: []string{"kopli", "kalamaja"}, hosts: 2, outage: hold})
+			e := c.entries[0]
+			watch := c.submitAccepted(e, jobOptions{name: "watch", tasks: 4, watch: true})
+			batch := c.submitAccepted(e, jobOptions{name: "batch", tasks: 12, runMillis: 6000, millis: 1000})
+			c.awaitRunning(e, watch, 4)
+			c.awaitRunning(e, batch, 6)
+			end := test.inject(c)
+			c.switchDataCentre(e, "kopli", "out")
+			var late []int
+			for i := range 5 {
+				late = append(late, c.submitAccepted(e, jobOptions{name: fmt.Sprint("late-", i), tasks: 2, runMillis: 500}))
+				time.Sleep(time.Second)
+			}
+			end()
+			c.awaitReady()
+			for _, job := range append(late, batch) {
+				c.awaitCompleted(e, job)
+			}
+			c.awaitRunning(e, watch, 4)
+			c.switchDataCentre(e, "kopli", "back")
+			back := c.submitAccepted(e, jobOptions{name: "back", tasks: 10, runMillis: 2000, millis: 1000})
+			await(t, "a task starts in kopli again", func() bool { return c.runsIn(back, "kopli") })
+			c.awaitCompleted(e, back)
+			c.check()
+		})
+	}
+}
+
+func (c *cluster) runsIn(job int, dataCentre string) bool {
+	for _, entry := range c.running(c.job(job).ID) {
+		if entry.DataCentre == dataCentre {
+			return true
+		}
+	}
+	return false
+}
+
+// TestLongLogOutage takes the log down: idempotent requests go on, running tasks
+// keep their leases, keyed requests are refused as not run, and afterwards
+// everything catches up.
+func TestLongLogOutage(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, options{entries: 2, hosts: 2, targets: true, outage: time.Minute})
+	e := c.entries[0]
+	watch := c.submitAccepted(e, jobOptions{name: "watch", tasks: 2, watch: true})
+	batch := c.submitAccepted(e, jobOptions{name: "batch", tasks: 4, runMillis: 3000})
+	c.awaitRunning(e, watch, 2)
+	c.awaitRunning(e, batch, 4)
+	l := c.startLoad(4, true)
+	c.awaitAnswers(l, 20)
+	before := len(c.running(c.job(watch).ID))
+	c.logFaults(recorder.Faults{Faults: disrupter.Faults{Down: true}})
+	time.Sleep(2 * hold)
+	c.awaitAnswers(l, 20)
+	if keyed := c.request(e, "keyed caller", "key", false); keyed.Outcome != checker.NotRun {
+		t.Errorf("keyed request in the outage: %s", keyed.Outcome)
+	}
+	after := c.running(c.job(watch).ID)
+	if len(after) != before {
+		t.Errorf("%d of %d watch tasks run after %s of the outage", len(after), before, 2*hold)
+	}
+	for _, entry := range after {
+		if entry.Attempt != 1 {
+			t.Errorf("task %s was started anew in the outage", entry.AttemptID())
+		}
+	}
+	c.logFaults(recorder.Faults{})
+	c.awaitCompleted(e, batch)
+	c.awaitCompleted(e, c.submitEventually(e, jobOptions{name: "later", runMillis: 500}))
+	l.stop()
+	c.check()
+}
+
+// TestOutageRefusesSubmissions submits a job while the log has been down for
+// long: it is refused as not run, before the caller gives up.
+func TestOutageRefusesSubmissions(t *testing.T) {
+	knownRed(t)
+	t.Parallel()
+	c := newCluster(t, options{entries: 2, hosts: 1, outage: time.Minute})
+	c.logFaults(recorder.Faults{Faults: disrupter.Faults{Down: true}})
+	time.Sleep(hold)
+	for _, e := range c.entries {
+		if number := c.submit(e, jobOptions{name: "refused by " + e.name}); c.job(number).Outcome != checker.NotRun {
+			t.Errorf("submission to %s in the outage: %s", e.name, c.job(number).Outcome)
+		}
+	}
+	c.logFaults(recorder.Faults{})
+	c.awaitCompleted(c.entries[0], c.submitEventually(c.entries[0], jobOptions{name: "later", runMillis: 500}))
+	c.check()
+}
+
+// TestHostsAreNotOvercommitted offers more than the hosts hold while workers
+// lose answers and agents are replaced.
+func TestHostsAreNotOvercommitted(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, options{entries: 2, hosts: 2, targets: true})
+	var jobs []int
+	for i := range 6 {
+		jobs = append(jobs, c.submitAccepted(c.entries[i%2], jobOptions{name: fmt.Sprint("job-", i), tasks: 6, runMillis: 800, millis: 1400}))
+	}
+	c.faults(c.hosts[0].worker, runner.Faults{Faults: disrupter.Faults{LoseAnswers: 10}})
+	time.Sleep(hold)
+	c.cutOff(c.hosts[1])
+	c.hosts[1].agent.kill()
+	c.hosts[1].startAgent(c)
+	for _, job := range jobs {
+		c.awaitCompleted(c.entries[0], job)
+	}
+	c.check()
+}
+
+// TestCanceledJobsEnd cancels a job that runs; canceled tasks don't start again.
+func TestCanceledJobsEnd(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, options{entries: 2, hosts: 2})
+	e := c.entries[0]
+	job := c.submitAccepted(e, jobOptions{name: "canceled", tasks: 12, runMillis: 60000, millis: 1000})
+	c.awaitRunning(e, job, 4)
+	if outcome := c.call(c.entries[1], http.MethodDelete, "/v1/jobs/"+c.job(job).ID, teamToken, nil, nil); outcome != checker.Answered {
+		t.Fatalf("cancel: %s", outcome)
+	}
+	c.mu.Lock()
+	c.evidence.Jobs[job].Canceled = true
+	c.mu.Unlock()
+	await(t, "every task is canceled", func() bool {
+		state, ok := c.status(e, job)
+		return ok && len(inPhase(state, messenger.TaskCanceled)) == len(state.Tasks) && len(c.running(c.job(job).ID)) == 0
+	})
+	c.check()
+}
