--- a/agent/request.go
+++ b/agent/request.go
@@ -10,14 +10,18 @@
 
 	"apricotwinch"
 	"apricotwinch/arbiter"
+	"apricotwinch/drainer"
 	"apricotwinch/messenger"
 )
 
 const (
 	// MaxBodyBytes bounds the body of a request and of its answer.
 	MaxBodyBytes = 1 << 20
-	// keepAnswers is how long an answer is kept for an entry that lost it.
-	keepAnswers = time.Minute
+	// maxDeadlineMillis bounds the deadline of a request, in milliseconds.
+	maxDeadlineMillis = 3_600_000
+	// defaultKeepAnswers is how long a request that ended is remembered for an
+	// entry that lost its answer.
+	defaultKeepAnswers = time.Minute
 	// maxExchanges bounds the requests that are known at once.
 	maxExchanges = 100_000
 	// maxAnswerBytes bounds the bodies of the answers that are kept.
@@ -33,12 +37,11 @@
 	registry    metrics.Registry
 	grace       time.Duration
 	incarnation string
+	origin      time.Time
 	room        *arbiter.Arbiter
 	targets     *targets
 	exchanges   *exchanges
-	draining    bool
-	running     int
-	idle        chan struct{}
+	drainer     *drainer.Drainer
 }
 
 // dispatch answers one request of an entry. A request id that is known joins the
@@ -75,10 +78,18 @@
 	if len(d.Body) > MaxBodyBytes {
 		return apricotwinch.Errorf(apricotwinch.TooLarge, "body: %d bytes are over %d", len(d.Body), MaxBodyBytes)
 	}
+	if age := r.ticketAge(d.TicketMillis); age > r.exchanges.keep/2 {
+		return apricotwinch.Errorf(apricotwinch.StaleView, "ticketMillis: the ticket is %s old, over %s", age, r.exchanges.keep/2)
+	}
 	_, err := apricotwinch.ParseUrgency(d.Urgency)
 	return err
 }
 
+// ticketAge returns the age of a ticket of this agent.
+func (r *requests) ticketAge(ticketMillis int) time.Duration {
+	return r.clock.Since(r.origin) - time.Duration(ticketMillis)*time.Millisecond
+}
+
 // join returns the exchange of a request id, a new one when it isn't known.
 func (r *requests) join(d messenger.Dispatch) *exchange {
 	r.mu.Lock()
@@ -93,7 +104,7 @@
 		request:  d,
 		service:  serviceKey{team: d.Team, service: d.Service},
 		urgency:  urgency,
-		deadline: now.Add(time.Duration(d.DeadlineMillis) * time.Millisecond),
+		deadline: now.Add(time.Duration(min(d.DeadlineMillis, maxDeadlineMillis)) * time.Millisecond),
 		answered: make(chan struct{}),
 	}
 	if !r.exchanges.add(now, x) {
@@ -113,9 +124,11 @@
 	if !now.Before(x.deadline) {
 		return apricotwinch.Errorf(apricotwinch.DeadlineExceeded, "deadlineMillis: the deadline passed before the request was sent")
 	}
-	if r.draining {
-		return apricotwinch.Errorf(apricotwinch.Draining, "the host is leaving")
+	leave, err := r.drainer.Enter()
+	if err != nil {
+		return err
 	}
+	x.leave = leave
 	known, err := r.targets.find(x.service)
 	if err != nil {
 		return err
@@ -134,7 +147,6 @@
 // start sends x, which holds a slot.
 func (r *requests) start(x *exchange) {
 	x.state = sent
-	r.running++
 	go r.send(x)
 }
 
@@ -152,9 +164,7 @@
 	r.countOutcome(reply)
 	r.exchanges.end(now, x, reply)
 	r.room.Release(x.service.String())
-	r.running--
 	r.pump(x.service)
-	r.signal()
 }
 
 func (r *requests) lookup(key serviceKey) *target {
@@ -205,7 +215,6 @@
 		known.dequeue(x)
 	}
 	r.refuse(r.clock.Now(), x, err)
-	r.signal()
 }
 
 func (r *requests) refuse(now time.Time, x *exchange, err error) {
@@ -214,7 +223,8 @@
 }
 
 // revoke withdraws a request that has not started. A request that isn't known is
-// refused when it arrives later.
+// refused when it arrives later; but when its ticket is older than what the agent
+// remembers, it may have run and been forgotten.
 func (r *requests) revoke(_ context.Context, m messenger.Revoke) (messenger.RevokeReply, error) {
 	if m.Incarnation != r.incarnation {
 		return messenger.RevokeReply{}, apricotwinch.Errorf(apricotwinch.StaleIncarnation,
@@ -225,6 +235,10 @@
 	now := r.clock.Now()
 	revoked := apricotwinch.Errorf(apricotwinch.Revoked, "the entry withdrew the request")
 	x := r.exchanges.byID[m.Request]
+	if x == nil && r.ticketAge(m.TicketMillis) >= r.exchanges.keep {
+		r.count("requests.forgotten")
+		return messenger.RevokeReply{Forgotten: true}, nil
+	}
 	if x == nil {
 		x = &exchange{request: messenger.Dispatch{Request: m.Request}, answered: make(chan struct{})}
 		if !r.exchanges.add(now, x) {
@@ -249,24 +263,6 @@
 		r.refuse(now, x, apricotwinch.Errorf(apricotwinch.NoTarget, "service %s: its target on this host is gone", x.service))
 	}
 	r.exchanges.sweep(now)
-	r.signal()
-}
-
-// drain refuses new requests; idle is closed when none is under way.
-func (r *requests) drain() {
-	r.draining = true
-	r.signal()
-}
-
-func (r *requests) signal() {
-	if !r.draining || r.running > 0 {
-		return
-	}
-	select {
-	case <-r.idle:
-	default:
-		close(r.idle)
-	}
 }
 
 func (r *requests) count(name string) {
--- a/dispatcher/entry.go
+++ b/dispatcher/entry.go
@@ -21,6 +21,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"apricotwinch/appender"
+	"apricotwinch/authenticator"
 	"apricotwinch/claimer"
 	"apricotwinch/connector"
 	"apricotwinch/drainer"
@@ -30,6 +31,10 @@
 // housekeepingTick is the period of the entry's own housekeeping.
 const housekeepingTick = 100 * time.Millisecond
 
+// hostsGrace is how long a new entry waits for the first heartbeat of a host
+// before it takes calls.
+const hostsGrace = 5 * time.Second
+
 // Deps is what an entry is given by its driver.
 type Deps struct {
 	Log      appender.Log
@@ -48,6 +53,7 @@
 	httpTLS     *tls.Config
 	incarnation string
 	address     string
+	startedAt   time.Time
 
 	log      appender.Log
 	clock    clockwork.Clock
@@ -55,15 +61,17 @@
 	registry metrics.Registry
 	metrics  http.Handler
 
-	pool        *connector.Pool
-	drainer     *drainer.Drainer
-	members     *members
-	views       *views
-	ownership   *ownership
-	admission   *admission
-	claimsLog   *appender.Appender
-	settingsLog *appender.Appender
-	jobs        []*appender.Appender
+	pool          *connector.Pool
+	drainer       *drainer.Drainer
+	members       *members
+	views         *views
+	ownership     *ownership
+	admission     *admission
+	authenticator *authenticator.Authenticator
+	keys          []*keyPartition
+	claimsLog     *appender.Appender
+	settingsLog   *appender.Appender
+	jobs          []*appender.Appender
 
 	httpListener net.Listener
 	peerListener net.Listener
@@ -84,18 +92,23 @@
 	if err := security.CheckListen(settings.Peer); err != nil {
 		return nil, err
 	}
+	callers, err := authenticator.New(operatorName, settings.OperatorTokenHash, deps.Registry)
+	if err != nil {
+		return nil, err
+	}
 	e := &Entry{
-		settings:    settings,
-		timing:      timing,
-		security:    security,
-		incarnation: uuid.NewString(),
-		log:         deps.Log,
-		clock:       deps.Clock,
-		logger:      deps.Logger.With("entry", settings.Name),
-		registry:    deps.Registry,
-		metrics:     deps.Metrics,
-		pool:        connector.NewPool(security, deps.Registry),
-		drainer:     drainer.New(),
+		settings:      settings,
+		timing:        timing,
+		security:      security,
+		incarnation:   uuid.NewString(),
+		log:           deps.Log,
+		clock:         deps.Clock,
+		logger:        deps.Logger.With("entry", settings.Name),
+		registry:      deps.Registry,
+		metrics:       deps.Metrics,
+		pool:          connector.NewPool(security, deps.Registry),
+		drainer:       drainer.New(),
+		authenticator: callers,
 	}
 	if err := e.listen(); err != nil {
 		return nil, err
@@ -110,6 +123,7 @@
 	e.settingsLog = e.newAppender(appender.StreamSettings)
 	for number := range e.settings.Partitions {
 		e.jobs = append(e.jobs, e.newAppender(appender.JobsStream(number)))
+		e.keys = append(e.keys, newKeyPartition(e, number))
 	}
 	e.members = newMembers(e.clock, e.logger, e.registry)
 	e.admission = newAdmission(e)
@@ -174,6 +188,9 @@
 	for _, jobs := range e.jobs {
 		parts = append(parts, jobs.Run)
 	}
+	for _, keys := range e.keys {
+		parts = append(parts, keys.run)
+	}
 	return parts
 }
 
@@ -251,6 +268,9 @@
 	if e.views.age() == maxAge {
 		return "the settings were not read yet"
 	}
+	if e.members.known() == 0 && e.clock.Since(e.startedAt) < hostsGrace {
+		return "no host has announced itself yet"
+	}
 	return ""
 }
 
--- a/dispatcher/requests.go
+++ b/dispatcher/requests.go
@@ -32,6 +32,8 @@
 	revokeTimeout = time.Second
 	// answerGrace is how long after its deadline a target's answer is awaited.
 	answerGrace = 100 * time.Millisecond
+	// minTry is the least time that a try gets, as far as it is left.
+	minTry = 100 * time.Millisecond
 )
 
 func init() {
@@ -196,23 +198,41 @@
 	}
 }
 
-// send sends one try to a target and settles an unknown outcome by revoking it.
+// send sends one try to a target. A try of an idempotent request gets half of the
+// time left, so that another target can still answer; of any other request, an
+// unknown outcome is settled by revoking it.
 func (e *Entry) send(ctx context.Context, r *request, target router.Target) (messenger.DispatchReply, error) {
 	left, err := e.admission.remaining(r.deadline)
 	if err != nil {
 		return messenger.DispatchReply{}, err
 	}
-	started := e.clock.Now()
-	e.members.sent(target)
-	reply, err := e.dispatch(ctx, r, target, left)
-	e.members.answered(target, e.clock.Since(started), apricotwinch.KindOf(err), reply)
+	ticket := e.members.ticket(target.Host())
+	if r.idempotent {
+		return e.dispatch(ctx, r, target, max(left/2, min(left, minTry)), ticket)
+	}
+	reply, err := e.dispatch(ctx, r, target, left, ticket)
+	if apricotwinch.KindOf(err) == apricotwinch.Unknown && reply.Outcome == "" {
+		return e.revoke(r.id, target, ticket)
+	}
 	return reply, err
 }
 
-func (e *Entry) dispatch(ctx context.Context, r *request, target router.Target, left time.Duration) (messenger.DispatchReply, error) {
+// sendOnce sends a keyed request; its outcome may be unknown.
+func (e *Entry) sendOnce(ctx context.Context, r *request, target router.Target, ticket int) (messenger.DispatchReply, error) {
+	left, err := e.admission.remaining(r.deadline)
+	if err != nil {
+		return messenger.DispatchReply{}, err
+	}
+	return e.dispatch(ctx, r, target, left, ticket)
+}
+
+// dispatch sends a request to its target by way of the agent and tells the router
+// how it ended.
+func (e *Entry) dispatch(ctx context.Context, r *request, target router.Target, left time.Duration, ticket int) (messenger.DispatchReply, error) {
 	command := messenger.Dispatch{
 		Request:        r.id,
 		Incarnation:    target.Incarnation(),
+		TicketMillis:   ticket,
 		Service:        r.service.Name(),
 		Team:           r.service.Team(),
 		Urgency:        r.urgency.String(),
@@ -223,15 +243,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, left+answerGrace)
 	defer cancel()
+	started := e.clock.Now()
+	e.members.sent(target)
 	var reply messenger.DispatchReply
 	err := e.pool.Call(ctx, target.Address(), messenger.MethodDispatch, command, &reply)
-	if apricotwinch.KindOf(err) == apricotwinch.Unknown {
-		return e.revoke(r.id, target)
-	}
-	if err != nil {
-		return messenger.DispatchReply{}, err
+	if err == nil {
+		reply, err = settle(reply)
 	}
-	return settle(reply)
+	e.members.answered(target, e.clock.Since(started), apricotwinch.KindOf(err), reply)
+	return reply, err
 }
 
 // settle turns a refusal or an unknown outcome into an error of its kind.
@@ -248,16 +268,12 @@
 
 // revoke asks the agent about a request whose answer was lost: a request that
 // had not started is not run, one that ended has its answer.
-func (e *Entry) revoke(id string, target router.Target) (messenger.DispatchReply, error) {
+func (e *Entry) revoke(id string, target router.Target, ticket int) (messenger.DispatchReply, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), revokeTimeout)
 	defer cancel()
-	return e.revokeAt(ctx, id, target.Address(), target.Incarnation())
-}
-
-func (e *Entry) revokeAt(ctx context.Context, id, address, incarnation string) (messenger.DispatchReply, error) {
 	var reply messenger.RevokeReply
-	command := messenger.Revoke{Request: id, Incarnation: incarnation}
-	err := e.pool.Call(ctx, address, messenger.MethodRevoke, command, &reply)
+	command := messenger.Revoke{Request: id, Incarnation: target.Incarnation(), TicketMillis: ticket}
+	err := e.pool.Call(ctx, target.Address(), messenger.MethodRevoke, command, &reply)
 	switch {
 	case err != nil:
 		e.count("revoke.error." + string(apricotwinch.KindOf(err)))
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -164,6 +164,34 @@
 	check(t, "requests after the others' ended", map[string]int{"kopli-1": 60, "overloaded": 1}, f.send(61))
 }
 
+func TestALateDigestDoesNotCountOwnRequestsAsThoseOfOthers(t *testing.T) {
+	f := newFixture(t)
+	f.heartbeat("kopli-1")
+	for range 8 {
+		target, _ := f.choose()
+		f.routes.Sent(f.now, target)
+	}
+	running := messenger.Announce{
+		Host: "kopli-1", Incarnation: "a", Sequence: 2, Address: "127.0.0.1:7000", Region: "harju", DataCentre: "kopli",
+		Services: []messenger.ServiceSummary{{Team: "ketioli", Service: "vahaportaal", Slots: 8, Connections: 64, Busy: 8}},
+	}
+	f.now = f.now.Add(time.Second)
+	target, _ := f.choose()
+	for range 8 {
+		f.routes.Answered(f.now, target, time.Second, "")
+		f.routes.Loaded(f.now, target, 0, 0)
+	}
+	f.now = f.now.Add(time.Second)
+	changes, err := f.members.ObserveDigest(f.now, messenger.Digest{Hosts: []messenger.Announce{running}, AgesMillis: []int{1500}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.apply(changes)
+	if got := f.routes.Capacity(f.now, portal).Others(); got != 0 {
+		t.Errorf("%d requests of others are counted, want 0", got)
+	}
+}
+
 func TestUrgencyBoundsTheQueueAtATarget(t *testing.T) {
 	got := map[string]int{}
 	for _, urgency := range []apricotwinch.Urgency{apricotwinch.Batch, apricotwinch.Standard, apricotwinch.Critical} {
@@ -245,6 +273,35 @@
 	f.heartbeat(target.Host())
 }
 
+func TestCapacityCountsUsableTargets(t *testing.T) {
+	f := newFixture(t)
+	var got [][4]int
+	for _, step := range []func(){
+		func() { f.heartbeat("kopli-1"); f.heartbeat("kalamaja-1", busy(5)) },
+		func() { f.send(1) },
+		func() { f.heartbeat("kopli-1", draining) },
+		func() { f.heartbeat("kopli-1"); f.routes.SetOut(f.now, "kalamaja", true) },
+		func() { f.routes.SetOut(f.now, "kalamaja", false) },
+		func() { f.heartbeat("kopli-1", func(a *messenger.Announce) { a.Incarnation = "b" }) },
+		func() {
+			f.wait(5 * time.Second)
+			f.heartbeat("kopli-1", func(a *messenger.Announce) { a.Incarnation = "b" })
+		},
+		func() { f.wait(5 * time.Second) },
+		func() { f.heartbeat("kalamaja-1", busy(7)) },
+		func() { f.wait(time.Minute) },
+	} {
+		step()
+		c := f.routes.Capacity(f.now, portal)
+		got = append(got, [4]int{c.Targets(), c.Slots(), c.Connections(), c.Others()})
+	}
+	two, one := [4]int{2, 16, 128, 5}, [4]int{1, 8, 64, 0}
+	want := [][4]int{two, two, {1, 8, 64, 5}, one, two, two, two, one, {2, 16, 128, 7}, {}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("targets, slots, connections, others (-want +got):\n%s", diff)
+	}
+}
+
 func TestSuspectedTargetsServeWhenNoOtherIsLeft(t *testing.T) {
 	f := newFixture(t)
 	f.heartbeat("kopli-1")
@@ -267,6 +324,18 @@
 	}
 }
 
+func TestAMovedAgentIsANewTarget(t *testing.T) {
+	f := newFixture(t)
+	f.heartbeat("kopli-1")
+	before, _ := f.choose()
+	f.heartbeat("kopli-1", func(a *messenger.Announce) { a.Address, a.DataCentre = "127.0.0.1:7001", "kalamaja" })
+	after, _ := f.choose()
+	got := []string{before.Address(), before.Locality().DataCentre(), after.Address(), after.Locality().DataCentre()}
+	if diff := cmp.Diff([]string{"127.0.0.1:7000", "kopli", "127.0.0.1:7001", "kalamaja"}, got); diff != "" {
+		t.Errorf("addresses and data centres (-want +got):\n%s", diff)
+	}
+}
+
 func TestTheSameNameOfTwoTeamsIsTwoServices(t *testing.T) {
 	f := newFixture(t)
 	f.heartbeat("kopli-1", func(a *messenger.Announce) { a.Services[0].Team = "jua-paa" })
