--- a/measurer/capacity_test.go
+++ b/measurer/capacity_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -12,6 +14,7 @@
 
 	"apricotwinch/messenger"
 	"apricotwinch/requester"
+	"apricotwinch/standin/recorder"
 )
 
 // BenchmarkIdle measures agents and one entry without work, by hosts.
@@ -46,8 +49,8 @@
 	}
 }
 
-// submit submits a job of the fleet's team.
-func (f *fleet) submit(kind string, tasks, runMillis int) string {
+// submit submits a job of a team.
+func (f *fleet) submit(team, kind string, tasks, runMillis int) string {
 	f.b.Helper()
 	id, err := f.calls.Submit(f.ctx, team, "", messenger.JobSpec{
 		Name: kind, Kind: kind, Urgency: "batch", Tasks: tasks, RunMillis: runMillis,
@@ -59,8 +62,73 @@
 	return id
 }
 
-// phases counts the tasks of a job in a phase.
-func (f *fleet) phases(job, phase string) int {
+// BenchmarkUrgent measures the time from the submission of a critical task to its
+// start at a worker, by hosts, one task after the other.
+func BenchmarkUrgent(b *testing.B) {
+	for _, hosts := range []int{50, 100, 200} {
+		b.Run(fmt.Sprintf("embedded=%d", hosts), func(b *testing.B) {
+			f := newFleet(b, shape{entries: 1, partitions: 16, hosts: hosts, embedded: true})
+			const jobs = 20
+			var delays []time.Duration
+			for range jobs {
+				began := time.Now()
+				id, err := f.calls.Submit(f.ctx, team, "", messenger.JobSpec{
+					Name: "urgent", Kind: messenger.JobBatch, Urgency: "critical", Tasks: 1, RunMillis: 1,
+					Resources: messenger.Resources{ProcessorMillis: 500, MemoryBytes: 1 << 28},
+				})
+				if err != nil {
+					b.Fatal(err)
+				}
+				var at any
+				f.await("the start", func() (ok bool) { at, ok = f.starts.Load(id); return ok })
+				delays = append(delays, at.(time.Time).Sub(began))
+			}
+			slices.Sort(delays)
+			b.ReportMetric(float64(delays[jobs/2].Milliseconds()), "median-ms")
+			b.ReportMetric(float64(delays[jobs-1].Milliseconds()), "slowest-ms")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+// BenchmarkPeak runs short tasks of 32 teams, thus in most partitions, against a
+// log that takes 300 appends a second.
+func BenchmarkPeak(b *testing.B) {
+	for _, tasks := range []int{2000, 4000, 8000} {
+		b.Run(fmt.Sprintf("tasks=%d", tasks), func(b *testing.B) {
+			const teams = 32
+			f := newFleet(b, shape{entries: 1, partitions: 16, hosts: 200, embedded: true})
+			for i := range teams {
+				f.publishTeam(fmt.Sprint("t", i))
+			}
+			f.log.SetFaults(recorder.Faults{AppendsPerSecond: 300})
+			stats, entries, began := f.log.Stats(), f.costs(f.entries), time.Now()
+			jobs := make([]string, teams)
+			for i := range jobs {
+				jobs[i] = f.submit(fmt.Sprint("t", i), messenger.JobBatch, tasks/teams, 200)
+			}
+			f.await("completed tasks", func() bool {
+				for i, job := range jobs {
+					if f.phases(fmt.Sprint("t", i), job, messenger.TaskCompleted) != tasks/teams {
+						return false
+					}
+				}
+				return true
+			})
+			seconds, after := time.Since(began).Seconds(), f.log.Stats()
+			used := ratesOf(entries, f.costs(f.entries))
+			b.ReportMetric(float64(tasks)/seconds, "tasks/s")
+			b.ReportMetric(float64(after.Appends-stats.Appends)/seconds, "appends/s")
+			b.ReportMetric(float64(after.Records-stats.Records)/float64(after.Appends-stats.Appends), "records/append")
+			b.ReportMetric(float64(after.Capped-stats.Capped), "refused-appends")
+			b.ReportMetric(used.corePercent/100*seconds*1e6/float64(tasks), "entry-µs/task")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+// phases counts the tasks of a team's job in a phase.
+func (f *fleet) phases(team, job, phase string) int {
 	state, err := f.calls.Job(f.ctx, team, job)
 	if err != nil {
 		return -1
@@ -79,8 +147,8 @@
 	for _, perHost := range []int{4, 8, 16} {
 		b.Run(fmt.Sprintf("perHost=%d", perHost), func(b *testing.B) {
 			f := newFleet(b, shape{entries: 1, partitions: 16, hosts: 50, targets: true})
-			job := f.submit(messenger.JobWatch, 50*perHost, 0)
-			f.await("running tasks", func() bool { return f.phases(job, messenger.TaskAssigned) == 50*perHost })
+			job := f.submit(team, messenger.JobWatch, 50*perHost, 0)
+			f.await("running tasks", func() bool { return f.phases(team, job, messenger.TaskAssigned) == 50*perHost })
 			f.measure()
 		})
 	}
@@ -131,8 +199,8 @@
 		b.Run(fmt.Sprintf("tasks=%d", tasks), func(b *testing.B) {
 			f := newFleet(b, shape{entries: 1, partitions: 16, hosts: 100, embedded: true})
 			entries, stats, began := f.costs(f.entries), f.log.Stats(), time.Now()
-			job := f.submit(messenger.JobBatch, tasks, 200)
-			f.await("completed tasks", func() bool { return f.phases(job, messenger.TaskCompleted) == tasks })
+			job := f.submit(team, messenger.JobBatch, tasks, 200)
+			f.await("completed tasks", func() bool { return f.phases(team, job, messenger.TaskCompleted) == tasks })
 			seconds, after := time.Since(began).Seconds(), f.log.Stats()
 			used := ratesOf(entries, f.costs(f.entries))
 			n := float64(tasks)
@@ -147,3 +215,41 @@
 		})
 	}
 }
+
+// BenchmarkDigests measures two entries that pass on what each hears, by hosts;
+// BenchmarkIdle is the same with one entry.
+func BenchmarkDigests(b *testing.B) {
+	for _, hosts := range []int{200, 400, 800} {
+		b.Run(fmt.Sprintf("embedded=%d", hosts), func(b *testing.B) {
+			newFleet(b, shape{entries: 2, partitions: 16, hosts: hosts, embedded: true, targets: true}).measure()
+		})
+	}
+}
+
+// BenchmarkEdits publishes edits at the first of three entries and measures the
+// time until every entry has them in force.
+func BenchmarkEdits(b *testing.B) {
+	f := newFleet(b, shape{entries: 3, partitions: 4, hosts: 1})
+	for _, edits := range []int{10, 20, 40} {
+		b.Run(fmt.Sprintf("edits=%d", edits), func(b *testing.B) {
+			stats, slowest := f.log.Stats(), time.Duration(0)
+			for i := range edits {
+				began := time.Now()
+				path := fmt.Sprintf("teams/t%d-%d/services/s", edits, i)
+				f.publish(path, map[string]any{"urgency": "critical", "timeoutMillis": 1000})
+				for _, e := range f.entries {
+					calls := requester.New("http://"+e.http, operatorToken, http.DefaultClient)
+					f.await(path, func() bool {
+						list, err := calls.Settings(f.ctx, path)
+						return err == nil && len(list) > 0
+					})
+				}
+				slowest = max(slowest, time.Since(began))
+			}
+			after := f.log.Stats()
+			b.ReportMetric(slowest.Seconds()*1000, "slowest-ms")
+			b.ReportMetric(float64(after.Bytes-stats.Bytes)/float64(edits), "logB/edit")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
--- a/measurer/fleet_test.go
+++ b/measurer/fleet_test.go
@@ -63,6 +63,7 @@
 	calls     *requester.Requester
 	ctx       context.Context
 	done      sync.WaitGroup
+	starts    sync.Map // Job ids to the time of the job's first start.
 	nextPort  int
 }
 
@@ -178,6 +179,11 @@
 // configure publishes the settings of one team.
 func (f *fleet) configure() {
 	f.publish("dataCentres/dc", map[string]any{"region": "r"})
+	f.publishTeam(team)
+}
+
+// publishTeam publishes the settings of a team.
+func (f *fleet) publishTeam(team string) {
 	f.publish("quotas/"+team, map[string]any{
 		"maximum":           messenger.Resources{ProcessorMillis: 1_000_000_000, MemoryBytes: 1 << 50},
 		"requestsPerSecond": 1_000_000, "requestBurst": 1_000_000, "requestsInFlight": 100_000, "weight": 1,
@@ -204,7 +210,7 @@
 func (f *fleet) addHost(number int) {
 	name := fmt.Sprintf("h%05d", number)
 	capacity := messenger.Resources{ProcessorMillis: 16_000, MemoryBytes: 62 << 30}
-	worker := runner.New(runner.Config{Host: name, DataCentre: "dc", Capacity: capacity.Value(), UsageLag: 2 * time.Second}, f.clock, journaler.Discard)
+	worker := runner.New(runner.Config{Host: name, DataCentre: "dc", Capacity: capacity.Value(), UsageLag: 2 * time.Second}, f.clock, f.journal)
 	context.AfterFunc(f.ctx, worker.Close)
 	var peers []string
 	for _, e := range f.entries {
@@ -226,6 +232,13 @@
 	f.addTarget(name, d.http)
 }
 
+// journal keeps when jobs started.
+func (f *fleet) journal(entry journaler.Entry) {
+	if entry.Event == journaler.TaskStarted {
+		f.starts.LoadOrStore(entry.Job, entry.At)
+	}
+}
+
 // embed runs an agent in this process, which calls its worker directly.
 func (f *fleet) embed(name string, settings agent.Settings, worker *runner.Runner) {
 	f.b.Helper()
--- /dev/null
+++ b/measurer/state_test.go
@@ -0,0 +1,122 @@
+package measurer_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"apricotwinch/bookkeeper"
+	"apricotwinch/configurator"
+	"apricotwinch/messenger"
+)
+
+// heap returns the bytes in use after a collection.
+func heap() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+func encode(b *testing.B, v any) []byte {
+	b.Helper()
+	data, err := json.Marshal(v)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return data
+}
+
+// ledger returns the records of jobs of ten tasks each, all running.
+func ledger(b *testing.B, jobs int) [][]byte {
+	b.Helper()
+	records := [][]byte{encode(b, messenger.LedgerRecord{Id: "e", Type: messenger.RecordBegan})}
+	for job := range jobs {
+		id := fmt.Sprintf("%08d-0000-0000-0000-000000000000", job)
+		records = append(records, encode(b, messenger.LedgerRecord{
+			Id: id, Type: messenger.RecordSubmitted, Team: team, Job: id, UnixMillis: 1,
+			Spec: &messenger.JobSpec{Name: "route-plan", Kind: messenger.JobBatch, Urgency: "batch", Tasks: 10, Payload: make([]byte, 200)},
+		}))
+		for task := range 10 {
+			records = append(records, encode(b, messenger.LedgerRecord{
+				Id: fmt.Sprintf("%s-%d", id, task), Type: messenger.RecordAssigned, Team: team, Job: id, Task: task, Attempt: 1,
+				Host: "h00001", Incarnation: id, DataCentre: "dc", UnixMillis: 1,
+			}))
+		}
+	}
+	return records
+}
+
+// BenchmarkRecovery folds a partition from its records and from a snapshot, by
+// live jobs of ten tasks.
+func BenchmarkRecovery(b *testing.B) {
+	for _, jobs := range []int{1000, 10_000, 100_000} {
+		b.Run(fmt.Sprintf("jobs=%d", jobs), func(b *testing.B) {
+			records := ledger(b, jobs)
+			tasks, bytes := float64(jobs*10), 0
+			for _, r := range records {
+				bytes += len(r)
+			}
+			before, began := heap(), time.Now()
+			book := bookkeeper.New(0)
+			for offset, data := range records {
+				var record messenger.LedgerRecord
+				if err := json.Unmarshal(data, &record); err != nil {
+					b.Fatal(err)
+				}
+				if _, err := book.Fold(int64(offset), record); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(time.Since(began).Seconds()*1e6/tasks, "µs/task")
+			b.ReportMetric(float64(heap()-before)/tasks, "heapB/task")
+			b.ReportMetric(float64(bytes)/tasks, "recordB/task")
+			b.ReportMetric(float64(len(encode(b, book.States(""))))/tasks, "snapshotB/task")
+			b.ReportMetric(0, "ns/op")
+			runtime.KeepAlive(book)
+			runtime.KeepAlive(records)
+		})
+	}
+}
+
+// BenchmarkSettings folds edits of a tree of services, by subtrees.
+func BenchmarkSettings(b *testing.B) {
+	for _, services := range []int{1000, 4000, 16_000} {
+		b.Run(fmt.Sprintf("leaves=%d", services), func(b *testing.B) {
+			before, began := heap(), time.Now()
+			folder := configurator.New()
+			edits, bytes := 2*services, 0
+			for i := range edits {
+				record := encode(b, messenger.EditRecord{
+					Id: fmt.Sprint(i), Author: "operators/o", Base: base(i, services),
+					Path:  fmt.Sprintf("teams/t%d/services/s%d", i%services%1100, i%services/1100),
+					Value: json.RawMessage(`{"urgency":"critical","timeoutMillis":2000}`),
+				})
+				bytes += len(record)
+				if outcome := folder.FoldData(int64(i), record); outcome.Err() != nil {
+					b.Fatal(outcome.Err())
+				}
+			}
+			b.ReportMetric(time.Since(began).Seconds()*1e6/float64(edits), "µs/edit")
+			b.ReportMetric(float64(bytes)/float64(edits), "recordB/edit")
+			b.ReportMetric(float64(heap()-before)/float64(services), "heapB/leaf")
+			snapshot := 0
+			for _, part := range folder.Snapshot(1 << 20) {
+				snapshot += len(encode(b, part))
+			}
+			b.ReportMetric(float64(snapshot)/float64(services), "snapshotB/leaf")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+// base returns the revision that edit number i is based on: each leaf is made
+// and then changed once.
+func base(i, services int) int {
+	if i < services {
+		return 0
+	}
+	return i - services + 1
+}
