--- a/measurer/capacity_test.go
+++ b/measurer/capacity_test.go
@@ -154,6 +154,28 @@
 	}
 }
 
+// BenchmarkOwners measures agents and one entry with twelve running tasks a host,
+// by the teams that they belong to: each team's partition has its own renewals.
+func BenchmarkOwners(b *testing.B) {
+	for _, teams := range []int{1, 4, 12} {
+		b.Run(fmt.Sprintf("teams=%d", teams), func(b *testing.B) {
+			const hosts, perHost = 25, 12
+			f := newFleet(b, shape{entries: 1, partitions: 64, hosts: hosts, targets: true})
+			jobs := make([]string, teams)
+			for i := range jobs {
+				f.publishTeam(fmt.Sprint("t", i))
+				jobs[i] = f.submit(fmt.Sprint("t", i), messenger.JobWatch, hosts*perHost/teams, 0)
+			}
+			for i, job := range jobs {
+				f.await("running tasks", func() bool {
+					return f.phases(fmt.Sprint("t", i), job, messenger.TaskAssigned) == hosts*perHost/teams
+				})
+			}
+			f.measure()
+		})
+	}
+}
+
 // BenchmarkRequests measures agents and one entry by requests a second.
 func BenchmarkRequests(b *testing.B) {
 	for _, perSecond := range []int{100, 200, 400} {
