Count a queue once and share it between data centres

Cause: the latency of an answer included the time in the target's queue, which the load tells already, so that the targets of the own data centre looked slow in turn and were left idle; and without a free slot anywhere, requests queued in the own data centre only. Now the expected wait is taken out of the latency, queues are compared with those of two other data centres, and batch requests may wait for a slot too.

Hosts excluded from a choice no longer hide the others in a large group.

--- a/router/choose.go
+++ b/router/choose.go
@@ -12,8 +12,13 @@
 	// spillScore is the score over which a local target gives way to one of
 	// another data centre: that of a target whose slots are all taken.
 	spillScore = 2
-	// distancePenalty is the factor on the score of a target elsewhere.
-	distancePenalty = 1.25
+	// nearPenalty is the factor on the score of a target in another data centre of
+	// the region: a free slot there is better than a queue here.
+	nearPenalty = 1.05
+	// farPenalty is the factor on the score of a target in another region.
+	farPenalty = 1.5
+	// groupsElsewhere is the number of other data centres that one choice samples.
+	groupsElsewhere = 2
 )
 
 // query is what is asked of one choice.
@@ -49,7 +54,7 @@
 	if best.state == nil {
 		return Target{}, refusal(p)
 	}
-	return Target{state: best.state}, nil
+	return Target{state: best.state, wait: best.state.wait()}, nil
 }
 
 // search tries local targets, free ones elsewhere, busy ones elsewhere and at
@@ -63,8 +68,7 @@
 	if best.state != nil && best.score <= spillScore {
 		return best
 	}
-	r.sampleElsewhere(q, &best, classFree)
-	if best.state == nil {
+	if !r.sampleElsewhere(q, &best, classFree) {
 		r.sampleElsewhere(q, &best, classBusy)
 	}
 	if best.state == nil {
@@ -83,53 +87,70 @@
 	}
 }
 
-// sampleElsewhere samples the other data centres, those of the same region first.
-func (r *Router) sampleElsewhere(q *query, best *candidate, class class) {
+// sampleElsewhere samples the other data centres, those of the same region first;
+// it reports whether any has a target that is better than the best so far.
+func (r *Router) sampleElsewhere(q *query, best *candidate, class class) bool {
 	region := ""
 	if q.local != nil {
 		region = q.local.region
 	}
-	if !r.sampleRegion(q, best, class, region, true) {
-		r.sampleRegion(q, best, class, region, false)
+	if r.sampleRegion(q, best, class, region, nearPenalty) {
+		return true
+	}
+	if class == classBusy && best.state != nil {
+		return false
 	}
+	return r.sampleRegion(q, best, class, region, farPenalty)
 }
 
-// sampleRegion samples the other data centres inside or outside of region, until
-// one has a target that is better than a busy one; it reports whether any has a
-// target that is better than the best so far.
-func (r *Router) sampleRegion(q *query, best *candidate, class class, region string, inside bool) bool {
+// sampleRegion samples the other data centres, near ones inside of region and far
+// ones outside, until one has a target that is better than a busy one or enough
+// were sampled. It reports whether any has a target that is better than the best
+// so far.
+func (r *Router) sampleRegion(q *query, best *candidate, class class, region string, penalty float64) bool {
 	groups := q.pool.groups
 	first := r.random.IntN(len(groups))
 	before := best.state
+	sampled := 0
 	for i := range groups {
 		g := groups[(first+i)%len(groups)]
-		if g == q.local || g.out || (g.region == region) != inside {
+		if g == q.local || g.out || (g.region == region) != (penalty == nearPenalty) || len(g.byClass[class]) == 0 {
 			continue
 		}
-		r.sample(q, best, g, class, distancePenalty)
-		if best.state != before && best.score <= distancePenalty*spillScore {
-			return true
+		r.sample(q, best, g, class, penalty)
+		sampled++
+		if best.state != nil && (sampled >= groupsElsewhere || best.score <= penalty*spillScore) {
+			break
 		}
 	}
 	return best.state != before
 }
 
-// sample compares up to the configured number of targets of one class.
+// sample compares the configured number of targets of one class; neighbors in the
+// list when the ones drawn were all excluded.
 func (r *Router) sample(q *query, best *candidate, g *group, class class, penalty float64) {
 	list := g.byClass[class]
 	if len(list) == 0 {
 		return
 	}
 	if len(list) <= r.config.choices+len(q.exclude) {
-		first := r.random.IntN(len(list))
-		for i := range list {
-			r.consider(q, best, list[(first+i)%len(list)], penalty)
-		}
+		r.compare(q, best, list, len(list), penalty)
 		return
 	}
-	for range r.config.choices + len(q.exclude) {
+	for range r.config.choices {
 		r.consider(q, best, list[r.random.IntN(len(list))], penalty)
 	}
+	if best.state == nil {
+		r.compare(q, best, list, len(q.exclude)+1, penalty)
+	}
+}
+
+// compare compares a number of neighbors in a list.
+func (r *Router) compare(q *query, best *candidate, list []*state, count int, penalty float64) {
+	first := r.random.IntN(len(list))
+	for i := range count {
+		r.consider(q, best, list[(first+i)%len(list)], penalty)
+	}
 }
 
 // consider keeps a target when it has room and is better than the best so far.
--- a/router/outcome.go
+++ b/router/outcome.go
@@ -48,12 +48,13 @@
 }
 
 // Answered takes the end of a request that was sent to target: its latency and
-// the kind of its error, empty for an answer.
+// the kind of its error, empty for an answer. The time that it was expected to
+// wait for a slot doesn't count against the target, whose load tells it already.
 func (r *Router) Answered(now time.Time, target Target, latency time.Duration, kind apricotwinch.Kind) Event {
 	r.advance(now)
 	s := target.state
 	s.inFlight = max(0, s.inFlight-1)
-	event := r.judge(now, s, latency, kind)
+	event := r.judge(now, s, time.Duration(float64(latency)/target.wait), kind)
 	r.refresh(now, s)
 	return event
 }
--- a/router/target.go
+++ b/router/target.go
@@ -13,6 +13,7 @@
 // while the router is in use.
 type Target struct {
 	state *state
+	wait  float64 // expected latency when chosen, as a multiple of an idle target's
 }
 
 // Valid reports whether t stands for a target.
@@ -135,11 +136,17 @@
 // queueShare is the share of the room between slots and connections that
 // requests of an urgency may fill.
 var queueShare = [...]float64{
-	apricotwinch.Batch:    0,
+	apricotwinch.Batch:    0.1,
 	apricotwinch.Standard: 0.5,
 	apricotwinch.Critical: 1,
 }
 
+// wait returns the expected latency of one more request as a multiple of that of
+// a request which finds a free slot.
+func (s *state) wait() float64 {
+	return max(1, float64(s.outstanding()+1)/float64(s.slots))
+}
+
 // holds reports whether the target has room for one more request of urgency.
 func (s *state) holds(urgency apricotwinch.Urgency) bool {
 	queue := queueShare[urgency] * float64(s.connections-s.slots)
