Leave the places of critical requests to them at all entries

The driver now sends heartbeats through one home entry, with digests 2 s old, and counts displaced requests over all entries.

--- a/gauger/policy.go
+++ b/gauger/policy.go
@@ -16,8 +16,8 @@
 
 // policy is what one entry decides.
 type policy struct {
-	// observe takes a heartbeat.
-	observe func(now time.Time, announce messenger.Announce)
+	// observe takes a heartbeat that an entry received some time ago.
+	observe func(now time.Time, announce messenger.Announce, age time.Duration)
 	// tick is called each tickPeriod.
 	tick func(now time.Time)
 	// setOut tells that a data centre is out of service or back.
@@ -72,8 +72,11 @@
 		admission.SetOthers(service, c.Others())
 	}
 	return policy{
-		observe: func(now time.Time, announce messenger.Announce) {
-			changes, err := members.Observe(now, announce)
+		observe: func(now time.Time, announce messenger.Announce, age time.Duration) {
+			changes, err := members.ObserveDigest(now, messenger.Digest{
+				Hosts:      []messenger.Announce{announce},
+				AgesMillis: []int{int(age.Milliseconds())},
+			})
 			must(err)
 			apply(now, changes)
 		},
@@ -119,7 +122,7 @@
 	var names []string
 	known := map[string]bool{}
 	return policy{
-		observe: func(_ time.Time, announce messenger.Announce) {
+		observe: func(_ time.Time, announce messenger.Announce, _ time.Duration) {
 			if !known[announce.Host] {
 				known[announce.Host] = true
 				names = append(names, announce.Host)
--- a/gauger/report.go
+++ b/gauger/report.go
@@ -51,7 +51,7 @@
 		return
 	}
 	r.refused[q.urgency]++
-	if q.urgency == apricotwinch.Critical && m.less[q.entry] > 0 {
+	if q.urgency == apricotwinch.Critical && m.less > 0 {
 		r.displaced++
 	}
 }
@@ -111,7 +111,7 @@
 func (r Report) Refused(urgency apricotwinch.Urgency) int { return r.refused[urgency] }
 
 // Displaced returns the number of critical requests that were refused while a
-// less urgent one was in flight at the same entry.
+// less urgent one was in flight at any entry.
 func (r Report) Displaced() int { return r.displaced }
 
 // Failed returns the number of requests that were admitted and not answered.
--- a/gauger/scenario.go
+++ b/gauger/scenario.go
@@ -11,6 +11,7 @@
 	networkDelay = 500 * time.Microsecond
 	deadline     = time.Second
 	heartbeat    = 2 * time.Second
+	digestAge    = 2 * time.Second
 	tickPeriod   = 100 * time.Millisecond
 	length       = 60 * time.Second
 	warmUp       = 10 * time.Second
@@ -66,6 +67,7 @@
 		{name: "85% load", load: 0.85, mix: usualMix},
 		{name: "85% load, uneven entries", load: 0.85, mix: usualMix, skew: 0.7},
 		{name: Overload, load: 1.2, mix: usualMix},
+		{name: UnevenOverload, load: 1.2, mix: usualMix, skew: 0.7},
 		{name: CriticalOverload, load: 1.4, mix: mix{critical: 9}},
 		{name: SlowHost, load: 0.5, fault: slowHost, mix: usualMix},
 		{name: "slow host, 85% load", load: 0.85, fault: slowHost, mix: usualMix},
@@ -81,6 +83,7 @@
 const (
 	Calm             = "calm"
 	Overload         = "120% load"
+	UnevenOverload   = "120% load, uneven entries"
 	CriticalOverload = "126% critical, 14% batch"
 	SlowHost         = "slow host"
 	FailingHost      = "failing host"
--- a/gauger/target.go
+++ b/gauger/target.go
@@ -11,6 +11,7 @@
 // host is a fake target: slots that serve requests and a queue before them.
 type host struct {
 	model       *model
+	number      int
 	name        string
 	dataCentre  string
 	incarnation int
@@ -28,6 +29,7 @@
 func newHost(m *model, number int) *host {
 	return &host{
 		model:      m,
+		number:     number,
 		name:       fmt.Sprintf("h%02d", number),
 		dataCentre: dataCentres[number%len(dataCentres)],
 		slowness:   1,
--- a/limiter/config.go
+++ b/limiter/config.go
@@ -6,7 +6,7 @@
 const (
 	defaultBatchShare    = 1.2
 	defaultStandardShare = 1.35
-	defaultCriticalShare = 1.5
+	defaultCriticalShare = 1.75
 	defaultMaxTeams      = 4096
 )
 
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -61,7 +61,7 @@
 }
 
 // SetOthers sets the estimate of the requests that other entries have at a
-// service's targets, so that this entry may use what they leave; without it, an
+// service's targets, so that this entry uses what they leave; without it, an
 // entry gets an equal share. It counts once the service has a capacity.
 func (l *Limiter) SetOthers(service tracker.Service, others int) {
 	if state := l.loads[service]; state != nil {
@@ -104,7 +104,7 @@
 		return l.refuse(Urgency, urgency, 0)
 	}
 	state := l.loads[service]
-	if state == nil || state.hard == 0 {
+	if state == nil || state.connections == 0 {
 		return l.refuse(NoTarget, urgency, 0)
 	}
 	if !state.admits(urgency) {
--- a/limiter/load.go
+++ b/limiter/load.go
@@ -17,23 +17,34 @@
 	inFlight    [apricotwinch.Critical + 1]int
 }
 
-// unknownOthers stands for requests of other entries of which nothing is known;
-// they leave an equal share.
-const unknownOthers = math.MaxInt32
+// unknownOthers stands for requests of other entries of which nothing is known.
+const unknownOthers = -1
 
-// setLimits computes the bounds of this entry.
+// setLimits computes the bounds of this entry. Critical requests have at least an
+// equal share; others only what is left, so that they don't take the places of
+// critical requests at another entry.
 func (l *load) setLimits(config Config) {
+	slots := float64(l.slots)
 	for urgency, share := range config.shares {
-		l.limits[urgency] = l.portion(share * float64(l.slots))
+		l.limits[urgency] = l.left(share * slots)
 	}
-	l.hard = l.portion(float64(l.connections))
+	critical := config.shares[apricotwinch.Critical]
+	l.limits[apricotwinch.Critical] = max(l.limits[apricotwinch.Critical], l.equal(critical*slots))
+	l.hard = max(l.left(float64(l.connections)), l.equal(float64(l.connections)))
 }
 
-// portion returns the part of total for this entry: what the others leave, and
-// at least an equal share.
-func (l *load) portion(total float64) int {
-	equal := total / float64(l.entries)
-	return int(math.Ceil(max(equal, total-float64(l.others))))
+// equal returns an equal part of total, rounded up.
+func (l *load) equal(total float64) int {
+	return int(math.Ceil(total / float64(l.entries)))
+}
+
+// left returns what the other entries leave of total, at least 1; an equal part
+// when nothing is known of them.
+func (l *load) left(total float64) int {
+	if l.others == unknownOthers {
+		return l.equal(total)
+	}
+	return max(1, int(total)-l.others)
 }
 
 func (l *load) total() int {
