--- a/retrier/try.go
+++ b/retrier/try.go
@@ -26,6 +26,7 @@
 // elsewhere lists the kinds that another target may not answer with.
 var elsewhere = map[apricotwinch.Kind]bool{
 	apricotwinch.NoCapacity:       true,
+	apricotwinch.Overloaded:       true,
 	apricotwinch.Draining:         true,
 	apricotwinch.DataCentreOut:    true,
 	apricotwinch.StaleIncarnation: true,
