Compare the placement decisions with a naive version

The comparer runs placer, judge, sharer, estimator and observer, joined as the owner of a partition joins them, and first fit on declared sizes over the same work in virtual time, with fixed seeds.

--- /dev/null
+++ b/comparer/comparer_test.go
@@ -0,0 +1,148 @@
+package comparer_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"apricotwinch"
+	"apricotwinch/comparer"
+)
+
+const (
+	firstSeed = 11
+	// poolSeeds is the number of seeds that a row of the table pools.
+	poolSeeds = 6
+	// parallelRuns bounds the runs at once.
+	parallelRuns = 3
+)
+
+// pooled runs a scenario under a policy for several seeds.
+func pooled(t testing.TB, scenario comparer.Scenario, policy comparer.Policy, seeds int) comparer.Result {
+	t.Helper()
+	results := make([]comparer.Result, seeds)
+	slots := make(chan struct{}, parallelRuns)
+	var group sync.WaitGroup
+	for i := range seeds {
+		group.Go(func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			result, err := comparer.Run(scenario, policy, uint64(firstSeed+i))
+			if err != nil {
+				t.Error(err)
+			}
+			results[i] = result
+		})
+	}
+	group.Wait()
+	return comparer.Pool(results...)
+}
+
+func scenario(t testing.TB, name string) comparer.Scenario {
+	t.Helper()
+	for _, s := range comparer.Scenarios() {
+		if s.Name() == name {
+			return s
+		}
+	}
+	t.Fatalf("no scenario %q", name)
+	return comparer.Scenario{}
+}
+
+// testLength is the virtual time of a run in a test.
+const testLength = 150 * time.Second
+
+// checks holds the targets of the decisions, by scenario. Each takes the naive
+// and the planned version.
+var checks = map[string]func(t testing.TB, naive, planned comparer.Result){
+	"85% load, noisy neighbors": func(t testing.TB, naive, planned comparer.Result) {
+		if planned.Latency(99) > naive.Latency(99)/2 {
+			t.Errorf("p99 %s, want at most half of %s", planned.Latency(99), naive.Latency(99))
+		}
+	},
+	"85%, a host fails everything": func(t testing.TB, _, planned comparer.Result) {
+		if planned.FailingShare() > 0.01 {
+			t.Errorf("%.4f of the attempts on the failing host, want at most 0.01", planned.FailingShare())
+		}
+		if planned.Parked() > 0 {
+			t.Errorf("%d tasks given up for a failing host", planned.Parked())
+		}
+	},
+	"70%, a data centre out and back": func(t testing.TB, _, planned comparer.Result) {
+		if planned.Moved() == 0 {
+			t.Error("no task moved")
+		}
+	},
+	"85%, wave of 10,000 cancellations": func(t testing.TB, _, planned comparer.Result) {
+		const cancels, starts, steps, evictions = 500, 200, 100, 10
+		if planned.MaxTickWork() > cancels+starts+steps+evictions {
+			t.Errorf("%d steps in a tick", planned.MaxTickWork())
+		}
+	},
+}
+
+// check holds the targets of all scenarios and those of one.
+func check(t testing.TB, scenario string, naive, planned comparer.Result) {
+	t.Helper()
+	if planned.Overcommits() > 0 {
+		t.Errorf("%d overcommits", planned.Overcommits())
+	}
+	if planned.EvictionShare() > 0.02 {
+		t.Errorf("%.4f evictions for each start, want at most 0.02", planned.EvictionShare())
+	}
+	if particular := checks[scenario]; particular != nil {
+		particular(t, naive, planned)
+	}
+}
+
+func TestTargets(t *testing.T) {
+	for name := range checks {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := scenario(t, name).Lasting(testLength)
+			check(t, name, pooled(t, s, comparer.Naive, 1), pooled(t, s, comparer.Planned, 1))
+		})
+	}
+}
+
+func TestRunsRepeat(t *testing.T) {
+	s := scenario(t, "85%, declared 0.3 to 3 times").Lasting(time.Minute)
+	for _, policy := range []comparer.Policy{comparer.Naive, comparer.Planned} {
+		first, second := pooled(t, s, policy, 1), pooled(t, s, policy, 1)
+		if diff := cmp.Diff(first.Row(), second.Row()); diff != "" {
+			t.Errorf("second run (-first +second):\n%s", diff)
+		}
+	}
+}
+
+func TestUnknownPolicy(t *testing.T) {
+	_, err := comparer.Run(comparer.Scenarios()[0], "best", 1)
+	if kind := apricotwinch.KindOf(err); kind != apricotwinch.Invalid {
+		t.Errorf("kind %s, want %s", kind, apricotwinch.Invalid)
+	}
+}
+
+// BenchmarkCompare logs the rows of the table and holds the targets; with the
+// full length and all seeds also that of the batch work completed.
+func BenchmarkCompare(b *testing.B) {
+	for i, s := range comparer.Scenarios() {
+		b.Run(fmt.Sprintf("%02d", i), func(b *testing.B) {
+			for b.Loop() {
+				naive, planned := pooled(b, s, comparer.Naive, poolSeeds), pooled(b, s, comparer.Planned, poolSeeds)
+				b.ReportMetric(ratio(planned.Latency(99).Seconds(), naive.Latency(99).Seconds()), "p99-ratio")
+				b.ReportMetric(ratio(planned.Work(), naive.Work()), "work-ratio")
+				b.Log(naive.Row())
+				b.Log(planned.Row())
+				check(b, s.Name(), naive, planned)
+				if s.Name() == "85% load, noisy neighbors" && planned.Work() < naive.Work() {
+					b.Errorf("%.0f processor seconds completed, want at least %.0f", planned.Work(), naive.Work())
+				}
+			}
+		})
+	}
+}
+
+func ratio(planned, naive float64) float64 { return planned / naive }
