Report what tasks on a host are and how slow targets run

An entry could not learn from an agent's usage reports: they named neither the attempt nor the job's team, name, urgency or grant, an end was not told, and only the entries that an agent called directly saw them.

A report now names the attempt and what its owner's command said of it. A heartbeat with a usageSequence carries every running task, so that absence is an end; without one nothing changed. A task found at the worker is left out until its owner's copy of the command comes. A service's summary tells its median latency against the low latencies of the same process.

An owner can throttle an attempt through its agent.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -116,7 +116,7 @@
 		worker:        worker,
 		workerTimeout: millis(a.settings.WorkerTimeoutMillis, 2*time.Second),
 		renew:         a.renew,
-		usage:         newUsage(),
+		usage:         newUsage(millis(a.settings.UsageMillis, usagePeriod), a.live),
 	}
 }
 
@@ -173,6 +173,7 @@
 		messenger.MethodRevoke:   connector.Handle(a.requests.revoke),
 		messenger.MethodAssign:   connector.Handle(a.attempts.assign),
 		messenger.MethodStop:     connector.Handle(a.attempts.stop),
+		messenger.MethodThrottle: connector.Handle(a.attempts.throttle),
 	}
 }
 
@@ -275,6 +276,13 @@
 	}
 }
 
+// live reports whether an attempt may still run at the worker.
+func (a *Agent) live(ref messenger.AttemptRef) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.leaser.Live(leaser.IDOf(ref))
+}
+
 // committed returns what is held on the host: all of it until the tasks at the
 // worker are known.
 func (a *Agent) committed() apricotwinch.Resources {
--- a/agent/attempts.go
+++ b/agent/attempts.go
@@ -34,7 +34,9 @@
 	a.mu.Lock()
 	reply, actions := a.leaser.Assign(a.clock.Now(), command)
 	a.mu.Unlock()
-	if !reply.Accepted {
+	if reply.Accepted {
+		a.usage.know(a.clock.Now(), command)
+	} else {
 		a.count(apricotwinch.Kind(reply.Kind).Answer().Counter())
 	}
 	a.do(actions)
@@ -53,6 +55,33 @@
 	return reply, err
 }
 
+// throttle answers an owner's command to change the share of its processors that
+// an attempt keeps; it is answered when the worker took it.
+func (a *attempts) throttle(ctx context.Context, command messenger.Throttle) (messenger.ThrottleReply, error) {
+	a.mu.Lock()
+	reply, err := a.leaser.Throttle(command)
+	a.mu.Unlock()
+	if err != nil || !reply.Found {
+		if err != nil {
+			a.count(apricotwinch.KindOf(err).Answer().Counter())
+		}
+		return reply, err
+	}
+	ctx, cancel := clockwork.WithTimeout(ctx, a.clock, a.workerTimeout)
+	defer cancel()
+	ref := messenger.AttemptRef{Job: command.Job, Task: command.Task, Attempt: command.Attempt}
+	err = a.worker.Throttle(ctx, messenger.WorkerThrottle{Attempt: ref, Permille: command.Permille})
+	a.countWorker("throttle", err)
+	if apricotwinch.KindOf(err) == apricotwinch.NotFound {
+		return messenger.ThrottleReply{}, nil
+	}
+	if err != nil {
+		return messenger.ThrottleReply{}, err
+	}
+	a.usage.throttled(ref, command.Permille)
+	return reply, nil
+}
+
 // announced takes an entry's answer to a heartbeat sent at sent.
 func (a *attempts) announced(sent time.Time, reply messenger.AnnounceReply) {
 	a.mu.Lock()
@@ -151,7 +180,7 @@
 	tasks, err := a.worker.Tasks(ctx)
 	a.countWorker("tasks", err)
 	if err == nil {
-		a.usage.observe(tasks.Tasks)
+		a.usage.observe(sent, tasks.Tasks)
 	}
 	a.step(func(now time.Time) leaser.Actions { return a.leaser.Listed(now, sent, tasks.Tasks, err) })
 }
--- a/agent/fixture_test.go
+++ b/agent/fixture_test.go
@@ -118,7 +118,9 @@
 	mu     sync.Mutex
 	tasks  map[messenger.AttemptRef]*messenger.WorkerTask
 	starts map[messenger.AttemptRef]int
-	fault  func(call string) (before, after error)
+	// throttles are the throttles in order.
+	throttles []messenger.WorkerThrottle
+	fault     func(call string) (before, after error)
 }
 
 func newFakeWorker() *fakeWorker {
@@ -151,8 +153,10 @@
 				return nil
 			})
 		},
-		Renew:    func(context.Context, messenger.WorkerRenew) error { return w.act("renew", func() error { return nil }) },
-		Throttle: func(context.Context, messenger.WorkerThrottle) error { return nil },
+		Renew: func(context.Context, messenger.WorkerRenew) error { return w.act("renew", func() error { return nil }) },
+		Throttle: func(_ context.Context, throttle messenger.WorkerThrottle) error {
+			return w.act("throttle", func() error { w.throttles = append(w.throttles, throttle); return nil })
+		},
 		Stop: func(_ context.Context, stop messenger.WorkerStop) (task messenger.WorkerTask, err error) {
 			err = w.act("stop", func() error {
 				known := w.tasks[stop.Attempt]
--- a/agent/heartbeat.go
+++ b/agent/heartbeat.go
@@ -75,7 +75,7 @@
 	if h.clock.Since(h.sentAt) >= millis(h.settings.IdleHeartbeatMillis, 2*time.Second) {
 		return true
 	}
-	return !sameState(h.sent, h.state()) || len(h.usage.changed()) > 0
+	return !sameState(h.sent, h.state()) || h.usage.due(h.clock.Now())
 }
 
 // sameState reports whether a and b differ in nothing but time and latency.
@@ -84,6 +84,7 @@
 		slices.EqualFunc(a.Services, b.Services, func(x, y messenger.ServiceSummary) bool {
 			x.LatencyMicros, y.LatencyMicros = 0, 0
 			x.LagMillis, y.LagMillis = 0, 0
+			x.SlowdownPermille, y.SlowdownPermille = 0, 0
 			return x == y
 		})
 }
@@ -96,9 +97,16 @@
 	h.sentAt = h.clock.Now()
 	h.sequence++
 	announce.Sequence = h.sequence
-	announce.Usage = h.usage.changed()
-	for _, address := range h.homes() {
-		if !h.call(ctx, address, announce) {
+	reports, reporting := h.usage.take(h.sentAt)
+	homes := h.homes()
+	teller := h.usage.home(h.settings.Name, len(homes))
+	for i, address := range homes {
+		told := announce
+		if reporting && i == teller {
+			told.Usage = reports
+			told.UsageSequence = h.sequence
+		}
+		if !h.call(ctx, address, told) {
 			h.sentAt = time.Time{}
 		}
 	}
@@ -112,6 +120,9 @@
 	defer h.mu.Unlock()
 	if h.calling[address] {
 		metrics.GetOrRegisterCounter("announce.skipped", h.registry).Inc(1)
+		if announce.UsageSequence > 0 {
+			h.usage.fail()
+		}
 		return false
 	}
 	h.calling[address] = true
@@ -132,10 +143,11 @@
 	var reply messenger.AnnounceReply
 	if err := h.pool.Call(ctx, address, messenger.MethodAnnounce, announce, &reply); err != nil {
 		metrics.GetOrRegisterCounter("retried.announce."+string(apricotwinch.KindOf(err)), h.registry).Inc(1)
+		h.reported(announce, false)
 		return
 	}
 	h.took(sent, reply)
-	h.usage.deliver(announce.Usage)
+	h.reported(announce, true)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.heardAt = h.clock.Now()
@@ -148,6 +160,17 @@
 	h.entries = reply.Entries
 }
 
+// reported notes whether the usage reports of a heartbeat, if any, arrived.
+func (h *heartbeat) reported(announce messenger.Announce, arrived bool) {
+	switch {
+	case announce.UsageSequence == 0:
+	case arrived:
+		h.usage.deliver(h.clock.Now(), announce.Usage)
+	default:
+		h.usage.fail()
+	}
+}
+
 // wake has a heartbeat sent at once.
 func (h *heartbeat) wake() {
 	select {
--- a/agent/settings.go
+++ b/agent/settings.go
@@ -32,6 +32,7 @@
 	HomeEntries         int  `json:"homeEntries,omitempty"`
 	HeartbeatMillis     int  `json:"heartbeatMillis,omitempty"`
 	IdleHeartbeatMillis int  `json:"idleHeartbeatMillis,omitempty"`
+	UsageMillis         int  `json:"usageMillis,omitempty"`
 	RenewMillis         int  `json:"renewMillis,omitempty"`
 	CallTimeoutMillis   int  `json:"callTimeoutMillis,omitempty"`
 	WorkerTimeoutMillis int  `json:"workerTimeoutMillis,omitempty"`
--- a/agent/target.go
+++ b/agent/target.go
@@ -153,14 +153,15 @@
 		}
 		latency, lag := known.latencies.median(now)
 		summaries = append(summaries, messenger.ServiceSummary{
-			Service:       key.service,
-			Team:          key.team,
-			Slots:         known.announce.Slots,
-			Busy:          t.busy(key),
-			Queued:        len(known.queue),
-			Connections:   known.announce.Connections,
-			LatencyMicros: int(latency.Microseconds()),
-			LagMillis:     int(lag.Milliseconds()),
+			Service:          key.service,
+			Team:             key.team,
+			Slots:            known.announce.Slots,
+			Busy:             t.busy(key),
+			Queued:           len(known.queue),
+			Connections:      known.announce.Connections,
+			LatencyMicros:    int(latency.Microseconds()),
+			LagMillis:        int(lag.Milliseconds()),
+			SlowdownPermille: known.latencies.slowdown(latency),
 		})
 	}
 	return summaries
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -177,6 +177,12 @@
 	return n
 }
 
+// Live reports whether an attempt may run at the worker.
+func (l *Leaser) Live(id apricotwinch.AttemptID) bool {
+	a := l.attempts[id]
+	return a != nil && a.live()
+}
+
 // expire ends an attempt whose lease is over while the worker doesn't answer: it
 // can't tell how the attempt ended, but by its lease it has.
 func (l *Leaser) expire(now time.Time, a *attempt) {
--- a/messenger/doc.go
+++ b/messenger/doc.go
@@ -25,6 +25,8 @@
 	MethodAssign = "assign"
 	// MethodStop carries Stop and answers StopReply.
 	MethodStop = "stop"
+	// MethodThrottle carries Throttle and answers ThrottleReply.
+	MethodThrottle = "throttle"
 )
 
 // Methods that an entry calls at another entry.
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -43,8 +43,13 @@
 	// milliseconds.
 	TicketMillis int `json:"ticketMillis"`
 
-	// Lagged usage reports that changed.
+	// Lagged usage reports of every task on the host that the agent knows the job of;
+	// only in a heartbeat that carries a usageSequence.
 	Usage []TaskUsage `json:"usage,omitempty,omitzero"`
+
+	// Number of the heartbeat that the agent sent these usage reports in; 0 when they
+	// have not changed.
+	UsageSequence int `json:"usageSequence,omitempty,omitzero"`
 }
 
 // An entry's answer to a heartbeat.
@@ -717,6 +722,11 @@
 	// Requests that the target runs at once.
 	Slots int `json:"slots"`
 
+	// Recent median latency against the target's own undisturbed latency, in
+	// thousandths: the low latencies that the agent saw of the same process,
+	// forgotten slowly; 0 when too few were seen.
+	SlowdownPermille int `json:"slowdownPermille,omitempty,omitzero"`
+
 	// Team that owns the service.
 	Team string `json:"team"`
 }
@@ -802,7 +812,7 @@
 	// Number of the partition.
 	Partition int `json:"partition"`
 
-	// Why: canceled, evicted or out.
+	// Why: canceled, interference or the kind of an error.
 	Reason string `json:"reason"`
 
 	// Number of the task.
@@ -899,24 +909,67 @@
 	Result []byte `json:"result,omitempty,omitzero"`
 }
 
-// A lagged report of what one task uses.
+// A lagged report of what one task uses, and what the task is.
 type TaskUsage struct {
-	// Id of the job, or name of the service.
+	// Number of the attempt.
+	Attempt int `json:"attempt"`
+
+	// What the task may use, less what a throttle takes.
+	Granted Resources `json:"granted"`
+
+	// Id of the job.
 	Job string `json:"job"`
 
 	// Age of the report in milliseconds.
 	LagMillis int `json:"lagMillis"`
 
+	// Name of the job.
+	Name string `json:"name"`
+
 	// Run time against an undisturbed run, in thousandths; 1000 is undisturbed.
 	SlowdownPermille int `json:"slowdownPermille"`
 
 	// Number of the task.
 	Task int `json:"task"`
 
+	// Team that owns the job.
+	Team string `json:"team"`
+
+	// batch, standard or critical.
+	Urgency string `json:"urgency"`
+
 	// Observed use.
 	Used Resources `json:"used"`
 }
 
+// An owner's command to change the share of its processors that one attempt keeps.
+type Throttle struct {
+	// Number of the attempt.
+	Attempt int `json:"attempt"`
+
+	// Epoch of the owner.
+	Epoch int `json:"epoch"`
+
+	// Id of the job.
+	Job string `json:"job"`
+
+	// Number of the partition.
+	Partition int `json:"partition"`
+
+	// Share of its processors that the attempt keeps, in thousandths; 1000 ends a
+	// throttle.
+	Permille int `json:"permille"`
+
+	// Number of the task.
+	Task int `json:"task"`
+}
+
+// The agent's answer to a throttle command.
+type ThrottleReply struct {
+	// Whether the attempt runs on the host.
+	Found bool `json:"found"`
+}
+
 // An edit that the fold refused.
 type VoidEdit struct {
 	// Id of the record.
--- a/tracker/change.go
+++ b/tracker/change.go
@@ -20,6 +20,9 @@
 	Left
 	// Replaced is a host whose agent announced a new incarnation.
 	Replaced
+	// Reported is a heartbeat no newer than the latest of its incarnation that
+	// brought newer usage reports; a peer passed it on.
+	Reported
 	// IgnoredSequence is a heartbeat no newer than the latest of its incarnation.
 	IgnoredSequence
 	// IgnoredIncarnation is a heartbeat of an incarnation that was replaced.
@@ -36,6 +39,7 @@
 	BecameDraining:     "draining",
 	Left:               "left",
 	Replaced:           "replaced",
+	Reported:           "reported",
 	IgnoredSequence:    "ignored_sequence",
 	IgnoredIncarnation: "ignored_incarnation",
 	IgnoredAge:         "ignored_age",
--- a/tracker/digest.go
+++ b/tracker/digest.go
@@ -48,7 +48,7 @@
 		if !host.Direct() || !host.Received().After(since) {
 			continue
 		}
-		digest.Hosts = append(digest.Hosts, host.Announce())
+		digest.Hosts = append(digest.Hosts, host.passOn(since))
 		digest.AgesMillis = append(digest.AgesMillis, int(now.Sub(host.Received()).Milliseconds()))
 	}
 	return digest
--- a/tracker/host.go
+++ b/tracker/host.go
@@ -68,6 +68,7 @@
 	received  time.Time
 	firstSeen time.Time
 	direct    bool
+	usage     usage
 }
 
 // Name returns the name of the host.
@@ -99,8 +100,13 @@
 // Services returns the load of each service on the host; it must not be changed.
 func (h Host) Services() []messenger.ServiceSummary { return h.announce.Services }
 
-// Usage returns the usage reports of the latest heartbeat; it must not be changed.
-func (h Host) Usage() []messenger.TaskUsage { return h.announce.Usage }
+// Usage returns the latest usage reports, of every task on the host; it must not
+// be changed.
+func (h Host) Usage() []messenger.TaskUsage { return h.usage.reports }
+
+// UsageReceived returns when an entry received the latest usage reports, zero
+// when there were none. It tells newer reports from those seen before.
+func (h Host) UsageReceived() time.Time { return h.usage.received }
 
 // Announce returns the latest heartbeat.
 func (h Host) Announce() messenger.Announce { return h.announce }
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -64,6 +64,7 @@
 
 // join enters a host that was unknown.
 func (t *Tracker) join(h Host) Change {
+	h.takeUsage(usage{})
 	rec := &record{host: h, deadline: h.received.Add(t.silence(h.state))}
 	t.records[h.Name()] = rec
 	t.queue.add(rec)
@@ -74,6 +75,10 @@
 // renew takes a heartbeat of the current incarnation.
 func (t *Tracker) renew(rec *record, h Host) Change {
 	if h.Sequence() <= rec.host.Sequence() {
+		if usageOf(h).newer(rec.host.usage) {
+			rec.host.usage = usageOf(h)
+			return Change{kind: Reported, host: rec.host}
+		}
 		return Change{kind: IgnoredSequence, host: rec.host}
 	}
 	kind := transitions[rec.host.state][h.state]
@@ -118,6 +123,7 @@
 		h.received = rec.host.received
 	}
 	before := rec.host
+	h.takeUsage(before.usage)
 	rec.host = h
 	if before.state == Gone || !sameServices(before.Services(), h.Services()) {
 		t.index.removeServices(rec, before.Services())
--- a/tracker/validate.go
+++ b/tracker/validate.go
@@ -18,6 +18,7 @@
 	{"address", func(a *messenger.Announce) bool { return a.Address == "" }, "is empty"},
 	{"dataCentre", func(a *messenger.Announce) bool { return a.DataCentre == "" }, "is empty"},
 	{"sequence", func(a *messenger.Announce) bool { return a.Sequence < 1 }, "is below 1"},
+	{"usageSequence", func(a *messenger.Announce) bool { return a.UsageSequence < 0 || a.UsageSequence > a.Sequence }, "is not from 0 to the sequence"},
 	{"capacity", func(a *messenger.Announce) bool { return resources(a.Capacity).Negative() }, "is negative"},
 	{"committed", func(a *messenger.Announce) bool { return resources(a.Committed).Negative() }, "is negative"},
 }
@@ -34,6 +35,7 @@
 	{"busy", func(s *messenger.ServiceSummary) int { return s.Busy }},
 	{"queued", func(s *messenger.ServiceSummary) int { return s.Queued }},
 	{"latencyMicros", func(s *messenger.ServiceSummary) int { return s.LatencyMicros }},
+	{"slowdownPermille", func(s *messenger.ServiceSummary) int { return s.SlowdownPermille }},
 	{"lagMillis", func(s *messenger.ServiceSummary) int { return s.LagMillis }},
 }
 
@@ -49,6 +51,38 @@
 			return err
 		}
 	}
+	for i := range a.Usage {
+		if err := validateUsage(a, i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// usageField is one rule for a usage report.
+type usageField struct {
+	name   string
+	broken func(u *messenger.TaskUsage) bool
+}
+
+var usageFields = []usageField{
+	{"job", func(u *messenger.TaskUsage) bool { return u.Job == "" }},
+	{"task", func(u *messenger.TaskUsage) bool { return u.Task < 0 }},
+	{"attempt", func(u *messenger.TaskUsage) bool { return u.Attempt < 1 }},
+	{"team", func(u *messenger.TaskUsage) bool { return u.Team == "" }},
+	{"used", func(u *messenger.TaskUsage) bool { return resources(u.Used).Negative() }},
+	{"granted", func(u *messenger.TaskUsage) bool { return resources(u.Granted).Negative() }},
+	{"slowdownPermille", func(u *messenger.TaskUsage) bool { return u.SlowdownPermille < 0 }},
+	{"lagMillis", func(u *messenger.TaskUsage) bool { return u.LagMillis < 0 }},
+	{"urgency", func(u *messenger.TaskUsage) bool { _, err := apricotwinch.ParseUrgency(u.Urgency); return err != nil }},
+}
+
+func validateUsage(a *messenger.Announce, i int) error {
+	for _, f := range usageFields {
+		if f.broken(&a.Usage[i]) {
+			return apricotwinch.Errorf(apricotwinch.Invalid, "announce of host %q: usage[%d].%s is malformed", a.Host, i, f.name)
+		}
+	}
 	return nil
 }
 
