Let an owner evict and throttle an attempt

Evict marks an attempt to stop with a checkpoint; Throttle sets the share of its processors and is sent until it is answered. Both keep StopsPerTick. A stop over the cap was noted as sent and waited for the resend period; it now goes out in the next tick.

--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -31,6 +31,8 @@
 	stop string
 	// stopAt is when the stop command was last sent.
 	stopAt time.Time
+	// throttle is the share of its processors that it keeps.
+	throttle throttle
 }
 
 func newAttempt(job *bookkeeper.Job, task int) *attempt {
@@ -42,6 +44,7 @@
 		incarnation: t.Incarnation(),
 		dataCentre:  t.DataCentre(),
 		need:        job.Need(),
+		throttle:    throttle{wanted: unthrottled, told: unthrottled},
 	}
 }
 
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -22,7 +22,7 @@
 	MaxTicketAge time.Duration
 	// StartsPerTick caps the assignments of one tick.
 	StartsPerTick int
-	// StopsPerTick caps the stop commands of one tick.
+	// StopsPerTick caps the stop commands of one tick, and the throttle commands.
 	StopsPerTick int
 	// PlaceRetry is the delay before a task that found no host is tried again.
 	PlaceRetry time.Duration
@@ -117,6 +117,9 @@
 	Assign *messenger.Assign
 	// Stop is a command to send to Address; it needs no answer.
 	Stop *messenger.Stop
+	// Throttle is a command to send to Address; its answer comes back by
+	// ThrottleAnswered.
+	Throttle *messenger.Throttle
 	// Address is where the command goes.
 	Address string
 }
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -26,7 +26,7 @@
 
 func (s *Scheduler) tickAttempts(now time.Time) []Action {
 	var actions []Action
-	stops := 0
+	stops, throttles := 0, 0
 	s.attempts.each(func(a *attempt) bool {
 		if a.final != nil {
 			actions = append(actions, s.finish(a, a.final.Type, func(*messenger.LedgerRecord) {})...)
@@ -42,9 +42,17 @@
 		if a.stop == "" && s.seams.DataCentreOut(a.dataCentre) && stops < s.config.StopsPerTick {
 			a.stop = stopDataCentreOut
 		}
-		if stop, ok := s.sendStop(now, a); ok && stops < s.config.StopsPerTick {
-			stops++
-			actions = append(actions, stop)
+		if stops < s.config.StopsPerTick {
+			if stop, ok := s.sendStop(now, a); ok {
+				stops++
+				actions = append(actions, stop)
+			}
+		}
+		if throttles < s.config.StopsPerTick {
+			if throttle, ok := s.sendThrottle(now, a); ok {
+				throttles++
+				actions = append(actions, throttle)
+			}
 		}
 		return true
 	})
