Feed observer and estimator and carry out the observer's steps

The entry called only estimator.Size, so that sizes never changed and no work that harms a service was moved. Heartbeats and digests now feed both, the placer weighs the expected harm, and the owner of an attempt throttles, restores or evicts it. The stand-in worker's tasks can slow the targets beside them.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -165,7 +165,7 @@
 		return err
 	}
 	a.agentsDone.Go(func() { _ = beside.Run(agentCtx) })
-	return a.startTarget(restCtx, name, number, beside)
+	return a.startTarget(restCtx, name, number, beside, worker.Noise)
 }
 
 func (a *Assembly) agentSettings(name string, number int, workerURL string) agent.Settings {
@@ -186,7 +186,7 @@
 	}
 }
 
-func (a *Assembly) startTarget(ctx context.Context, name string, number int, beside *agent.Agent) error {
+func (a *Assembly) startTarget(ctx context.Context, name string, number int, beside *agent.Agent, noise func() int) error {
 	service := a.deployment.Service
 	target := responder.New(responder.Config{
 		Host:       name,
@@ -194,6 +194,7 @@
 		Service:    service.Name,
 		Slots:      service.Slots,
 		Latency:    time.Duration(service.LatencyMillis) * time.Millisecond,
+		Noise:      noise,
 	}, a.clock, journaler.Discard)
 	url, err := a.serve(ctx, target, func(l net.Listener) net.Listener { return responder.Limit(l, service.Connections) })
 	if err != nil {
--- a/dispatcher/entry.go
+++ b/dispatcher/entry.go
@@ -230,6 +230,7 @@
 		case <-ticker.Chan():
 		}
 		e.members.tick()
+		e.react()
 		e.views.tick(ctx)
 		e.report()
 	}
--- a/dispatcher/members.go
+++ b/dispatcher/members.go
@@ -13,6 +13,7 @@
 	"apricotwinch/estimator"
 	"apricotwinch/judge"
 	"apricotwinch/messenger"
+	"apricotwinch/observer"
 	"apricotwinch/placer"
 	"apricotwinch/router"
 	"apricotwinch/scheduler"
@@ -36,6 +37,9 @@
 	placer    *placer.Placer
 	judge     *judge.Judge
 	estimator *estimator.Estimator
+	observer  *observer.Observer
+	// neighbors holds what is known of the work on each host.
+	neighbors map[string]*neighbors
 	// capacities holds the capacity of each host that is present, and capacitySum
 	// their sum.
 	capacities  map[string]apricotwinch.Resources
@@ -45,19 +49,24 @@
 }
 
 func newMembers(clock clockwork.Clock, logger hclog.Logger, registry metrics.Registry) *members {
-	return &members{
+	m := &members{
 		clock:      clock,
 		logger:     logger,
 		registry:   registry,
 		tracker:    tracker.New(tracker.DefaultConfig()),
 		router:     router.New(router.DefaultConfig(), decisionSeed),
-		placer:     placer.New(placer.DefaultConfig(), decisionSeed),
 		judge:      judge.New(judge.DefaultConfig(), decisionSeed),
 		view:       configurator.New().View(),
 		centres:    make(map[string]int),
 		estimator:  estimator.New(estimator.DefaultConfig()),
 		capacities: make(map[string]apricotwinch.Resources),
+		observer:   observer.New(observer.DefaultConfig()),
+		neighbors:  make(map[string]*neighbors),
 	}
+	config := placer.DefaultConfig()
+	config.Penalty = m.penalty
+	m.placer = placer.New(config, decisionSeed)
+	return m
 }
 
 // observe takes a host's heartbeat.
@@ -115,7 +124,8 @@
 	for _, change := range changes {
 		m.router.Apply(now, change)
 		m.applyToPlacer(now, change)
-		if change.Kind() == tracker.Updated {
+		m.learn(now, change)
+		if change.Kind() == tracker.Updated || change.Kind() == tracker.Reported {
 			continue
 		}
 		m.count(change.Kind().Counter())
@@ -242,7 +252,7 @@
 }
 
 func placeRequest(request scheduler.Request) placer.Request {
-	return placer.NewRequest(request.Attempt, request.Team+"/"+request.Name, request.Need)
+	return placer.NewRequest(request.Attempt, taskClass(request.Team, request.Name), request.Need)
 }
 
 func (m *members) accepted(now time.Time, id apricotwinch.AttemptID) {
@@ -319,6 +329,7 @@
 	}
 	verdict := rule(m, now, judge.NewAttempt(end.Attempt, end.Host, end.DataCentre), end)
 	m.placer.Release(end.Attempt)
+	m.departed(now, end.Host, end.Attempt)
 	m.applyStandings()
 	if verdict.Reason() != "" {
 		m.count(string(verdict.Reason()))
--- a/dispatcher/partition.go
+++ b/dispatcher/partition.go
@@ -193,6 +193,8 @@
 			go p.assign(ctx, action.Address, *action.Assign)
 		case action.Stop != nil:
 			go p.stop(ctx, action.Address, *action.Stop)
+		case action.Throttle != nil:
+			go p.throttle(ctx, action.Address, *action.Throttle)
 		}
 	}
 }
--- a/standin/responder/responder.go
+++ b/standin/responder/responder.go
@@ -48,6 +48,9 @@
 	Latency time.Duration
 	// PaddingBytes lengthens each answer.
 	PaddingBytes int
+	// Noise returns how much the work beside the target slows it, in thousandths of
+	// the latency; nil for not at all.
+	Noise func() int
 }
 
 // Faults are the faults of a responder; the zero value has none.
@@ -188,6 +191,9 @@
 	if permille <= 0 {
 		permille = Undisturbed
 	}
+	if r.config.Noise != nil {
+		permille += r.config.Noise()
+	}
 	return r.config.Latency * time.Duration(permille) / Undisturbed, r.faults.FailFast
 }
 
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -262,6 +262,19 @@
 	return messenger.WorkerTasks{Tasks: tasks}
 }
 
+// Noise returns how much the running tasks slow the targets on the host, in
+// thousandths of an undisturbed latency.
+func (r *Runner) Noise() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.advance()
+	noise := 0
+	for _, t := range r.running() {
+		noise += t.noise()
+	}
+	return noise
+}
+
 // running returns the running tasks in order of attempt.
 func (r *Runner) running() []*task {
 	var running []*task
--- a/standin/runner/task.go
+++ b/standin/runner/task.go
@@ -24,6 +24,11 @@
 	RunMillis int `json:"runMillis"`
 	// UsePermille is the true use in thousandths of the declared one; 0 is all of it.
 	UsePermille int `json:"usePermille"`
+	// NoisePermille is how much an attempt without a checkpoint slows the targets on
+	// its host, in thousandths of their latency; a throttle takes its share of it.
+	NoisePermille int `json:"noisePermille"`
+	// UntilStopped lets an attempt without a checkpoint run until it is stopped.
+	UntilStopped bool `json:"untilStopped"`
 }
 
 // Checkpoint is the checkpoint of a simulated task.
@@ -147,7 +152,7 @@
 	if t.fails {
 		return t.startedAt
 	}
-	if t.command.Watch {
+	if t.command.Watch || t.payload.UntilStopped && t.resumedFrom == "" {
 		return never
 	}
 	left := max(t.length()-t.progress, 0)
@@ -228,6 +233,14 @@
 	return t.phase == PhaseRunning || at.Before(t.endedAt)
 }
 
+// noise returns how much the task slows the targets on its host, in thousandths.
+func (t *task) noise() int {
+	if t.resumedFrom != "" {
+		return 0
+	}
+	return t.payload.NoisePermille * t.throttlePermille / Undisturbed
+}
+
 // used returns what the task uses while it runs.
 func (t *task) used() messenger.Resources {
 	permille := t.payload.UsePermille
