--- a/dispatcher/partition.go
+++ b/dispatcher/partition.go
@@ -316,7 +316,7 @@
 // for a while. The claims stream tells: the entry appends to it all the time.
 func (e *Entry) checkLog() error {
 	if e.claimsLog.Failing() {
-		return apricotwinch.Errorf(apricotwinch.LogUnavailable, "the log is down")
+		return apricotwinch.Errorf(apricotwinch.LogUnavailable, "not sent: the log is failing")
 	}
 	return nil
 }
