--- a/checker/checker.go
+++ b/checker/checker.go
@@ -110,6 +110,8 @@
 type Job struct {
 	// ID is the id of an accepted job.
 	ID string
+	// Team is the team that owns the job.
+	Team string
 	// BodyHash is the hash of the payload.
 	BodyHash string
 	// Tasks is the number of tasks.
@@ -138,6 +140,8 @@
 	Value string
 	// At is when the acceptance was received, or when the observation was asked for.
 	At time.Time
+	// SeenAt is when the observation was received.
+	SeenAt time.Time
 }
 
 // Violation is one promise that was broken.
