--- a/bookkeeper/book.go
+++ b/bookkeeper/book.go
@@ -3,6 +3,8 @@
 package bookkeeper
 
 import (
+	"iter"
+	"slices"
 	"time"
 
 	"apricotwinch"
@@ -12,6 +14,9 @@
 // Retention is how long a finished job stays in the book.
 const Retention = time.Hour
 
+// MaxTasks is the greatest number of tasks of a job.
+const MaxTasks = 100_000
+
 // Change is one task that moved, or one job that changed as a whole.
 type Change struct {
 	job    *Job
@@ -38,6 +43,7 @@
 	next      int64
 	clock     int64
 	jobs      map[string]*Job
+	order     []*Job
 	finished  []*Job
 	restore   *restore
 }
@@ -140,11 +146,11 @@
 	if _, ok := b.jobs[record.Job]; ok {
 		return nil, apricotwinch.Errorf(apricotwinch.Conflict, "job: %s was submitted before", record.Job)
 	}
-	if record.Spec == nil || record.Spec.Tasks < 1 {
-		return nil, apricotwinch.Errorf(apricotwinch.Invalid, "spec.tasks: job %s has no task", record.Job)
+	if record.Spec == nil || record.Spec.Tasks < 1 || record.Spec.Tasks > MaxTasks {
+		return nil, apricotwinch.Errorf(apricotwinch.Invalid, "spec.tasks: job %s must have 1 to %d tasks", record.Job, MaxTasks)
 	}
 	job := newJob(offset, record)
-	b.jobs[job.id] = job
+	b.insert(job)
 	return []Change{{job: job, task: wholeJob}}, nil
 }
 
@@ -173,6 +179,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if !job.mark(record.Id) {
+		return nil, apricotwinch.Errorf(apricotwinch.Conflict, "id: %s was folded before", record.Id)
+	}
 	job.parked = record.Reason
 	return []Change{{job: job, task: wholeJob}}, nil
 }
@@ -182,6 +191,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if !job.mark(record.Id) {
+		return nil, apricotwinch.Errorf(apricotwinch.Conflict, "id: %s was folded before", record.Id)
+	}
 	job.parked = ""
 	for i := range job.tasks {
 		job.tasks[i].failures = 0
@@ -328,4 +340,29 @@
 		delete(b.jobs, b.finished[0].id)
 		b.finished = b.finished[1:]
 	}
+	b.compact()
+}
+
+func (b *Book) insert(job *Job) {
+	b.jobs[job.id] = job
+	b.order = append(b.order, job)
+}
+
+// compact drops the jobs that left the book from the order once they are half of it.
+func (b *Book) compact() {
+	if len(b.order) < 2*len(b.jobs)+1 {
+		return
+	}
+	b.order = slices.DeleteFunc(b.order, func(job *Job) bool { return b.jobs[job.id] != job })
+}
+
+// All returns the jobs in order of submission.
+func (b *Book) All() iter.Seq[*Job] {
+	return func(yield func(*Job) bool) {
+		for _, job := range b.order {
+			if b.jobs[job.id] == job && !yield(job) {
+				return
+			}
+		}
+	}
 }
--- a/dispatcher/partition.go
+++ b/dispatcher/partition.go
@@ -292,21 +292,39 @@
 		return 0
 	}
 	missing := 0
-	for _, state := range p.book.States("") {
-		if state.Spec.Kind != messenger.JobWatch || state.Canceled {
-			continue
-		}
-		for _, task := range state.Tasks {
-			if task.Phase != messenger.TaskAssigned {
-				missing++
-			}
+	for job := range p.book.All() {
+		if job.Watch() && !job.Canceled() {
+			missing += unassigned(job)
 		}
 	}
 	return missing
 }
 
+// unassigned returns the number of tasks of a job that no host has.
+func unassigned(job *bookkeeper.Job) int {
+	n := 0
+	for i := range job.Tasks() {
+		if job.Task(i).Phase() != bookkeeper.Assigned {
+			n++
+		}
+	}
+	return n
+}
+
+// checkLog returns an error of kind LogUnavailable when the log has been failing
+// for a while. The claims stream tells: the entry appends to it all the time.
+func (e *Entry) checkLog() error {
+	if e.claimsLog.Failing() {
+		return apricotwinch.Errorf(apricotwinch.LogUnavailable, "the log is down")
+	}
+	return nil
+}
+
 // appendRecord makes a record of a partition's stream durable.
 func (e *Entry) appendRecord(ctx context.Context, number int, record messenger.LedgerRecord) error {
+	if err := e.checkLog(); err != nil {
+		return err
+	}
 	if record.Id == "" {
 		record.Id = uuid.NewString()
 	}
