--- a/appender/appender_test.go
+++ b/appender/appender_test.go
@@ -232,6 +232,35 @@
 	})
 }
 
+// TestTimeoutFollowsLatency holds that a slow log gets more time, up to a bound,
+// a fast one less, and a short cut of the network none.
+func TestTimeoutFollowsLatency(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	call := appender.NewCall(clock)
+	var got []time.Duration
+	const down, slow = time.Minute, 5 * time.Second
+	for _, take := range []time.Duration{down, down, 0, down, down, down, down, down, down, slow, time.Second, 0} {
+		call(context.Background(), time.Second, func(ctx context.Context) error {
+			deadline, _ := ctx.Deadline()
+			timeout := deadline.Sub(clock.Now())
+			got = append(got, timeout-time.Second)
+			clock.Advance(take)
+			if take > timeout {
+				<-ctx.Done()
+				return ctx.Err()
+			}
+			return nil
+		})
+	}
+	var want []time.Duration
+	for _, seconds := range []time.Duration{3, 3, 3, 3, 3, 3, 6, 6, 6, 10, 8, 3} {
+		want = append(want, seconds*time.Second)
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("timeouts (-want +got):\n%s", diff)
+	}
+}
+
 func waitFor(t *testing.T, condition func() bool) {
 	t.Helper()
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
--- a/leaser/assign.go
+++ b/leaser/assign.go
@@ -23,7 +23,7 @@
 		routed:      true,
 		checkpoint:  command.Checkpoint,
 		startBefore: l.startBefore(command),
-		lease:       l.ticketTime(command.TicketMillis).Add(time.Duration(command.LeaseMillis) * time.Millisecond),
+		lease:       l.firstLease(command),
 		confirmed:   now,
 	}
 	l.attempts[id] = a
@@ -56,9 +56,17 @@
 	return before
 }
 
+// firstLease returns the end of the lease that command grants.
+func (l *Leaser) firstLease(command messenger.Assign) time.Time {
+	return l.ticketTime(command.TicketMillis).Add(time.Duration(command.LeaseMillis) * time.Millisecond)
+}
+
 // checkStart returns an error unless a may start now, and reserves its room.
 func (l *Leaser) checkStart(now time.Time, a *attempt, command messenger.Assign) error {
-	if err := l.checkTicket(now, a, command); err != nil {
+	if command.TicketMillis < 0 || command.TicketMillis > l.Ticket(now) {
+		return apricotwinch.Errorf(apricotwinch.Invalid, "ticketMillis: %d is not a ticket of this agent", command.TicketMillis)
+	}
+	if err := l.checkAge(now, command); err != nil {
 		return err
 	}
 	if l.draining {
@@ -75,18 +83,16 @@
 			return apricotwinch.Errorf(apricotwinch.Conflict, "attempt %s of the same task may still run", other.id)
 		}
 	}
-	return l.arbiter.ReserveAttempt(a.id, resources(command.Spec.Resources))
+	return l.arbiter.ReserveAttempt(a.id, command.Spec.Resources.Value())
 }
 
-func (l *Leaser) checkTicket(now time.Time, a *attempt, command messenger.Assign) error {
-	age := l.Ticket(now) - command.TicketMillis
-	if command.TicketMillis < 0 || age < 0 {
-		return apricotwinch.Errorf(apricotwinch.Invalid, "ticketMillis: %d is not a ticket of this agent", command.TicketMillis)
-	}
-	if time.Duration(age)*time.Millisecond > l.settings.TicketLife {
-		return apricotwinch.Errorf(apricotwinch.DeadlineExceeded, "ticketMillis: the ticket is %d ms old, over %s", age, l.settings.TicketLife)
+// checkAge returns an error when the command is too old. Its refusal must be
+// remembered: the owner may have sent a fresher copy.
+func (l *Leaser) checkAge(now time.Time, command messenger.Assign) error {
+	if age := now.Sub(l.ticketTime(command.TicketMillis)); age > l.settings.TicketLife {
+		return apricotwinch.Errorf(apricotwinch.DeadlineExceeded, "ticketMillis: the ticket is %s old, over %s", age, l.settings.TicketLife)
 	}
-	if !now.Before(a.lease) {
+	if !now.Before(l.firstLease(command)) {
 		return apricotwinch.Errorf(apricotwinch.DeadlineExceeded, "leaseMillis: the lease is over before the start")
 	}
 	return nil
@@ -104,10 +110,6 @@
 	return messenger.AssignReply{Kind: string(apricotwinch.KindOf(err)), Text: err.Error()}
 }
 
-func resources(r messenger.Resources) apricotwinch.Resources {
-	return apricotwinch.NewResources(int64(r.ProcessorMillis), int64(r.MemoryBytes), int64(r.Accelerators))
-}
-
 func workerStart(now time.Time, a *attempt, command messenger.Assign) messenger.WorkerStart {
 	return messenger.WorkerStart{
 		Attempt:               refOf(a.id),
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -149,6 +149,9 @@
 	// Name of the entry.
 	Entry string `json:"entry"`
 
+	// Partitions that the entry owns, in order.
+	Holds []PartitionEpoch `json:"holds,omitempty,omitzero"`
+
 	// Unique id of the record.
 	Id string `json:"id"`
 
@@ -164,8 +167,9 @@
 	// Partitions released by this record.
 	Releases []int `json:"releases,omitempty,omitzero"`
 
-	// For each of the claims, the epoch that it replaces; -1 for none.
-	Replaces []int `json:"replaces,omitempty,omitzero"`
+	// Offset of the last record that the entry had folded when it wrote this one; -1
+	// for none.
+	Through int `json:"through"`
 }
 
 // An entry's summary of the hosts that it is home to, for its peers.
@@ -215,6 +219,9 @@
 	// Team that owns the service.
 	Team string `json:"team"`
 
+	// Latest ticket of the agent that the entry has seen; an old one is refused.
+	TicketMillis int `json:"ticketMillis,omitempty,omitzero"`
+
 	// batch, standard or critical.
 	Urgency string `json:"urgency"`
 }
@@ -412,6 +419,9 @@
 	// Id of the job.
 	Job string `json:"job"`
 
+	// Ids of the latest records that parked or resumed the job.
+	Marks []string `json:"marks,omitempty,omitzero"`
+
 	// Reason why the job is parked.
 	Parked string `json:"parked,omitempty,omitzero"`
 
@@ -466,6 +476,9 @@
 	// Team that owns the key.
 	Team string `json:"team"`
 
+	// Ticket of the agent that the request is sent with.
+	TicketMillis int `json:"ticketMillis,omitempty,omitzero"`
+
 	// claimed, released or settled.
 	Type string `json:"type"`
 }
@@ -580,6 +593,15 @@
 	Offset int `json:"offset"`
 }
 
+// A partition with the epoch of its owner.
+type PartitionEpoch struct {
+	// Offset of the owner's claim.
+	Epoch int `json:"epoch"`
+
+	// Number of the partition.
+	Partition int `json:"partition"`
+}
+
 // The owner of one partition.
 type PartitionOwner struct {
 	// Address of the owner, host:port.
@@ -658,10 +680,16 @@
 
 	// Id of the request.
 	Request string `json:"request"`
+
+	// Ticket that the request was sent with.
+	TicketMillis int `json:"ticketMillis,omitempty,omitzero"`
 }
 
 // The agent's answer to a revocation.
 type RevokeReply struct {
+	// Whether the ticket is so old that the agent can't tell whether the request ran.
+	Forgotten bool `json:"forgotten,omitempty,omitzero"`
+
 	// Answer of the request, when it ended already.
 	Reply *DispatchReply `json:"reply,omitempty,omitzero"`
 
