--- a/checker/ledger_model_test.go
+++ b/checker/ledger_model_test.go
@@ -26,6 +26,7 @@
 	parked   string
 	finished int
 	resumes  int
+	marks    []string
 	tasks    [][]modelEvent
 }
 
@@ -36,8 +37,10 @@
 	resumes int
 }
 
+// newLedgerModel returns the model of an empty stream. An epoch is an offset, so
+// that 0 is one; before the first began no epoch is in force.
 func newLedgerModel() *ledgerModel {
-	return &ledgerModel{seen: map[string]bool{}, jobs: map[string]*modelJob{}}
+	return &ledgerModel{seen: map[string]bool{}, epoch: -1, jobs: map[string]*modelJob{}}
 }
 
 // typeCanceledTask marks a task that was canceled while it waited.
@@ -77,18 +80,20 @@
 		}
 		m.jobs[record.Job] = &modelJob{offset: offset, team: record.Team, spec: *record.Spec, finished: -1, tasks: make([][]modelEvent, record.Spec.Tasks)}
 		return true
-	case job == nil:
+	case job == nil || record.Team != "" && record.Team != job.team:
 		return false
 	case record.Type == messenger.RecordCanceled:
 		return job.cancel()
 	case record.Type == messenger.RecordResumed:
 		job.parked = ""
 		job.resumes++
+		job.marks = append(job.marks, record.Id)
 		return true
 	case record.Epoch != m.epoch:
 		return false
 	case record.Type == messenger.RecordParked:
 		job.parked = record.Reason
+		job.marks = append(job.marks, record.Id)
 		return true
 	}
 	return job.accept(record)
@@ -195,7 +200,7 @@
 	for _, id := range slices.Sorted(maps.Keys(m.jobs)) {
 		job := m.jobs[id]
 		state := messenger.JobState{
-			Job: id, Team: job.team, Spec: job.spec, Canceled: job.canceled, Parked: job.parked,
+			Job: id, Team: job.team, Spec: job.spec, Canceled: job.canceled, Marks: job.latestMarks(), Parked: job.parked,
 			SubmittedAt: job.offset, FinishedMillis: max(job.finished, 0),
 		}
 		for i := range job.tasks {
@@ -206,3 +211,9 @@
 	slices.SortFunc(states, func(a, b messenger.JobState) int { return cmp.Compare(a.SubmittedAt, b.SubmittedAt) })
 	return states
 }
+
+// latestMarks returns the ids of the 16 latest records that parked or resumed
+// the job.
+func (j *modelJob) latestMarks() []string {
+	return j.marks[max(0, len(j.marks)-16):]
+}
--- a/dispatcher/entry.go
+++ b/dispatcher/entry.go
@@ -31,6 +31,13 @@
 // housekeepingTick is the period of the entry's own housekeeping.
 const housekeepingTick = 100 * time.Millisecond
 
+// reportPeriod is the period in which gauges are set.
+const reportPeriod = time.Second
+
+// hostsGrace is how long a new entry waits for the first heartbeat of a host
+// before it takes calls.
+const hostsGrace = 5 * time.Second
+
 // Deps is what an entry is given by its driver.
 type Deps struct {
 	Log      appender.Log
@@ -49,6 +56,7 @@
 	httpTLS     *tls.Config
 	incarnation string
 	address     string
+	startedAt   time.Time
 
 	log      appender.Log
 	clock    clockwork.Clock
@@ -228,15 +236,19 @@
 func (e *Entry) keepHouse(ctx context.Context) {
 	ticker := e.clock.NewTicker(housekeepingTick)
 	defer ticker.Stop()
-	for {
+	for reportedAt := e.clock.Now(); ; {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.Chan():
 		}
 		e.members.tick()
+		e.react()
 		e.views.tick(ctx)
-		e.report()
+		if e.clock.Since(reportedAt) >= reportPeriod {
+			reportedAt = e.clock.Now()
+			e.report()
+		}
 	}
 }
 
@@ -268,6 +280,9 @@
 	if e.views.age() == maxAge {
 		return "the settings were not read yet"
 	}
+	if e.members.known() == 0 && e.clock.Since(e.startedAt) < hostsGrace {
+		return "no host has announced itself yet"
+	}
 	return ""
 }
 
--- a/dispatcher/partition.go
+++ b/dispatcher/partition.go
@@ -162,7 +162,7 @@
 	now := p.entry.clock.Now()
 	p.do(ctx, p.scheduler.Tick(now))
 	p.reconcileWatches(ctx, now)
-	if p.folded >= snapshotRecords || (p.folded > 0 && now.Sub(p.snapAt) >= snapshotPeriod) {
+	if p.folded >= snapshotRecords || now.Sub(p.snapAt) >= snapshotPeriod {
 		p.writeSnapshot(ctx, now)
 	}
 }
@@ -194,6 +194,8 @@
 			go p.assign(ctx, action.Address, *action.Assign)
 		case action.Stop != nil:
 			go p.stop(ctx, action.Address, *action.Stop)
+		case action.Throttle != nil:
+			go p.throttle(ctx, action.Address, *action.Throttle)
 		}
 	}
 }
@@ -291,22 +293,27 @@
 		return 0
 	}
 	missing := 0
-	for _, state := range p.book.States("") {
-		if state.Spec.Kind != messenger.JobWatch || state.Canceled {
-			continue
-		}
-		for _, task := range state.Tasks {
-			if task.Phase != messenger.TaskAssigned {
-				missing++
-			}
+	for job := range p.book.All() {
+		if job.Watch() && !job.Canceled() {
+			missing += unassigned(job)
 		}
 	}
 	return missing
 }
 
-// checkLog returns an error of kind LogUnavailable while the entry's own
-// heartbeats don't reach the log, so that nothing is sent whose end would be
-// unknown.
+// unassigned returns the number of tasks of a job that no host has.
+func unassigned(job *bookkeeper.Job) int {
+	n := 0
+	for i := range job.Tasks() {
+		if job.Task(i).Phase() != bookkeeper.Assigned {
+			n++
+		}
+	}
+	return n
+}
+
+// checkLog returns an error of kind LogUnavailable when the log has been failing
+// for a while. The claims stream tells: the entry appends to it all the time.
 func (e *Entry) checkLog() error {
 	if e.claimsLog.Failing() {
 		return apricotwinch.Errorf(apricotwinch.LogUnavailable, "not sent: the log is failing")
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -9,6 +9,7 @@
 package observer
 
 import (
+	"math"
 	"time"
 
 	"apricotwinch"
@@ -20,7 +21,8 @@
 	model    *model
 	hosts    map[string]*host
 	troubled map[string]*host
-	critical map[string]*class
+	batch    map[string]*probe
+	names    map[string]string
 	budget   budget
 }
 
@@ -31,7 +33,8 @@
 		model:    newModel(config),
 		hosts:    map[string]*host{},
 		troubled: map[string]*host{},
-		critical: map[string]*class{},
+		batch:    map[string]*probe{},
+		names:    map[string]string{},
 		budget:   budget{share: config.EvictionShare, burst: config.EvictionBurst, left: config.EvictionBurst},
 	}
 }
@@ -47,14 +50,26 @@
 		return
 	}
 	h.prune(now.Add(-o.config.History))
+	r.class = o.intern(r.class)
 	h.stays = append(h.stays, &stay{Resident: r, since: now})
 	if r.urgency == apricotwinch.Batch {
 		o.budget.earn()
+		o.probe(r.class).running++
 		return
 	}
-	if o.critical[r.class] == nil {
-		o.critical[r.class] = &class{}
+	o.model.setCritical(r.class)
+}
+
+// intern returns one copy of the name of a class, which all residents share.
+func (o *Observer) intern(class string) string {
+	if name, ok := o.names[class]; ok {
+		return name
+	}
+	if len(o.names) >= o.config.MaxPairs {
+		o.names = map[string]string{}
 	}
+	o.names[class] = class
+	return class
 }
 
 // Ended takes work that no longer runs on a host.
@@ -65,9 +80,10 @@
 	}
 	h.erase(id)
 	if s := h.find(id); s != nil {
+		o.leave(s)
 		s.until = now
 		if s.throttled {
-			s.throttled = false
+			s.restore(now)
 			h.patience, h.restored = o.config.LowReports, false
 		}
 	}
@@ -79,6 +95,7 @@
 	if h := o.hosts[name]; h != nil {
 		for _, s := range h.stays {
 			h.erase(s.id)
+			o.leave(s)
 		}
 	}
 	delete(o.hosts, name)
@@ -112,8 +129,12 @@
 	if victim == nil || !victim.present(r.sampledAt) {
 		return
 	}
-	if !h.throttled() && !r.sampledAt.Before(h.steppedAt.Add(o.config.Settle)) {
-		o.model.learn(now, h.name, victim.class, h.neighbors(victim, r.sampledAt), max(0, r.slowdown-1))
+	neighbors := h.neighbors(victim, r.sampledAt)
+	if victim.urgency != apricotwinch.Batch {
+		o.countReport(neighbors)
+	}
+	if h.undisturbed(r.sampledAt, o.config.Settle) && !r.sampledAt.Before(h.steppedAt.Add(o.config.Settle)) {
+		o.model.learn(now, h.name, victim.class, neighbors, max(0, r.slowdown-1))
 	}
 	if victim.urgency != apricotwinch.Batch {
 		o.judge(h, victim, r)
@@ -133,7 +154,7 @@
 
 // judge counts reports in a row of harm and of recovery.
 func (o *Observer) judge(h *host, victim *stay, r Report) {
-	h.record(r.id, o.critical[victim.class], r.slowdown)
+	h.record(r.id, o.model.critical[victim.class], r.slowdown)
 	if r.sampledAt.Before(h.steppedAt.Add(o.config.Settle)) {
 		return
 	}
@@ -156,21 +177,50 @@
 
 // Penalty returns the expected harm of putting work of a class on a host, beside
 // residents: the slowdowns above 1 that it causes and suffers, those of critical
-// work multiplied by its weight.
+// work multiplied by its weight. It is infinite where the harm to critical work
+// would be too great.
 func (o *Observer) Penalty(now time.Time, host, class string, residents []string) float64 {
-	number := o.model.numbers[class]
-	weight := o.weigh(class)
-	prior := o.model.prior(now, number)
-	sum := weight * o.model.hostExcess(now, host)
+	m := o.model
+	number := m.numbers[class]
+	weight := m.weigh(number)
+	prior := m.prior(now, number)
+	sum := weight * m.hostExcess(now, host)
 	for _, resident := range residents {
-		other := o.model.numbers[resident]
-		caused := o.model.fade(now, o.model.pairs[pair{victim: other, aggressor: number}], prior)
-		sum += o.weigh(resident) * caused
-		sum += weight * o.model.excess(now, pair{victim: number, aggressor: other})
+		other := m.numbers[resident]
+		caused := m.fade(now, m.pairs[pair{victim: other, aggressor: number}], prior)
+		if c := m.byNumber[other]; c != nil && o.excessive(now, c, other, caused, residents) {
+			return math.Inf(1)
+		}
+		sum += m.weigh(other) * caused
+		sum += weight * m.excess(now, pair{victim: number, aggressor: other})
 	}
 	return sum
 }
 
+// excessive reports whether work that harms a victim by so much is kept away from
+// it: while the victim's class is slow as a whole, and where the victim, harmed
+// by its neighbors already, would be slowed beyond MaxHarm.
+func (o *Observer) excessive(now time.Time, c *class, victim uint32, more float64, residents []string) bool {
+	if more < o.config.MinBlame {
+		return false
+	}
+	if c.slowdown() >= o.config.ClassLimit {
+		return true
+	}
+	sum := 0.0
+	for _, resident := range residents {
+		sum += o.model.excess(now, pair{victim: victim, aggressor: o.model.numbers[resident]})
+	}
+	return sum >= o.config.MinBlame && 1+sum+more > o.config.MaxHarm
+}
+
+// Admit reports whether one more task of a class may start: work that was hardly
+// measured beside critical work starts slowly, and faster with each report.
+func (o *Observer) Admit(class string) bool {
+	c := o.batch[class]
+	return c == nil || c.running < o.config.Probes+o.config.ProbeGrowth*c.reports
+}
+
 // Slowdown returns the expected slowdown, a ratio from 1, of work of class victim
 // beside work of class aggressor.
 func (o *Observer) Slowdown(now time.Time, victim, aggressor string) float64 {
@@ -182,10 +232,3 @@
 func (o *Observer) HostSlowdown(now time.Time, host string) float64 {
 	return 1 + o.model.hostExcess(now, host)
 }
-
-func (o *Observer) weigh(class string) float64 {
-	if o.critical[class] != nil {
-		return o.config.CriticalWeight
-	}
-	return 1
-}
--- a/prover/caller_test.go
+++ b/prover/caller_test.go
@@ -1,6 +1,7 @@
 package prover_test
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/json"
 	"errors"
@@ -124,8 +125,7 @@
 	for number := range callers {
 		l.group.Go(func() {
 			for i := 0; !l.stopped.Load(); i++ {
-				e := c.entries[(number+i)%len(c.entries)]
-				made := c.request(e, fmt.Sprintf("caller-%d-%d", number, i), "", idempotent)
+				made := c.request(c.pick(number+i), fmt.Sprintf("caller-%d-%d", number, i), "", idempotent)
 				if made.Outcome == checker.Answered {
 					l.answered.Add(1)
 				} else {
@@ -152,6 +152,7 @@
 // jobOptions sets a job.
 type jobOptions struct {
 	name      string
+	team      string // "" is the team of the requests.
 	tasks     int
 	runMillis int
 	watch     bool
@@ -179,11 +180,11 @@
 		spec.Kind = messenger.JobWatch
 	}
 	var answer messenger.SubmitAnswer
-	outcome := c.call(e, http.MethodPost, "/v1/jobs", teamToken, spec, &answer)
+	outcome := c.call(e, http.MethodPost, "/v1/jobs", tokenOf(o.team), spec, &answer)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.evidence.Jobs = append(c.evidence.Jobs, checker.Job{
-		ID: answer.Job, BodyHash: journaler.Hash(encoded), Tasks: spec.Tasks, Watch: o.watch, Outcome: outcome,
+		ID: answer.Job, Team: o.team, BodyHash: journaler.Hash(encoded), Tasks: spec.Tasks, Watch: o.watch, Outcome: outcome,
 	})
 	return len(c.evidence.Jobs) - 1
 }
@@ -198,6 +199,19 @@
 	return number
 }
 
+// submitEventually submits a job again and again until it is accepted; each try
+// is a job of its own.
+func (c *cluster) submitEventually(e *entry, o jobOptions) int {
+	c.t.Helper()
+	number, name := 0, o.name
+	await(c.t, "job "+name+" is accepted", func() bool {
+		o.name = fmt.Sprintf("%s-%d", name, time.Now().UnixNano())
+		number = c.submit(e, o)
+		return c.job(number).Outcome == checker.Answered
+	})
+	return number
+}
+
 func (c *cluster) job(number int) checker.Job {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -207,7 +221,7 @@
 // status returns the state of a job as an entry tells it.
 func (c *cluster) status(e *entry, number int) (messenger.JobState, bool) {
 	var state messenger.JobState
-	outcome := c.call(e, http.MethodGet, "/v1/jobs/"+c.job(number).ID, teamToken, nil, &state)
+	outcome := c.call(e, http.MethodGet, "/v1/jobs/"+c.job(number).ID, tokenOf(c.job(number).Team), nil, &state)
 	return state, outcome == checker.Answered
 }
 
@@ -246,6 +260,23 @@
 	return found
 }
 
+// assigned returns the number of attempts that an entry says it looks after.
+func (c *cluster) assigned(e *entry) int {
+	response, err := http.Get("http://" + e.http + "/metrics")
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		var value float64
+		if n, _ := fmt.Sscanf(lines.Text(), "apricotwinch_tasks_assigned %f", &value); n == 1 {
+			return int(value)
+		}
+	}
+	return 0
+}
+
 // running returns the journal entries of the starts of a job's attempts that
 // have not ended, by the workers' journals.
 func (c *cluster) running(job string) []journaler.Entry {
@@ -329,7 +360,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.evidence.Observed = append(c.evidence.Observed, checker.Setting{
-		Place: e.name, Path: path, Revision: answer.Revision, Value: string(answer.Value), At: asked,
+		Place: e.name, Path: path, Revision: answer.Revision, Value: string(answer.Value), At: asked, SeenAt: time.Now(),
 	})
 	return answer.Revision
 }
