Never call a request not run that may have run in an earlier try

Cause, by review and a test that failed first (TestLostAnswerIsNotCalledNotRun): after a try whose answer was lost, the refusal of the next try (no other target, no time left) went to the caller as not run. Also: (2) one malformed heartbeat in a digest made the entry drop the changes of all others; (3) the limiter was not told of the work of other entries; (4) a follower's first read waited a second at the tail of a stream, so that a new entry knew nothing for that long; (5) logs showed numbers for states. Before: the test answers no_target with notRun true after one run. After: unknown. TestEntryLogsChangesOfState did not wait until the settings were read. Conclusion: the errors of several tries are settled by one rule.

--- a/appender/follower.go
+++ b/appender/follower.go
@@ -95,11 +95,12 @@
 }
 
 // Run follows the stream from offset from until ctx ends. It calls handle after
-// each read, also when there is no new record, so that freshness moves on.
+// each read, also when there is no new record, so that freshness moves on. The
+// first read doesn't wait for a record.
 func (f *Follower) Run(ctx context.Context, from int64) {
 	delays := newBackOff()
-	for ctx.Err() == nil {
-		view, err := f.poll(ctx, from)
+	for wait := time.Duration(0); ctx.Err() == nil; wait = pollWait {
+		view, err := f.poll(ctx, from, wait)
 		if err != nil {
 			f.count(counterPollFailures, 1)
 			_ = pause(ctx, f.clock, delays) // The loop ends with ctx.
@@ -120,12 +121,12 @@
 	errMissing = errors.New("read left out a record that the log still holds")
 )
 
-func (f *Follower) poll(ctx context.Context, from int64) (View, error) {
+func (f *Follower) poll(ctx context.Context, from int64, wait time.Duration) (View, error) {
 	f.count(counterPolls, 1)
 	asOf := f.clock.Now()
 	var batch Batch
 	err := f.patience.call(ctx, pollWait, func(ctx context.Context) (err error) {
-		batch, err = f.log.Read(ctx, f.stream, from, pollWait)
+		batch, err = f.log.Read(ctx, f.stream, from, wait)
 		return err
 	})
 	if err != nil {
--- a/commander/deployment_test.go
+++ b/commander/deployment_test.go
@@ -167,6 +167,10 @@
 	_ = json.Unmarshal([]byte(strings.Split(logged.String(), "\n")[0]), &started)
 	url := "http://" + started.HTTP
 	eventually(t, "an owned partition", func() bool { return strings.Contains(logged.String(), "partition recovered") })
+	eventually(t, "the settings to be read", func() bool {
+		code, _, _ := run("", "status", "-entry", url, "-token", "guess")
+		return code == 12
+	})
 	before := messages(t, &logged)
 	for range 20 {
 		if code, _, _ := run("", "status", "-entry", url, "-token", "guess"); code != 12 {
--- a/dispatcher/admission.go
+++ b/dispatcher/admission.go
@@ -57,6 +57,7 @@
 	if err := a.limiter.SetCapacity(service, capacity.Slots(), capacity.Connections(), max(1, len(entries))); err != nil {
 		return nil, err
 	}
+	a.limiter.SetOthers(service, capacity.Others())
 	decision := a.limiter.Admit(a.entry.clock.Now(), service.Team(), service, urgency)
 	if err := decision.Err(); err != nil {
 		a.entry.count(decision.Counter())
--- a/dispatcher/members.go
+++ b/dispatcher/members.go
@@ -88,11 +88,8 @@
 	defer m.mu.Unlock()
 	now := m.clock.Now()
 	changes, err := m.tracker.ObserveDigest(now, digest)
-	if err != nil {
-		return err
-	}
 	m.apply(now, changes)
-	return nil
+	return err
 }
 
 // digest returns the heartbeats that arrived here since since.
@@ -116,7 +113,7 @@
 	for _, change := range m.judge.Changes() {
 		m.placer.SetStanding(change.Host(), change.Standing())
 		m.count(string(change.Reason()))
-		m.logger.Info("host standing changed", "host", change.Host(), "standing", change.Standing(), "reason", change.Reason())
+		m.logger.Info("host standing changed", "host", change.Host(), "standing", change.Standing().String(), "reason", string(change.Reason()))
 	}
 }
 
@@ -130,7 +127,7 @@
 		}
 		m.count(change.Kind().Counter())
 		if !change.Kind().Ignored() {
-			m.logger.Info("host changed", "host", change.Host().Name(), "change", change.Kind(), "state", change.Host().State())
+			m.logger.Info("host changed", "host", change.Host().Name(), "change", change.Kind().String(), "state", change.Host().State().String())
 		}
 	}
 }
--- a/dispatcher/outcomes_test.go
+++ b/dispatcher/outcomes_test.go
@@ -205,3 +205,23 @@
 		}
 	}
 }
+
+// TestLostAnswerIsNotCalledNotRun lets the only target break off its answer: the
+// second try of the idempotent request finds no other target, and the caller must
+// still not be told that the request did not run.
+func TestLostAnswerIsNotCalledNotRun(t *testing.T) {
+	w := start(t, nil)
+	w.configure(t)
+	var runs atomic.Int64
+	w.addTarget(t, http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) {
+		runs.Add(1)
+		conn, _, err := http.NewResponseController(rw).Hijack()
+		if err == nil {
+			conn.Close()
+		}
+	}))
+	got := w.call(t, request, ketioli, "urgent", "X-Idempotent", "true")
+	if got.kind != "unknown" || got.notRun || runs.Load() == 0 {
+		t.Errorf("after %d runs: %d %s, not run %v", runs.Load(), got.status, got.body, got.notRun)
+	}
+}
--- a/dispatcher/requests.go
+++ b/dispatcher/requests.go
@@ -164,10 +164,11 @@
 // try sends a request to one target after another until one answers, or the
 // retrier allows no further try.
 func (e *Entry) try(ctx context.Context, r *request, send sender) (messenger.DispatchReply, error) {
+	var settled error
 	for number := 1; ; number++ {
 		target, err := e.members.choose(r, e.settings.DataCentre)
 		if err != nil {
-			return messenger.DispatchReply{}, err
+			return messenger.DispatchReply{}, retrier.Settle(settled, err)
 		}
 		if number == 1 {
 			e.admission.began(r.service.Team(), target.Host())
@@ -176,14 +177,12 @@
 		if err == nil {
 			return reply, nil
 		}
+		settled = retrier.Settle(settled, err)
 		r.tried = append(r.tried, target.Host())
 		try := retrier.NewTry(r.service.Team(), target.Host(), number, r.idempotent, r.deadline, apricotwinch.KindOf(err))
 		decision := e.admission.decide(try)
-		if !decision.Retry() {
-			return messenger.DispatchReply{}, err
-		}
-		if !e.sleepUntil(ctx, decision.At()) {
-			return messenger.DispatchReply{}, err
+		if !decision.Retry() || !e.sleepUntil(ctx, decision.At()) {
+			return messenger.DispatchReply{}, settled
 		}
 	}
 }
