Hold a host for a large task that waits

Small tasks take each gap as it opens, so that a task needing half of a host never started beside them: without a hold it waited for the whole minute of the test, with one it starts as soon as the small tasks of one host end. The scheduler asks for a hold when a task has waited long; 2% of the hosts may be held, for five minutes.

--- a/comparer/fleet.go
+++ b/comparer/fleet.go
@@ -42,6 +42,7 @@
 	job       string
 	number    int
 	attempt   int
+	since     time.Time
 	kind      *kind
 	work      float64
 	granted   apricotwinch.Resources
--- a/comparer/planned.go
+++ b/comparer/planned.go
@@ -19,6 +19,8 @@
 	maxCancels = 500
 	// missDelay is how long a task without a host waits.
 	missDelay = 50 * time.Millisecond
+	// holdAfter is how long a task waits before a host is held for it.
+	holdAfter = 5 * time.Second
 	// resizeDelay is how long a task that used up its memory waits.
 	resizeDelay = time.Second
 )
@@ -117,6 +119,7 @@
 		p.giveUp(t)
 		return
 	}
+	t.since = notBefore
 	p.tasks[t.id()] = t
 }
 
@@ -213,6 +216,9 @@
 		return true
 	}
 	if err != nil {
+		if now.Sub(t.since) >= holdAfter {
+			p.placer.Hold(now, request)
+		}
 		return false
 	}
 	h := p.hosts[name]
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -47,10 +47,14 @@
 	if err := p.check(now, r); err != nil {
 		return "", err
 	}
-	h := p.pick(r)
+	h := p.heldHost(r)
+	if h == nil {
+		h = p.pick(r)
+	}
 	if h == nil {
 		return "", apricotwinch.Errorf(apricotwinch.NoCapacity, "attempt %s: no host has %s free", r.attempt, r.need)
 	}
+	p.unhold(r.attempt)
 	p.place(now, r, h)
 	return h.name, nil
 }
--- a/placer/config.go
+++ b/placer/config.go
@@ -17,6 +17,10 @@
 	// RefusalPause is how long a host that refused an attempt is passed over when
 	// no newer summary arrives.
 	RefusalPause time.Duration
+	// HoldLife is how long a host is held for an attempt that doesn't fit yet, and
+	// HoldShare bounds the part of the hosts held; one may always be.
+	HoldLife  time.Duration
+	HoldShare float64
 	// Learning is how long after the first host joined no request is reported as
 	// unschedulable.
 	Learning time.Duration
@@ -62,6 +66,8 @@
 		VisitBudget:     4096,
 		ReservationLife: 10 * time.Second,
 		RefusalPause:    5 * time.Second,
+		HoldLife:        5 * time.Minute,
+		HoldShare:       0.02,
 		Learning:        10 * time.Second,
 		CapacityMemory:  10 * time.Minute,
 		Weights: Weights{
--- a/placer/host.go
+++ b/placer/host.go
@@ -45,6 +45,7 @@
 	draining  bool
 	blocked   bool
 	blockedAt time.Time
+	hold      *hold
 	place     *dataCentre
 	leaf      int
 }
@@ -75,7 +76,7 @@
 
 // offered returns what the index holds for the host.
 func (h *host) offered() apricotwinch.Resources {
-	if !h.accepts() || h.blocked {
+	if !h.accepts() || h.blocked || h.hold != nil {
 		return nothing
 	}
 	return h.free()
--- a/placer/placement.go
+++ b/placer/placement.go
@@ -67,6 +67,7 @@
 		h.blocked = false
 		p.refresh(h)
 	}
+	p.expireHolds(now)
 	p.capacities.expire(now)
 }
 
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -25,6 +25,8 @@
 	spread       spread
 	capacities   *capacities
 	reservations []*placement
+	holds        map[apricotwinch.AttemptID]*hold
+	holdQueue    []*hold
 	paused       []*host
 	firstJoin    time.Time
 	latest       time.Time
@@ -41,6 +43,7 @@
 		hosts:      map[string]*host{},
 		byLocality: map[apricotwinch.Locality]*dataCentre{},
 		placements: map[apricotwinch.AttemptID]*placement{},
+		holds:      map[apricotwinch.AttemptID]*hold{},
 		spread:     spread{},
 		capacities: newCapacities(),
 	}
@@ -70,6 +73,9 @@
 		return
 	}
 	delete(p.hosts, name)
+	if h.hold != nil {
+		p.unhold(h.hold.attempt)
+	}
 	h.place.remove(h)
 	for len(h.pending) > 0 {
 		h.pending[0].unreserve()
@@ -151,8 +157,9 @@
 }
 
 // Release says that an attempt ended or was withdrawn. What it held is free at
-// once, before a summary shows it.
+// once, before a summary shows it; a hold for it ends.
 func (p *Placer) Release(attempt apricotwinch.AttemptID) {
+	p.unhold(attempt)
 	pl := p.placements[attempt]
 	if pl == nil {
 		return
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -169,6 +169,66 @@
 	}
 }
 
+// TestHoldLetsALargeTaskIn keeps a host full of small tasks, of which one ends
+// each second and another waits.
+func TestHoldLetsALargeTaskIn(t *testing.T) {
+	const cores = 16
+	startedAfter := func(hold bool) int {
+		p := table(settled(), 1, 1)
+		large := placer.NewRequest(attempt("large", 0), "large", apricotwinch.NewResources(8000, gib, 0))
+		next, oldest := 0, 0
+		for second := range 60 {
+			now := epoch.Add(time.Duration(second) * time.Second)
+			for {
+				if _, err := p.Choose(now, small("small", next)); err != nil {
+					break
+				}
+				next++
+			}
+			if _, err := p.Choose(now, large); err == nil {
+				return second
+			}
+			if hold && !p.Hold(now, large) {
+				t.Fatal("no host is held")
+			}
+			if oldest < next {
+				p.Release(attempt("small", oldest))
+				oldest++
+			}
+		}
+		return -1
+	}
+	got := []int{startedAfter(false), startedAfter(true)}
+	if diff := cmp.Diff([]int{-1, cores / 2}, got); diff != "" {
+		t.Errorf("second of the start without and with a hold (-want +got):\n%s", diff)
+	}
+}
+
+func TestHoldEnds(t *testing.T) {
+	config := settled()
+	end := map[string]func(p *placer.Placer) time.Time{
+		"expired": func(*placer.Placer) time.Time { return epoch.Add(config.HoldLife) },
+		"released": func(p *placer.Placer) time.Time {
+			p.Release(attempt("large", 0))
+			return epoch
+		},
+	}
+	for name, finish := range end {
+		t.Run(name, func(t *testing.T) {
+			p := table(config, 1, 1)
+			p.Update(epoch, "host-0", apricotwinch.NewResources(8000, gib, 0), epoch)
+			large := placer.NewRequest(attempt("large", 0), "large", worker())
+			held := p.Hold(epoch, large)
+			_, during := p.Choose(epoch, small("small", 0))
+			_, after := p.Choose(finish(p), small("small", 1))
+			got := fmt.Sprint(held, " ", apricotwinch.KindOf(during), " ", apricotwinch.KindOf(after))
+			if diff := cmp.Diff("true no_capacity ", got); diff != "" {
+				t.Errorf("held, kinds during and after (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 func TestInfinitePenaltyKeepsWorkOff(t *testing.T) {
 	config := settled()
 	config.Penalty = func(host, class string, _ []string) float64 {
