Ask for the penalty of six candidates at most

Under load a choice among 24,000 hosts with 15 residents each still took 46 to 59 us, 51 us of processor time.

--- a/placer/choose.go
+++ b/placer/choose.go
@@ -137,16 +137,23 @@
 }
 
 // weigh returns the candidate with the lowest cost. The penalty, which takes the
-// most time and is never below 0, is left out for those that can't win.
+// most time and is never below 0, is left out for those that can't win and once
+// enough candidates have a finite one.
 func (p *Placer) weigh(c *choice) *host {
 	slices.SortStableFunc(p.candidates, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
 	var best *host
 	lowest := math.Inf(1)
+	left := p.config.Penalties
 	for _, each := range p.candidates {
-		if each.cost >= lowest {
+		if each.cost >= lowest || left == 0 {
 			break
 		}
-		if cost := each.cost + p.penalty(c, each.host); cost < lowest {
+		cost := each.cost + p.penalty(c, each.host)
+		if math.IsInf(cost, 1) {
+			continue
+		}
+		left--
+		if cost < lowest {
 			best, lowest = each.host, cost
 		}
 	}
@@ -168,12 +175,20 @@
 		h := d.hosts[leaf]
 		if !c.strict || !c.request.avoids(h.name) {
 			o.cursor = (leaf + max(1, len(d.hosts)/draws)) % len(d.hosts)
-			p.candidates = append(p.candidates, candidate{host: h, cost: p.cost(c, h)})
+			p.consider(c, h)
 			return
 		}
 	}
 }
 
+// consider adds a host to the candidates unless it is one.
+func (p *Placer) consider(c *choice, h *host) {
+	if slices.ContainsFunc(p.candidates, func(other candidate) bool { return other.host == h }) {
+		return
+	}
+	p.candidates = append(p.candidates, candidate{host: h, cost: p.cost(c, h)})
+}
+
 // alternative reports whether a host that the request does not avoid and that
 // may get tasks can hold its need when empty.
 func (p *Placer) alternative(r Request) bool {
--- a/placer/config.go
+++ b/placer/config.go
@@ -8,6 +8,9 @@
 	Samples int
 	// DataCentres is the number of data centres that one choice samples from.
 	DataCentres int
+	// Penalties is the number of these hosts, the cheapest first, whose finite
+	// penalties are compared.
+	Penalties int
 	// VisitBudget bounds the index nodes that one choice visits. A choice that
 	// spends it may miss a host with room; the next starts elsewhere.
 	VisitBudget int
@@ -63,6 +66,7 @@
 	return Config{
 		Samples:         12,
 		DataCentres:     4,
+		Penalties:       6,
 		VisitBudget:     4096,
 		ReservationLife: 10 * time.Second,
 		RefusalPause:    5 * time.Second,
