--- a/placer/config.go
+++ b/placer/config.go
@@ -8,6 +8,9 @@
 	Samples int
 	// DataCentres is the number of data centres that one choice samples from.
 	DataCentres int
+	// Penalties is the number of these hosts, the cheapest first, whose finite
+	// penalties are compared.
+	Penalties int
 	// VisitBudget bounds the index nodes that one choice visits. A choice that
 	// spends it may miss a host with room; the next starts elsewhere.
 	VisitBudget int
@@ -17,6 +20,10 @@
 	// RefusalPause is how long a host that refused an attempt is passed over when
 	// no newer summary arrives.
 	RefusalPause time.Duration
+	// HoldLife is how long a host is held for an attempt that doesn't fit yet, and
+	// HoldShare bounds the part of the hosts held; one may always be.
+	HoldLife  time.Duration
+	HoldShare float64
 	// Learning is how long after the first host joined no request is reported as
 	// unschedulable.
 	Learning time.Duration
@@ -59,9 +66,12 @@
 	return Config{
 		Samples:         12,
 		DataCentres:     4,
+		Penalties:       6,
 		VisitBudget:     4096,
 		ReservationLife: 10 * time.Second,
 		RefusalPause:    5 * time.Second,
+		HoldLife:        5 * time.Minute,
+		HoldShare:       0.02,
 		Learning:        10 * time.Second,
 		CapacityMemory:  10 * time.Minute,
 		Weights: Weights{
