--- /dev/null
+++ b/prover/expiry_test.go
@@ -0,0 +1,147 @@
+package prover_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+
+	"apricotwinch/appender"
+	"apricotwinch/bookkeeper"
+	"apricotwinch/configurator"
+	"apricotwinch/messenger"
+	"apricotwinch/standin/recorder"
+)
+
+// partBytes is the length of one part of a snapshot of the settings.
+const partBytes = 1 << 10
+
+// TestReplacedEntriesRecoverAfterExpiry replaces every entry after the log has
+// dropped the records that made the settings and the jobs: only snapshots and
+// what came after them are left.
+func TestReplacedEntriesRecoverAfterExpiry(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, options{entries: 2, hosts: 2, targets: true})
+	e := c.entries[0]
+	done := c.submitAccepted(e, jobOptions{name: "done", tasks: 2, runMillis: 200})
+	c.awaitCompleted(e, done)
+	watch := c.submitAccepted(e, jobOptions{name: "watch", tasks: 2, watch: true})
+	batch := c.submitAccepted(e, jobOptions{name: "batch", tasks: 8, runMillis: 5000, millis: 1000})
+	c.awaitRunning(e, watch, 2)
+	c.awaitRunning(e, batch, 2)
+	expiries := []recorder.Expiry{c.snapshotSettings()}
+	for partition := range 4 {
+		if expiry, ok := c.snapshotJobs(partition); ok {
+			expiries = append(expiries, expiry)
+		}
+	}
+	claims := c.readStream(appender.StreamClaims)
+	expiries = append(expiries, recorder.Expiry{Stream: appender.StreamClaims, Before: claims.Next - 3})
+	c.logFaults(recorder.Faults{Expire: expiries})
+	for _, replaced := range c.entries {
+		replaced.kill()
+	}
+	for _, replaced := range c.entries {
+		replaced.start(c)
+	}
+	c.awaitReady()
+	for _, path := range []string{"dataCentres/kopli", "quotas/" + team, "teams/" + team + "/services/" + service} {
+		for _, replaced := range c.entries {
+			if c.revision(replaced, path) == 0 {
+				t.Errorf("%s is lost at %s", path, replaced.name)
+			}
+		}
+	}
+	c.awaitCompleted(e, done)
+	c.awaitCompleted(e, batch)
+	c.awaitRunning(e, watch, 2)
+	c.check()
+}
+
+// readStream returns all records of a stream.
+func (c *cluster) readStream(stream string) messenger.LogRead {
+	c.t.Helper()
+	whole := messenger.LogRead{}
+	for {
+		var page messenger.LogRead
+		url := fmt.Sprintf("http://%s/v1/streams/%s?from=%d", c.log.address, stream, whole.Next)
+		response, err := http.Get(url)
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		err = json.NewDecoder(response.Body).Decode(&page)
+		response.Body.Close()
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		if len(page.Records) == 0 {
+			return whole
+		}
+		whole.Records = append(whole.Records, page.Records...)
+		whole.Next = page.Records[len(page.Records)-1].Offset + 1
+	}
+}
+
+// snapshotSettings appends a snapshot of the settings and returns the expiry of
+// what it replaces.
+func (c *cluster) snapshotSettings() recorder.Expiry {
+	c.t.Helper()
+	stream := c.readStream(appender.StreamSettings)
+	folder := configurator.New()
+	for _, record := range stream.Records {
+		folder.FoldData(int64(record.Offset), record.Data)
+	}
+	for i, part := range folder.Snapshot(partBytes) {
+		c.appendRecord(appender.StreamSettings, messenger.EditRecord{
+			Id: fmt.Sprint("snapshot-", i), Author: "operators/root", Snapshot: &part,
+		})
+	}
+	return recorder.Expiry{Stream: appender.StreamSettings, Before: stream.Next}
+}
+
+// snapshotJobs appends a snapshot of a partition that has records and returns
+// the expiry of what it replaces.
+func (c *cluster) snapshotJobs(partition int) (recorder.Expiry, bool) {
+	c.t.Helper()
+	name := appender.JobsStream(partition)
+	stream := c.readStream(name)
+	if stream.Next == 0 {
+		return recorder.Expiry{}, false
+	}
+	book := bookkeeper.New(partition)
+	for _, record := range stream.Records {
+		var decoded messenger.LedgerRecord
+		if err := json.Unmarshal(record.Data, &decoded); err != nil {
+			c.t.Fatal(err)
+		}
+		_, _ = book.Fold(int64(record.Offset), decoded)
+	}
+	for i, part := range book.Snapshot() {
+		c.appendRecord(name, messenger.LedgerRecord{
+			Type: messenger.RecordSnapshot, Id: fmt.Sprint("snapshot-", i), Epoch: int(book.Epoch()), Snapshot: &part,
+		})
+	}
+	return recorder.Expiry{Stream: name, Before: stream.Next}, true
+}
+
+// appendRecord appends a record to the log as an entry would.
+func (c *cluster) appendRecord(stream string, record any) {
+	c.t.Helper()
+	data, err := json.Marshal(record)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	body, err := json.Marshal(messenger.LogAppend{Records: [][]byte{data}})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	response, err := http.Post("http://"+c.log.address+"/v1/streams/"+stream+"/append", "application/json", bytes.NewReader(body))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		c.t.Fatalf("append to %s: status %d", stream, response.StatusCode)
+	}
+}
--- a/prover/jobs_test.go
+++ b/prover/jobs_test.go
@@ -1,7 +1,6 @@
 package prover_test
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -214,7 +213,7 @@
 	e := c.entries[0]
 	base := c.revision(e, "dataCentres/kopli")
 	c.logFaults(recorder.Faults{ReadsDown: []string{appender.StreamSettings}})
-	c.appendEdit(messenger.EditRecord{
+	c.appendRecord(appender.StreamSettings, messenger.EditRecord{
 		Id: "out", Author: "operators/root", Path: "dataCentres/kopli", Base: base,
 		Value: json.RawMessage(`{"region":"` + region + `","out":true}`),
 	})
@@ -233,28 +232,6 @@
 	c.check()
 }
 
-// appendEdit appends an edit to the log as an entry elsewhere would.
-func (c *cluster) appendEdit(record messenger.EditRecord) {
-	c.t.Helper()
-	data, err := json.Marshal(record)
-	if err != nil {
-		c.t.Fatal(err)
-	}
-	body, err := json.Marshal(messenger.LogAppend{Records: [][]byte{data}})
-	if err != nil {
-		c.t.Fatal(err)
-	}
-	url := "http://" + c.log.address + "/v1/streams/" + appender.StreamSettings + "/append"
-	response, err := http.Post(url, "application/json", bytes.NewReader(body))
-	if err != nil {
-		c.t.Fatal(err)
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		c.t.Fatalf("append: status %d", response.StatusCode)
-	}
-}
-
 func (c *cluster) runsIn(job int, dataCentre string) bool {
 	for _, entry := range c.running(c.job(job).ID) {
 		if entry.DataCentre == dataCentre {
