Wait for the settings to be read before refused calls are counted

Cause: an entry answers stale_view, not unauthenticated, to an unknown token until its settings are read; the test called it before. It now waits for that and still asks for exit code 12 of each of 20 calls.

--- a/commander/deployment_test.go
+++ b/commander/deployment_test.go
@@ -167,9 +167,11 @@
 	_ = json.Unmarshal([]byte(strings.Split(logged.String(), "\n")[0]), &started)
 	url := "http://" + started.HTTP
 	eventually(t, "an owned partition", func() bool { return strings.Contains(logged.String(), "partition recovered") })
+	refused := func() int { code, _, _ := run("", "status", "-entry", url, "-token", "guess"); return code }
+	eventually(t, "the settings to be read", func() bool { return refused() == 12 })
 	before := messages(t, &logged)
 	for range 20 {
-		if code, _, _ := run("", "status", "-entry", url, "-token", "guess"); code != 12 {
+		if code := refused(); code != 12 {
 			t.Errorf("unknown token: exit code %d", code)
 		}
 	}
