Keep a host announced when one of its entries loses the log

An entry that is cut off from the log takes the others for gone, and for a moment lists itself alone. A list now counts only with a fresh proof of the entry's view and never against a newer one. The new test fails without this (60 s without a heartbeat at the other entry).

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"go.uber.org/goleak"
@@ -126,6 +127,21 @@
 	h.join(t)
 }
 
+// TestCutOffEntryCapturesNoHost has one of two entries lose the log: it takes the
+// other for gone, and the host must go on announcing itself to both.
+func TestCutOffEntryCapturesNoHost(t *testing.T) {
+	other := newFakeEntry(t)
+	h := startHost(t, func(s *agent.Settings) { s.CallTimeoutMillis = 1000 })
+	h.entry.set(0, h.entry, other)
+	other.set(0, h.entry, other)
+	eventually(t, "a heartbeat at each", func() bool { return other.latest().Sequence > 0 })
+	h.entry.set(time.Second, h.entry)
+	cut := h.entry.latest().Sequence
+	eventually(t, "heartbeats at the cut-off entry", func() bool { return h.entry.latest().Sequence > cut+20 })
+	seen := other.latest().Sequence
+	eventually(t, "later heartbeats at the other entry", func() bool { return other.latest().Sequence > seen+5 })
+}
+
 func TestMetrics(t *testing.T) {
 	h := startHost(t, nil)
 	h.dispatch(t, "a", nil)
--- a/agent/fixture_test.go
+++ b/agent/fixture_test.go
@@ -45,6 +45,8 @@
 	renews    []messenger.Renew
 	reports   map[messenger.AttemptRef]messenger.TaskReport
 	out       bool
+	viewAge   time.Duration
+	entries   []messenger.EntryAddress // Replaces the entry itself.
 }
 
 func newFakeEntry(t *testing.T) *fakeEntry {
@@ -72,14 +74,33 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.announces = append(e.announces, m)
+	entries := e.entries
+	if entries == nil {
+		entries = []messenger.EntryAddress{e.self()}
+	}
 	return messenger.AnnounceReply{
 		Entry:         "e1",
 		DataCentreOut: e.out,
-		Entries:       []messenger.EntryAddress{{Entry: "e1", Address: e.address, DataCentre: "kopli"}},
+		ViewAgeMillis: int(e.viewAge.Milliseconds()),
+		Entries:       entries,
 		Owners:        []messenger.PartitionOwner{{Partition: 0, Epoch: 1, Entry: "e1", Address: e.address}},
 	}, nil
 }
 
+func (e *fakeEntry) self() messenger.EntryAddress {
+	return messenger.EntryAddress{Entry: e.address, Address: e.address, DataCentre: "kopli"}
+}
+
+func (e *fakeEntry) set(viewAge time.Duration, entries ...*fakeEntry) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.viewAge = viewAge
+	e.entries = nil
+	for _, other := range entries {
+		e.entries = append(e.entries, other.self())
+	}
+}
+
 func (e *fakeEntry) renew(_ context.Context, m messenger.Renew) (messenger.RenewReply, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/agent/heartbeat.go
+++ b/agent/heartbeat.go
@@ -23,6 +23,9 @@
 // the settings are tried again.
 const homelessAfter = 4 * time.Second
 
+// listLife is the greatest age of the proof of a list of live entries.
+const listLife = 4 * time.Second
+
 // heartbeat announces the host to its home entries.
 type heartbeat struct {
 	clock    clockwork.Clock
@@ -42,6 +45,7 @@
 
 	mu       sync.Mutex
 	entries  []messenger.EntryAddress
+	provedAt time.Time
 	calling  map[string]bool
 	calls    sync.WaitGroup
 	heardAt  time.Time
@@ -151,13 +155,27 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.heardAt = h.clock.Now()
+	h.takeEntries(sent, reply)
+}
+
+// takeEntries takes the live entries from an answer to a heartbeat sent at sent.
+// An entry that is cut off from the log takes the others for gone, so that a list
+// counts only with a fresh proof, and never against a newer one.
+func (h *heartbeat) takeEntries(sent time.Time, reply messenger.AnnounceReply) {
 	if len(reply.Entries) == 0 {
 		return
 	}
+	age := time.Duration(reply.ViewAgeMillis) * time.Millisecond
+	proved := sent.Add(-age)
+	if len(h.entries) > 0 && (age > listLife || proved.Before(h.provedAt)) {
+		metrics.GetOrRegisterCounter("announce.stale_entries", h.registry).Inc(1)
+		return
+	}
 	if len(h.entries) == 0 {
 		h.wake()
 	}
 	h.entries = reply.Entries
+	h.provedAt = proved
 }
 
 // reported notes whether the usage reports of a heartbeat, if any, arrived.
