Let each entry make its random choices apart from the others

Cause: all entries used one seed, so that they could choose the same targets in step. Before: seed 1 everywhere. After: the hash of the entry's name.

--- a/dispatcher/admission.go
+++ b/dispatcher/admission.go
@@ -21,10 +21,11 @@
 }
 
 func newAdmission(entry *Entry) *admission {
+	seed := seedOf(entry.settings.Name)
 	return &admission{
 		entry:   entry,
-		limiter: limiter.New(limiter.DefaultConfig(), decisionSeed),
-		retrier: retrier.New(retrier.DefaultConfig(), decisionSeed),
+		limiter: limiter.New(limiter.DefaultConfig(), seed),
+		retrier: retrier.New(retrier.DefaultConfig(), seed),
 	}
 }
 
--- a/dispatcher/entry.go
+++ b/dispatcher/entry.go
@@ -133,7 +133,7 @@
 		e.jobs = append(e.jobs, e.newAppender(appender.JobsStream(number)))
 		e.keys = append(e.keys, newKeyPartition(e, number))
 	}
-	e.members = newMembers(e.clock, e.logger, e.registry)
+	e.members = newMembers(e.clock, e.logger, e.registry, seedOf(e.settings.Name))
 	e.admission = newAdmission(e)
 	e.views = newViews(e)
 	e.ownership = newOwnership(e)
--- a/dispatcher/members.go
+++ b/dispatcher/members.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
 	"github.com/rcrowley/go-metrics"
@@ -20,9 +21,9 @@
 	"apricotwinch/tracker"
 )
 
-// decisionSeed fixes the random choices of the decision packages; entries make
-// independent choices because they see other events.
-const decisionSeed = 1
+// seedOf returns the seed of an entry's random choices; entries choose apart from
+// each other.
+func seedOf(entry string) uint64 { return xxhash.Sum64String(entry) }
 
 // members joins the decisions that rest on the hosts: who is alive, which
 // target gets a request and which host gets a task.
@@ -48,14 +49,14 @@
 	centres     map[string]int
 }
 
-func newMembers(clock clockwork.Clock, logger hclog.Logger, registry metrics.Registry) *members {
+func newMembers(clock clockwork.Clock, logger hclog.Logger, registry metrics.Registry, seed uint64) *members {
 	m := &members{
 		clock:      clock,
 		logger:     logger,
 		registry:   registry,
 		tracker:    tracker.New(tracker.DefaultConfig()),
-		router:     router.New(router.DefaultConfig(), decisionSeed),
-		judge:      judge.New(judge.DefaultConfig(), decisionSeed),
+		router:     router.New(router.DefaultConfig(), seed),
+		judge:      judge.New(judge.DefaultConfig(), seed),
 		view:       configurator.New().View(),
 		centres:    make(map[string]int),
 		estimator:  estimator.New(estimator.DefaultConfig()),
@@ -65,7 +66,7 @@
 	}
 	config := placer.DefaultConfig()
 	config.Penalty = m.penalty
-	m.placer = placer.New(config, decisionSeed)
+	m.placer = placer.New(config, seed)
 	return m
 }
 
