Never call a request not run after a try that may have run

Cause: an idempotent request whose answer was lost was tried again; when no target was left the caller was told no_target with notRun, though it had run once. Its error is now unknown. The settings maxAttempts and dataCentres of a service were checked and stored, but heeded by nobody: both are now, the latter by the router.

--- a/configurator/service.go
+++ b/configurator/service.go
@@ -47,7 +47,7 @@
 // Timeout returns the time until the deadline of a request that names none.
 func (s Service) Timeout() time.Duration { return s.timeout }
 
-// MaxAttempts returns the attempts of an idempotent request, 0 for the default.
+// MaxAttempts returns the bound on the attempts of a request, 0 for the default.
 func (s Service) MaxAttempts() int { return s.maxAttempts }
 
 // DataCentres returns the data centres that serve requests, none for all.
--- a/dispatcher/keyed.go
+++ b/dispatcher/keyed.go
@@ -140,7 +140,7 @@
 		return false
 	}
 	decision := e.admission.decide(retrier.NewTry(r.service.Team(), target.Host(), number, false, r.deadline, kind))
-	return decision.Retry() && e.sleepUntil(ctx, decision.At())
+	return decision.Retry() && !e.exhausted(r, number) && e.sleepUntil(ctx, decision.At())
 }
 
 // keyedExchange drives the state machine of one keyed request.
--- a/dispatcher/outcomes_test.go
+++ b/dispatcher/outcomes_test.go
@@ -205,3 +205,53 @@
 		}
 	}
 }
+
+// abort counts a run and loses its answer.
+func abort(runs *atomic.Int64) http.HandlerFunc {
+	return func(http.ResponseWriter, *http.Request) {
+		runs.Add(1)
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// TestLostAnswerStaysUnknown has the only target lose its answer to an idempotent
+// request: that no other target is left doesn't make it a request that did not run.
+func TestLostAnswerStaysUnknown(t *testing.T) {
+	w := start(t, nil)
+	w.configure(t)
+	var runs atomic.Int64
+	w.addTarget(t, abort(&runs))
+	got := w.call(t, request, ketioli, "urgent", "X-Idempotent", "true")
+	if got.kind != "unknown" || got.notRun || runs.Load() == 0 {
+		t.Errorf("%d %s after %d runs", got.status, got.body, runs.Load())
+	}
+}
+
+// TestServiceSettings sets what a service allows: one attempt, and then only
+// another data centre than that of its target.
+func TestServiceSettings(t *testing.T) {
+	w := start(t, nil)
+	w.configure(t)
+	w.set(t, operator, "dataCentres/ulemiste", `{"region":"harju"}`)
+	var runs atomic.Int64
+	w.addTarget(t, abort(&runs))
+	set := func(value string) {
+		t.Helper()
+		leaf := w.call(t, "GET /v1/settings/teams/ketioli/services/orders", ketioli, "").body
+		_, rest, _ := strings.Cut(leaf, `"revision":`)
+		base, _, _ := strings.Cut(rest, ",")
+		if got := w.call(t, "PUT /v1/settings/teams/ketioli/services/orders", ketioli, `{"base":`+base+`,"value":`+value+`}`); got.status != http.StatusOK {
+			t.Fatalf("%d %s", got.status, got.body)
+		}
+	}
+	set(`{"urgency":"critical","timeoutMillis":30000,"maxAttempts":1}`)
+	got := w.call(t, request, ketioli, "urgent", "X-Idempotent", "true")
+	if got.kind != "unknown" || w.counter("requests.max_attempts") != 1 {
+		t.Errorf("one attempt: %d %s, counter %d", got.status, got.body, w.counter("requests.max_attempts"))
+	}
+	ran := runs.Load()
+	set(`{"urgency":"critical","timeoutMillis":30000,"dataCentres":["ulemiste"]}`)
+	if got := w.call(t, request, ketioli, "urgent", "X-Idempotent", "true"); got.kind != "no_target" || !got.notRun || runs.Load() != ran {
+		t.Errorf("another data centre: %d %s after %d runs", got.status, got.body, runs.Load()-ran)
+	}
+}
--- a/dispatcher/requests.go
+++ b/dispatcher/requests.go
@@ -50,6 +50,8 @@
 	contentType string
 	key         string
 	body        []byte
+	// maxAttempts bounds the tries; 0 leaves it to the retrier.
+	maxAttempts int
 	tried       []string
 }
 
@@ -103,7 +105,9 @@
 	if !ok {
 		return nil, apricotwinch.Errorf(apricotwinch.NotFound, "service: %s has no service %q", team, c.PathValue("service"))
 	}
+	e.members.setService(service)
 	r := &request{
+		maxAttempts: service.MaxAttempts(),
 		id:          uuid.NewString(),
 		service:     tracker.NewService(team, service.Name()),
 		urgency:     service.Urgency(),
@@ -164,10 +168,11 @@
 // try sends a request to one target after another until one answers, or the
 // retrier allows no further try.
 func (e *Entry) try(ctx context.Context, r *request, send sender) (messenger.DispatchReply, error) {
+	var lost error
 	for number := 1; ; number++ {
 		target, err := e.members.choose(r, e.settings.DataCentre)
 		if err != nil {
-			return messenger.DispatchReply{}, err
+			return messenger.DispatchReply{}, afterLost(lost, err)
 		}
 		if number == 1 {
 			e.admission.began(r.service.Team(), target.Host())
@@ -177,17 +182,35 @@
 			return reply, nil
 		}
 		r.tried = append(r.tried, target.Host())
-		try := retrier.NewTry(r.service.Team(), target.Host(), number, r.idempotent, r.deadline, apricotwinch.KindOf(err))
-		decision := e.admission.decide(try)
-		if !decision.Retry() {
-			return messenger.DispatchReply{}, err
+		kind := apricotwinch.KindOf(err)
+		decision := e.admission.decide(retrier.NewTry(r.service.Team(), target.Host(), number, r.idempotent, r.deadline, kind))
+		if !decision.Retry() || e.exhausted(r, number) || !e.sleepUntil(ctx, decision.At()) {
+			return messenger.DispatchReply{}, afterLost(lost, err)
 		}
-		if !e.sleepUntil(ctx, decision.At()) {
-			return messenger.DispatchReply{}, err
+		if !kind.Answer().NotRun() {
+			lost = err
 		}
 	}
 }
 
+// afterLost returns the error of a request whose last try ended with err: when an
+// earlier try may have run, which lost tells, so may the request.
+func afterLost(lost, err error) error {
+	if lost == nil || !apricotwinch.KindOf(err).Answer().NotRun() {
+		return err
+	}
+	return apricotwinch.Errorf(apricotwinch.Unknown, "%w; before that: %w", err, lost)
+}
+
+// exhausted reports whether a request was tried as often as its service allows.
+func (e *Entry) exhausted(r *request, tries int) bool {
+	if r.maxAttempts == 0 || tries < r.maxAttempts {
+		return false
+	}
+	e.count("requests.max_attempts")
+	return true
+}
+
 func (e *Entry) sleepUntil(ctx context.Context, at time.Time) bool {
 	timer := e.clock.NewTimer(at.Sub(e.clock.Now()))
 	defer timer.Stop()
--- a/dispatcher/routing.go
+++ b/dispatcher/routing.go
@@ -4,11 +4,19 @@
 	"time"
 
 	"apricotwinch"
+	"apricotwinch/configurator"
 	"apricotwinch/messenger"
 	"apricotwinch/router"
 	"apricotwinch/tracker"
 )
 
+// setService takes the settings of a service that decide where its requests go.
+func (m *members) setService(service configurator.Service) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.router.SetDataCentres(m.clock.Now(), tracker.NewService(service.Team(), service.Name()), service.DataCentres())
+}
+
 // choose returns the target that gets the next try of a request.
 func (m *members) choose(r *request, dataCentre string) (router.Target, error) {
 	m.mu.Lock()
--- /dev/null
+++ b/router/limits_test.go
@@ -0,0 +1,37 @@
+package router_test
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"apricotwinch"
+	"apricotwinch/tracker"
+)
+
+// TestServiceDataCentres limits a service to some data centres, beside one that is
+// out of service; other services don't feel it.
+func TestServiceDataCentres(t *testing.T) {
+	f := newFixture(t)
+	f.heartbeat("kopli-1")
+	f.heartbeat("ulemiste-1")
+	other := tracker.NewService("ketioli", "other")
+	f.routes.SetDataCentres(f.now, other, []string{"kopli"})
+	f.routes.SetDataCentres(f.now, portal, []string{"ulemiste", "mustamae"})
+	f.heartbeat("mustamae-1")
+	seen := map[string]bool{}
+	for host := range f.send(40) {
+		seen[host] = true
+	}
+	if diff := cmp.Diff(map[string]bool{"ulemiste-1": true, "mustamae-1": true}, seen); diff != "" {
+		t.Errorf("hosts (-want +got):\n%s", diff)
+	}
+	f.routes.SetOut(f.now, "ulemiste", true)
+	if _, kind := f.choose("mustamae-1"); kind != apricotwinch.NoTarget && kind != apricotwinch.Overloaded {
+		t.Errorf("only the data centre that is out is left: %q", kind)
+	}
+	f.routes.SetDataCentres(f.now, portal, nil)
+	if target, kind := f.choose("mustamae-1"); kind != "" || target.Host() != "kopli-1" {
+		t.Errorf("without the limit: %q", kind)
+	}
+}
--- a/router/router.go
+++ b/router/router.go
@@ -23,6 +23,7 @@
 	pools     map[tracker.Service]*pool
 	hosts     map[string][]*state
 	out       map[string]bool
+	limits    map[tracker.Service][]string
 	ejections ejections
 }
 
@@ -35,6 +36,7 @@
 		pools:  map[tracker.Service]*pool{},
 		hosts:  map[string][]*state{},
 		out:    map[string]bool{},
+		limits: map[tracker.Service][]string{},
 	}
 }
 
@@ -149,7 +151,7 @@
 		return strings.Compare(g.dataCentre, name)
 	})
 	if !found {
-		g := &group{dataCentre: dataCentre, region: host.Locality().Region(), out: r.out[dataCentre]}
+		g := &group{dataCentre: dataCentre, region: host.Locality().Region(), out: r.closed(p.service, dataCentre)}
 		p.groups = slices.Insert(p.groups, at, g)
 	}
 	return p.groups[at]
@@ -176,14 +178,46 @@
 	}
 	r.out[dataCentre] = out
 	for _, p := range r.pools {
-		g := p.group(dataCentre)
-		if g == nil {
-			continue
-		}
-		g.out = out
-		for _, s := range g.members {
-			s.start(now)
-			r.refresh(now, s)
+		if g := p.group(dataCentre); g != nil {
+			r.close(now, p, g)
 		}
 	}
 }
+
+// SetDataCentres has requests to a service go to the targets in dataCentres only;
+// none stands for all. Targets that it lets in again start slowly.
+func (r *Router) SetDataCentres(now time.Time, service tracker.Service, dataCentres []string) {
+	if slices.Equal(r.limits[service], dataCentres) {
+		return
+	}
+	r.limits[service] = slices.Clone(dataCentres)
+	if len(dataCentres) == 0 {
+		delete(r.limits, service)
+	}
+	p := r.pools[service]
+	if p == nil {
+		return
+	}
+	for _, g := range p.groups {
+		r.close(now, p, g)
+	}
+}
+
+// closed reports whether no request to a service goes to a data centre.
+func (r *Router) closed(service tracker.Service, dataCentre string) bool {
+	limit := r.limits[service]
+	return r.out[dataCentre] || len(limit) > 0 && !slices.Contains(limit, dataCentre)
+}
+
+// close sets whether a group of p gets no request.
+func (r *Router) close(now time.Time, p *pool, g *group) {
+	closed := r.closed(p.service, g.dataCentre)
+	if g.out == closed {
+		return
+	}
+	g.out = closed
+	for _, s := range g.members {
+		s.start(now)
+		r.refresh(now, s)
+	}
+}
