Refuse a submission for a team that the settings don't hold

Cause: an operator's submission with a misspelled team was answered 202 and its job waited for ever. It is now not_found, naming the team.

go test -race ./dispatcher: passed; the door failed before with 202.

--- a/dispatcher/doors_test.go
+++ b/dispatcher/doors_test.go
@@ -40,6 +40,7 @@
 	{name: "jobs of another team", what: "GET /v1/jobs?team=jua", token: ketioli, kind: "forbidden", field: "team"},
 	{name: "submit for another team", what: "POST /v1/jobs?team=jua", token: ketioli, body: job, kind: "forbidden", field: "team"},
 	{name: "request for another team", what: "POST /v1/services/orders/requests?team=jua", token: ketioli, kind: "forbidden", field: "team"},
+	{name: "submit for no team", what: "POST /v1/jobs?team=none", token: operator, body: job, kind: "not_found", field: "team"},
 	{name: "operator without a team", what: "GET /v1/jobs", token: operator, kind: "invalid", field: "team"},
 	{name: "unknown service", what: "POST /v1/services/none/requests", token: ketioli, kind: "not_found", field: "service"},
 	{name: "unknown job", what: "GET /v1/jobs/none", token: ketioli, kind: "not_found", field: "none"},
--- a/dispatcher/jobs.go
+++ b/dispatcher/jobs.go
@@ -56,6 +56,9 @@
 	if err != nil {
 		return err
 	}
+	if !e.knowsTeam(team) {
+		return apricotwinch.Errorf(apricotwinch.NotFound, "team: %q is not in the settings", team)
+	}
 	var spec messenger.JobSpec
 	if err := c.decode(&spec); err != nil {
 		return err
@@ -87,6 +90,13 @@
 	return nil
 }
 
+// knowsTeam reports whether the settings hold anything of a team.
+func (e *Entry) knowsTeam(team string) bool {
+	view := e.views.current()
+	_, limited := view.Quota(team)
+	return limited || len(view.Entries("teams/"+team)) > 0
+}
+
 // checkKey reports whether the job that a key stands for is known; it refuses a
 // key that stands for another job than spec.
 func (e *Entry) checkKey(ctx context.Context, team, id string, spec messenger.JobSpec) (bool, error) {
