--- a/dispatcher/requests.go
+++ b/dispatcher/requests.go
@@ -50,6 +50,8 @@
 	contentType string
 	key         string
 	body        []byte
+	// maxAttempts bounds the tries; 0 leaves it to the retrier.
+	maxAttempts int
 	tried       []string
 }
 
@@ -103,7 +105,9 @@
 	if !ok {
 		return nil, apricotwinch.Errorf(apricotwinch.NotFound, "service: %s has no service %q", team, c.PathValue("service"))
 	}
+	e.members.setService(service)
 	r := &request{
+		maxAttempts: service.MaxAttempts(),
 		id:          uuid.NewString(),
 		service:     tracker.NewService(team, service.Name()),
 		urgency:     service.Urgency(),
@@ -181,12 +185,21 @@
 		r.tried = append(r.tried, target.Host())
 		try := retrier.NewTry(r.service.Team(), target.Host(), number, r.idempotent, r.deadline, apricotwinch.KindOf(err))
 		decision := e.admission.decide(try)
-		if !decision.Retry() || !e.sleepUntil(ctx, decision.At()) {
+		if !decision.Retry() || e.exhausted(r, number) || !e.sleepUntil(ctx, decision.At()) {
 			return messenger.DispatchReply{}, settled
 		}
 	}
 }
 
+// exhausted reports whether a request was tried as often as its service allows.
+func (e *Entry) exhausted(r *request, tries int) bool {
+	if r.maxAttempts == 0 || tries < r.maxAttempts {
+		return false
+	}
+	e.count("requests.max_attempts")
+	return true
+}
+
 func (e *Entry) sleepUntil(ctx context.Context, at time.Time) bool {
 	timer := e.clock.NewTimer(at.Sub(e.clock.Now()))
 	defer timer.Stop()
