--- a/dispatcher/requests.go
+++ b/dispatcher/requests.go
@@ -168,11 +168,11 @@
 // try sends a request to one target after another until one answers, or the
 // retrier allows no further try.
 func (e *Entry) try(ctx context.Context, r *request, send sender) (messenger.DispatchReply, error) {
-	var lost error
+	var settled error
 	for number := 1; ; number++ {
 		target, err := e.members.choose(r, e.settings.DataCentre)
 		if err != nil {
-			return messenger.DispatchReply{}, afterLost(lost, err)
+			return messenger.DispatchReply{}, retrier.Settle(settled, err)
 		}
 		if number == 1 {
 			e.admission.began(r.service.Team(), target.Host())
@@ -181,25 +181,14 @@
 		if err == nil {
 			return reply, nil
 		}
+		settled = retrier.Settle(settled, err)
 		r.tried = append(r.tried, target.Host())
-		kind := apricotwinch.KindOf(err)
-		decision := e.admission.decide(retrier.NewTry(r.service.Team(), target.Host(), number, r.idempotent, r.deadline, kind))
+		try := retrier.NewTry(r.service.Team(), target.Host(), number, r.idempotent, r.deadline, apricotwinch.KindOf(err))
+		decision := e.admission.decide(try)
 		if !decision.Retry() || e.exhausted(r, number) || !e.sleepUntil(ctx, decision.At()) {
-			return messenger.DispatchReply{}, afterLost(lost, err)
+			return messenger.DispatchReply{}, settled
 		}
-		if !kind.Answer().NotRun() {
-			lost = err
-		}
-	}
-}
-
-// afterLost returns the error of a request whose last try ended with err: when an
-// earlier try may have run, which lost tells, so may the request.
-func afterLost(lost, err error) error {
-	if lost == nil || !apricotwinch.KindOf(err).Answer().NotRun() {
-		return err
 	}
-	return apricotwinch.Errorf(apricotwinch.Unknown, "%w; before that: %w", err, lost)
 }
 
 // exhausted reports whether a request was tried as often as its service allows.
