Tell adopted attempts their share of the processors

An owner that took over could not end a throttle of the last one: it took the attempt for unthrottled and sent nothing. It now tells each adopted attempt the share that its own observer holds right.

--- a/dispatcher/interference.go
+++ b/dispatcher/interference.go
@@ -33,6 +33,8 @@
 	// sampled holds, for each service, when it was last measured by the agent's
 	// clock in milliseconds.
 	sampled map[apricotwinch.AttemptID]int
+	// throttled holds the tasks that the observer throttled.
+	throttled map[apricotwinch.AttemptID]bool
 }
 
 // step is an observer's action for the work of a team.
@@ -70,7 +72,11 @@
 	}
 	known := m.neighbors[host.Name()]
 	if known == nil {
-		known = &neighbors{teams: make(map[apricotwinch.AttemptID]string), sampled: make(map[apricotwinch.AttemptID]int)}
+		known = &neighbors{
+			teams:     make(map[apricotwinch.AttemptID]string),
+			sampled:   make(map[apricotwinch.AttemptID]int),
+			throttled: make(map[apricotwinch.AttemptID]bool),
+		}
 		m.neighbors[host.Name()] = known
 	}
 	if change.Kind() == tracker.Replaced {
@@ -162,6 +168,7 @@
 		return
 	}
 	delete(known.teams, id)
+	delete(known.throttled, id)
 	m.observer.Ended(now, host, id)
 	m.placer.SetResidents(host, m.observer.Classes(host))
 }
@@ -183,12 +190,22 @@
 	var steps []step
 	for _, action := range m.observer.Tick(m.clock.Now()) {
 		if known := m.neighbors[action.Host()]; known != nil {
+			known.throttled[action.ID()] = action.Step() != observer.Restore
 			steps = append(steps, step{Action: action, team: known.teams[action.ID()]})
 		}
 	}
 	return steps
 }
 
+// share returns the share of its processors that an attempt on a host should
+// keep; m.mu is held.
+func (m *members) share(host string, id apricotwinch.AttemptID) int {
+	if known := m.neighbors[host]; known != nil && known.throttled[id] {
+		return throttledPermille
+	}
+	return unthrottledPermille
+}
+
 // stepRules is the table from step to what the owner of the attempt does.
 var stepRules = map[observer.Step]func(p *partition, id apricotwinch.AttemptID) bool{
 	observer.Throttle: func(p *partition, id apricotwinch.AttemptID) bool {
--- a/dispatcher/members.go
+++ b/dispatcher/members.go
@@ -261,10 +261,11 @@
 	m.placer.Confirm(now, id)
 }
 
-func (m *members) adopted(host string, request scheduler.Request) {
+func (m *members) adopted(host string, request scheduler.Request) int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.placer.Restore(placeRequest(request), host)
+	return m.share(host, request.Attempt)
 }
 
 func (m *members) release(id apricotwinch.AttemptID) {
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -76,8 +76,9 @@
 	Place func(now time.Time, request Request) (string, error)
 	// Accepted tells that the agent of its host accepted an attempt.
 	Accepted func(now time.Time, attempt apricotwinch.AttemptID)
-	// Adopted tells of an attempt that an earlier owner placed on a host.
-	Adopted func(host string, request Request)
+	// Adopted tells of an attempt that an earlier owner placed on a host, and returns
+	// the share of its processors that the attempt should keep, in thousandths.
+	Adopted func(host string, request Request) int
 	// Unplace gives back the room of a placement that came to nothing.
 	Unplace func(host string, attempt apricotwinch.AttemptID)
 	// Lookup returns a live host by name.
--- a/scheduler/evict_test.go
+++ b/scheduler/evict_test.go
@@ -53,7 +53,8 @@
 func task(n int) apricotwinch.AttemptID { return apricotwinch.NewAttemptID("job", n, 1) }
 
 // TestEvictionsKeepTheirCap marks three attempts; two stops are sent in a tick,
-// the third in the next and none again before its time.
+// the third in the next and none again before its time. An attempt of an earlier
+// owner is told its share.
 func TestEvictionsKeepTheirCap(t *testing.T) {
 	s, now := assigned(t, 4)
 	marked := []bool{s.Evict(task(0), "interference"), s.Evict(task(2), "interference"), s.Evict(task(3), "interference"),
@@ -67,7 +68,7 @@
 		got = append(got, describe(s.Tick(now)))
 	}
 	want := [][]string{
-		{"stop 0 for interference, checkpoint true", "stop 2 for interference, checkpoint true"},
+		{"stop 0 for interference, checkpoint true", "throttle 1 to 1000", "stop 2 for interference, checkpoint true"},
 		{"stop 3 for interference, checkpoint true"},
 		nil,
 	}
@@ -76,15 +77,16 @@
 	}
 }
 
-// TestThrottlesAreSentUntilAnswered loses the answer to a throttle, ends the
-// throttle while the next command is under way, and evicts the attempt.
+// TestThrottlesAreSentUntilAnswered tells an adopted attempt its share, loses the
+// answer to a throttle, ends the throttle while the next command is under way,
+// and evicts the attempt.
 func TestThrottlesAreSentUntilAnswered(t *testing.T) {
 	s, now := assigned(t, 1)
 	command := messenger.Throttle{Job: "job", Attempt: 1, Permille: 250}
 	restored := messenger.Throttle{Job: "job", Attempt: 1, Permille: 1000}
 	events := []func(){
 		func() {},
-		func() { s.Throttle(task(0), 250) },
+		func() { s.ThrottleAnswered(restored, nil); s.Throttle(task(0), 250) },
 		func() {},
 		func() { s.ThrottleAnswered(command, errors.New("lost")) },
 		func() { s.Throttle(task(0), 1000) },
@@ -99,7 +101,7 @@
 		got = append(got, describe(s.Tick(now)))
 	}
 	want := [][]string{
-		nil, {"throttle 0 to 250"}, nil, {"throttle 0 to 250"}, nil, {"throttle 0 to 1000"}, nil,
+		{"throttle 0 to 1000"}, {"throttle 0 to 250"}, nil, {"throttle 0 to 250"}, nil, {"throttle 0 to 1000"}, nil,
 		{"stop 0 for interference, checkpoint true"},
 	}
 	if diff := cmp.Diff(want, got); diff != "" {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -86,7 +86,7 @@
 			a.grantedUntil = grantedUntil
 			s.attempts.add(a)
 			s.queue.adopt(now, job, a.id)
-			s.seams.Adopted(a.host, request(job, i, a.id, job.Need()))
+			a.throttle = throttle{wanted: s.seams.Adopted(a.host, request(job, i, a.id, job.Need()))}
 			if job.Canceled() {
 				a.stop = stopCanceled
 			}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -124,7 +124,7 @@
 			return declared
 		},
 		Accepted: func(time.Time, apricotwinch.AttemptID) {},
-		Adopted:  func(string, scheduler.Request) {},
+		Adopted:  func(string, scheduler.Request) int { return 1000 },
 		Unplace:  func(string, apricotwinch.AttemptID) {},
 		Lookup: func(host string) (scheduler.Host, bool) {
 			a := w.agents[host]
--- a/scheduler/throttle.go
+++ b/scheduler/throttle.go
@@ -11,7 +11,8 @@
 // throttle, in thousandths.
 const unthrottled = 1000
 
-// throttle is the share of its processors that an attempt must keep.
+// throttle is the share of its processors that an attempt must keep, and the one
+// that its agent was told; 0 when another owner told it.
 type throttle struct {
 	wanted  int
 	told    int
--- a/standin/runner/task.go
+++ b/standin/runner/task.go
@@ -24,10 +24,11 @@
 	RunMillis int `json:"runMillis"`
 	// UsePermille is the true use in thousandths of the declared one; 0 is all of it.
 	UsePermille int `json:"usePermille"`
-	// NoisePermille is how much an attempt without a checkpoint slows the targets on
-	// its host, in thousandths of their latency; a throttle takes its share of it.
+	// NoisePermille is how much the task slows the targets on its host, in
+	// thousandths of their latency; a throttled task makes less in proportion.
 	NoisePermille int `json:"noisePermille"`
-	// UntilStopped lets an attempt without a checkpoint run until it is stopped.
+	// UntilStopped lets an attempt without a checkpoint run until it is stopped; one
+	// that resumes ends as others do and makes no noise.
 	UntilStopped bool `json:"untilStopped"`
 }
 
@@ -235,7 +236,7 @@
 
 // noise returns how much the task slows the targets on its host, in thousandths.
 func (t *task) noise() int {
-	if t.resumedFrom != "" {
+	if t.payload.UntilStopped && t.resumedFrom != "" {
 		return 0
 	}
 	return t.payload.NoisePermille * t.throttlePermille / Undisturbed
