Tell a service's slowdown only when its neighbors are known

Cause: usage reports came up to 10 s after a task's start, and the slowdown of a service at once, so that observers blamed the host and, later, quiet tasks. Reports of other tasks than before no longer wait for the period, within a budget of one in 5 s and five at once; until one has arrived and 2 s for the digest have passed, heartbeats carry no slowdown.

--- a/agent/heartbeat.go
+++ b/agent/heartbeat.go
@@ -97,6 +97,11 @@
 	h.sentAt = h.clock.Now()
 	h.sequence++
 	announce.Sequence = h.sequence
+	if !h.usage.settled(h.sentAt) {
+		for i := range announce.Services {
+			announce.Services[i].SlowdownPermille = 0
+		}
+	}
 	reports, reporting := h.usage.take(h.sentAt)
 	homes := h.homes()
 	teller := h.usage.home(h.settings.Name, len(homes))
--- a/agent/usage.go
+++ b/agent/usage.go
@@ -6,13 +6,21 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"apricotwinch"
 	"apricotwinch/messenger"
 )
 
 const (
-	// usagePeriod is the shortest time between usage reports that changed.
+	// usagePeriod is the shortest time between usage reports of the same tasks.
 	usagePeriod = 10 * time.Second
+	// usageBurst is how many reports may follow each other when tasks come and go;
+	// one more is earned in half a period.
+	usageBurst = 5
+	// usageSettle is how long a report of other tasks than before takes to reach
+	// every entry by a digest.
+	usageSettle = 2 * time.Second
 	// usageRefresh is the time after which reports without a change are sent again
 	// while tasks run, for the entries that missed them.
 	usageRefresh = 30 * time.Second
@@ -35,10 +43,14 @@
 	latest   map[messenger.AttemptRef]messenger.TaskUsage
 	listedAt time.Time
 
+	limit       *rate.Limiter
 	sentAt      time.Time
+	failed      bool
 	delivered   []messenger.TaskUsage
 	deliveredAt time.Time
-	failures    int
+	// tasksAt is when other tasks than before were delivered.
+	tasksAt  time.Time
+	failures int
 }
 
 // assignment is what the owner said of a task that it assigned.
@@ -55,6 +67,7 @@
 	return &usage{
 		period:   period,
 		live:     live,
+		limit:    rate.NewLimiter(rate.Every(period/2), usageBurst),
 		assigned: make(map[messenger.AttemptRef]*assignment),
 		latest:   make(map[messenger.AttemptRef]messenger.TaskUsage),
 	}
@@ -137,14 +150,18 @@
 		return nil, false
 	}
 	u.sentAt = now
+	u.failed = false
+	u.limit.AllowN(now, 1)
 	return running, true
 }
 
 func (u *usage) isDue(now time.Time, running []messenger.TaskUsage) bool {
-	if now.Sub(u.sentAt) < u.period {
+	switch {
+	case u.deliveredAt.IsZero(), u.failed, !slices.EqualFunc(running, u.delivered, sameTask):
+		return u.failed || u.limit.TokensAt(now) >= 1
+	case now.Sub(u.sentAt) < u.period:
 		return false
-	}
-	if u.deliveredAt.IsZero() || !slices.EqualFunc(running, u.delivered, sameUsage) {
+	case !slices.EqualFunc(running, u.delivered, sameUsage):
 		return true
 	}
 	return len(running) > 0 && now.Sub(u.deliveredAt) >= max(u.period, usageRefresh)
@@ -168,6 +185,9 @@
 func (u *usage) deliver(now time.Time, reports []messenger.TaskUsage) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if u.deliveredAt.IsZero() || !slices.EqualFunc(reports, u.delivered, sameTask) {
+		u.tasksAt = now
+	}
 	u.delivered = reports
 	u.deliveredAt = now
 }
@@ -178,7 +198,31 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.failures++
-	u.sentAt = time.Time{}
+	u.failed = true
+}
+
+// settled reports whether every entry knows the tasks on the host. What a service
+// suffers from a task that an entry doesn't know, it would blame on others.
+func (u *usage) settled(now time.Time) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.deliveredAt.IsZero() || now.Sub(u.tasksAt) < usageSettle {
+		return false
+	}
+	known := make(map[messenger.AttemptRef]bool, len(u.delivered))
+	for _, report := range u.delivered {
+		ref := refOf(report)
+		known[ref] = true
+		if !u.live(ref) {
+			return false
+		}
+	}
+	for ref := range u.assigned {
+		if !known[ref] && u.live(ref) {
+			return false
+		}
+	}
+	return true
 }
 
 // home returns which of n homes gets the reports; it passes them on to the other
@@ -189,6 +233,13 @@
 	return int((weight(host, "") + uint64(u.failures)) % uint64(max(n, 1)))
 }
 
+func refOf(u messenger.TaskUsage) messenger.AttemptRef {
+	return messenger.AttemptRef{Job: u.Job, Task: u.Task, Attempt: u.Attempt}
+}
+
+// sameTask reports whether two reports are of the same attempt.
+func sameTask(a, b messenger.TaskUsage) bool { return refOf(a) == refOf(b) }
+
 // sameUsage reports whether two reports differ by no more than their age.
 func sameUsage(a, b messenger.TaskUsage) bool {
 	a.LagMillis, b.LagMillis = 0, 0
--- a/agent/usage_test.go
+++ b/agent/usage_test.go
@@ -1,6 +1,7 @@
 package agent_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -111,3 +112,40 @@
 		t.Errorf("throttles at the worker (-want +got):\n%s", diff)
 	}
 }
+
+// TestSlowdownWaitsUntilTheTasksAreKnown starts a task beside a measured service:
+// no heartbeat tells the service's slowdown until the task was reported.
+func TestSlowdownWaitsUntilTheTasksAreKnown(t *testing.T) {
+	h := startHost(t, nil)
+	release := make(chan struct{})
+	close(release)
+	h.announceTarget(t, newFakeTarget(t, release), 4, false)
+	for n := range 10 {
+		h.dispatch(t, fmt.Sprint(n), nil)
+	}
+	told := func(a messenger.Announce) bool { return len(a.Services) == 1 && a.Services[0].SlowdownPermille > 0 }
+	eventually(t, "a slowdown", func() bool { return told(h.entry.latest()) })
+	if reply := h.assign(t, ref("a", 0, 1)); !reply.Accepted {
+		t.Fatalf("refused: %+v", reply)
+	}
+	// One heartbeat may have been under way.
+	h.entry.mu.Lock()
+	since := len(h.entry.announces) + 1
+	h.entry.mu.Unlock()
+	eventually(t, "a slowdown after the start", func() bool {
+		h.entry.mu.Lock()
+		defer h.entry.mu.Unlock()
+		return len(h.entry.announces) > since && told(h.entry.announces[len(h.entry.announces)-1])
+	})
+	h.entry.mu.Lock()
+	defer h.entry.mu.Unlock()
+	for i, a := range h.entry.announces[since-1:] {
+		if len(a.Usage) == 1 {
+			return
+		}
+		if i > 0 && told(a) {
+			t.Fatalf("heartbeat %d tells a slowdown before the task at its side", a.Sequence)
+		}
+	}
+	t.Error("the task was never reported")
+}
--- a/assembler/interference_test.go
+++ b/assembler/interference_test.go
@@ -11,8 +11,10 @@
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
 
 	"apricotwinch/assembler"
+	"apricotwinch/generator"
 	"apricotwinch/messenger"
 	"apricotwinch/requester"
 )
@@ -44,7 +46,7 @@
 }
 
 // counter returns the sum of a counter over the entries of a.
-func counter(t *testing.T, a *assembler.Assembly, name string) int {
+func counter(t testing.TB, a *assembler.Assembly, name string) int {
 	t.Helper()
 	sum := 0
 	for n := range 2 {
@@ -121,3 +123,64 @@
 		t.Errorf("outcome (-want +got):\n%s", diff)
 	}
 }
+
+// BenchmarkNoisyNeighbors serves requests on six hosts: ten seconds alone, forty
+// while six noisy tasks and 24 quiet ones come, and twenty more, whose latency
+// counts. The noisy tasks would run for ten minutes.
+func BenchmarkNoisyNeighbors(b *testing.B) {
+	d := noisy()
+	d.Workers, d.WorkersPerRack = 6, 2
+	for b.Loop() {
+		a, err := assembler.Start(d, hclog.NewNullLogger())
+		if err != nil {
+			b.Fatal(err)
+		}
+		if err := a.Configure(b.Context()); err != nil {
+			b.Fatal(err)
+		}
+		team := a.Team(1)
+		serve := func(length time.Duration) generator.Summary {
+			return generator.NewForService(generator.Plan{
+				Service: d.Service.Name, PerSecond: 150, Duration: length, MaxInFlight: 1000,
+				Body:    func(int) []byte { return []byte("order") },
+				Options: func(int) requester.Options { return requester.Options{Idempotent: true} },
+			}, clockwork.NewRealClock(), team).Run(b.Context())
+		}
+		serve(10 * time.Second)
+		for _, spec := range []messenger.JobSpec{
+			{Name: "noisy", Tasks: 6, RunMillis: 600_000, Payload: []byte(`{"noisePermille":6000}`), Resources: messenger.Resources{ProcessorMillis: 4000, MemoryBytes: 1 << 20}},
+			{Name: "quiet", Tasks: 24, RunMillis: 20_000, Resources: messenger.Resources{ProcessorMillis: 1000, MemoryBytes: 1 << 20}},
+		} {
+			spec.Kind, spec.Urgency = messenger.JobBatch, "batch"
+			if _, err := team.Submit(b.Context(), "", spec.Name, spec); err != nil {
+				b.Fatal(err)
+			}
+		}
+		coming := serve(40 * time.Second)
+		after := serve(20 * time.Second)
+		b.Logf("while they come: %s; after: %s", coming, after)
+		b.ReportMetric(after.P50Millis, "p50-ms")
+		b.ReportMetric(after.P99Millis, "p99-ms")
+		b.ReportMetric(float64(completed(b, team)), "completed")
+		b.ReportMetric(float64(counter(b, a, "interference_throttle")), "throttles")
+		b.ReportMetric(float64(counter(b, a, "attempt_evicted")), "evictions")
+		a.Stop()
+	}
+}
+
+// completed returns the number of completed tasks of a team.
+func completed(b *testing.B, team *requester.Requester) int {
+	jobs, err := team.Jobs(b.Context(), "")
+	if err != nil {
+		b.Fatal(err)
+	}
+	n := 0
+	for _, job := range jobs {
+		for _, task := range job.Tasks {
+			if task.Phase == messenger.TaskCompleted {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -724,7 +724,8 @@
 
 	// Recent median latency against the target's own undisturbed latency, in
 	// thousandths: the low latencies that the agent saw of the same process,
-	// forgotten slowly; 0 when too few were seen.
+	// forgotten slowly; 0 when too few were seen, and while the entries don't know
+	// yet which tasks run beside it.
 	SlowdownPermille int `json:"slowdownPermille,omitempty,omitzero"`
 
 	// Team that owns the service.
