--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -126,6 +126,21 @@
 	h.join(t)
 }
 
+// TestDirectoryIsSentOnce holds that an agent names the lists that it knows, and
+// goes on with them when an entry leaves them out.
+func TestDirectoryIsSentOnce(t *testing.T) {
+	h := startHost(t, nil)
+	eventually(t, "a heartbeat that names the directory", func() bool { return h.entry.latest().Directory == directory })
+	before := h.entry.latest().Sequence
+	eventually(t, "heartbeats after it", func() bool { return h.entry.latest().Sequence > before+2 })
+	if reply := h.assign(t, ref("plan", 0, 1)); !reply.Accepted {
+		t.Fatalf("refused: %+v", reply)
+	}
+	eventually(t, "a renewal to the known owner", func() bool {
+		return h.entry.report(ref("plan", 0, 1)).Phase == messenger.ReportRunning
+	})
+}
+
 func TestMetrics(t *testing.T) {
 	h := startHost(t, nil)
 	h.dispatch(t, "a", nil)
--- a/agent/fixture_test.go
+++ b/agent/fixture_test.go
@@ -23,6 +23,9 @@
 	"apricotwinch/messenger"
 )
 
+// directory is the hash of the lists that a fake entry gives.
+const directory = 7
+
 // patience bounds the wait for a condition.
 const patience = 60 * time.Second
 
@@ -72,12 +75,12 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.announces = append(e.announces, m)
-	return messenger.AnnounceReply{
-		Entry:         "e1",
-		DataCentreOut: e.out,
-		Entries:       []messenger.EntryAddress{{Entry: "e1", Address: e.address, DataCentre: "kopli"}},
-		Owners:        []messenger.PartitionOwner{{Partition: 0, Epoch: 1, Entry: "e1", Address: e.address}},
-	}, nil
+	reply := messenger.AnnounceReply{Entry: "e1", DataCentreOut: e.out, Directory: directory}
+	if m.Directory != directory {
+		reply.Entries = []messenger.EntryAddress{{Entry: "e1", Address: e.address, DataCentre: "kopli"}}
+		reply.Owners = []messenger.PartitionOwner{{Partition: 0, Epoch: 1, Entry: "e1", Address: e.address}}
+	}
+	return reply, nil
 }
 
 func (e *fakeEntry) renew(_ context.Context, m messenger.Renew) (messenger.RenewReply, error) {
--- a/agent/heartbeat.go
+++ b/agent/heartbeat.go
@@ -42,6 +42,7 @@
 
 	mu       sync.Mutex
 	entries  []messenger.EntryAddress
+	known    int // Hash of the entries and owners of the latest answer with any.
 	calling  map[string]bool
 	calls    sync.WaitGroup
 	heardAt  time.Time
@@ -115,6 +116,7 @@
 		return false
 	}
 	h.calling[address] = true
+	announce.Directory = h.known
 	h.calls.Go(func() {
 		h.announce(ctx, address, announce)
 		h.mu.Lock()
@@ -146,6 +148,7 @@
 		h.wake()
 	}
 	h.entries = reply.Entries
+	h.known = reply.Directory
 }
 
 // wake has a heartbeat sent at once.
--- a/dispatcher/peers.go
+++ b/dispatcher/peers.go
@@ -31,15 +31,19 @@
 	age := e.views.age()
 	view := e.views.current()
 	entries, owners := e.ownership.announced()
-	return messenger.AnnounceReply{
+	reply := messenger.AnnounceReply{
 		Entry:         e.settings.Name,
 		Incarnation:   e.incarnation,
 		Revision:      int(view.Revision()),
 		ViewAgeMillis: int((age + time.Millisecond - 1) / time.Millisecond),
 		DataCentreOut: view.DataCentreOut(announce.DataCentre),
-		Entries:       entries,
-		Owners:        owners,
-	}, nil
+		Directory:     messenger.HashDirectory(entries, owners),
+	}
+	if announce.Directory != reply.Directory {
+		reply.Entries = entries
+		reply.Owners = owners
+	}
+	return reply, nil
 }
 
 // renew grants leases for the attempts of a partition that the entry owns.
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -18,6 +18,9 @@
 	// Data centre of the host.
 	DataCentre string `json:"dataCentre"`
 
+	// Hash of the entries and owners that the host knows, 0 for none.
+	Directory int `json:"directory,omitempty,omitzero"`
+
 	// Whether the host is leaving.
 	Draining bool `json:"draining,omitempty,omitzero"`
 
@@ -52,8 +55,11 @@
 	// Whether the host's data centre is out of service in this view.
 	DataCentreOut bool `json:"dataCentreOut"`
 
-	// Live entries.
-	Entries []EntryAddress `json:"entries"`
+	// Hash of the entries and owners that the entry knows.
+	Directory int `json:"directory,omitempty,omitzero"`
+
+	// Live entries, when the host's directory differs.
+	Entries []EntryAddress `json:"entries,omitempty,omitzero"`
 
 	// Name of the entry.
 	Entry string `json:"entry"`
@@ -61,8 +67,9 @@
 	// Incarnation of the entry's process.
 	Incarnation string `json:"incarnation"`
 
-	// Owners of the partitions as far as the entry knows.
-	Owners []PartitionOwner `json:"owners"`
+	// Owners of the partitions as far as the entry knows, when the host's directory
+	// differs.
+	Owners []PartitionOwner `json:"owners,omitempty,omitzero"`
 
 	// Offset through which the entry's settings view is folded.
 	Revision int `json:"revision"`
