--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"go.uber.org/goleak"
@@ -130,15 +131,31 @@
 // goes on with them when an entry leaves them out.
 func TestDirectoryIsSentOnce(t *testing.T) {
 	h := startHost(t, nil)
-	eventually(t, "a heartbeat that names the directory", func() bool { return h.entry.latest().Directory == directory })
-	before := h.entry.latest().Sequence
-	eventually(t, "heartbeats after it", func() bool { return h.entry.latest().Sequence > before+2 })
-	if reply := h.assign(t, ref("plan", 0, 1)); !reply.Accepted {
+	task := ref("plan", 0, 1)
+	if reply := h.assign(t, task); !reply.Accepted {
 		t.Fatalf("refused: %+v", reply)
 	}
-	eventually(t, "a renewal to the known owner", func() bool {
-		return h.entry.report(ref("plan", 0, 1)).Phase == messenger.ReportRunning
-	})
+	eventually(t, "a renewal to the known owner", func() bool { return h.entry.report(task).Phase == messenger.ReportRunning })
+	h.entry.mu.Lock()
+	defer h.entry.mu.Unlock()
+	if beats := len(h.entry.announces); h.entry.listed > 2 || beats < 4 {
+		t.Errorf("lists in %d of %d answers", h.entry.listed, beats)
+	}
+}
+
+// TestCutOffEntryCapturesNoHost has one of two entries lose the log: it takes the
+// other for gone, and the host must go on announcing itself to both.
+func TestCutOffEntryCapturesNoHost(t *testing.T) {
+	other := newFakeEntry(t)
+	h := startHost(t, func(s *agent.Settings) { s.CallTimeoutMillis = 1000 })
+	h.entry.set(0, h.entry, other)
+	other.set(0, h.entry, other)
+	eventually(t, "a heartbeat at each", func() bool { return other.latest().Sequence > 0 })
+	h.entry.set(time.Second, h.entry)
+	cut := h.entry.latest().Sequence
+	eventually(t, "heartbeats at the cut-off entry", func() bool { return h.entry.latest().Sequence > cut+20 })
+	seen := other.latest().Sequence
+	eventually(t, "later heartbeats at the other entry", func() bool { return other.latest().Sequence > seen+5 })
 }
 
 func TestMetrics(t *testing.T) {
--- a/agent/fixture_test.go
+++ b/agent/fixture_test.go
@@ -23,9 +23,6 @@
 	"apricotwinch/messenger"
 )
 
-// directory is the hash of the lists that a fake entry gives.
-const directory = 7
-
 // patience bounds the wait for a condition.
 const patience = 60 * time.Second
 
@@ -48,6 +45,9 @@
 	renews    []messenger.Renew
 	reports   map[messenger.AttemptRef]messenger.TaskReport
 	out       bool
+	viewAge   time.Duration
+	listed    int                      // Answers with entries and owners.
+	entries   []messenger.EntryAddress // Replaces the entry itself.
 }
 
 func newFakeEntry(t *testing.T) *fakeEntry {
@@ -75,14 +75,39 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.announces = append(e.announces, m)
-	reply := messenger.AnnounceReply{Entry: "e1", DataCentreOut: e.out, Directory: directory}
-	if m.Directory != directory {
-		reply.Entries = []messenger.EntryAddress{{Entry: "e1", Address: e.address, DataCentre: "kopli"}}
-		reply.Owners = []messenger.PartitionOwner{{Partition: 0, Epoch: 1, Entry: "e1", Address: e.address}}
+	entries := e.entries
+	if entries == nil {
+		entries = []messenger.EntryAddress{e.self()}
+	}
+	owners := []messenger.PartitionOwner{{Partition: 0, Epoch: 1, Entry: "e1", Address: e.address}}
+	reply := messenger.AnnounceReply{
+		Entry:         "e1",
+		DataCentreOut: e.out,
+		ViewAgeMillis: int(e.viewAge.Milliseconds()),
+		Directory:     messenger.HashDirectory(entries, owners),
+	}
+	if m.Directory != reply.Directory {
+		e.listed++
+		reply.Entries = entries
+		reply.Owners = owners
 	}
 	return reply, nil
 }
 
+func (e *fakeEntry) self() messenger.EntryAddress {
+	return messenger.EntryAddress{Entry: e.address, Address: e.address, DataCentre: "kopli"}
+}
+
+func (e *fakeEntry) set(viewAge time.Duration, entries ...*fakeEntry) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.viewAge = viewAge
+	e.entries = nil
+	for _, other := range entries {
+		e.entries = append(e.entries, other.self())
+	}
+}
+
 func (e *fakeEntry) renew(_ context.Context, m messenger.Renew) (messenger.RenewReply, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -121,7 +146,9 @@
 	mu     sync.Mutex
 	tasks  map[messenger.AttemptRef]*messenger.WorkerTask
 	starts map[messenger.AttemptRef]int
-	fault  func(call string) (before, after error)
+	// throttles are the throttles in order.
+	throttles []messenger.WorkerThrottle
+	fault     func(call string) (before, after error)
 }
 
 func newFakeWorker() *fakeWorker {
@@ -154,8 +181,10 @@
 				return nil
 			})
 		},
-		Renew:    func(context.Context, messenger.WorkerRenew) error { return w.act("renew", func() error { return nil }) },
-		Throttle: func(context.Context, messenger.WorkerThrottle) error { return nil },
+		Renew: func(context.Context, messenger.WorkerRenew) error { return w.act("renew", func() error { return nil }) },
+		Throttle: func(_ context.Context, throttle messenger.WorkerThrottle) error {
+			return w.act("throttle", func() error { w.throttles = append(w.throttles, throttle); return nil })
+		},
 		Stop: func(_ context.Context, stop messenger.WorkerStop) (task messenger.WorkerTask, err error) {
 			err = w.act("stop", func() error {
 				known := w.tasks[stop.Attempt]
--- a/agent/heartbeat.go
+++ b/agent/heartbeat.go
@@ -23,6 +23,9 @@
 // the settings are tried again.
 const homelessAfter = 4 * time.Second
 
+// listLife is the greatest age of the proof of a list of live entries.
+const listLife = 4 * time.Second
+
 // heartbeat announces the host to its home entries.
 type heartbeat struct {
 	clock    clockwork.Clock
@@ -42,7 +45,8 @@
 
 	mu       sync.Mutex
 	entries  []messenger.EntryAddress
-	known    int // Hash of the entries and owners of the latest answer with any.
+	provedAt time.Time
+	known    int // Hash of entries, and of the owners that came with them.
 	calling  map[string]bool
 	calls    sync.WaitGroup
 	heardAt  time.Time
@@ -76,7 +80,7 @@
 	if h.clock.Since(h.sentAt) >= millis(h.settings.IdleHeartbeatMillis, 2*time.Second) {
 		return true
 	}
-	return !sameState(h.sent, h.state()) || len(h.usage.changed()) > 0
+	return !sameState(h.sent, h.state()) || h.usage.due(h.clock.Now())
 }
 
 // sameState reports whether a and b differ in nothing but time and latency.
@@ -85,6 +89,7 @@
 		slices.EqualFunc(a.Services, b.Services, func(x, y messenger.ServiceSummary) bool {
 			x.LatencyMicros, y.LatencyMicros = 0, 0
 			x.LagMillis, y.LagMillis = 0, 0
+			x.SlowdownPermille, y.SlowdownPermille = 0, 0
 			return x == y
 		})
 }
@@ -97,9 +102,16 @@
 	h.sentAt = h.clock.Now()
 	h.sequence++
 	announce.Sequence = h.sequence
-	announce.Usage = h.usage.changed()
-	for _, address := range h.homes() {
-		if !h.call(ctx, address, announce) {
+	reports, reporting := h.usage.take(h.sentAt)
+	homes := h.homes()
+	teller := h.usage.home(h.settings.Name, len(homes))
+	for i, address := range homes {
+		told := announce
+		if reporting && i == teller {
+			told.Usage = reports
+			told.UsageSequence = h.sequence
+		}
+		if !h.call(ctx, address, told) {
 			h.sentAt = time.Time{}
 		}
 	}
@@ -113,6 +125,9 @@
 	defer h.mu.Unlock()
 	if h.calling[address] {
 		metrics.GetOrRegisterCounter("announce.skipped", h.registry).Inc(1)
+		if announce.UsageSequence > 0 {
+			h.usage.fail()
+		}
 		return false
 	}
 	h.calling[address] = true
@@ -134,21 +149,49 @@
 	var reply messenger.AnnounceReply
 	if err := h.pool.Call(ctx, address, messenger.MethodAnnounce, announce, &reply); err != nil {
 		metrics.GetOrRegisterCounter("retried.announce."+string(apricotwinch.KindOf(err)), h.registry).Inc(1)
+		h.reported(announce, false)
 		return
 	}
 	h.took(sent, reply)
-	h.usage.deliver(announce.Usage)
+	h.reported(announce, true)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.heardAt = h.clock.Now()
-	if len(reply.Entries) == 0 {
-		return
+	h.takeEntries(sent, reply)
+}
+
+// takeEntries takes the live entries from an answer to a heartbeat sent at sent;
+// an answer without them confirms those that are known. An entry that is cut off
+// from the log takes the others for gone, so that a list counts only with a fresh
+// proof, and never against a newer one.
+func (h *heartbeat) takeEntries(sent time.Time, reply messenger.AnnounceReply) {
+	age := time.Duration(reply.ViewAgeMillis) * time.Millisecond
+	proved := sent.Add(-age)
+	known := len(h.entries) > 0
+	switch {
+	case known && proved.Before(h.provedAt), known && age > listLife:
+		metrics.GetOrRegisterCounter("announce.stale_entries", h.registry).Inc(1)
+	case len(reply.Entries) > 0:
+		h.entries = reply.Entries
+		h.known = reply.Directory
+		h.provedAt = proved
+	case known && reply.Directory == h.known:
+		h.provedAt = proved
 	}
-	if len(h.entries) == 0 {
+	if !known && len(h.entries) > 0 {
 		h.wake()
 	}
-	h.entries = reply.Entries
-	h.known = reply.Directory
+}
+
+// reported notes whether the usage reports of a heartbeat, if any, arrived.
+func (h *heartbeat) reported(announce messenger.Announce, arrived bool) {
+	switch {
+	case announce.UsageSequence == 0:
+	case arrived:
+		h.usage.deliver(h.clock.Now(), announce.Usage)
+	default:
+		h.usage.fail()
+	}
 }
 
 // wake has a heartbeat sent at once.
--- a/dispatcher/entry.go
+++ b/dispatcher/entry.go
@@ -238,6 +238,7 @@
 		case <-ticker.Chan():
 		}
 		e.members.tick()
+		e.react()
 		e.views.tick(ctx)
 		if e.clock.Since(reportedAt) >= reportPeriod {
 			reportedAt = e.clock.Now()
--- a/dispatcher/partition.go
+++ b/dispatcher/partition.go
@@ -85,6 +85,7 @@
 			return
 		}
 		p.entry.count("partition.begin_retries")
+		p.entry.sleepUntil(ctx, p.entry.clock.Now().Add(ownerTick))
 	}
 }
 
@@ -193,6 +194,8 @@
 			go p.assign(ctx, action.Address, *action.Assign)
 		case action.Stop != nil:
 			go p.stop(ctx, action.Address, *action.Stop)
+		case action.Throttle != nil:
+			go p.throttle(ctx, action.Address, *action.Throttle)
 		}
 	}
 }
@@ -209,8 +212,6 @@
 
 // append makes a record of the partition durable.
 func (p *partition) append(ctx context.Context, record messenger.LedgerRecord) error {
-	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
-	defer cancel()
 	return p.entry.appendRecord(ctx, p.number, record)
 }
 
@@ -311,8 +312,22 @@
 	return n
 }
 
+// checkLog returns an error of kind LogUnavailable when the log has been failing
+// for a while. The claims stream tells: the entry appends to it all the time.
+func (e *Entry) checkLog() error {
+	if e.claimsLog.Failing() {
+		return apricotwinch.Errorf(apricotwinch.LogUnavailable, "the log is down")
+	}
+	return nil
+}
+
 // appendRecord makes a record of a partition's stream durable.
 func (e *Entry) appendRecord(ctx context.Context, number int, record messenger.LedgerRecord) error {
+	if err := e.checkLog(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
 	if record.Id == "" {
 		record.Id = uuid.NewString()
 	}
--- a/dispatcher/views.go
+++ b/dispatcher/views.go
@@ -102,11 +102,17 @@
 	if err := v.current().Check(record); err != nil {
 		return configurator.Outcome{}, err
 	}
+	if err := v.entry.checkLog(); err != nil {
+		return configurator.Outcome{}, err
+	}
 	record.Id = uuid.NewString()
 	data, err := json.Marshal(record)
 	if err != nil {
 		return configurator.Outcome{}, apricotwinch.Errorf(apricotwinch.Invalid, "value: %w", err)
 	}
+	if err := v.entry.checkLog(); err != nil {
+		return configurator.Outcome{}, err
+	}
 	if _, err := v.entry.settingsLog.Append(ctx, record.Id, data); err != nil {
 		return configurator.Outcome{}, err
 	}
