--- a/measurer/capacity_test.go
+++ b/measurer/capacity_test.go
@@ -40,6 +40,15 @@
 	}
 }
 
+// BenchmarkHomes measures agents and four entries without work, by home entries.
+func BenchmarkHomes(b *testing.B) {
+	for _, homes := range []int{1, 2, 3} {
+		b.Run(fmt.Sprintf("homes=%d", homes), func(b *testing.B) {
+			newFleet(b, shape{entries: 4, partitions: 16, hosts: 50, homes: homes, targets: true}).measure()
+		})
+	}
+}
+
 // BenchmarkPartitions measures agents without work, by partitions.
 func BenchmarkPartitions(b *testing.B) {
 	for _, partitions := range []int{16, 32, 64} {
--- a/measurer/fleet_test.go
+++ b/measurer/fleet_test.go
@@ -44,6 +44,7 @@
 	entries    int
 	partitions int
 	hosts      int
+	homes      int  // Home entries of a host, 0 for the default.
 	embedded   bool // Agents in this process instead of a process each.
 	targets    bool
 	latency    time.Duration
@@ -220,6 +221,7 @@
 	settings := agent.Settings{
 		Name: name, Region: "r", DataCentre: "dc", Rack: fmt.Sprintf("rack-%d", number/3),
 		Listen: "127.0.0.1:0", HTTP: "127.0.0.1:0", Entries: peers, Capacity: capacity, SettleMillis: &settle,
+		HomeEntries: f.shape.homes,
 	}
 	if f.shape.embedded {
 		f.embed(name, settings, worker)
