--- a/checker/ledger_model_test.go
+++ b/checker/ledger_model_test.go
@@ -80,7 +80,7 @@
 		}
 		m.jobs[record.Job] = &modelJob{offset: offset, team: record.Team, spec: *record.Spec, finished: -1, tasks: make([][]modelEvent, record.Spec.Tasks)}
 		return true
-	case job == nil:
+	case job == nil || record.Team != "" && record.Team != job.team:
 		return false
 	case record.Type == messenger.RecordCanceled:
 		return job.cancel()
