Bound the results and checkpoints in one renewal

A renewal of more than 8 MiB can't be sent, so that the ends of attempts with large results would never have reached the log. What has no room is put off, and a result over 4 MiB is a failure of its task.

--- a/leaser/attempt.go
+++ b/leaser/attempt.go
@@ -24,6 +24,7 @@
 const (
 	reasonLapsed     = "lease lapsed"
 	reasonWorkerLost = "the worker does not know the task"
+	reasonTooLarge   = "the result is over 4 MiB"
 	reasonNotStarted = "the worker did not start the task"
 )
 
--- a/leaser/leaser_test.go
+++ b/leaser/leaser_test.go
@@ -213,6 +213,39 @@
 	goldie.New(t).Assert(t, "trace", []byte(h.trace.String()))
 }
 
+// TestLargeResultsTakeTurns ends two attempts whose results don't fit into one
+// renewal, and one whose result fits into none.
+func TestLargeResultsTakeTurns(t *testing.T) {
+	h := newHost()
+	var tasks []messenger.WorkerTask
+	for task, size := range []int{3 << 20, 3 << 20, 5 << 20} {
+		command := h.command(task, 1)
+		command.Spec.Resources.ProcessorMillis = 1
+		h.Assign(h.now, command)
+		ref := messenger.AttemptRef{Job: "job", Task: task, Attempt: 1}
+		h.log("started", h.Started(h.now, leaser.IDOf(ref), nil))
+		tasks = append(tasks, messenger.WorkerTask{Attempt: ref, Phase: "completed", Result: make([]byte, size)})
+	}
+	h.log("listed", h.Listed(h.now, h.now, tasks, nil))
+	h.renewed(messenger.RenewReply{Epoch: 7})
+	var got []string
+	for range 2 {
+		var durable []messenger.AttemptRef
+		for _, r := range h.renewals[0].Reports() {
+			got = append(got, fmt.Sprintf("%d %s %d", r.Task, r.Phase, len(r.Result)))
+			if r.Phase != messenger.ReportRunning {
+				durable = append(durable, messenger.AttemptRef{Job: r.Job, Task: r.Task, Attempt: r.Attempt})
+			}
+		}
+		h.renewed(messenger.RenewReply{Epoch: 7, Durable: durable})
+		h.advance(3 * time.Second)
+	}
+	want := []string{"0 completed 3145728", "1 running 0", "2 failed 0", "1 completed 3145728"}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("reports (-want +got):\n%s", diff)
+	}
+}
+
 // TestSilentWorker ends an attempt by its lease when the worker answers nothing.
 func TestSilentWorker(t *testing.T) {
 	h := newHost()
--- a/leaser/renewal.go
+++ b/leaser/renewal.go
@@ -69,9 +69,14 @@
 	}
 }
 
+// maxReportBytes bounds the checkpoints and results in one renewal, and each of
+// them.
+const maxReportBytes = 4 << 20
+
 // agenda is what the owner of one partition must hear.
 type agenda struct {
 	reports []messenger.TaskReport
+	bytes   int
 	live    bool
 	final   bool
 }
@@ -85,20 +90,35 @@
 			continue
 		}
 		if a.routed {
-			agendas[a.partition] = agendas[a.partition].with(a.reportNow(), a.live(), a.unreported())
+			agendas[a.partition] = agendas[a.partition].with(a)
 			continue
 		}
 		for _, partition := range l.partitions() {
-			agendas[partition] = agendas[partition].with(a.probe(), true, false)
+			agendas[partition] = agendas[partition].probing(a)
 		}
 	}
 	return agendas
 }
 
-func (g agenda) with(report messenger.TaskReport, live, final bool) agenda {
+// with adds the report of a. A final report for which the message has no room is
+// put off: a is reported as running until there is.
+func (g agenda) with(a *attempt) agenda {
+	report := a.reportNow()
+	size := len(report.Checkpoint) + len(report.Result)
+	if g.bytes > 0 && g.bytes+size > maxReportBytes {
+		return g.probing(a)
+	}
+	g.bytes += size
 	g.reports = append(g.reports, report)
-	g.live = g.live || live
-	g.final = g.final || final
+	g.live = g.live || a.live()
+	g.final = g.final || a.unreported()
+	return g
+}
+
+// probing adds a as running, whether or not it is.
+func (g agenda) probing(a *attempt) agenda {
+	g.reports = append(g.reports, a.probe())
+	g.live = true
 	return g
 }
 
--- a/leaser/worker.go
+++ b/leaser/worker.go
@@ -155,7 +155,7 @@
 		a.revived = task.Phase == workerRunning && sent.After(a.endedAt)
 		return
 	}
-	if task.Checkpoint != nil {
+	if task.Checkpoint != nil && len(task.Checkpoint) <= maxReportBytes {
 		a.checkpoint = task.Checkpoint
 	}
 	if task.Phase != workerRunning {
@@ -174,6 +174,9 @@
 func (a *attempt) finalReport(task messenger.WorkerTask) messenger.TaskReport {
 	switch task.Phase {
 	case workerCompleted:
+		if len(task.Result) > maxReportBytes {
+			return messenger.TaskReport{Phase: messenger.ReportFailed, Reason: reasonTooLarge}
+		}
 		return messenger.TaskReport{Phase: messenger.ReportCompleted, Result: task.Result}
 	case workerFailed:
 		return messenger.TaskReport{Phase: messenger.ReportFailed, Reason: task.Reason}
