--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -127,6 +127,22 @@
 	h.join(t)
 }
 
+// TestDirectoryIsSentOnce holds that an agent names the lists that it knows, and
+// goes on with them when an entry leaves them out.
+func TestDirectoryIsSentOnce(t *testing.T) {
+	h := startHost(t, nil)
+	task := ref("plan", 0, 1)
+	if reply := h.assign(t, task); !reply.Accepted {
+		t.Fatalf("refused: %+v", reply)
+	}
+	eventually(t, "a renewal to the known owner", func() bool { return h.entry.report(task).Phase == messenger.ReportRunning })
+	h.entry.mu.Lock()
+	defer h.entry.mu.Unlock()
+	if beats := len(h.entry.announces); h.entry.listed > 2 || beats < 4 {
+		t.Errorf("lists in %d of %d answers", h.entry.listed, beats)
+	}
+}
+
 // TestCutOffEntryCapturesNoHost has one of two entries lose the log: it takes the
 // other for gone, and the host must go on announcing itself to both.
 func TestCutOffEntryCapturesNoHost(t *testing.T) {
--- a/agent/fixture_test.go
+++ b/agent/fixture_test.go
@@ -46,6 +46,7 @@
 	reports   map[messenger.AttemptRef]messenger.TaskReport
 	out       bool
 	viewAge   time.Duration
+	listed    int                      // Answers with entries and owners.
 	entries   []messenger.EntryAddress // Replaces the entry itself.
 }
 
@@ -78,13 +79,19 @@
 	if entries == nil {
 		entries = []messenger.EntryAddress{e.self()}
 	}
-	return messenger.AnnounceReply{
+	owners := []messenger.PartitionOwner{{Partition: 0, Epoch: 1, Entry: "e1", Address: e.address}}
+	reply := messenger.AnnounceReply{
 		Entry:         "e1",
 		DataCentreOut: e.out,
 		ViewAgeMillis: int(e.viewAge.Milliseconds()),
-		Entries:       entries,
-		Owners:        []messenger.PartitionOwner{{Partition: 0, Epoch: 1, Entry: "e1", Address: e.address}},
-	}, nil
+		Directory:     messenger.HashDirectory(entries, owners),
+	}
+	if m.Directory != reply.Directory {
+		e.listed++
+		reply.Entries = entries
+		reply.Owners = owners
+	}
+	return reply, nil
 }
 
 func (e *fakeEntry) self() messenger.EntryAddress {
--- a/agent/heartbeat.go
+++ b/agent/heartbeat.go
@@ -46,6 +46,7 @@
 	mu       sync.Mutex
 	entries  []messenger.EntryAddress
 	provedAt time.Time
+	known    int // Hash of entries, and of the owners that came with them.
 	calling  map[string]bool
 	calls    sync.WaitGroup
 	heardAt  time.Time
@@ -135,6 +136,7 @@
 		return false
 	}
 	h.calling[address] = true
+	announce.Directory = h.known
 	h.calls.Go(func() {
 		h.announce(ctx, address, announce)
 		h.mu.Lock()
@@ -163,24 +165,27 @@
 	h.takeEntries(sent, reply)
 }
 
-// takeEntries takes the live entries from an answer to a heartbeat sent at sent.
-// An entry that is cut off from the log takes the others for gone, so that a list
-// counts only with a fresh proof, and never against a newer one.
+// takeEntries takes the live entries from an answer to a heartbeat sent at sent;
+// an answer without them confirms those that are known. An entry that is cut off
+// from the log takes the others for gone, so that a list counts only with a fresh
+// proof, and never against a newer one.
 func (h *heartbeat) takeEntries(sent time.Time, reply messenger.AnnounceReply) {
-	if len(reply.Entries) == 0 {
-		return
-	}
 	age := time.Duration(reply.ViewAgeMillis) * time.Millisecond
 	proved := sent.Add(-age)
-	if len(h.entries) > 0 && (age > listLife || proved.Before(h.provedAt)) {
+	known := len(h.entries) > 0
+	switch {
+	case known && proved.Before(h.provedAt), known && age > listLife:
 		metrics.GetOrRegisterCounter("announce.stale_entries", h.registry).Inc(1)
-		return
+	case len(reply.Entries) > 0:
+		h.entries = reply.Entries
+		h.known = reply.Directory
+		h.provedAt = proved
+	case known && reply.Directory == h.known:
+		h.provedAt = proved
 	}
-	if len(h.entries) == 0 {
+	if !known && len(h.entries) > 0 {
 		h.wake()
 	}
-	h.entries = reply.Entries
-	h.provedAt = proved
 }
 
 // reported notes whether the usage reports of a heartbeat, if any, arrived.
