--- a/scheduler/bench_test.go
+++ b/scheduler/bench_test.go
@@ -28,7 +28,7 @@
 			return declared
 		},
 		Accepted: func(time.Time, apricotwinch.AttemptID) {},
-		Adopted:  func(string, scheduler.Request) {},
+		Adopted:  func(string, scheduler.Request) int { return 1000 },
 		Place: func(time.Time, scheduler.Request) (string, error) {
 			next++
 			return hostName(next % benchHosts), nil
