--- a/dispatcher/members.go
+++ b/dispatcher/members.go
@@ -339,6 +339,13 @@
 	return scheduler.Verdict{NotBefore: verdict.NotBefore()}
 }
 
+// forget drops what the judge keeps of a job that has finished.
+func (m *members) forget(job string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.judge.Forget(job)
+}
+
 // known returns the number of hosts that are known.
 func (m *members) known() int {
 	m.mu.Lock()
--- a/dispatcher/partition.go
+++ b/dispatcher/partition.go
@@ -121,6 +121,11 @@
 		return
 	}
 	p.do(ctx, p.scheduler.Applied(p.entry.clock.Now(), changes))
+	for _, change := range changes {
+		if change.Job().Finished() {
+			p.entry.members.forget(change.Job().ID())
+		}
+	}
 	if p.scheduler.Superseded() {
 		p.logger.Info("partition superseded", "by_epoch", p.book.Epoch())
 		p.closed = true
