Answer a duplicate of a settled key whether or not a target is left

Cause, found in the read-through, test failing first (TestDuplicateWithoutTarget): a duplicate of a key that had run was refused by admission or routing as not run before its key was looked up. Before: no_target with notRun true after one run. After: the first outcome; a refusal of a copy whose key another request holds is unknown. Conclusion: a key is looked up before anything can refuse its request.

--- a/dispatcher/keyed.go
+++ b/dispatcher/keyed.go
@@ -105,11 +105,49 @@
 	return k.appender.Append(ctx, record.Id, data)
 }
 
-// answerKeyed answers a request that must run at most once.
-func (e *Entry) answerKeyed(ctx context.Context, key string, r *request) (messenger.DispatchReply, error) {
-	k := e.keys[e.partitionOf(r.service.Team())]
+// keyed is a request with an idempotency key.
+type keyed struct {
+	request *request
+	keys    *keyPartition
+	hash    string
+}
+
+func (e *Entry) newKeyed(r *request) keyed {
 	sum := sha256.Sum256(r.body)
-	hash := hex.EncodeToString(sum[:])
+	return keyed{request: r, keys: e.keys[e.partitionOf(r.service.Team())], hash: hex.EncodeToString(sum[:])}
+}
+
+// lookup returns the claim that holds the key.
+func (q keyed) lookup() (deduplicator.Claim, bool) {
+	q.keys.mu.Lock()
+	defer q.keys.mu.Unlock()
+	claim, ok := q.keys.folder.Lookup(q.request.service.Team(), q.request.service.Name(), q.request.key)
+	return claim, ok && claim.Phase() != deduplicator.Released
+}
+
+// settled returns the answer that the key already has.
+func (q keyed) settled() (messenger.DispatchReply, bool) {
+	claim, ok := q.lookup()
+	answered := ok && claim.Phase() == deduplicator.Settled && claim.Answer().Outcome == messenger.OutcomeAnswered
+	return claim.Answer(), answered && claim.BodyHash() == q.hash
+}
+
+// refusal returns what the caller is told for err: a request whose key is held by
+// another copy of it may have run, whatever became of this copy.
+func (q keyed) refusal(err error) error {
+	if err == nil || !apricotwinch.KindOf(err).Answer().NotRun() {
+		return err
+	}
+	claim, ok := q.lookup()
+	if !ok || claim.Request() == q.request.id || claim.BodyHash() != q.hash {
+		return err
+	}
+	return apricotwinch.Errorf(apricotwinch.Unknown, "%s: another request with it has no outcome here yet: %w", headerKey, err)
+}
+
+// answerKeyed answers a request that must run at most once.
+func (e *Entry) answerKeyed(ctx context.Context, q keyed) (messenger.DispatchReply, error) {
+	r := q.request
 	for number := 1; ; number++ {
 		r.id = uuid.NewString()
 		target, err := e.members.choose(r, e.settings.DataCentre)
@@ -119,7 +157,7 @@
 		if number == 1 {
 			e.admission.began(r.service.Team(), target.Host())
 		}
-		x := newKeyedExchange(e, k, r, key, hash, target)
+		x := newKeyedExchange(e, q, target)
 		reply, err := x.run(ctx)
 		if err == nil {
 			return reply, nil
@@ -161,12 +199,13 @@
 	abandoned bool
 }
 
-func newKeyedExchange(e *Entry, k *keyPartition, r *request, key, hash string, target router.Target) *keyedExchange {
+func newKeyedExchange(e *Entry, q keyed, target router.Target) *keyedExchange {
+	r := q.request
 	ticket := e.members.ticket(target.Host())
-	spec := deduplicator.NewSpec(r.id, r.service.Team(), r.service.Name(), key, hash, r.deadline)
+	spec := deduplicator.NewSpec(r.id, r.service.Team(), r.service.Name(), r.key, q.hash, r.deadline)
 	return &keyedExchange{
 		entry:   e,
-		keys:    k,
+		keys:    q.keys,
 		request: r,
 		target:  target,
 		ticket:  ticket,
--- a/dispatcher/outcomes_test.go
+++ b/dispatcher/outcomes_test.go
@@ -275,3 +275,25 @@
 		t.Errorf("after %d runs: %d %s, not run %v", runs.Load(), got.status, got.body, got.notRun)
 	}
 }
+
+// TestDuplicateWithoutTarget sends a key again when no target may serve it any
+// more: the caller gets the first outcome, and is not told that it did not run.
+func TestDuplicateWithoutTarget(t *testing.T) {
+	w := start(t, nil)
+	w.configure(t)
+	w.set(t, operator, "dataCentres/ulemiste", `{"region":"harju"}`)
+	var runs atomic.Int64
+	w.addTarget(t, echo(&runs))
+	first := w.call(t, request, ketioli, "buy", "Idempotency-Key", "k")
+	leaf := w.call(t, "GET /v1/settings/teams/ketioli/services/orders", ketioli, "").body
+	_, rest, _ := strings.Cut(leaf, `"revision":`)
+	base, _, _ := strings.Cut(rest, ",")
+	elsewhere := `{"base":` + base + `,"value":{"urgency":"critical","timeoutMillis":30000,"dataCentres":["ulemiste"]}}`
+	if got := w.call(t, "PUT /v1/settings/teams/ketioli/services/orders", ketioli, elsewhere); got.status != http.StatusOK {
+		t.Fatalf("%d %s", got.status, got.body)
+	}
+	second := w.call(t, request, ketioli, "buy", "Idempotency-Key", "k")
+	if diff := cmp.Diff(first.body, second.body); diff != "" || runs.Load() != 1 {
+		t.Errorf("the same key again (-want +got):\n%s%d runs", diff, runs.Load())
+	}
+}
--- a/dispatcher/requests.go
+++ b/dispatcher/requests.go
@@ -61,11 +61,6 @@
 	if err != nil {
 		return err
 	}
-	leave, err := e.admission.admit(r.service, r.urgency)
-	if err != nil {
-		return err
-	}
-	defer leave()
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(c.ctx), r.deadline.Add(answerGrace))
 	defer cancel()
 	c.writer.Header().Set(headerRequest, r.id)
@@ -81,9 +76,24 @@
 // answer gets the answer of a keyed request once, of any other by trying.
 func (e *Entry) answer(ctx context.Context, r *request) (messenger.DispatchReply, error) {
 	if r.key == "" {
-		return e.try(ctx, r, e.send)
+		return e.admitted(r, func() (messenger.DispatchReply, error) { return e.try(ctx, r, e.send) })
+	}
+	keyed := e.newKeyed(r)
+	if reply, settled := keyed.settled(); settled {
+		return reply, nil
 	}
-	return e.answerKeyed(ctx, r.key, r)
+	reply, err := e.admitted(r, func() (messenger.DispatchReply, error) { return e.answerKeyed(ctx, keyed) })
+	return reply, keyed.refusal(err)
+}
+
+// admitted runs answer while the request holds its place at the entry.
+func (e *Entry) admitted(r *request, answer func() (messenger.DispatchReply, error)) (messenger.DispatchReply, error) {
+	leave, err := e.admission.admit(r.service, r.urgency)
+	if err != nil {
+		return messenger.DispatchReply{}, err
+	}
+	defer leave()
+	return answer()
 }
 
 func writeReply(w http.ResponseWriter, reply messenger.DispatchReply) error {
