Keep watch services running under an owner that has not read the settings

Cause, found in the read-through, test failing first (TestUnreadSettingsStopNoWatch): a new owner that could not read the settings took every watch service for removed and canceled its job. Conclusion: absence in a view counts only when the view is complete.

--- a/dispatcher/fixture_test.go
+++ b/dispatcher/fixture_test.go
@@ -57,6 +57,7 @@
 
 // world is an entry, the log that it reaches and maybe a host with a target.
 type world struct {
+	settings dispatcher.Settings
 	log      *recorder.Recorder
 	entry    *dispatcher.Entry
 	registry metrics.Registry
@@ -78,6 +79,7 @@
 	if change != nil {
 		change(&settings)
 	}
+	w.settings = settings
 	transport := &http.Transport{}
 	w.client, w.scheme = &http.Client{Transport: transport}, "http://"
 	var err error
--- a/dispatcher/watches.go
+++ b/dispatcher/watches.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
 	"strings"
 	"time"
 
@@ -14,6 +15,8 @@
 const (
 	watchPeriod = time.Second
 	watchResend = 5 * time.Second
+	// maxWatchViewAge is the greatest age of the settings that are acted on.
+	maxWatchViewAge = 6 * time.Second
 )
 
 // watchPrefix starts the ids of jobs that the settings ask for.
@@ -30,13 +33,28 @@
 	return fmt.Sprintf("%s%s.%s.%d", watchPrefix, team, name, revision)
 }
 
+// watchRevision returns the revision in the id of a watch service's job; false
+// means that the job is no such job.
+func watchRevision(id string) (int64, bool) {
+	if !strings.HasPrefix(id, watchPrefix) {
+		return 0, false
+	}
+	revision, err := strconv.ParseInt(id[strings.LastIndexByte(id, '.')+1:], 10, 64)
+	return revision, err == nil
+}
+
 // reconcileWatches submits the jobs of watch services that are missing and
-// cancels those that the settings no longer ask for; p.mu is held.
+// cancels those that the settings no longer ask for; without a fresh proof that
+// the settings are known whole it does neither. p.mu is held.
 func (p *partition) reconcileWatches(ctx context.Context, now time.Time) {
 	if now.Sub(p.watches.at) < watchPeriod {
 		return
 	}
 	p.watches.at = now
+	if p.entry.views.age() > maxWatchViewAge {
+		p.entry.count("watch.stale_view")
+		return
+	}
 	view := p.entry.views.current()
 	wanted := make(map[string]bool)
 	ready := make(map[string]bool)
@@ -48,7 +66,7 @@
 			p.want(ctx, now, view, watch, wanted, ready)
 		}
 	}
-	p.cancelUnwanted(ctx, now, wanted, ready)
+	p.cancelUnwanted(ctx, now, view.Revision(), wanted, ready)
 }
 
 // want submits the job of a watch service unless it is known.
@@ -72,10 +90,12 @@
 }
 
 // cancelUnwanted cancels jobs of older revisions once the job of the newer one
-// runs, and those of watch services that were removed.
-func (p *partition) cancelUnwanted(ctx context.Context, now time.Time, wanted, ready map[string]bool) {
+// runs, and those of watch services that were removed. A job of a later revision
+// than the view's is one that the view has not seen yet.
+func (p *partition) cancelUnwanted(ctx context.Context, now time.Time, seen int64, wanted, ready map[string]bool) {
 	for job := range p.book.All() {
-		if !strings.HasPrefix(job.ID(), watchPrefix) || job.Canceled() || wanted[job.ID()] {
+		revision, ok := watchRevision(job.ID())
+		if !ok || revision > seen || job.Canceled() || wanted[job.ID()] {
 			continue
 		}
 		running, replaced := ready[job.Team()+"."+job.Spec().Name]
