Evict nothing from a data centre that the settings don't list yet

Cause, found in the read-through, test failing first (TestUnreadSettingsEvictNothing): a data centre that is not listed counts as out, and an entry that has not read the settings lists none; as the new owner of a partition it would have evicted everything that ran. Before: evicts. After: what runs is evicted only from a data centre that is listed and out; new work still goes only where the settings allow it. Conclusion: the safe answer differs between starting and stopping.

--- a/dispatcher/members.go
+++ b/dispatcher/members.go
@@ -197,11 +197,14 @@
 	}
 }
 
-// out reports whether a data centre is out of service.
+// out reports whether operators took a data centre out of service, so that what
+// runs there is evicted. One that the settings don't list, or don't list yet, gets
+// no new work, but keeps what runs.
 func (m *members) out(dataCentre string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.view.DataCentreOut(dataCentre)
+	known, ok := m.view.DataCentre(dataCentre)
+	return ok && known.Out()
 }
 
 // seams returns what a scheduler needs of the hosts.
--- a/dispatcher/watches_test.go
+++ b/dispatcher/watches_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net/http"
 	"testing"
 	"time"
 
@@ -58,3 +59,24 @@
 		t.Errorf("%d watch services were canceled", canceled)
 	}
 }
+
+// TestUnreadSettingsEvictNothing asks an entry that has not read the settings
+// whether it evicts what runs in a data centre, and one that read an order to.
+func TestUnreadSettingsEvictNothing(t *testing.T) {
+	w := start(t, nil)
+	unread, err := dispatcher.New(w.settings, dispatcher.Deps{
+		Log: appender.NewHTTP(w.settings.Log, w.client), Clock: clockwork.NewRealClock(), Logger: hclog.NewNullLogger(),
+		Registry: metrics.NewRegistry(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if unread.Evacuated("kopli") {
+		t.Error("an entry that has not read the settings evicts")
+	}
+	w.configure(t)
+	if got := w.call(t, "POST /v1/data-centres/kopli/out", operator, ""); got.status != http.StatusOK {
+		t.Fatalf("%d %s", got.status, got.body)
+	}
+	eventually(t, "the order", func() bool { return w.entry.Evacuated("kopli") })
+}
