Build the commands of one argument in one place; drop an unused seam

Cause, found in the last read-through: the job and the data-centre commands wrote the same frame twice, and try took a sender that was always the same. Ruled out: the like-shaped configurations of router and retrier and the test fixtures, which differ in what they hold. Before: two frames, one function type with one value. After: one frame, a plain call; 8 lines fewer. commander and dispatcher pass with the race detector, golden help texts unchanged; the linter is clean. Conclusion: behaviour is as before.

--- a/commander/commander.go
+++ b/commander/commander.go
@@ -174,3 +174,23 @@
 func (c *command) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	return c.run(ctx, flags.Args())
 }
+
+// oneArgument returns a command that calls an entry about the one argument that
+// it takes, a what.
+func oneArgument(c *console, what, name, synopsis, usage string, call func(context.Context, *target, string) subcommands.ExitStatus) subcommands.Command {
+	t := &target{}
+	return &command{
+		name:     name,
+		synopsis: synopsis,
+		usage:    usage,
+		setFlags: t.setFlags,
+		run: func(ctx context.Context, args []string) subcommands.ExitStatus {
+			if len(args) != 1 {
+				return c.usage("%s takes one %s", name, what)
+			}
+			ctx, cancel := context.WithTimeout(ctx, callTimeout)
+			defer cancel()
+			return call(ctx, t, args[0])
+		},
+	}
+}
--- a/commander/jobs.go
+++ b/commander/jobs.go
@@ -242,22 +242,10 @@
 
 // jobCommand returns a command that changes one job.
 func jobCommand(c *console, name, synopsis, usage string, change func(context.Context, *target, string) error) subcommands.Command {
-	t := &target{}
-	return &command{
-		name:     name,
-		synopsis: synopsis,
-		usage:    usage,
-		setFlags: t.setFlags,
-		run: func(ctx context.Context, args []string) subcommands.ExitStatus {
-			if len(args) != 1 {
-				return c.usage("%s takes one job", name)
-			}
-			ctx, cancel := context.WithTimeout(ctx, callTimeout)
-			defer cancel()
-			if err := change(ctx, t, args[0]); err != nil {
-				return c.fail(err)
-			}
-			return subcommands.ExitSuccess
-		},
-	}
+	return oneArgument(c, "job", name, synopsis, usage, func(ctx context.Context, t *target, job string) subcommands.ExitStatus {
+		if err := change(ctx, t, job); err != nil {
+			return c.fail(err)
+		}
+		return subcommands.ExitSuccess
+	})
 }
--- a/commander/operators.go
+++ b/commander/operators.go
@@ -145,22 +145,10 @@
 }
 
 func switchCommand(c *console, name, synopsis, usage string, out bool) subcommands.Command {
-	t := &target{}
-	return &command{
-		name:     name,
-		synopsis: synopsis,
-		usage:    usage,
-		setFlags: t.setFlags,
-		run: func(ctx context.Context, args []string) subcommands.ExitStatus {
-			if len(args) != 1 {
-				return c.usage("%s takes one data centre", name)
-			}
-			ctx, cancel := context.WithTimeout(ctx, callTimeout)
-			defer cancel()
-			answer, err := t.requester().SwitchDataCentre(ctx, args[0], out)
-			return c.printSettings(t, []messenger.SettingsAnswer{answer}, err)
-		},
-	}
+	return oneArgument(c, "data centre", name, synopsis, usage, func(ctx context.Context, t *target, dataCentre string) subcommands.ExitStatus {
+		answer, err := t.requester().SwitchDataCentre(ctx, dataCentre, out)
+		return c.printSettings(t, []messenger.SettingsAnswer{answer}, err)
+	})
 }
 
 func targetsCommand(c *console) subcommands.Command {
--- a/dispatcher/requests.go
+++ b/dispatcher/requests.go
@@ -76,7 +76,7 @@
 // answer gets the answer of a keyed request once, of any other by trying.
 func (e *Entry) answer(ctx context.Context, r *request) (messenger.DispatchReply, error) {
 	if r.key == "" {
-		return e.admitted(r, func() (messenger.DispatchReply, error) { return e.try(ctx, r, e.send) })
+		return e.admitted(r, func() (messenger.DispatchReply, error) { return e.try(ctx, r) })
 	}
 	keyed := e.newKeyed(r)
 	if reply, settled := keyed.settled(); settled {
@@ -171,13 +171,9 @@
 	return now.Add(time.Duration(timeout) * time.Millisecond), nil
 }
 
-// sender sends one try of a request to a target. Its error has the kind that
-// the retrier judges; an answer is returned without an error.
-type sender func(ctx context.Context, r *request, target router.Target) (messenger.DispatchReply, error)
-
 // try sends a request to one target after another until one answers, or the
 // retrier allows no further try.
-func (e *Entry) try(ctx context.Context, r *request, send sender) (messenger.DispatchReply, error) {
+func (e *Entry) try(ctx context.Context, r *request) (messenger.DispatchReply, error) {
 	var settled error
 	for number := 1; ; number++ {
 		target, err := e.members.choose(r, e.settings.DataCentre)
@@ -187,7 +183,7 @@
 		if number == 1 {
 			e.admission.began(r.service.Team(), target.Host())
 		}
-		reply, err := send(ctx, r, target)
+		reply, err := e.send(ctx, r, target)
 		if err == nil {
 			return reply, nil
 		}
