--- /dev/null
+++ b/cataloger/cataloger.go
@@ -0,0 +1,106 @@
+// Package cataloger keeps the queues that operators configured and finds the
+// queue of a request.
+package cataloger
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"apricotwinch"
+)
+
+// Queue is where workloads of one kind are handed in.
+type Queue struct {
+	// Name names the queue.
+	Name string
+	// Host and Prefix select the queue: the host of a request, and the longest
+	// prefix of its path.
+	Host, Prefix string
+	// Service names the executors that run the queue's tasks.
+	Service string
+	// Priority is the rank of the queue; 0 comes first.
+	Priority int
+	// MaxAttempts is the number of failed runs after which a task has failed.
+	MaxAttempts int
+	// Stretch times the longest chain of work, and Objective more, is how long a
+	// workload may take.
+	Stretch   float64
+	Objective time.Duration
+	// Timeout bounds the answer to a request.
+	Timeout time.Duration
+}
+
+// Catalog is one version of the configuration.
+type Catalog struct {
+	version   int
+	bodyBytes int64
+	byName    map[string]*Queue
+	byHost    map[string][]*Queue
+}
+
+// New returns the catalog of version with queues, and the greatest length of a
+// request's body.
+func New(version int, bodyBytes int64, queues []Queue) *Catalog {
+	c := &Catalog{version: version, bodyBytes: bodyBytes, byName: map[string]*Queue{}, byHost: map[string][]*Queue{}}
+	for i := range queues {
+		q := &queues[i]
+		c.byName[q.Name] = q
+		c.byHost[q.Host] = append(c.byHost[q.Host], q)
+	}
+	for _, list := range c.byHost {
+		slices.SortStableFunc(list, func(a, b *Queue) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	return c
+}
+
+// document is a catalog as entries tell it to each other.
+type document struct {
+	Version   int     `json:"version"`
+	BodyBytes int64   `json:"bodyBytes"`
+	Queues    []Queue `json:"queues"`
+}
+
+// Encode returns the catalog in the form that Decode takes.
+func (c *Catalog) Encode() (string, error) {
+	d := document{Version: c.version, BodyBytes: c.bodyBytes}
+	for _, q := range c.byName {
+		d.Queues = append(d.Queues, *q)
+	}
+	slices.SortFunc(d.Queues, func(a, b Queue) int { return cmp.Compare(a.Name, b.Name) })
+	data, err := json.Marshal(d)
+	return string(data), err
+}
+
+// Decode returns the catalog that Encode encoded.
+func Decode(encoded string) (*Catalog, error) {
+	var d document
+	if err := json.Unmarshal([]byte(encoded), &d); err != nil {
+		return nil, apricotwinch.Errorf(apricotwinch.Invalid, "catalog: %w", err)
+	}
+	return New(d.Version, d.BodyBytes, d.Queues), nil
+}
+
+// Version returns the version, which rises with each change.
+func (c *Catalog) Version() int { return c.version }
+
+// BodyBytes returns the greatest length of a request's body.
+func (c *Catalog) BodyBytes() int64 { return c.bodyBytes }
+
+// Match returns the queue of a request and what follows the prefix in its path.
+func (c *Catalog) Match(host, path string) (*Queue, string, bool) {
+	for _, q := range c.byHost[host] {
+		if rest, ok := strings.CutPrefix(path, q.Prefix); ok {
+			return q, rest, true
+		}
+	}
+	return nil, "", false
+}
+
+// Queue returns the queue called name.
+func (c *Catalog) Queue(name string) (*Queue, bool) {
+	q, ok := c.byName[name]
+	return q, ok
+}
--- a/commander/daemons.go
+++ b/commander/daemons.go
@@ -15,12 +15,41 @@
 	"apricotwinch/agent"
 	"apricotwinch/appender"
 	"apricotwinch/dispatcher"
+	"apricotwinch/platform"
 	"apricotwinch/reporter"
 )
 
 func init() {
 	register(groupDaemons, entryCommand)
 	register(groupDaemons, agentCommand)
+	register(groupDaemons, platformCommand("platform-entry", "run an entry on the users' platform", platform.RunEntry))
+	register(groupDaemons, platformCommand("platform-agent", "run an agent on the users' platform", platform.RunAgent))
+}
+
+// platformCommand returns a command that runs a daemon with the platform's
+// settings file until SIGTERM.
+func platformCommand(name, synopsis string, run func(context.Context) error) func(*console) subcommands.Command {
+	return func(c *console) subcommands.Command {
+		return &command{
+			name:     name,
+			synopsis: synopsis,
+			usage: name + `
+
+The platform's environment names the settings file.
+
+  apricotwinch ` + name + `
+`,
+			run: func(ctx context.Context, args []string) subcommands.ExitStatus {
+				if len(args) > 0 {
+					return c.usage("%s takes no arguments", name)
+				}
+				if err := run(ctx); err != nil {
+					return c.fail(err)
+				}
+				return subcommands.ExitSuccess
+			},
+		}
+	}
 }
 
 // Bounds of the connections of a daemon to the platform.
--- /dev/null
+++ b/conductor/conductor.go
@@ -0,0 +1,345 @@
+// Package conductor decides for the owner of all workloads: what is accepted,
+// which task starts where and when, what is stopped, and what must be durable
+// before anyone is told.
+//
+// A Conductor is fed requests, the reports of agents and the time. It returns
+// records to append and orders to send. It does no I/O, starts no goroutine and
+// gives the same decisions for the same events. It is not safe for concurrent use.
+package conductor
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
+
+	"apricotwinch"
+	"apricotwinch/appender"
+	"apricotwinch/cataloger"
+	"apricotwinch/messenger"
+)
+
+// Keys of the journal of work.
+const (
+	// KeyOwner holds an OwnerRecord.
+	KeyOwner       = "owner"
+	prefixHost     = "h/"
+	prefixWork     = "w/"
+	prefixProgress = "p/"
+)
+
+// inheritedRuns is the distance between the highest run that an owner knows of
+// a task that an earlier one may have started, and the run that it starts. No
+// task is started so often under one owner.
+const inheritedRuns = 1000
+
+// Conductor is the state of all workloads at their owner.
+type Conductor struct {
+	config   Config
+	logger   hclog.Logger
+	registry metrics.Registry
+
+	epoch     int64
+	startAt   time.Time
+	clean     bool
+	catalog   *cataloger.Catalog
+	out       map[string]bool
+	jobs      map[string]*workload
+	scheduled []*workload
+	ended     []*workload
+	hosts     map[string]*host
+	runs      map[messenger.RunRef]*run
+	steps     []*step
+
+	sequence int64
+	durable  int64
+	urgent   bool
+	dirty    []*workload
+	records  []appender.KeyedRecord
+	orders   map[string]*messenger.Orders
+}
+
+// New returns the conductor of an owner whose epoch began at now. A clean start
+// is one whose last owner is known to have stopped.
+func New(now time.Time, config Config, epoch int64, clean bool, logger hclog.Logger, registry metrics.Registry) *Conductor {
+	return &Conductor{
+		config:   config,
+		logger:   logger,
+		registry: registry,
+		epoch:    epoch,
+		startAt:  now,
+		clean:    clean,
+		out:      map[string]bool{},
+		jobs:     map[string]*workload{},
+		hosts:    map[string]*host{},
+		runs:     map[messenger.RunRef]*run{},
+		orders:   map[string]*messenger.Orders{},
+	}
+}
+
+// Epoch returns the owner's epoch.
+func (c *Conductor) Epoch() int64 { return c.epoch }
+
+// Restore takes the newest records of the journal, once, before anything else.
+func (c *Conductor) Restore(now time.Time, records []appender.KeyedRecord) error {
+	progress := map[string]messenger.ProgressRecord{}
+	for _, r := range records {
+		if id, ok := strings.CutPrefix(r.Key(), prefixProgress); ok {
+			var p messenger.ProgressRecord
+			if err := json.Unmarshal(r.Value(), &p); err != nil {
+				return apricotwinch.Errorf(apricotwinch.Invalid, "record %s: %w", r.Key(), err)
+			}
+			progress[id] = p
+		}
+	}
+	for _, r := range records {
+		if err := c.restore(now, r, progress); err != nil {
+			return err
+		}
+	}
+	slices.SortFunc(c.steps, compareSteps)
+	return nil
+}
+
+func (c *Conductor) restore(now time.Time, r appender.KeyedRecord, progress map[string]messenger.ProgressRecord) error {
+	if name, ok := strings.CutPrefix(r.Key(), prefixHost); ok {
+		var record messenger.HostRecord
+		if err := json.Unmarshal(r.Value(), &record); err != nil {
+			return apricotwinch.Errorf(apricotwinch.Invalid, "record %s: %w", r.Key(), err)
+		}
+		c.hosts[name] = newHost(name, record.Address, c.inheritedUntil(now))
+		c.hosts[name].durable = true
+		return nil
+	}
+	if !strings.HasPrefix(r.Key(), prefixWork) {
+		return nil
+	}
+	var record messenger.WorkloadRecord
+	if err := json.Unmarshal(r.Value(), &record); err != nil {
+		return apricotwinch.Errorf(apricotwinch.Invalid, "record %s: %w", r.Key(), err)
+	}
+	w := newWorkload(record.Queue, record.Id, record.Spec, int64(record.Epoch), time.UnixMilli(int64(record.AcceptedMillis)))
+	if p, ok := progress[record.Id]; ok {
+		if err := w.restore(p); err != nil {
+			return err
+		}
+	}
+	w.shown = w.state
+	w.unstarted = w.state == messenger.WorkloadQueued
+	c.insert(w)
+	if w.terminal() {
+		c.ended = append(c.ended, w)
+		return nil
+	}
+	for _, o := range w.occurrences {
+		for _, t := range o.tasks() {
+			t.inherited = true
+		}
+	}
+	return nil
+}
+
+// inheritedUntil returns when the runs of a host that the last owner used have
+// provably ended, if the host stays silent.
+func (c *Conductor) inheritedUntil(now time.Time) time.Time {
+	until := now.Add(c.config.Lease + c.config.Margin)
+	if !c.clean {
+		until = until.Add(c.config.Authority)
+	}
+	return until
+}
+
+func newWorkload(queue, id string, spec messenger.WorkloadSpec, epoch int64, at time.Time) *workload {
+	w := &workload{id: id, queue: queue, spec: spec, epoch: epoch, acceptedAt: at, state: messenger.WorkloadQueued, unstarted: true}
+	if w.spec.Repeats <= 0 {
+		w.grow()
+	}
+	return w
+}
+
+// insert takes a workload into the tables and queues what is due of it.
+func (c *Conductor) insert(w *workload) {
+	c.jobs[w.id] = w
+	if w.terminal() {
+		return
+	}
+	if w.spec.Repeats > 0 {
+		c.scheduled = append(c.scheduled, w)
+	}
+	for _, o := range w.occurrences {
+		c.enqueue(o)
+	}
+}
+
+// SetCatalog takes a version of the configuration.
+func (c *Conductor) SetCatalog(catalog *cataloger.Catalog) {
+	if c.catalog != nil && catalog.Version() <= c.catalog.Version() {
+		return
+	}
+	c.catalog = catalog
+	for _, s := range c.steps {
+		s.occurrence.work.rank(c)
+	}
+	slices.SortFunc(c.steps, compareSteps)
+}
+
+// SetOut takes the data centres that are out of service.
+func (c *Conductor) SetOut(out map[string]bool) { c.out = out }
+
+// Submit hands in a workload. It returns the write that must be durable before
+// the caller is told that the workload was accepted.
+func (c *Conductor) Submit(now time.Time, request messenger.WorkloadRequest) (int64, error) {
+	if w, ok := c.jobs[request.Id]; ok {
+		return w.durableAt, nil
+	}
+	if request.Spec == nil {
+		return 0, apricotwinch.Errorf(apricotwinch.Invalid, "spec: is missing")
+	}
+	w := newWorkload(request.Queue, request.Id, *request.Spec, c.epoch, now)
+	w.dirtySpec = true
+	c.insert(w)
+	c.touch(w, true)
+	c.count("workloads.accepted")
+	c.logger.Info("workload accepted", "workload", w.id, "queue", w.queue, "steps", len(w.spec.Steps), "write", w.durableAt)
+	return w.durableAt, nil
+}
+
+// Cancel cancels a workload. It returns the write that must be durable before
+// the caller is told.
+func (c *Conductor) Cancel(now time.Time, id string) (int64, error) {
+	w, ok := c.jobs[id]
+	if !ok {
+		return 0, apricotwinch.Errorf(apricotwinch.NotFound, "workload: %s is not known", id)
+	}
+	if !w.terminal() {
+		c.logger.Info("workload canceled", "workload", id, "state", w.state)
+		c.end(now, w, messenger.WorkloadCanceled)
+	}
+	return w.durableAt, nil
+}
+
+// Show returns the state of a workload that is durable.
+func (c *Conductor) Show(id string) (string, error) {
+	w, ok := c.jobs[id]
+	if !ok || w.shown == "" {
+		return "", apricotwinch.Errorf(apricotwinch.NotFound, "workload: %s is not known", id)
+	}
+	if w.shown == messenger.WorkloadQueued && !w.unstarted {
+		return messenger.WorkloadRunning, nil
+	}
+	return w.shown, nil
+}
+
+// Waiting returns how many accepted workloads of a queue have started no task.
+func (c *Conductor) Waiting(queue string) int {
+	n := 0
+	for _, w := range c.jobs {
+		if w.queue == queue && w.unstarted && !w.terminal() {
+			n++
+		}
+	}
+	return n
+}
+
+// end puts a workload into a terminal state and stops what runs of it.
+func (c *Conductor) end(now time.Time, w *workload, state string) {
+	w.state = state
+	w.endedAt = now
+	c.ended = append(c.ended, w)
+	for _, o := range w.occurrences {
+		for _, t := range o.tasks() {
+			if t.current != nil {
+				c.stop(t.current)
+			}
+		}
+	}
+	c.touch(w, true)
+	c.count("workloads." + state)
+}
+
+// touch notes that a workload's progress must be written; urgent means at once.
+func (c *Conductor) touch(w *workload, urgent bool) {
+	if !w.dirty {
+		w.dirty = true
+		c.dirty = append(c.dirty, w)
+	}
+	w.durableAt = c.sequence + 1
+	c.urgent = c.urgent || urgent
+}
+
+// Wants reports whether there is something to write, and whether it is urgent.
+func (c *Conductor) Wants() (any, urgent bool) {
+	return len(c.dirty) > 0 || len(c.records) > 0, c.urgent
+}
+
+// TakeWrites returns the records of the next append and its number.
+func (c *Conductor) TakeWrites() ([]appender.KeyedRecord, int64) {
+	c.sequence++
+	records := c.records
+	for _, w := range c.dirty {
+		if w.dirtySpec {
+			records = append(records, encode(prefixWork+w.id, messenger.WorkloadRecord{
+				Queue: w.queue, Id: w.id, Epoch: int(w.epoch), Spec: w.spec, AcceptedMillis: int(w.acceptedAt.UnixMilli()),
+			}))
+			w.dirtySpec = false
+		}
+		records = append(records, encode(prefixProgress+w.id, w.progress()))
+		w.dirty = false
+	}
+	c.dirty = nil
+	c.records = nil
+	c.urgent = false
+	return records, c.sequence
+}
+
+// encode returns a record; the types of records always encode.
+func encode(key string, value any) appender.KeyedRecord {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	return appender.NewKeyedRecord(key, data)
+}
+
+// Written takes that the append with a number, and all before it, are durable.
+func (c *Conductor) Written(number int64, records []appender.KeyedRecord) {
+	c.durable = number
+	for _, r := range records {
+		if name, ok := strings.CutPrefix(r.Key(), prefixHost); ok {
+			if h := c.hosts[name]; h != nil {
+				h.durable = true
+			}
+		}
+		id, ok := strings.CutPrefix(r.Key(), prefixProgress)
+		if !ok {
+			continue
+		}
+		if w := c.jobs[id]; w != nil && w.durableAt <= number {
+			w.shown = w.state
+		} else if w != nil && w.shown == "" {
+			w.shown = messenger.WorkloadQueued
+		}
+	}
+	for _, h := range c.hosts {
+		for _, e := range h.executors {
+			c.acknowledge(h, e)
+		}
+	}
+}
+
+// Durable returns the number of the last append that is durable.
+func (c *Conductor) Durable() int64 { return c.durable }
+
+// TakeOrders returns the orders that wait for hosts, by the address of the agent.
+func (c *Conductor) TakeOrders() map[string]*messenger.Orders {
+	orders := c.orders
+	c.orders = map[string]*messenger.Orders{}
+	return orders
+}
+
+func (c *Conductor) count(name string) {
+	metrics.GetOrRegisterCounter(name, c.registry).Inc(1)
+}
--- /dev/null
+++ b/conductor/config.go
@@ -0,0 +1,54 @@
+package conductor
+
+import "time"
+
+// Config holds the bounds of a Conductor.
+type Config struct {
+	// Lease is how long a host's runs go on after the report whose answer renewed
+	// them was sent.
+	Lease time.Duration
+	// Margin is added before the runs of a silent host count as ended: the clock
+	// of an executor may run 2% slow, and messages travel.
+	Margin time.Duration
+	// Authority is how long an earlier owner may have acted after it was fenced.
+	Authority time.Duration
+	// UrgentReserve is the part of an executor's processors, 0 to 1, that lasting
+	// tasks leave free for others.
+	UrgentReserve float64
+	// ServingUse is the part of its processors that a lasting task is expected to
+	// use; the rest is for tasks that fill.
+	ServingUse float64
+	// FillShare is how much the tasks that fill may ask for, as a multiple of what
+	// the others are expected to leave.
+	FillShare float64
+	// Backoff is the delay before a task that failed runs again; it doubles with
+	// each failure in a row, up to MaxBackoff.
+	Backoff, MaxBackoff time.Duration
+	// FailureStreak is the number of failures in a row, of several workloads, from
+	// which on an executor gets work only where no other one can take it.
+	FailureStreak int
+	// StreakLife is how long after the last failure that lasts.
+	StreakLife time.Duration
+	// Keep is how long the state of a workload that ended can be asked for.
+	Keep time.Duration
+	// ForgetHost is how long a host is silent before it is forgotten.
+	ForgetHost time.Duration
+}
+
+// DefaultConfig returns the bounds used by the owner.
+func DefaultConfig() Config {
+	return Config{
+		Lease:         4 * time.Second,
+		Margin:        400 * time.Millisecond,
+		Authority:     4 * time.Second,
+		UrgentReserve: 0.1,
+		ServingUse:    0.5,
+		FillShare:     1,
+		Backoff:       50 * time.Millisecond,
+		MaxBackoff:    time.Second,
+		FailureStreak: 3,
+		StreakLife:    4 * time.Second,
+		Keep:          150 * time.Second,
+		ForgetHost:    time.Minute,
+	}
+}
--- /dev/null
+++ b/conductor/place.go
@@ -0,0 +1,282 @@
+package conductor
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"apricotwinch"
+	"apricotwinch/appender"
+	"apricotwinch/cataloger"
+	"apricotwinch/messenger"
+)
+
+// lowestRank is the rank of a workload whose queue is not configured any more.
+const lowestRank = 1 << 20
+
+// queue returns the queue of a workload.
+func (c *Conductor) queue(w *workload) (*cataloger.Queue, bool) {
+	if c.catalog == nil {
+		return nil, false
+	}
+	return c.catalog.Queue(w.queue)
+}
+
+// rank returns the rank of a workload's queue; 0 comes first.
+func (w *workload) rank(c *Conductor) int {
+	if q, ok := c.queue(w); ok {
+		return q.Priority
+	}
+	return lowestRank
+}
+
+func compareSteps(a, b *step) int {
+	x, y := a.occurrence.work, b.occurrence.work
+	return cmp.Or(
+		cmp.Compare(class(a), class(b)),
+		x.acceptedAt.Compare(y.acceptedAt),
+		cmp.Compare(x.id, y.id),
+		cmp.Compare(a.number, b.number),
+	)
+}
+
+// class orders steps: tasks with room of their own before those that fill.
+func class(s *step) int {
+	if s.spec.Fills {
+		return 1
+	}
+	return 0
+}
+
+// enqueue queues the steps of an occurrence whose turn has come.
+func (c *Conductor) enqueue(o *occurrence) {
+	for _, s := range o.steps {
+		if s.waiting > 0 && s.ready() {
+			c.queueStep(s)
+		}
+	}
+}
+
+func (c *Conductor) queueStep(s *step) {
+	if s.queued || s.occurrence.work.terminal() {
+		return
+	}
+	s.queued = true
+	at, _ := slices.BinarySearchFunc(c.steps, s, compareSteps)
+	c.steps = slices.Insert(c.steps, at, s)
+}
+
+// begin grows the occurrences that are due.
+func (c *Conductor) begin(wall time.Time) {
+	c.scheduled = slices.DeleteFunc(c.scheduled, func(w *workload) bool {
+		for !w.terminal() && len(w.occurrences) < w.count() && !wall.Before(w.due(len(w.occurrences))) {
+			c.enqueue(w.grow())
+			c.touch(w, false)
+		}
+		return w.terminal() || len(w.occurrences) >= w.count()
+	})
+}
+
+// Schedule starts the tasks that wait and have room.
+func (c *Conductor) Schedule(now time.Time) {
+	settled := c.settled(now)
+	pool := c.usable()
+	c.steps = slices.DeleteFunc(c.steps, func(s *step) bool {
+		w := s.occurrence.work
+		if w.terminal() || s.waiting == 0 {
+			s.queued = false
+			return true
+		}
+		if w.shown == "" {
+			return false
+		}
+		if q, ok := c.queue(w); ok {
+			c.scheduleStep(now, s, q, pool[q.Service], settled)
+		}
+		s.queued = s.waiting > 0
+		return !s.queued
+	})
+}
+
+// usable returns the executors that may get work, by service.
+func (c *Conductor) usable() map[string][]*executor {
+	pool := map[string][]*executor{}
+	for _, h := range c.hosts {
+		if !h.durable || !h.reported {
+			continue
+		}
+		for _, e := range h.executors {
+			if e.reachable && !e.draining && !c.out[e.dc] {
+				pool[e.service] = append(pool[e.service], e)
+			}
+		}
+	}
+	for _, list := range pool {
+		slices.SortFunc(list, func(a, b *executor) int { return cmp.Compare(a.id, b.id) })
+	}
+	return pool
+}
+
+// scheduleStep starts what it can of one step.
+func (c *Conductor) scheduleStep(now time.Time, s *step, q *cataloger.Queue, pool []*executor, settled bool) {
+	for _, t := range s.tasks {
+		if s.waiting == 0 {
+			return
+		}
+		if t.done || t.current != nil || now.Before(t.notBefore) || t.inherited && !settled {
+			continue
+		}
+		e := c.choose(now, t, pool)
+		if e == nil {
+			return
+		}
+		c.start(now, t, e)
+	}
+}
+
+// choose returns the executor for a task, or nil when none has room.
+func (c *Conductor) choose(now time.Time, t *task, pool []*executor) *executor {
+	var best *executor
+	bestCost := 0.0
+	for _, e := range pool {
+		if !c.fits(t.step, e) {
+			continue
+		}
+		if cost := c.cost(now, t, e); best == nil || cost < bestCost {
+			best, bestCost = e, cost
+		}
+	}
+	return best
+}
+
+// fits reports whether an executor has room for one more task of a step.
+func (c *Conductor) fits(s *step, e *executor) bool {
+	need := s.need
+	if s.spec.Label != "" && !e.labels[s.spec.Label] {
+		return false
+	}
+	if s.spec.MaxPerExecutor > 0 && e.holds(s) >= s.spec.MaxPerExecutor {
+		return false
+	}
+	if s.spec.Fills {
+		if float64(e.filling+need.ProcessorMillis()) > c.config.FillShare*c.unused(e) {
+			return false
+		}
+		need = apricotwinch.NewResources(0, need.MemoryBytes(), need.Accelerators())
+	}
+	capacity := e.capacity
+	if s.spec.Lasting {
+		reserve := int64(c.config.UrgentReserve * float64(capacity.ProcessorMillis()))
+		capacity = capacity.Sub(apricotwinch.NewResources(reserve, 0, 0))
+	}
+	return e.committed.Add(need).Fits(capacity)
+}
+
+// holds returns the number of tasks of a step on the executor.
+func (e *executor) holds(s *step) int {
+	n := 0
+	for _, r := range e.runs {
+		if r.task.step == s {
+			n++
+		}
+	}
+	return n
+}
+
+// unused returns the processors, in thousandths, that tasks with room of their
+// own are expected to leave.
+func (c *Conductor) unused(e *executor) float64 {
+	return float64(e.capacity.ProcessorMillis()-e.committed.ProcessorMillis()) + (1-c.config.ServingUse)*float64(e.serving)
+}
+
+// Costs of an executor, in shares of its processors.
+const (
+	costAvoided = 10
+	costFailing = 100
+	costFar     = 2
+)
+
+// cost ranks executors with room; the lowest is chosen.
+func (c *Conductor) cost(now time.Time, t *task, e *executor) float64 {
+	capacity := float64(e.capacity.ProcessorMillis())
+	cost := float64(e.committed.ProcessorMillis()) / capacity
+	if t.step.spec.Fills {
+		cost = float64(e.filling) / max(1, c.unused(e))
+	}
+	if t.avoid == e {
+		cost += costAvoided
+	}
+	if e.streak >= c.config.FailureStreak && now.Sub(e.failedAt) < c.config.StreakLife {
+		cost += costFailing
+	}
+	if t.step.spec.Rack != "" && t.step.spec.Rack != e.rack {
+		cost += costFar
+	}
+	return cost
+}
+
+// start orders the next run of a task.
+func (c *Conductor) start(now time.Time, t *task, e *executor) {
+	number := t.highest + 1
+	if t.inherited {
+		number = t.highest + inheritedRuns
+	}
+	orders := c.ordersFor(e.host)
+	r := &run{
+		ref:      messenger.RunRef{Task: t.ref, Run: number},
+		task:     t,
+		executor: e,
+		order:    orders.Number,
+		phase:    messenger.RunStarting,
+		since:    now,
+	}
+	c.hold(r)
+	spec := t.step.spec
+	orders.Starts = append(orders.Starts, messenger.RunOrder{
+		Run:              r.ref,
+		Executor:         e.id,
+		Payload:          t.step.occurrence.work.spec.Payload,
+		Resources:        spec.Resources,
+		Checkpoint:       t.checkpoint,
+		Fills:            spec.Fills,
+		TailTargetMillis: spec.TailTargetMillis,
+		Image:            spec.Image,
+	})
+	c.count("runs.ordered")
+	if c.logger.IsInfo() {
+		c.logger.Info("run ordered", "run", r.ref, "executor", e.id, "host", e.host.name, "order", r.order,
+			"committed", e.committed.String(), "filling", e.filling, "resumed", t.checkpoint != "")
+	}
+}
+
+// stop orders the end of a run, once.
+func (c *Conductor) stop(r *run) {
+	if r.stopping {
+		return
+	}
+	r.stopping = true
+	c.orderStop(r)
+}
+
+func (c *Conductor) orderStop(r *run) {
+	orders := c.ordersFor(r.executor.host)
+	orders.Stops = append(orders.Stops, messenger.RunStop{Run: r.ref, Executor: r.executor.id})
+	c.count("runs.stopped")
+}
+
+// ordersFor returns the orders that wait for a host; a new one gets the next
+// number.
+func (c *Conductor) ordersFor(h *host) *messenger.Orders {
+	orders := c.orders[h.name]
+	if orders == nil {
+		h.number++
+		orders = &messenger.Orders{Epoch: int(c.epoch), Number: h.number, Incarnation: h.incarnation}
+		c.orders[h.name] = orders
+	}
+	return orders
+}
+
+// drop forgets a key of the journal.
+func (c *Conductor) drop(key string) {
+	c.records = append(c.records, appender.NewKeyedRecord(key, nil))
+}
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -23,6 +23,7 @@
 	registry metrics.Registry
 	dialer   net.Dialer
 	dials    singleflight.Group
+	timeout  time.Duration
 
 	mu    sync.Mutex
 	peers map[string]*peer
@@ -38,10 +39,15 @@
 	return &Pool{
 		security: security,
 		registry: registry,
+		timeout:  dialTimeout,
 		peers:    make(map[string]*peer),
 	}
 }
 
+// SetDialTimeout bounds how long a connection may take to be made; it is called
+// before the first call.
+func (p *Pool) SetDialTimeout(timeout time.Duration) { p.timeout = timeout }
+
 // Call calls method at address and decodes its result. It fails with kind
 // Unreachable when nothing was sent, Unknown when the peer may have acted, and
 // otherwise with the kind that the peer's handler gave.
@@ -107,7 +113,7 @@
 	if remote := p.lookup(address); remote != nil {
 		return remote, nil
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), p.timeout)
 	defer cancel()
 	conn, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
--- /dev/null
+++ b/coordinator/coordinator.go
@@ -0,0 +1,321 @@
+// Package coordinator is the shell of an entry that serves workloads: it takes
+// part in the ownership, runs the conductor while it is the owner, and passes
+// callers' requests to the owner.
+//
+// The decisions are those of elector and conductor; this package adds sockets,
+// goroutines and timers.
+package coordinator
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+
+	"apricotwinch/appender"
+	"apricotwinch/cataloger"
+	"apricotwinch/conductor"
+	"apricotwinch/connector"
+	"apricotwinch/elector"
+	"apricotwinch/messenger"
+)
+
+// Periods and bounds of the shell.
+const (
+	// tickPeriod is the resolution of what is due.
+	tickPeriod = 25 * time.Millisecond
+	// pingPeriod is the time between two pings of a peer; an owner's silence of
+	// several of them is noticed.
+	pingPeriod = 200 * time.Millisecond
+	// peerTimeout bounds a call to a peer or an agent.
+	peerTimeout = 600 * time.Millisecond
+	// dialTimeout bounds the dial of a peer: a machine that came back is dialed anew.
+	dialTimeout = 400 * time.Millisecond
+	// storeTimeout bounds an append; a slow store takes 60 times its 4 ms.
+	storeTimeout = 1500 * time.Millisecond
+	// storeRetry is the delay after a failed call of the store.
+	storeRetry = 100 * time.Millisecond
+	// lazyFlush is how long a record that nobody waits for may wait for others.
+	lazyFlush = 25 * time.Millisecond
+	// failFast is how long an append may be under way before callers are refused.
+	failFast = 800 * time.Millisecond
+	// ownerPoll is the time between two tries to reach the owner.
+	ownerPoll = 25 * time.Millisecond
+	// maxPeerConns bounds the connections of agents and entries.
+	maxPeerConns = 4096
+)
+
+// Settings says who an entry is.
+type Settings struct {
+	// Name names the entry.
+	Name string
+	// Listen is the address for peers and agents, host:port.
+	Listen string
+	// Seeds are addresses of entries that may be known before the store answers.
+	Seeds []string
+}
+
+// Deps is what a coordinator is given by its driver.
+type Deps struct {
+	Log      appender.KeyedLog
+	Clock    clockwork.Clock
+	Wall     func() time.Time
+	Logger   hclog.Logger
+	Registry metrics.Registry
+}
+
+// Coordinator is one entry.
+type Coordinator struct {
+	settings Settings
+	deps     Deps
+	self     messenger.Member
+	pool     *connector.Pool
+	listener net.Listener
+
+	mu        sync.Mutex
+	elector   *elector.Elector
+	conductor *conductor.Conductor
+	producer  appender.Producer
+	claiming  bool
+	changed   chan struct{}
+	wake      chan struct{}
+	writeAt   time.Time
+	lazySince time.Time
+	senders   map[string]*sender
+	catalog   *cataloger.Catalog
+	encoded   string
+	out       map[string]bool
+	draining  bool
+}
+
+// New returns an entry that listens on the address of its settings.
+func New(settings Settings, deps Deps) (*Coordinator, error) {
+	var config net.ListenConfig
+	listener, err := config.Listen(context.Background(), "tcp", settings.Listen)
+	if err != nil {
+		return nil, err
+	}
+	self := messenger.Member{Name: settings.Name, Address: listener.Addr().String(), Incarnation: uuid.NewString()}
+	pool := connector.NewPool(connector.Security{}, deps.Registry)
+	pool.SetDialTimeout(dialTimeout)
+	return &Coordinator{
+		settings: settings,
+		deps:     deps,
+		self:     self,
+		pool:     pool,
+		listener: listener,
+		elector:  elector.New(deps.Clock.Now(), elector.DefaultConfig(), self),
+		changed:  make(chan struct{}),
+		wake:     make(chan struct{}, 1),
+		senders:  map[string]*sender{},
+		out:      map[string]bool{},
+	}, nil
+}
+
+// Run serves until ctx is done, and then hands its ownership over.
+func (c *Coordinator) Run(ctx context.Context) error {
+	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	defer c.pool.Close()
+	group, serving := errgroup.WithContext(running)
+	server := connector.NewServer(c.table(), connector.Security{}, c.deps.Registry, maxPeerConns)
+	group.Go(func() error { return server.Serve(serving, c.listener) })
+	group.Go(func() error { c.join(serving); return nil })
+	group.Go(func() error { c.tick(serving); return nil })
+	group.Go(func() error { c.ping(serving); return nil })
+	group.Go(func() error { c.write(serving); return nil })
+	c.deps.Logger.Info("entry started", "entry", c.self.Name, "incarnation", c.self.Incarnation, "address", c.self.Address)
+	select {
+	case <-ctx.Done():
+		c.HandOver(serving)
+	case <-serving.Done():
+	}
+	cancel()
+	err := group.Wait()
+	c.deps.Logger.Info("entry stopped", "entry", c.self.Name)
+	return err
+}
+
+// HandOver gives the ownership up and tells the peers; the entry goes on passing
+// requests to the new owner.
+func (c *Coordinator) HandOver(ctx context.Context) {
+	c.mu.Lock()
+	owned := c.elector.Owned()
+	again := c.draining
+	c.draining = true
+	c.mu.Unlock()
+	if again {
+		return
+	}
+	if owned {
+		c.awaitWritten(ctx)
+	}
+	c.mu.Lock()
+	c.elector.Left()
+	c.drop("handed over")
+	c.mu.Unlock()
+	c.pingAll(ctx)
+}
+
+// awaitWritten waits a short time until nothing waits to be written.
+func (c *Coordinator) awaitWritten(ctx context.Context) {
+	deadline := c.deps.Clock.Now().Add(storeTimeout)
+	for c.deps.Clock.Now().Before(deadline) && ctx.Err() == nil {
+		c.mu.Lock()
+		pending := !c.writeAt.IsZero()
+		if c.conductor != nil {
+			any, _ := c.conductor.Wants()
+			pending = pending || any
+		}
+		c.mu.Unlock()
+		if !pending {
+			return
+		}
+		c.deps.Clock.Sleep(tickPeriod)
+	}
+}
+
+// drop ends the ownership; c.mu is held.
+func (c *Coordinator) drop(reason string) {
+	if c.conductor == nil {
+		return
+	}
+	c.deps.Logger.Info("ownership lost", "epoch", c.conductor.Epoch(), "reason", reason)
+	c.conductor = nil
+	for _, s := range c.senders {
+		s.close()
+	}
+	c.senders = map[string]*sender{}
+	c.broadcast()
+}
+
+// broadcast wakes whoever waits for a change; c.mu is held.
+func (c *Coordinator) broadcast() {
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// kick wakes the writer.
+func (c *Coordinator) kick() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// tick drives what is due until ctx is done.
+func (c *Coordinator) tick(ctx context.Context) {
+	ticker := c.deps.Clock.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+			c.step(ctx)
+		}
+	}
+}
+
+func (c *Coordinator) step(ctx context.Context) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.deps.Clock.Now()
+	switch c.elector.Tick(now) {
+	case elector.Claim:
+		if !c.claiming && !c.draining {
+			c.claiming = true
+			go c.claim(ctx)
+		}
+	case elector.Release:
+		c.drop("the store answers another entry, not this one")
+	}
+	if c.conductor != nil && !c.elector.Owned() {
+		c.drop("a later epoch")
+	}
+	c.advance(ctx, now, true)
+}
+
+// advance lets the conductor decide and sends what it decided; c.mu is held.
+func (c *Coordinator) advance(ctx context.Context, now time.Time, due bool) {
+	if c.conductor == nil || !c.elector.Authority(now) {
+		return
+	}
+	if due {
+		c.conductor.Tick(now, c.deps.Wall())
+	}
+	c.conductor.Schedule(now)
+	c.send(ctx)
+	if any, urgent := c.conductor.Wants(); any && (urgent || c.lazyDue(now)) {
+		c.kick()
+	}
+}
+
+// lazyDue reports whether records that nobody waits for have waited long enough.
+func (c *Coordinator) lazyDue(now time.Time) bool {
+	if c.lazySince.IsZero() {
+		c.lazySince = now
+	}
+	return now.Sub(c.lazySince) >= lazyFlush
+}
+
+// SetCatalog takes a version of the configuration.
+func (c *Coordinator) SetCatalog(catalog *cataloger.Catalog) {
+	encoded, err := catalog.Encode()
+	if err != nil {
+		c.deps.Logger.Error("configuration not encoded for the peers", "version", catalog.Version(), "error", err)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.catalog != nil && catalog.Version() <= c.catalog.Version() {
+		return
+	}
+	c.deps.Logger.Info("configuration in force", "version", catalog.Version())
+	c.catalog = catalog
+	c.encoded = encoded
+	if c.conductor != nil {
+		c.conductor.SetCatalog(catalog)
+	}
+}
+
+// SetOut takes the data centres that are out of service.
+func (c *Coordinator) SetOut(out map[string]bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deps.Logger.Info("data centres out of service", "out", out)
+	c.out = out
+	if c.conductor != nil {
+		c.conductor.SetOut(out)
+	}
+}
+
+// StoreAnswered takes an answer of the store to a call that was sent at sent.
+func (c *Coordinator) StoreAnswered(sent time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.elector.StoreAnswered(sent)
+}
+
+// Catalog returns the configuration in force, or nil.
+func (c *Coordinator) Catalog() *cataloger.Catalog {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.catalog
+}
+
+// Ready reports whether the entry can accept workloads: it has a configuration and
+// reaches an owner.
+func (c *Coordinator) Ready() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.catalog == nil || c.draining {
+		return false
+	}
+	return c.conductor != nil || c.elector.OwnerHeard(c.deps.Clock.Now())
+}
--- /dev/null
+++ b/coordinator/sender.go
@@ -0,0 +1,101 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"apricotwinch"
+	"apricotwinch/messenger"
+)
+
+// sendRetry is the delay after orders that did not reach their agent.
+const sendRetry = 50 * time.Millisecond
+
+// sender sends the orders for one host in their order, one call at a time.
+type sender struct {
+	host  string
+	queue []*messenger.Orders
+	wake  chan struct{}
+	done  chan struct{}
+}
+
+func (s *sender) close() { close(s.done) }
+
+// send passes what the conductor ordered to the senders; c.mu is held.
+func (c *Coordinator) send(ctx context.Context) {
+	for host, orders := range c.conductor.TakeOrders() {
+		s := c.senders[host]
+		if s == nil {
+			s = &sender{host: host, wake: make(chan struct{}, 1), done: make(chan struct{})}
+			c.senders[host] = s
+			go c.runSender(context.WithoutCancel(ctx), s)
+		}
+		s.queue = append(s.queue, orders)
+		select {
+		case s.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (c *Coordinator) runSender(ctx context.Context, s *sender) {
+	for {
+		select {
+		case <-s.done:
+			return
+		case <-s.wake:
+		}
+		for c.sendNext(ctx, s) {
+		}
+	}
+}
+
+// sendNext sends the first orders of the queue and reports whether to go on.
+func (c *Coordinator) sendNext(ctx context.Context, s *sender) bool {
+	c.mu.Lock()
+	now := c.deps.Clock.Now()
+	if c.conductor == nil || c.senders[s.host] != s || len(s.queue) == 0 {
+		c.mu.Unlock()
+		return false
+	}
+	address, incarnation, ticket, ok := c.conductor.HostOf(s.host)
+	orders := s.queue[0]
+	if !ok || orders.Incarnation != incarnation {
+		s.queue = s.queue[1:]
+		c.mu.Unlock()
+		return true
+	}
+	if !c.elector.Authority(now) {
+		c.mu.Unlock()
+		c.sleep(ctx, sendRetry)
+		return true
+	}
+	orders.TicketMillis = ticket
+	c.mu.Unlock()
+	call, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	var reply messenger.OrdersReply
+	err := c.pool.Call(call, address, messenger.MethodOrder, orders, &reply)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	kind := apricotwinch.KindOf(err)
+	switch {
+	case err == nil || kind == apricotwinch.StaleIncarnation:
+		if len(s.queue) > 0 && s.queue[0] == orders {
+			s.queue = s.queue[1:]
+		}
+	case kind == apricotwinch.StaleEpoch:
+		c.elector.Superseded(int64(orders.Epoch) + 1)
+		c.drop("an agent obeys a later epoch")
+		return false
+	default:
+		metrics.GetOrRegisterCounter("orders.failed."+string(kind), c.deps.Registry).Inc(1)
+		c.deps.Logger.Info("orders not delivered", "host", s.host, "number", orders.Number, "kind", string(kind), "error", err)
+		c.mu.Unlock()
+		c.sleep(ctx, sendRetry)
+		c.mu.Lock()
+	}
+	return true
+}
--- /dev/null
+++ b/custodian/custodian.go
@@ -0,0 +1,584 @@
+// Package custodian decides for the agent of one host: which orders of the owner
+// it carries out, how long its executors' leases last, what it reports, and how
+// fast work that fills may go beside work that serves.
+//
+// A Custodian is fed announcements and answers of executors, orders of the owner
+// and the time. It returns calls to make. It does no I/O and starts no goroutine.
+// It is not safe for concurrent use.
+package custodian
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
+
+	"apricotwinch"
+	"apricotwinch/messenger"
+)
+
+// Config holds the bounds of a Custodian.
+type Config struct {
+	// Lease is how long runs go on after the report whose answer renewed them.
+	Lease time.Duration
+	// Margin is added to a lease that an executor may have got before its runs
+	// count as ended.
+	Margin time.Duration
+	// Retry is how long after an unanswered call it is made again.
+	Retry time.Duration
+	// Silence is how long an executor is silent before it counts as unreachable.
+	Silence time.Duration
+	// HoldWait is how long an executor waits for an end before it answers a hold.
+	HoldWait time.Duration
+	// PaceEvery is the time between two changes of the pace at an executor.
+	PaceEvery time.Duration
+	// PaceDown times the pace is the next one while a tail is over its target;
+	// PaceUp percent are added while all tails are under CalmShare of it.
+	PaceDown  float64
+	PaceUp    int
+	CalmShare float64
+}
+
+// DefaultConfig returns the bounds used by agents.
+func DefaultConfig() Config {
+	return Config{
+		Lease:     4 * time.Second,
+		Margin:    200 * time.Millisecond,
+		Retry:     500 * time.Millisecond,
+		Silence:   time.Second,
+		HoldWait:  400 * time.Millisecond,
+		PaceEvery: 500 * time.Millisecond,
+		PaceDown:  0.5,
+		PaceUp:    10,
+		CalmShare: 0.7,
+	}
+}
+
+// Calls are what a Custodian wants to be called.
+type Calls struct {
+	Starts []StartCall
+	Stops  []RunCall
+	Paces  []RunCall
+}
+
+// Custodian is the state of one host's executors.
+type Custodian struct {
+	config      Config
+	logger      hclog.Logger
+	registry    metrics.Registry
+	host        string
+	address     string
+	incarnation string
+	origin      time.Time
+
+	epoch     int
+	taken     int
+	leaseTo   time.Time
+	ownerAt   time.Time
+	executors map[string]*executor
+	refusals  []messenger.RunRefusal
+	refused   int
+}
+
+// New returns the custodian of a host whose agent serves at address.
+func New(now time.Time, config Config, host, address, incarnation string, logger hclog.Logger, registry metrics.Registry) *Custodian {
+	return &Custodian{
+		config:      config,
+		logger:      logger,
+		registry:    registry,
+		host:        host,
+		address:     address,
+		incarnation: incarnation,
+		origin:      now,
+		ownerAt:     now,
+		executors:   map[string]*executor{},
+	}
+}
+
+// Epoch returns the greatest epoch that the agent has seen.
+func (c *Custodian) Epoch() int { return c.epoch }
+
+// Announced takes what an executor tells of itself and reports whether that was
+// news to the owner.
+func (c *Custodian) Announced(now time.Time, a Announcement) bool {
+	e := c.executors[a.ID]
+	if e != nil && (a.Born < e.Born || a.Born == e.Born && a.Sequence <= e.Sequence) {
+		return false
+	}
+	if e != nil && a.Born > e.Born {
+		c.drop(e, "reborn")
+		e = nil
+	}
+	if e == nil {
+		if !c.replaces(a) {
+			return false
+		}
+		e = &executor{Announcement: a, heardAt: now, runs: map[messenger.RunRef]*run{}, pace: 100, token: a.Clock.Milliseconds()}
+		c.executors[a.ID] = e
+		c.logger.Info("executor announced", "executor", a.ID, "born", a.Born, "address", a.Address, "draining", a.Draining)
+	}
+	news := e.Draining != a.Draining || !e.held
+	e.Announcement = a
+	e.takeClock(now, a.Clock)
+	if a.Draining {
+		e.leavesAt = now.Add(a.Remaining)
+	}
+	return news
+}
+
+// replaces drops the older lives at the address of a new one, and reports whether
+// it is the newest.
+func (c *Custodian) replaces(a Announcement) bool {
+	for _, e := range c.executors {
+		if e.Address != a.Address {
+			continue
+		}
+		if e.Born > a.Born {
+			return false
+		}
+		c.drop(e, "replaced at its address")
+	}
+	return true
+}
+
+// Left takes that an executor is about to end.
+func (c *Custodian) Left(id string) {
+	if e := c.executors[id]; e != nil {
+		e.Draining = true
+	}
+}
+
+func (c *Custodian) drop(e *executor, reason string) {
+	c.logger.Info("executor dropped", "executor", e.ID, "born", e.Born, "runs", len(e.runs), "reason", reason)
+	delete(c.executors, e.ID)
+}
+
+// Executors returns the ids of the executors, in order.
+func (c *Custodian) Executors() []string {
+	ids := make([]string, 0, len(c.executors))
+	for id := range c.executors {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Hold returns the next call to renew the leases of an executor, and false when it
+// is not known any more.
+func (c *Custodian) Hold(now time.Time, id string) (HoldCall, bool) {
+	e := c.executors[id]
+	if e == nil {
+		return HoldCall{}, false
+	}
+	call := HoldCall{Executor: e.ID, Address: e.Address, Token: e.token, Seen: e.seen}
+	if e.held && c.leaseTo.After(now) {
+		call.Deadline = e.deadline(c.leaseTo)
+		e.leasedTo = c.leaseTo
+	}
+	if e.held && e.seen >= e.listed {
+		call.Wait = c.config.HoldWait
+	}
+	return call, true
+}
+
+// Held takes the answer to a hold that was sent at sent. It reports whether the
+// owner should be told.
+func (c *Custodian) Held(now, sent time.Time, call HoldCall, holding Holding, err error) (Calls, bool) {
+	e := c.executors[call.Executor]
+	if e == nil {
+		return Calls{}, false
+	}
+	if err != nil {
+		return Calls{}, c.holdFailed(now, e, holding.Answer, err)
+	}
+	if holding.Born != 0 && holding.Born != e.Born {
+		c.drop(e, "another life answers")
+		return Calls{}, true
+	}
+	e.heardAt = now
+	e.takeClock(now, holding.Clock)
+	if !e.held {
+		if !e.fenced {
+			e.token = max(e.token, holding.Clock.Milliseconds())
+			e.fenced = true
+			return Calls{}, false
+		}
+		e.held = call.Token == e.token
+	}
+	changed := c.takeEnds(e, holding.Ends)
+	changed = c.takeRuns(e, sent, holding.Runs) || changed
+	return c.pace(now, e), changed
+}
+
+// holdFailed draws the consequences of a hold that was not answered, or refused.
+func (c *Custodian) holdFailed(now time.Time, e *executor, answer Answer, err error) bool {
+	e.takeClock(now, answer.Clock)
+	switch apricotwinch.KindOf(err) {
+	case apricotwinch.Unreachable, apricotwinch.StaleIncarnation:
+		c.drop(e, err.Error())
+		return true
+	case apricotwinch.StaleEpoch:
+		e.token = max(e.token+1, e.clock.Milliseconds())
+	}
+	return false
+}
+
+func (c *Custodian) takeEnds(e *executor, ends []messenger.RunEnd) bool {
+	news := false
+	for _, end := range ends {
+		if end.Number <= e.listed {
+			continue
+		}
+		e.listed = end.Number
+		e.ends = append(e.ends, end)
+		e.remove(end.Run)
+		news = true
+		metrics.GetOrRegisterCounter("runs.ended."+end.How, c.registry).Inc(1)
+		if c.logger.IsInfo() {
+			c.logger.Info("run ended", "run", end.Run, "executor", e.ID, "how", end.How, "number", end.Number)
+		}
+	}
+	return news
+}
+
+// takeRuns takes the list of what runs, as of a call that was sent at sent.
+func (c *Custodian) takeRuns(e *executor, sent time.Time, states []messenger.RunState) bool {
+	news := false
+	listed := make(map[messenger.RunRef]bool, len(states))
+	for _, state := range states {
+		listed[state.Run] = true
+		r := e.runs[state.Run]
+		if r == nil {
+			r = &run{order: messenger.RunOrder{Run: state.Run, Executor: e.ID}, phase: messenger.RunRunning, pace: 100}
+			e.add(r)
+			news = true
+		}
+		if r.phase == messenger.RunStarting {
+			r.phase = messenger.RunRunning
+			news = true
+		}
+		r.confirmed = sent
+		r.state = state
+	}
+	for ref, r := range e.runs {
+		gone := !r.confirmed.IsZero() && r.confirmed.Before(sent) && !r.inFlight
+		if gone && !listed[ref] && r.phase != messenger.RunStarting {
+			c.logger.Info("run vanished", "run", ref, "executor", e.ID)
+			e.remove(ref)
+			news = true
+		}
+	}
+	return news
+}
+
+// Ordered takes orders of an owner and returns the calls that carry them out.
+func (c *Custodian) Ordered(now time.Time, o messenger.Orders) (Calls, error) {
+	if o.Epoch < c.epoch {
+		return Calls{}, apricotwinch.Errorf(apricotwinch.StaleEpoch, "epoch: %d is before %d", o.Epoch, c.epoch)
+	}
+	if o.Incarnation != c.incarnation {
+		return Calls{}, apricotwinch.Errorf(apricotwinch.StaleIncarnation, "incarnation: %s is not %s", o.Incarnation, c.incarnation)
+	}
+	if age := now.Sub(c.origin) - time.Duration(o.TicketMillis)*time.Millisecond; age > c.config.Lease {
+		return Calls{}, apricotwinch.Errorf(apricotwinch.StaleView, "ticketMillis: the orders rest on a report of %s ago", age)
+	}
+	c.see(o.Epoch)
+	c.acknowledge(o.Seen)
+	if o.Number <= c.taken {
+		return Calls{}, nil
+	}
+	c.taken = o.Number
+	var calls Calls
+	for _, stop := range o.Stops {
+		c.stop(now, stop, &calls)
+	}
+	for _, start := range o.Starts {
+		c.start(now, start, &calls)
+	}
+	return calls, nil
+}
+
+// see notes an epoch; a later one starts counting orders anew.
+func (c *Custodian) see(epoch int) {
+	if epoch > c.epoch {
+		c.logger.Info("later epoch", "epoch", epoch, "before", c.epoch)
+		c.epoch = epoch
+		c.taken = 0
+	}
+}
+
+func (c *Custodian) acknowledge(seen []messenger.EndsSeen) {
+	for _, s := range seen {
+		e := c.executors[s.Executor]
+		if e == nil || e.Born != s.Born || s.Through <= e.seen {
+			continue
+		}
+		e.seen = s.Through
+		e.ends = slices.DeleteFunc(e.ends, func(end messenger.RunEnd) bool { return end.Number <= s.Through })
+	}
+}
+
+func (c *Custodian) start(now time.Time, order messenger.RunOrder, calls *Calls) {
+	e := c.executors[order.Executor]
+	if e == nil || !e.held {
+		c.refuse(order.Run, apricotwinch.NotFound)
+		return
+	}
+	if e.Draining {
+		c.refuse(order.Run, apricotwinch.Draining)
+		return
+	}
+	if r := e.runs[order.Run]; r != nil {
+		return
+	}
+	r := &run{order: order, known: true, phase: messenger.RunStarting, pace: 100}
+	if !e.committed.Add(e.need(r)).Fits(e.Capacity) {
+		c.refuse(order.Run, apricotwinch.NoCapacity)
+		return
+	}
+	e.add(r)
+	c.call(now, e, r, calls)
+}
+
+func (c *Custodian) refuse(ref messenger.RunRef, kind apricotwinch.Kind) {
+	c.refused++
+	c.refusals = append(c.refusals, messenger.RunRefusal{Run: ref, Kind: string(kind)})
+	metrics.GetOrRegisterCounter(kind.Answer().Counter(), c.registry).Inc(1)
+	c.logger.Info("run refused", "run", ref, "kind", string(kind))
+}
+
+// call adds the call that is due for a run.
+func (c *Custodian) call(now time.Time, e *executor, r *run, calls *Calls) {
+	r.inFlight = true
+	r.retryAt = now.Add(c.config.Retry)
+	if r.phase == messenger.RunStopping {
+		calls.Stops = append(calls.Stops, RunCall{Executor: e.ID, Address: e.Address, Token: e.token, Run: r.order.Run})
+		return
+	}
+	e.leasedTo = c.leaseTo
+	calls.Starts = append(calls.Starts, StartCall{
+		Executor: e.ID, Address: e.Address, Token: e.token, Deadline: e.deadline(c.leaseTo), Order: r.order,
+	})
+}
+
+func (c *Custodian) stop(now time.Time, stop messenger.RunStop, calls *Calls) {
+	e := c.executors[stop.Executor]
+	if e == nil {
+		return
+	}
+	r := e.runs[stop.Run]
+	if r == nil || r.phase == messenger.RunStopping {
+		return
+	}
+	r.phase = messenger.RunStopping
+	c.call(now, e, r, calls)
+}
+
+// find returns a run that is still held.
+func (c *Custodian) find(id string, ref messenger.RunRef) (*executor, *run) {
+	e := c.executors[id]
+	if e == nil {
+		return nil, nil
+	}
+	return e, e.runs[ref]
+}
+
+// Started takes the answer to a start. It reports whether the owner should be
+// told.
+func (c *Custodian) Started(now time.Time, call StartCall, answer Answer, err error) bool {
+	e, r := c.find(call.Executor, call.Order.Run)
+	if r == nil {
+		return false
+	}
+	e.takeClock(now, answer.Clock)
+	r.inFlight = false
+	kind := apricotwinch.KindOf(err)
+	switch kind {
+	case "":
+		e.heardAt = now
+		if r.phase == messenger.RunStarting {
+			r.phase = messenger.RunRunning
+		}
+		r.confirmed = now
+		return true
+	case apricotwinch.Conflict, apricotwinch.NoCapacity, apricotwinch.Invalid, apricotwinch.NoTarget:
+		e.remove(call.Order.Run)
+		c.refuse(call.Order.Run, kind)
+		return true
+	}
+	c.logger.Info("start unanswered", "run", call.Order.Run, "executor", e.ID, "kind", string(kind), "error", err)
+	return false
+}
+
+// Stopped takes the answer to a stop.
+func (c *Custodian) Stopped(now time.Time, call RunCall, answer Answer, err error) {
+	e, r := c.find(call.Executor, call.Run)
+	if r == nil {
+		return
+	}
+	e.takeClock(now, answer.Clock)
+	r.inFlight = false
+	if err == nil {
+		if r.confirmed.IsZero() {
+			r.confirmed = now
+		}
+		r.retryAt = now.Add(c.config.Lease)
+	}
+}
+
+// Tick returns the calls that are due again, and reports whether the owner should
+// be told of something.
+func (c *Custodian) Tick(now time.Time) (Calls, bool) {
+	var calls Calls
+	news := false
+	for _, id := range c.Executors() {
+		e := c.executors[id]
+		if len(e.runs) > 0 && now.After(e.leasedTo.Add(c.config.Margin)) && now.Sub(e.heardAt) > c.config.Silence {
+			c.logger.Info("leases over", "executor", id, "runs", len(e.runs), "silentMillis", now.Sub(e.heardAt).Milliseconds())
+			for ref := range e.runs {
+				e.remove(ref)
+			}
+			news = true
+		}
+		for _, r := range e.ordered() {
+			if !r.inFlight && r.phase != messenger.RunRunning && !now.Before(r.retryAt) {
+				c.call(now, e, r, &calls)
+			}
+		}
+	}
+	return calls, news
+}
+
+// ordered returns the runs in a fixed order.
+func (e *executor) ordered() []*run {
+	runs := make([]*run, 0, len(e.runs))
+	for _, r := range e.runs {
+		runs = append(runs, r)
+	}
+	slices.SortFunc(runs, func(a, b *run) int { return compareRuns(a.order.Run, b.order.Run) })
+	return runs
+}
+
+func compareRuns(a, b messenger.RunRef) int {
+	return cmp.Or(
+		cmp.Compare(a.Task.Workload, b.Task.Workload),
+		cmp.Compare(a.Task.Occurrence, b.Task.Occurrence),
+		cmp.Compare(a.Task.Step, b.Task.Step),
+		cmp.Compare(a.Task.Index, b.Task.Index),
+		cmp.Compare(a.Run, b.Run),
+	)
+}
+
+// Report returns what the owner is told.
+func (c *Custodian) Report(now time.Time, whole bool) messenger.Report {
+	report := messenger.Report{
+		Host:              c.host,
+		Address:           c.address,
+		Incarnation:       c.incarnation,
+		TicketMillis:      int(now.Sub(c.origin).Milliseconds()),
+		Epoch:             c.epoch,
+		Orders:            c.taken,
+		OwnerSilentMillis: int(now.Sub(c.ownerAt).Milliseconds()),
+	}
+	if !whole {
+		return report
+	}
+	report.Refusals = slices.Clone(c.refusals)
+	report.RefusalsThrough = c.refused
+	for _, id := range c.Executors() {
+		if e := c.executors[id]; e.held {
+			report.Executors = append(report.Executors, c.state(now, e))
+		}
+	}
+	return report
+}
+
+func (c *Custodian) state(now time.Time, e *executor) messenger.ExecutorState {
+	silent := now.Sub(e.heardAt)
+	state := messenger.ExecutorState{
+		Id:              e.ID,
+		Born:            e.Born,
+		Service:         e.Service,
+		DataCentre:      e.DataCentre,
+		Capacity:        messenger.FromResources(e.Capacity),
+		Labels:          e.Labels,
+		Draining:        e.Draining,
+		Reachable:       silent < c.config.Silence,
+		RemainingMillis: int(max(0, e.leavesAt.Sub(now)).Milliseconds()),
+		SilentMillis:    int(silent.Milliseconds()),
+		Ends:            slices.Clone(e.ends),
+	}
+	for _, r := range e.ordered() {
+		s := r.state
+		s.Run = r.order.Run
+		s.Phase = r.phase
+		s.Pace = r.pace
+		s.Fills = r.order.Fills
+		state.Runs = append(state.Runs, s)
+	}
+	return state
+}
+
+// Answered takes an entry's answer to a report that was made at sent.
+func (c *Custodian) Answered(now, sent time.Time, reply messenger.ReportReply) {
+	if !reply.Owner || reply.Epoch < c.epoch {
+		return
+	}
+	c.see(reply.Epoch)
+	c.ownerAt = now
+	c.acknowledge(reply.Seen)
+	if reply.Lease && sent.Add(c.config.Lease).After(c.leaseTo) {
+		c.leaseTo = sent.Add(c.config.Lease)
+	}
+	if keep := c.refused - reply.RefusalsThrough; keep < len(c.refusals) {
+		c.refusals = slices.Clone(c.refusals[len(c.refusals)-max(0, keep):])
+	}
+}
+
+// pace returns the calls that set how fast the work that fills may go.
+func (c *Custodian) pace(now time.Time, e *executor) Calls {
+	var calls Calls
+	c.adjust(now, e)
+	for _, r := range e.ordered() {
+		if !r.order.Fills || r.phase != messenger.RunRunning || r.pace == e.pace {
+			continue
+		}
+		r.pace = e.pace
+		calls.Paces = append(calls.Paces, RunCall{Executor: e.ID, Address: e.Address, Token: e.token, Run: r.order.Run, Percent: e.pace})
+	}
+	return calls
+}
+
+// adjust lowers the pace while a tail is over its target, and raises it while all
+// are calm.
+func (c *Custodian) adjust(now time.Time, e *executor) {
+	if now.Sub(e.pacedAt) < c.config.PaceEvery {
+		return
+	}
+	worst := 0.0
+	for _, r := range e.runs {
+		if target := r.order.TailTargetMillis; target > 0 && r.phase == messenger.RunRunning {
+			worst = max(worst, r.state.Figure/float64(target))
+		}
+	}
+	before := e.pace
+	switch {
+	case worst > 1:
+		e.pace = int(float64(e.pace) * c.config.PaceDown)
+	case worst < c.config.CalmShare:
+		e.pace = min(100, e.pace+c.config.PaceUp)
+	}
+	if e.pace != before {
+		e.pacedAt = now
+		c.logger.Info("pace", "executor", e.ID, "percent", e.pace, "before", before, "tailOfTarget", worst)
+	}
+}
+
+// Paced takes the answer to a change of pace; one that failed is made again.
+func (c *Custodian) Paced(call RunCall, err error) {
+	if _, r := c.find(call.Executor, call.Run); r != nil && err != nil {
+		r.pace = -1
+	}
+}
--- /dev/null
+++ b/custodian/executor.go
@@ -0,0 +1,142 @@
+package custodian
+
+import (
+	"time"
+
+	"apricotwinch"
+	"apricotwinch/messenger"
+)
+
+// Announcement is what an executor tells of itself.
+type Announcement struct {
+	ID         string
+	Born       int
+	Sequence   int
+	Service    string
+	Address    string
+	DataCentre string
+	Capacity   apricotwinch.Resources
+	Labels     []string
+	Draining   bool
+	Remaining  time.Duration
+	// Clock is the executor's own clock.
+	Clock time.Duration
+}
+
+// Answer is an executor's answer to a call.
+type Answer struct {
+	// Clock is the executor's own clock; 0 for unknown.
+	Clock time.Duration
+	// Born is the Unix time of the executor's start, in milliseconds; 0 for unknown.
+	Born int
+}
+
+// Holding is an executor's answer to a hold: all that it runs and has ended.
+type Holding struct {
+	Answer
+	Runs []messenger.RunState
+	Ends []messenger.RunEnd
+}
+
+// HoldCall renews the leases of an executor and asks what it holds.
+type HoldCall struct {
+	Executor string
+	Address  string
+	Token    int64
+	Seen     int
+	// Deadline is the end of the leases on the executor's own clock; 0 for none.
+	Deadline time.Duration
+	// Wait is how long the executor waits for an end before it answers.
+	Wait time.Duration
+}
+
+// StartCall starts a run.
+type StartCall struct {
+	Executor string
+	Address  string
+	Token    int64
+	Deadline time.Duration
+	Order    messenger.RunOrder
+}
+
+// RunCall stops a run, or lets it work at a share of its speed.
+type RunCall struct {
+	Executor string
+	Address  string
+	Token    int64
+	Run      messenger.RunRef
+	Percent  int
+}
+
+// executor is one life of an executor.
+type executor struct {
+	Announcement
+	token int64
+	// fenced is whether the token was read from the executor's clock by this agent,
+	// so that it is above those of earlier agents.
+	fenced bool
+	// held is whether the executor has answered a hold with this token: what an
+	// earlier agent sent can't take effect any more.
+	held      bool
+	clock     time.Duration
+	clockAt   time.Time
+	heardAt   time.Time
+	leasedTo  time.Time
+	leavesAt  time.Time
+	runs      map[messenger.RunRef]*run
+	ends      []messenger.RunEnd
+	listed    int
+	seen      int
+	committed apricotwinch.Resources
+	pace      int
+	pacedAt   time.Time
+	figuresAt time.Time
+}
+
+// run is one run at an executor.
+type run struct {
+	order     messenger.RunOrder
+	known     bool
+	phase     string
+	confirmed time.Time
+	inFlight  bool
+	retryAt   time.Time
+	state     messenger.RunState
+	pace      int
+}
+
+// takeClock notes the executor's clock as an answer received at now tells it.
+func (e *executor) takeClock(now time.Time, clock time.Duration) {
+	if clock > 0 {
+		e.clock = clock
+		e.clockAt = now
+	}
+}
+
+// slowest is the least speed of an executor's clock.
+const slowest = 0.98
+
+// deadline returns a time on the executor's clock that has passed at until.
+func (e *executor) deadline(until time.Time) time.Duration {
+	return e.clock + time.Duration(float64(until.Sub(e.clockAt))*slowest)
+}
+
+func (e *executor) need(r *run) apricotwinch.Resources {
+	need := r.order.Resources.Value()
+	if r.order.Fills {
+		return apricotwinch.NewResources(0, need.MemoryBytes(), need.Accelerators())
+	}
+	return need
+}
+
+func (e *executor) add(r *run) {
+	e.runs[r.order.Run] = r
+	e.committed = e.committed.Add(e.need(r))
+}
+
+func (e *executor) remove(ref messenger.RunRef) {
+	if r := e.runs[ref]; r != nil {
+		e.committed = e.committed.Sub(e.need(r))
+		delete(e.runs, ref)
+	}
+}
--- /dev/null
+++ b/elector/elector.go
@@ -0,0 +1,369 @@
+// Package elector decides which entry owns the workloads: when an entry claims
+// the ownership, and when an owner lets go of it.
+//
+// The store arbitrates: a claim is an append in a later epoch, which fences every
+// earlier owner. An Elector is fed what the store, the other entries and the
+// hosts tell, and the time; it does no I/O.
+package elector
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"apricotwinch/messenger"
+)
+
+// Config holds the bounds of an Elector.
+type Config struct {
+	// OwnerSilence is how long an owner is silent before another entry claims.
+	OwnerSilence time.Duration
+	// RankDelay is added for each entry that goes before this one.
+	RankDelay time.Duration
+	// Fresh is the age up to which a ping or an answer of the store counts.
+	Fresh time.Duration
+	// StorePatience is how long an owner goes without the store before it lets go
+	// to an entry that reaches it.
+	StorePatience time.Duration
+	// Authority is how long an owner acts without the store while an entry that
+	// may have claimed can't be reached.
+	Authority time.Duration
+	// MemberLife is how long an entry that is silent is remembered.
+	MemberLife time.Duration
+}
+
+// DefaultConfig returns the bounds used by entries.
+func DefaultConfig() Config {
+	return Config{
+		OwnerSilence:  700 * time.Millisecond,
+		RankDelay:     150 * time.Millisecond,
+		Fresh:         time.Second,
+		StorePatience: 1200 * time.Millisecond,
+		Authority:     4 * time.Second,
+		MemberLife:    time.Minute,
+	}
+}
+
+// Step is what an entry must do.
+type Step int
+
+const (
+	// Stay means nothing.
+	Stay Step = iota
+	// Claim means to append a claim in a later epoch.
+	Claim
+	// Release means to stop acting as the owner.
+	Release
+)
+
+// peer is another entry.
+type peer struct {
+	ping    messenger.Ping
+	heardAt time.Time
+	knownAt time.Time
+	gone    bool
+}
+
+// sighting is what a host tells about the owner.
+type sighting struct {
+	at     time.Time
+	silent time.Duration
+}
+
+// Elector is the ownership as one entry sees it. It is not safe for concurrent
+// use.
+type Elector struct {
+	config Config
+	self   messenger.Member
+
+	epoch    int64
+	owner    messenger.Member
+	owned    bool
+	released bool
+	leaving  bool
+
+	startedAt  time.Time
+	ownerSince time.Time
+	storeAt    time.Time
+	storeHeard bool
+	peers      map[string]*peer
+	hosts      map[string]sighting
+}
+
+// New returns an elector of the entry self, which knows no owner.
+func New(now time.Time, config Config, self messenger.Member) *Elector {
+	return &Elector{
+		config:    config,
+		self:      self,
+		startedAt: now,
+		peers:     map[string]*peer{},
+		hosts:     map[string]sighting{},
+	}
+}
+
+// Epoch returns the greatest epoch that is known.
+func (e *Elector) Epoch() int64 { return e.epoch }
+
+// Owner returns the owner in that epoch; its name is empty when none is known.
+func (e *Elector) Owner() messenger.Member { return e.owner }
+
+// Owned reports whether this entry is the owner.
+func (e *Elector) Owned() bool { return e.owned }
+
+// Learned takes an owner of an epoch from the store or a peer.
+func (e *Elector) Learned(now time.Time, epoch int64, owner messenger.Member) {
+	if epoch < e.epoch || epoch == e.epoch && e.owner.Name != "" {
+		return
+	}
+	if e.owner != owner {
+		e.ownerSince = now
+	}
+	e.epoch = epoch
+	e.owner = owner
+	if owner != e.self {
+		e.owned = false
+	}
+	e.released = false
+}
+
+// Superseded takes that a later epoch than this entry's exists.
+func (e *Elector) Superseded(epoch int64) {
+	e.owned = false
+	if epoch > e.epoch {
+		e.epoch = epoch
+		e.owner = messenger.Member{}
+	}
+}
+
+// Claimed takes that this entry's claim of epoch landed.
+func (e *Elector) Claimed(now time.Time, epoch int64) {
+	e.epoch = epoch
+	e.owner = e.self
+	e.owned = true
+	e.released = false
+	e.ownerSince = now
+	e.StoreAnswered(now)
+}
+
+// Left takes that this entry shuts down: it never claims again.
+func (e *Elector) Left() {
+	e.leaving = true
+	if e.owned {
+		e.owned = false
+		e.released = true
+	}
+}
+
+// StoreAnswered takes an answer of the store to a call that was sent at sent.
+func (e *Elector) StoreAnswered(sent time.Time) {
+	if sent.After(e.storeAt) {
+		e.storeAt = sent
+	}
+	e.storeHeard = true
+}
+
+// StoreSilence returns how long the store has not answered.
+func (e *Elector) StoreSilence(now time.Time) time.Duration {
+	if !e.storeHeard {
+		return now.Sub(e.startedAt) + e.config.Authority
+	}
+	return now.Sub(e.storeAt)
+}
+
+// Known takes an entry from the list of members.
+func (e *Elector) Known(now time.Time, member messenger.Member) {
+	if member.Name == e.self.Name {
+		return
+	}
+	p := e.peers[member.Name]
+	if p == nil || p.ping.Member.Incarnation != member.Incarnation && now.Sub(p.heardAt) > e.config.Fresh {
+		e.peers[member.Name] = &peer{ping: messenger.Ping{Member: member, StoreMillis: -1}, knownAt: now}
+	}
+}
+
+// Pinged takes what another entry tells of itself.
+func (e *Elector) Pinged(now time.Time, ping messenger.Ping) {
+	if ping.Member.Name == e.self.Name {
+		return
+	}
+	e.peers[ping.Member.Name] = &peer{ping: ping, heardAt: now}
+	epoch := int64(ping.Epoch)
+	switch {
+	case ping.Owner:
+		e.Learned(now, epoch, ping.Member)
+	case epoch > e.epoch:
+		e.Superseded(epoch)
+	}
+}
+
+// Refused takes that no process listens at another entry's address.
+func (e *Elector) Refused(name string) {
+	if p := e.peers[name]; p != nil {
+		p.gone = true
+	}
+}
+
+// HostHeard takes how long a host has not heard the owner of epoch.
+func (e *Elector) HostHeard(now time.Time, host string, epoch int64, silent time.Duration) {
+	if epoch > e.epoch {
+		e.Superseded(epoch)
+	}
+	if epoch == e.epoch {
+		e.hosts[host] = sighting{at: now, silent: silent}
+	}
+}
+
+// Peers returns the other entries in order of their names.
+func (e *Elector) Peers() []messenger.Member {
+	var members []messenger.Member
+	for _, p := range e.peers {
+		members = append(members, p.ping.Member)
+	}
+	slices.SortFunc(members, func(a, b messenger.Member) int { return cmp.Compare(a.Name, b.Name) })
+	return members
+}
+
+// Ping returns what this entry tells the others.
+func (e *Elector) Ping(now time.Time, view int) messenger.Ping {
+	return messenger.Ping{
+		Member:      e.self,
+		Epoch:       int(e.epoch),
+		Owner:       e.owned,
+		OwnerName:   e.owner.Name,
+		Released:    e.released,
+		StoreMillis: int(e.StoreSilence(now).Milliseconds()),
+		View:        view,
+		Leaving:     e.leaving,
+	}
+}
+
+// Authority reports whether this entry may act as the owner: it owns the epoch,
+// and no other entry can have claimed a later one for so long that its hosts
+// count as lost.
+func (e *Elector) Authority(now time.Time) bool {
+	if !e.owned {
+		return false
+	}
+	return e.StoreSilence(now) < e.config.Authority || e.unanimous(now)
+}
+
+// unanimous reports whether every other entry was heard lately and knows of no
+// later epoch.
+func (e *Elector) unanimous(now time.Time) bool {
+	for _, p := range e.peers {
+		if !p.gone && now.Sub(p.heardAt) > e.config.Fresh || int64(p.ping.Epoch) > e.epoch {
+			return false
+		}
+	}
+	return true
+}
+
+// Tick returns what is due.
+func (e *Elector) Tick(now time.Time) Step {
+	for name, p := range e.peers {
+		if now.Sub(latest(p.heardAt, p.knownAt)) > e.config.MemberLife {
+			delete(e.peers, name)
+		}
+	}
+	switch {
+	case e.leaving:
+		return Stay
+	case e.owned:
+		return e.tickOwner(now)
+	case e.StoreSilence(now) > e.config.Fresh:
+		return Stay
+	case e.vacant(now):
+		return Claim
+	}
+	return Stay
+}
+
+// tickOwner lets go when the store refuses this entry and serves another one.
+func (e *Elector) tickOwner(now time.Time) Step {
+	if e.StoreSilence(now) < e.config.StorePatience {
+		return Stay
+	}
+	for _, p := range e.peers {
+		if e.able(now, p) {
+			e.owned = false
+			e.released = true
+			return Release
+		}
+	}
+	return Stay
+}
+
+// able reports whether another entry could take over.
+func (e *Elector) able(now time.Time, p *peer) bool {
+	store := time.Duration(p.ping.StoreMillis) * time.Millisecond
+	return !p.gone && !p.ping.Leaving && now.Sub(p.heardAt) < e.config.Fresh && store >= 0 && store < e.config.Fresh
+}
+
+// vacant reports whether it is this entry's turn to claim.
+func (e *Elector) vacant(now time.Time) bool {
+	delay := time.Duration(e.rank(now)) * e.config.RankDelay
+	if e.owner.Name == "" {
+		return now.Sub(latest(e.startedAt, e.ownerSince)) > delay+e.config.RankDelay
+	}
+	if e.owner.Name == e.self.Name {
+		return true
+	}
+	p := e.peers[e.owner.Name]
+	if p == nil {
+		return now.Sub(latest(e.startedAt, e.ownerSince)) > e.config.OwnerSilence+delay
+	}
+	replaced := p.ping.Member.Incarnation != e.owner.Incarnation && !p.ping.Owner
+	if replaced || p.gone || p.ping.Released || p.ping.Leaving && !p.ping.Owner {
+		return e.rank(now) == 0 || now.Sub(p.heardAt) > delay
+	}
+	since := latest(latest(p.heardAt, e.ownerSince), e.startedAt)
+	return now.Sub(since) > e.config.OwnerSilence+delay && !e.seenByHosts(now)
+}
+
+// seenByHosts reports whether most hosts that were heard lately hear the owner.
+func (e *Elector) seenByHosts(now time.Time) bool {
+	fresh, seen := 0, 0
+	for _, s := range e.hosts {
+		if now.Sub(s.at) > e.config.Fresh {
+			continue
+		}
+		fresh++
+		if s.silent+now.Sub(s.at) < e.config.OwnerSilence {
+			seen++
+		}
+	}
+	return seen*2 > fresh
+}
+
+// rank returns the number of entries that claim before this one.
+func (e *Elector) rank(now time.Time) int {
+	rank := 0
+	for name, p := range e.peers {
+		if name < e.self.Name && name != e.owner.Name && e.able(now, p) {
+			rank++
+		}
+	}
+	return rank
+}
+
+// Clean reports whether the owner is known to have stopped acting.
+func (e *Elector) Clean() bool {
+	if e.owner.Name == "" || e.owner.Name == e.self.Name {
+		return true
+	}
+	p := e.peers[e.owner.Name]
+	return p != nil && (p.ping.Released || p.gone || p.ping.Member.Incarnation != e.owner.Incarnation)
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// OwnerHeard reports whether the owner was heard lately.
+func (e *Elector) OwnerHeard(now time.Time) bool {
+	p := e.peers[e.owner.Name]
+	return p != nil && p.ping.Owner && now.Sub(p.heardAt) < e.config.Fresh
+}
--- a/messenger/doc.go
+++ b/messenger/doc.go
@@ -94,3 +94,49 @@
 	JobBatch = "batch" // Each task runs until it completes.
 	JobWatch = "watch" // Each task runs until the job is canceled.
 )
+
+// Methods that an entry calls at the owner of the workloads.
+const (
+	// MethodSubmitWorkload carries WorkloadRequest and answers WorkloadReply.
+	MethodSubmitWorkload = "submitWorkload"
+	// MethodShowWorkload carries WorkloadRequest and answers WorkloadReply.
+	MethodShowWorkload = "showWorkload"
+	// MethodCancelWorkload carries WorkloadRequest and answers WorkloadReply.
+	MethodCancelWorkload = "cancelWorkload"
+	// MethodCountWaiting carries WorkloadRequest and answers WorkloadReply.
+	MethodCountWaiting = "countWaiting"
+	// MethodPing carries Ping and answers PingReply, between any two entries.
+	MethodPing = "ping"
+)
+
+// MethodReport carries Report from an agent to an entry and answers ReportReply.
+const MethodReport = "report"
+
+// MethodOrder carries Orders from the owner to an agent and answers OrdersReply.
+const MethodOrder = "order"
+
+// States of a workload.
+const (
+	WorkloadQueued    = "queued"    // No task has started.
+	WorkloadRunning   = "running"   // A task has started.
+	WorkloadCompleted = "completed" // Every task is done.
+	WorkloadFailed    = "failed"    // A task used up its attempts.
+	WorkloadCanceled  = "canceled"  // The caller canceled it.
+)
+
+// Phases of a run in a report.
+const (
+	RunStarting = "starting" // The executor has not confirmed the start.
+	RunRunning  = "running"  // The executor lists it.
+	RunStopping = "stopping" // A stop was ordered.
+)
+
+// How a run ended.
+const (
+	EndDone    = "done"    // The task is done.
+	EndFailed  = "failed"  // By its own fault or the executor's.
+	EndStopped = "stopped" // By an order.
+	EndLapsed  = "lapsed"  // The executor's lease ran out.
+	EndBroken  = "broken"  // Another member of its gang ended.
+	EndAlone   = "alone"   // The other members of its gang did not come.
+)
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -291,6 +291,18 @@
 	Value json.RawMessage `json:"value,omitempty,omitzero"`
 }
 
+// Ends of an executor's runs that are durable.
+type EndsSeen struct {
+	// Unix time of the executor's start, in milliseconds.
+	Born int `json:"born"`
+
+	// Id of the executor.
+	Executor string `json:"executor"`
+
+	// Number of the last end, in order, that is durable.
+	Through int `json:"through"`
+}
+
 // Where a live entry is reached.
 type EntryAddress struct {
 	// Address that peers dial, host:port.
@@ -324,6 +336,45 @@
 	Text string `json:"text"`
 }
 
+// One life of an executor as its agent sees it.
+type ExecutorState struct {
+	// Unix time of its start, in milliseconds.
+	Born int `json:"born"`
+
+	// What it can hold.
+	Capacity Resources `json:"capacity"`
+
+	// Data centre.
+	DataCentre string `json:"dataCentre"`
+
+	// Whether it is leaving.
+	Draining bool `json:"draining"`
+
+	// Ends that are not known to be durable.
+	Ends []RunEnd `json:"ends,omitempty,omitzero"`
+
+	// Id of the executor.
+	Id string `json:"id"`
+
+	// Labels: its kind and its rack.
+	Labels []string `json:"labels"`
+
+	// Whether it answers.
+	Reachable bool `json:"reachable"`
+
+	// Least time until it leaves, in milliseconds, while it drains.
+	RemainingMillis int `json:"remainingMillis,omitempty,omitzero"`
+
+	// Runs that it holds.
+	Runs []RunState `json:"runs,omitempty,omitzero"`
+
+	// Service whose tasks it runs.
+	Service string `json:"service"`
+
+	// Time since it last answered, in milliseconds.
+	SilentMillis int `json:"silentMillis,omitempty,omitzero"`
+}
+
 // A caller's job request that an entry passes to the owner of its partition.
 type Forward struct {
 	// Id of the job.
@@ -357,6 +408,12 @@
 	Hosts []HostView `json:"hosts"`
 }
 
+// The record of a host that may run tasks.
+type HostRecord struct {
+	// Address of its agent, host:port.
+	Address string `json:"address"`
+}
+
 // What an entry knows of one host.
 type HostView struct {
 	// Address of the agent, host:port.
@@ -605,6 +662,72 @@
 	Offset int `json:"offset"`
 }
 
+// An entry of the deployment.
+type Member struct {
+	// Address that peers dial, host:port.
+	Address string `json:"address"`
+
+	// Incarnation of its process.
+	Incarnation string `json:"incarnation"`
+
+	// Name of the entry.
+	Name string `json:"name"`
+}
+
+// What must last of one occurrence.
+type OccurrenceProgress struct {
+	// Bits of the tasks that are done, in base64.
+	Done string `json:"done"`
+
+	// Number of the occurrence, from 0.
+	Occurrence int `json:"occurrence"`
+
+	// Tasks that are not done and were tried.
+	Tasks []TaskProgress `json:"tasks,omitempty,omitzero"`
+}
+
+// What the owner tells an agent.
+type Orders struct {
+	// Epoch of the owner.
+	Epoch int `json:"epoch"`
+
+	// Incarnation of the agent that the orders are for.
+	Incarnation string `json:"incarnation"`
+
+	// Number of the orders within the epoch, from 1.
+	Number int `json:"number"`
+
+	// Ends that are durable.
+	Seen []EndsSeen `json:"seen,omitempty,omitzero"`
+
+	// Runs to start.
+	Starts []RunOrder `json:"starts,omitempty,omitzero"`
+
+	// Runs to stop.
+	Stops []RunStop `json:"stops,omitempty,omitzero"`
+
+	// Time of the agent's clock in the last report that the owner heard.
+	TicketMillis int `json:"ticketMillis"`
+}
+
+// An agent's answer to orders.
+type OrdersReply struct {
+	// Whether the agent carries the orders out.
+	Accepted bool `json:"accepted"`
+
+	// Kind of error for which it does not.
+	Kind string `json:"kind,omitempty,omitzero"`
+}
+
+// The record of the owner of all workloads.
+type OwnerRecord struct {
+	// Its epoch.
+	Epoch int `json:"epoch"`
+
+	// The owner.
+	Member Member `json:"member"`
+}
+
 // A partition with the epoch of its owner.
 type PartitionEpoch struct {
 	// Offset of the owner's claim.
@@ -629,6 +752,57 @@
 	Partition int `json:"partition"`
 }
 
+// What an entry tells another one.
+type Ping struct {
+	// Greatest epoch that it knows.
+	Epoch int `json:"epoch"`
+
+	// Whether it shuts down.
+	Leaving bool `json:"leaving"`
+
+	// The entry.
+	Member Member `json:"member"`
+
+	// Whether it is the owner.
+	Owner bool `json:"owner"`
+
+	// Name of the owner that it knows.
+	OwnerName string `json:"ownerName,omitempty,omitzero"`
+
+	// Whether it gave up its ownership in that epoch.
+	Released bool `json:"released,omitempty,omitzero"`
+
+	// Time since the store last answered it, in milliseconds; -1 for never.
+	StoreMillis int `json:"storeMillis"`
+
+	// Version of the configuration that it has.
+	View int `json:"view"`
+}
+
+// The answer to a ping: what the other one knows.
+type PingReply struct {
+	// Its configuration, when that is newer than the asker's.
+	Config string `json:"config,omitempty,omitzero"`
+
+	// Entries that it knows.
+	Members []Member `json:"members,omitempty,omitzero"`
+
+	// What the answering entry tells.
+	Ping Ping `json:"ping"`
+}
+
+// The record of a workload's progress.
+type ProgressRecord struct {
+	// Unix time of its end, in milliseconds.
+	EndedMillis int `json:"endedMillis,omitempty,omitzero"`
+
+	// Occurrences with progress.
+	Occurrences []OccurrenceProgress `json:"occurrences,omitempty,omitzero"`
+
+	// State of the workload.
+	State string `json:"state"`
+}
+
 // An agent's request to the owner of a partition to renew the leases of its
 // attempts.
 type Renew struct {
@@ -673,6 +847,63 @@
 	Stop []AttemptRef `json:"stop,omitempty,omitzero"`
 }
 
+// What an agent tells the owner: all that its executors hold.
+type Report struct {
+	// Address of the agent, host:port.
+	Address string `json:"address"`
+
+	// Greatest epoch that the agent has seen.
+	Epoch int `json:"epoch"`
+
+	// Its executors; left out in a report to an entry that is not the owner.
+	Executors []ExecutorState `json:"executors,omitempty,omitzero"`
+
+	// Name of the host.
+	Host string `json:"host"`
+
+	// Incarnation of the agent.
+	Incarnation string `json:"incarnation"`
+
+	// Number of the last orders that it took in that epoch.
+	Orders int `json:"orders"`
+
+	// Time since the agent last heard the owner, in milliseconds.
+	OwnerSilentMillis int `json:"ownerSilentMillis,omitempty,omitzero"`
+
+	// Runs that never started.
+	Refusals []RunRefusal `json:"refusals,omitempty,omitzero"`
+
+	// Number of the last refusal in refusals.
+	RefusalsThrough int `json:"refusalsThrough,omitempty,omitzero"`
+
+	// Time of the agent's clock, in milliseconds.
+	TicketMillis int `json:"ticketMillis"`
+}
+
+// An entry's answer to a report.
+type ReportReply struct {
+	// Epoch of the owner that the entry knows.
+	Epoch int `json:"epoch"`
+
+	// Whether the leases of the host are renewed.
+	Lease bool `json:"lease,omitempty,omitzero"`
+
+	// Entries that the entry knows.
+	Members []Member `json:"members"`
+
+	// Whether the entry is that owner.
+	Owner bool `json:"owner"`
+
+	// Address of the owner.
+	OwnerAddress string `json:"ownerAddress,omitempty,omitzero"`
+
+	// Number of the last refusal that the owner took.
+	RefusalsThrough int `json:"refusalsThrough,omitempty,omitzero"`
+
+	// Ends that are durable.
+	Seen []EndsSeen `json:"seen,omitempty,omitzero"`
+}
+
 // An amount of processors, memory and accelerators.
 type Resources struct {
 	// Whole accelerators.
@@ -709,6 +940,99 @@
 	Revoked bool `json:"revoked"`
 }
 
+// How a run ended.
+type RunEnd struct {
+	// Latest checkpoint.
+	Checkpoint string `json:"checkpoint,omitempty,omitzero"`
+
+	// done, failed, stopped, lapsed, broken or alone.
+	How string `json:"how"`
+
+	// Number of the end within the executor's life, from 1.
+	Number int `json:"number"`
+
+	// The run.
+	Run RunRef `json:"run"`
+}
+
+// An order to start a run at an executor.
+type RunOrder struct {
+	// Checkpoint to resume from; empty for none.
+	Checkpoint string `json:"checkpoint,omitempty,omitzero"`
+
+	// Id of the executor.
+	Executor string `json:"executor"`
+
+	// Whether no processors are set aside for the task.
+	Fills bool `json:"fills,omitempty,omitzero"`
+
+	// Name of what the task runs.
+	Image string `json:"image,omitempty,omitzero"`
+
+	// Text that is passed to the task.
+	Payload string `json:"payload"`
+
+	// Need of the task.
+	Resources Resources `json:"resources"`
+
+	// The run.
+	Run RunRef `json:"run"`
+
+	// Latency that the tail of the task must stay below, in milliseconds; 0 for none.
+	TailTargetMillis int `json:"tailTargetMillis,omitempty,omitzero"`
+}
+
+// One run of a task.
+type RunRef struct {
+	// Number of the run, from 1, rising.
+	Run int `json:"run"`
+
+	// The task.
+	Task TaskRef `json:"task"`
+}
+
+// A run that never started and never will.
+type RunRefusal struct {
+	// Kind of error.
+	Kind string `json:"kind"`
+
+	// The run.
+	Run RunRef `json:"run"`
+}
+
+// One run at an executor.
+type RunState struct {
+	// Latest checkpoint.
+	Checkpoint string `json:"checkpoint,omitempty,omitzero"`
+
+	// Tail latency of a serving task in milliseconds; processors in use of any other.
+	Figure float64 `json:"figure,omitempty,omitzero"`
+
+	// Whether no processors are set aside for the task.
+	Fills bool `json:"fills,omitempty,omitzero"`
+
+	// Share of its speed that the agent allows it, in percent.
+	Pace int `json:"pace,omitempty,omitzero"`
+
+	// Share of its speed at which the task works.
+	Percent int `json:"percent,omitempty,omitzero"`
+
+	// starting, running or stopping.
+	Phase string `json:"phase"`
+
+	// The run.
+	Run RunRef `json:"run"`
+}
+
+// An order to stop a run.
+type RunStop struct {
+	// Id of the executor.
+	Executor string `json:"executor"`
+
+	// The run.
+	Run RunRef `json:"run"`
+}
+
 // The load of one service at one target.
 type ServiceSummary struct {
 	// Requests running now.
@@ -806,6 +1130,61 @@
 	Voids []VoidEdit `json:"voids,omitempty,omitzero"`
 }
 
+// A step of a workload: equal tasks that may run once the steps before it are
+// done.
+type StepSpec struct {
+	// Numbers of the steps, from 0, that must be done first.
+	After []int `json:"after,omitempty,omitzero"`
+
+	// Whether the tasks checkpoint their progress.
+	Checkpoints bool `json:"checkpoints,omitempty,omitzero"`
+
+	// Rough run time of a task, in milliseconds; 0 for unknown.
+	EstimateMillis int `json:"estimateMillis,omitempty,omitzero"`
+
+	// Whether the tasks take the processors that others leave unused, and none are
+	// set aside for them.
+	Fills bool `json:"fills,omitempty,omitzero"`
+
+	// Whether the tasks work only together and end together.
+	Gang bool `json:"gang,omitempty,omitzero"`
+
+	// Name of what the tasks run; tasks of one image behave alike.
+	Image string `json:"image,omitempty,omitzero"`
+
+	// Label that the executor must have; empty for any.
+	Label string `json:"label,omitempty,omitzero"`
+
+	// Whether the tasks run until the workload is canceled.
+	Lasting bool `json:"lasting,omitempty,omitzero"`
+
+	// Tasks of a lasting step that may be away at a time by the scheduler's own
+	// doing.
+	MaxMissing int `json:"maxMissing,omitempty,omitzero"`
+
+	// Greatest number of the step's tasks on one executor; 0 for any.
+	MaxPerExecutor int `json:"maxPerExecutor,omitempty,omitzero"`
+
+	// Rack that holds the data; empty for any.
+	Rack string `json:"rack,omitempty,omitzero"`
+
+	// Need of each task.
+	Resources Resources `json:"resources"`
+
+	// Whether the tasks are slow on more than one rack.
+	SameRack bool `json:"sameRack,omitempty,omitzero"`
+
+	// Whether copies of a task may run at the same time.
+	Speculative bool `json:"speculative,omitempty,omitzero"`
+
+	// Latency, in milliseconds, that the tail of a serving task must stay below; 0
+	// for none.
+	TailTargetMillis int `json:"tailTargetMillis,omitempty,omitzero"`
+
+	// Number of tasks.
+	Tasks int `json:"tasks"`
+}
+
 // An owner's command to stop one attempt.
 type Stop struct {
 	// Number of the attempt.
@@ -866,6 +1245,36 @@
 	Team string `json:"team"`
 }
 
+// What must last of a task that is not done.
+type TaskProgress struct {
+	// Latest checkpoint.
+	Checkpoint string `json:"checkpoint,omitempty,omitzero"`
+
+	// Runs that ended failed.
+	Failures int `json:"failures,omitempty,omitzero"`
+
+	// Greatest run that is known.
+	Run int `json:"run,omitempty,omitzero"`
+
+	// Number of the task, counted over all steps of its occurrence.
+	Task int `json:"task"`
+}
+
+// One task of a workload.
+type TaskRef struct {
+	// Number of the task within its step, from 0.
+	Index int `json:"index"`
+
+	// Number of the occurrence, from 0.
+	Occurrence int `json:"occurrence"`
+
+	// Number of the step, from 0.
+	Step int `json:"step"`
+
+	// Id of the workload.
+	Workload string `json:"workload"`
+}
+
 // An agent's report on one attempt.
 type TaskReport struct {
 	// Number of the attempt.
@@ -1094,3 +1503,61 @@
 	// Share of its processors that the task keeps, in thousandths.
 	Permille int `json:"permille"`
 }
+
+// The record of an accepted workload.
+type WorkloadRecord struct {
+	// Unix time of its acceptance, in milliseconds.
+	AcceptedMillis int `json:"acceptedMillis"`
+
+	// Epoch in which it was accepted.
+	Epoch int `json:"epoch"`
+
+	// Its id.
+	Id string `json:"id"`
+
+	// Name of its queue.
+	Queue string `json:"queue"`
+
+	// What was handed in.
+	Spec WorkloadSpec `json:"spec"`
+}
+
+// The owner's answer about a workload or a queue.
+type WorkloadReply struct {
+	// State of the workload: queued, running, completed, failed or canceled.
+	State string `json:"state"`
+
+	// Accepted workloads of the queue of which no task has started.
+	Waiting int `json:"waiting,omitempty,omitzero"`
+}
+
+// A call about one workload of a queue; the specification comes with a submission
+// only.
+type WorkloadRequest struct {
+	// Id that the caller chose.
+	Id string `json:"id"`
+
+	// Name of the queue.
+	Queue string `json:"queue"`
+
+	// What is handed in.
+	Spec *WorkloadSpec `json:"spec,omitempty,omitzero"`
+}
+
+// What a caller hands in: steps of tasks, once or at intervals.
+type WorkloadSpec struct {
+	// Time between occurrences, in milliseconds.
+	IntervalMillis int `json:"intervalMillis,omitempty,omitzero"`
+
+	// Text that is passed to each task.
+	Payload string `json:"payload"`
+
+	// Number of occurrences; 0 for a workload without a schedule.
+	Repeats int `json:"repeats,omitempty,omitzero"`
+
+	// Unix time of the first occurrence, in milliseconds.
+	StartAtMillis int `json:"startAtMillis,omitempty,omitzero"`
+
+	// Steps, in order.
+	Steps []StepSpec `json:"steps"`
+}
