Keep executors durable; end a run only on evidence

Executors are now in the host's record, an agent is told of those it does not list, and their runs end when the agent names the life as over or the last lease that can have been granted has passed.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -110,8 +110,14 @@
 		if err := json.Unmarshal(r.Value(), &record); err != nil {
 			return apricotwinch.Errorf(apricotwinch.Invalid, "record %s: %w", r.Key(), err)
 		}
-		c.hosts[name] = newHost(name, record.Address, c.inheritedUntil(now))
-		c.hosts[name].durable = true
+		h := newHost(now, name, record.Address)
+		for _, r := range record.Executors {
+			e := newExecutor(h, r)
+			e.durable = true
+			e.leasedTo = c.inheritedUntil(now)
+			h.executors[e.id] = e
+		}
+		c.hosts[name] = h
 		return nil
 	}
 	if !strings.HasPrefix(r.Key(), prefixWork) {
@@ -309,9 +315,7 @@
 	c.durable = number
 	for _, r := range records {
 		if name, ok := strings.CutPrefix(r.Key(), prefixHost); ok {
-			if h := c.hosts[name]; h != nil {
-				h.durable = true
-			}
+			c.hostWritten(name, r.Value())
 		}
 		id, ok := strings.CutPrefix(r.Key(), prefixProgress)
 		if !ok {
@@ -330,6 +334,20 @@
 	}
 }
 
+// hostWritten takes that a host's record is durable, with the executors in it.
+func (c *Conductor) hostWritten(name string, value []byte) {
+	h := c.hosts[name]
+	var record messenger.HostRecord
+	if h == nil || json.Unmarshal(value, &record) != nil {
+		return
+	}
+	for _, r := range record.Executors {
+		if e := h.executors[r.Id]; e != nil && e.born == r.Born {
+			e.durable = true
+		}
+	}
+}
+
 // Durable returns the number of the last append that is durable.
 func (c *Conductor) Durable() int64 { return c.durable }
 
--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -1,6 +1,8 @@
 package conductor
 
 import (
+	"cmp"
+	"slices"
 	"strings"
 	"time"
 
@@ -16,12 +18,8 @@
 	name        string
 	address     string
 	incarnation string
-	durable     bool
 	reported    bool
 	heardAt     time.Time
-	// silentUntil is when the runs of an inherited host have provably ended, if it
-	// stays silent.
-	silentUntil time.Time
 	ticket      int
 	number      int
 	refusals    int
@@ -30,12 +28,19 @@
 
 // executor is one life of an executor.
 type executor struct {
-	host     *host
-	id       string
-	born     int
-	service  string
-	dc       string
-	rack     string
+	host    *host
+	record  messenger.ExecutorRecord
+	id      string
+	born    int
+	service string
+	dc      string
+	rack    string
+	// durable is whether the record of the executor is: no task starts there before.
+	durable bool
+	// listed is whether a report to this owner has listed it.
+	listed bool
+	// leasedTo is when its runs have provably ended, if no report lists it any more.
+	leasedTo time.Time
 	labels   map[string]bool
 	capacity apricotwinch.Resources
 	draining bool
@@ -61,17 +66,16 @@
 	write  int64
 }
 
-func newHost(name, address string, silentUntil time.Time) *host {
-	return &host{name: name, address: address, silentUntil: silentUntil, executors: map[string]*executor{}}
+func newHost(now time.Time, name, address string) *host {
+	return &host{name: name, address: address, heardAt: now, executors: map[string]*executor{}}
 }
 
 // Report takes what an agent reports and returns the answer.
 func (c *Conductor) Report(now time.Time, r messenger.Report) messenger.ReportReply {
 	h := c.hosts[r.Host]
 	if h == nil {
-		h = newHost(r.Host, r.Address, now)
+		h = newHost(now, r.Host, r.Address)
 		c.hosts[r.Host] = h
-		c.recordHost(h)
 		c.logger.Info("host joined", "host", r.Host, "address", r.Address)
 	}
 	if h.address != r.Address {
@@ -99,16 +103,32 @@
 	c.takeRefusals(now, h, r)
 	c.takeExecutors(now, h, r)
 	reply := messenger.ReportReply{Epoch: int(c.epoch), Owner: true, Lease: true, RefusalsThrough: h.refusals}
-	for _, e := range h.executors {
+	for _, e := range h.ordered() {
 		reply.Seen = append(reply.Seen, messenger.EndsSeen{Executor: e.id, Born: e.born, Through: e.seen})
+		if !e.reachable && e.leasedTo.After(now) {
+			reply.Executors = append(reply.Executors, e.record)
+		}
 	}
 	return reply
 }
 
-// recordHost makes a host durable: no task starts there before.
+// ordered returns the executors in order of their ids.
+func (h *host) ordered() []*executor {
+	list := make([]*executor, 0, len(h.executors))
+	for _, e := range h.executors {
+		list = append(list, e)
+	}
+	slices.SortFunc(list, func(a, b *executor) int { return cmp.Compare(a.id, b.id) })
+	return list
+}
+
+// recordHost makes a host and its executors durable.
 func (c *Conductor) recordHost(h *host) {
-	h.durable = false
-	c.records = append(c.records, encode(prefixHost+h.name, messenger.HostRecord{Address: h.address}))
+	record := messenger.HostRecord{Address: h.address}
+	for _, e := range h.ordered() {
+		record.Executors = append(record.Executors, e.record)
+	}
+	c.records = append(c.records, encode(prefixHost+h.name, record))
 	c.urgent = true
 }
 
@@ -136,41 +156,47 @@
 }
 
 func (c *Conductor) takeExecutors(now time.Time, h *host, r messenger.Report) {
-	listed := map[string]bool{}
+	for _, life := range r.Gone {
+		if e := h.executors[life.Id]; e != nil && e.born == life.Born {
+			c.executorGone(e, "its agent says so")
+		}
+	}
+	for _, e := range h.executors {
+		e.reachable = false
+	}
 	for i := range r.Executors {
 		state := &r.Executors[i]
-		listed[state.Id] = true
-		e := h.executors[state.Id]
-		if e != nil && e.born != state.Born {
+		record := state.Executor
+		e := h.executors[record.Id]
+		if e != nil && e.born < record.Born {
 			c.executorGone(e, "reborn")
 			e = nil
 		}
 		if e == nil {
-			e = newExecutor(h, state)
+			e = newExecutor(h, record)
 			h.executors[e.id] = e
+			c.recordHost(h)
 			c.logger.Info("executor joined", "executor", e.id, "host", h.name, "dataCentre", e.dc, "rack", e.rack, "capacity", e.capacity.String())
 		}
-		c.takeExecutor(now, e, state, r.Orders)
-	}
-	for id, e := range h.executors {
-		if !listed[id] {
-			c.executorGone(e, "not listed")
+		if e.born == record.Born {
+			c.takeExecutor(now, e, state, r.Orders)
 		}
 	}
 }
 
-func newExecutor(h *host, state *messenger.ExecutorState) *executor {
+func newExecutor(h *host, record messenger.ExecutorRecord) *executor {
 	e := &executor{
 		host:     h,
-		id:       state.Id,
-		born:     state.Born,
-		service:  state.Service,
-		dc:       state.DataCentre,
+		record:   record,
+		id:       record.Id,
+		born:     record.Born,
+		service:  record.Service,
+		dc:       record.DataCentre,
 		labels:   map[string]bool{},
-		capacity: state.Capacity.Value(),
+		capacity: record.Capacity.Value(),
 		runs:     map[messenger.RunRef]*run{},
 	}
-	for _, label := range state.Labels {
+	for _, label := range record.Labels {
 		e.labels[label] = true
 		if strings.HasPrefix(label, rackPrefix) && strings.Contains(label, "-") {
 			e.rack = label
@@ -187,10 +213,13 @@
 		c.count("runs.lost")
 	}
 	delete(e.host.executors, e.id)
+	c.recordHost(e.host)
 }
 
 func (c *Conductor) takeExecutor(now time.Time, e *executor, state *messenger.ExecutorState, processed int) {
-	e.capacity = state.Capacity.Value()
+	e.capacity = state.Executor.Capacity.Value()
+	e.listed = true
+	e.leasedTo = now.Add(c.config.Lease + c.config.Margin)
 	e.reachable = state.Reachable
 	if state.Draining && !e.draining {
 		c.logger.Info("executor draining", "executor", e.id, "host", e.host.name, "remainingMillis", state.RemainingMillis)
@@ -454,31 +483,25 @@
 }
 
 func (c *Conductor) tickHost(now time.Time, name string, h *host) {
-	until := h.silentUntil
-	if h.reported {
-		until = h.heardAt.Add(c.config.Lease + c.config.Margin)
-	}
-	if now.Before(until) {
-		return
-	}
-	if len(h.executors) > 0 {
-		c.logger.Info("host lost", "host", name, "silentMillis", now.Sub(h.heardAt).Milliseconds())
-	}
-	for _, e := range h.executors {
-		c.executorGone(e, "host silent")
+	for _, e := range h.ordered() {
+		if now.After(e.leasedTo) {
+			c.executorGone(e, "its leases are over")
+		}
 	}
-	if now.Sub(until) > c.config.ForgetHost {
+	if len(h.executors) == 0 && now.Sub(h.heardAt) > c.config.ForgetHost {
 		delete(c.hosts, name)
 		c.drop(prefixHost + name)
 	}
 }
 
-// settled reports whether every host that the last owner used has reported or is
-// provably idle.
-func (c *Conductor) settled(now time.Time) bool {
+// settled reports whether every executor that the last owner used was listed or
+// is provably idle.
+func (c *Conductor) settled() bool {
 	for _, h := range c.hosts {
-		if !h.reported && now.Before(h.silentUntil) {
-			return false
+		for _, e := range h.executors {
+			if !e.listed {
+				return false
+			}
 		}
 	}
 	return true
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -79,7 +79,7 @@
 
 // Schedule starts the tasks that wait and have room.
 func (c *Conductor) Schedule(now time.Time) {
-	settled := c.settled(now)
+	settled := c.settled()
 	pool := c.usable()
 	c.steps = slices.DeleteFunc(c.steps, func(s *step) bool {
 		w := s.occurrence.work
@@ -102,11 +102,11 @@
 func (c *Conductor) usable() map[string][]*executor {
 	pool := map[string][]*executor{}
 	for _, h := range c.hosts {
-		if !h.durable || !h.reported {
+		if !h.reported {
 			continue
 		}
 		for _, e := range h.executors {
-			if e.reachable && !e.draining && !c.out[e.dc] {
+			if e.durable && e.reachable && !e.draining && !c.out[e.dc] {
 				pool[e.service] = append(pool[e.service], e)
 			}
 		}
--- a/custodian/custodian.go
+++ b/custodian/custodian.go
@@ -75,11 +75,12 @@
 
 	epoch     int
 	taken     int
-	leaseTo   time.Time
 	ownerAt   time.Time
 	executors map[string]*executor
+	gone      []life
 	refusals  []messenger.RunRefusal
 	refused   int
+	latest    time.Time
 }
 
 // New returns the custodian of a host whose agent serves at address.
@@ -103,7 +104,11 @@
 // Announced takes what an executor tells of itself and reports whether that was
 // news to the owner.
 func (c *Custodian) Announced(now time.Time, a Announcement) bool {
+	c.latest = now
 	e := c.executors[a.ID]
+	if c.over(a.ID, a.Born) {
+		return false
+	}
 	if e != nil && (a.Born < e.Born || a.Born == e.Born && a.Sequence <= e.Sequence) {
 		return false
 	}
@@ -150,7 +155,22 @@
 	}
 }
 
+// goneLife is how long an executor's end is reported.
+const goneLife = 30 * time.Second
+
+// life is one life of an executor that is over.
+type life struct {
+	messenger.ExecutorLife
+	at time.Time
+}
+
+// over reports whether a life of an executor is known to be over.
+func (c *Custodian) over(id string, born int) bool {
+	return slices.ContainsFunc(c.gone, func(l life) bool { return l.Id == id && l.Born >= born })
+}
+
 func (c *Custodian) drop(e *executor, reason string) {
+	c.gone = append(c.gone, life{ExecutorLife: messenger.ExecutorLife{Id: e.ID, Born: e.Born}, at: c.latest})
 	c.logger.Info("executor dropped", "executor", e.ID, "born", e.Born, "runs", len(e.runs), "reason", reason)
 	delete(c.executors, e.ID)
 }
@@ -173,9 +193,9 @@
 		return HoldCall{}, false
 	}
 	call := HoldCall{Executor: e.ID, Address: e.Address, Token: e.token, Seen: e.seen}
-	if e.held && c.leaseTo.After(now) {
-		call.Deadline = e.deadline(c.leaseTo)
-		e.leasedTo = c.leaseTo
+	if e.held && e.leaseTo.After(now) {
+		call.Deadline = e.deadline(e.leaseTo)
+		e.leasedTo = e.leaseTo
 	}
 	if e.held && e.seen >= e.listed {
 		call.Wait = c.config.HoldWait
@@ -186,6 +206,7 @@
 // Held takes the answer to a hold that was sent at sent. It reports whether the
 // owner should be told.
 func (c *Custodian) Held(now, sent time.Time, call HoldCall, holding Holding, err error) (Calls, bool) {
+	c.latest = now
 	e := c.executors[call.Executor]
 	if e == nil {
 		return Calls{}, false
@@ -220,7 +241,8 @@
 		c.drop(e, err.Error())
 		return true
 	case apricotwinch.StaleEpoch:
-		e.token = max(e.token+1, e.clock.Milliseconds())
+		e.token = max(e.token+1, answer.Clock.Milliseconds())
+		e.fenced = answer.Clock > 0
 	}
 	return false
 }
@@ -357,9 +379,9 @@
 		calls.Stops = append(calls.Stops, RunCall{Executor: e.ID, Address: e.Address, Token: e.token, Run: r.order.Run})
 		return
 	}
-	e.leasedTo = c.leaseTo
+	e.leasedTo = e.leaseTo
 	calls.Starts = append(calls.Starts, StartCall{
-		Executor: e.ID, Address: e.Address, Token: e.token, Deadline: e.deadline(c.leaseTo), Order: r.order,
+		Executor: e.ID, Address: e.Address, Token: e.token, Deadline: e.deadline(e.leaseTo), Order: r.order,
 	})
 }
 
@@ -487,10 +509,19 @@
 	}
 	report.Refusals = slices.Clone(c.refusals)
 	report.RefusalsThrough = c.refused
+	c.gone = slices.DeleteFunc(c.gone, func(l life) bool { return now.Sub(l.at) > goneLife })
+	for _, l := range c.gone {
+		report.Gone = append(report.Gone, l.ExecutorLife)
+	}
 	for _, id := range c.Executors() {
-		if e := c.executors[id]; e.held {
-			report.Executors = append(report.Executors, c.state(now, e))
+		e := c.executors[id]
+		if !e.held {
+			continue
 		}
+		if e.listedAt.IsZero() {
+			e.listedAt = now
+		}
+		report.Executors = append(report.Executors, c.state(now, e))
 	}
 	return report
 }
@@ -498,12 +529,15 @@
 func (c *Custodian) state(now time.Time, e *executor) messenger.ExecutorState {
 	silent := now.Sub(e.heardAt)
 	state := messenger.ExecutorState{
-		Id:              e.ID,
-		Born:            e.Born,
-		Service:         e.Service,
-		DataCentre:      e.DataCentre,
-		Capacity:        messenger.FromResources(e.Capacity),
-		Labels:          e.Labels,
+		Executor: messenger.ExecutorRecord{
+			Id:         e.ID,
+			Born:       e.Born,
+			Address:    e.Address,
+			Service:    e.Service,
+			DataCentre: e.DataCentre,
+			Capacity:   messenger.FromResources(e.Capacity),
+			Labels:     e.Labels,
+		},
 		Draining:        e.Draining,
 		Reachable:       silent < c.config.Silence,
 		RemainingMillis: int(max(0, e.leavesAt.Sub(now)).Milliseconds()),
@@ -529,14 +563,36 @@
 	c.see(reply.Epoch)
 	c.ownerAt = now
 	c.acknowledge(reply.Seen)
-	if reply.Lease && sent.Add(c.config.Lease).After(c.leaseTo) {
-		c.leaseTo = sent.Add(c.config.Lease)
+	for _, e := range c.executors {
+		listed := !e.listedAt.IsZero() && !e.listedAt.After(sent)
+		if to := sent.Add(c.config.Lease); reply.Lease && listed && to.After(e.leaseTo) {
+			e.leaseTo = to
+		}
+	}
+	for _, record := range reply.Executors {
+		c.recall(now, record)
 	}
 	if keep := c.refused - reply.RefusalsThrough; keep < len(c.refusals) {
 		c.refusals = slices.Clone(c.refusals[len(c.refusals)-max(0, keep):])
 	}
 }
 
+// recall takes an executor that the owner knows and this agent does not yet.
+func (c *Custodian) recall(now time.Time, record messenger.ExecutorRecord) {
+	if c.executors[record.Id] != nil || c.over(record.Id, record.Born) {
+		return
+	}
+	c.Announced(now, Announcement{
+		ID:         record.Id,
+		Born:       record.Born,
+		Service:    record.Service,
+		Address:    record.Address,
+		DataCentre: record.DataCentre,
+		Capacity:   record.Capacity.Value(),
+		Labels:     record.Labels,
+	})
+}
+
 // pace returns the calls that set how fast the work that fills may go.
 func (c *Custodian) pace(now time.Time, e *executor) Calls {
 	var calls Calls
--- a/custodian/executor.go
+++ b/custodian/executor.go
@@ -77,10 +77,15 @@
 	fenced bool
 	// held is whether the executor has answered a hold with this token: what an
 	// earlier agent sent can't take effect any more.
-	held      bool
-	clock     time.Duration
-	clockAt   time.Time
-	heardAt   time.Time
+	held    bool
+	clock   time.Duration
+	clockAt time.Time
+	heardAt time.Time
+	// listedAt is when a report first listed it; the owner's answers to this and
+	// later reports renew its leases until leaseTo. leasedTo is the end of the leases
+	// that the executor may have got.
+	listedAt  time.Time
+	leaseTo   time.Time
 	leasedTo  time.Time
 	leavesAt  time.Time
 	runs      map[messenger.RunRef]*run
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -336,8 +336,20 @@
 	Text string `json:"text"`
 }
 
-// One life of an executor as its agent sees it.
-type ExecutorState struct {
+// One life of an executor.
+type ExecutorLife struct {
+	// Unix time of its start, in milliseconds.
+	Born int `json:"born"`
+
+	// Id of the executor.
+	Id string `json:"id"`
+}
+
+// One life of an executor that may run tasks.
+type ExecutorRecord struct {
+	// Address that its agent calls, host:port.
+	Address string `json:"address"`
+
 	// Unix time of its start, in milliseconds.
 	Born int `json:"born"`
 
@@ -347,17 +359,26 @@
 	// Data centre.
 	DataCentre string `json:"dataCentre"`
 
+	// Id of the executor.
+	Id string `json:"id"`
+
+	// Labels: its kind and its rack.
+	Labels []string `json:"labels"`
+
+	// Service whose tasks it runs.
+	Service string `json:"service"`
+}
+
+// One life of an executor as its agent sees it.
+type ExecutorState struct {
 	// Whether it is leaving.
 	Draining bool `json:"draining"`
 
 	// Ends that are not known to be durable.
 	Ends []RunEnd `json:"ends,omitempty,omitzero"`
 
-	// Id of the executor.
-	Id string `json:"id"`
-
-	// Labels: its kind and its rack.
-	Labels []string `json:"labels"`
+	// The executor.
+	Executor ExecutorRecord `json:"executor"`
 
 	// Whether it answers.
 	Reachable bool `json:"reachable"`
@@ -368,9 +389,6 @@
 	// Runs that it holds.
 	Runs []RunState `json:"runs,omitempty,omitzero"`
 
-	// Service whose tasks it runs.
-	Service string `json:"service"`
-
 	// Time since it last answered, in milliseconds.
 	SilentMillis int `json:"silentMillis,omitempty,omitzero"`
 }
@@ -412,6 +430,9 @@
 type HostRecord struct {
 	// Address of its agent, host:port.
 	Address string `json:"address"`
+
+	// Its executors that may run tasks.
+	Executors []ExecutorRecord `json:"executors,omitempty,omitzero"`
 }
 
 // What an entry knows of one host.
@@ -858,6 +879,9 @@
 	// Its executors; left out in a report to an entry that is not the owner.
 	Executors []ExecutorState `json:"executors,omitempty,omitzero"`
 
+	// Executors that are known to run nothing any more.
+	Gone []ExecutorLife `json:"gone,omitempty,omitzero"`
+
 	// Name of the host.
 	Host string `json:"host"`
 
@@ -885,6 +909,9 @@
 	// Epoch of the owner that the entry knows.
 	Epoch int `json:"epoch"`
 
+	// Executors of the host that the report did not list.
+	Executors []ExecutorRecord `json:"executors,omitempty,omitzero"`
+
 	// Whether the leases of the host are renewed.
 	Lease bool `json:"lease,omitempty,omitzero"`
 
