Learn which images press on which; pace and place filling work by it

Cause: filling work was paced as one, although only a fifth of the pairs of images harm: over-target time and slow designs together. headroom = target/tail falls in a straight line with what presses, so a pair's press shows in differences between samples. Lasting tasks are packed, those of one image together.

--- /dev/null
+++ b/appraiser/appraiser.go
@@ -0,0 +1,152 @@
+// Package appraiser learns how much work that fills presses on work that serves,
+// for each pair of images, from lagged tail latencies.
+//
+// The headroom of a serving task is its target divided by its tail: 1 at the
+// target, more below it. A queue's tail grows as 1/(1-load), so that headroom
+// falls in a straight line with the load and with whatever presses. What a pair
+// costs shows when the share of the filling work changes between two samples,
+// while the load, which changes slowly, hardly does.
+//
+// An Appraiser does no I/O and takes the time as an argument. It is not safe for
+// concurrent use.
+package appraiser
+
+import "time"
+
+// Config holds the bounds of an Appraiser.
+type Config struct {
+	// Prior is the press of a pair that was never measured: the headroom that one
+	// filling task at full speed takes.
+	Prior float64
+	// Rate is the part of a prediction's error that one sample corrects, 0 to 1.
+	Rate float64
+	// Damping keeps small changes of share, which say little, from counting much.
+	Damping float64
+	// MinChange is the least change of shares, squared and summed, that counts.
+	MinChange float64
+	// Between is the least time between two samples of an executor, MaxGap the
+	// greatest that still tells a difference.
+	Between, MaxGap time.Duration
+	// MaxPress bounds a press; a tail is never said to be better than 4 times under
+	// its target by a neighbor.
+	MaxPress float64
+	// MaxHeadroom bounds the headroom: far below the target, figures are rough.
+	MaxHeadroom float64
+}
+
+// DefaultConfig returns the bounds used by the owner.
+func DefaultConfig() Config {
+	return Config{
+		Prior:       0.35,
+		Rate:        0.3,
+		Damping:     0.05,
+		MinChange:   0.02,
+		Between:     250 * time.Millisecond,
+		MaxGap:      1500 * time.Millisecond,
+		MaxPress:    4,
+		MaxHeadroom: 4,
+	}
+}
+
+// Serving is one serving task in a sample.
+type Serving struct {
+	// Task tells the tasks of an executor apart.
+	Task string
+	// Image is what it runs.
+	Image string
+	// Headroom is its target divided by its tail.
+	Headroom float64
+}
+
+// Pair is work that serves and work that fills, by their images.
+type Pair struct {
+	Serving string
+	Filling string
+}
+
+// sample is the latest sample of an executor.
+type sample struct {
+	at       time.Time
+	headroom map[string]float64
+	shares   map[string]float64
+}
+
+// Appraiser is what was learned.
+type Appraiser struct {
+	config Config
+	press  map[Pair]float64
+	latest map[string]sample
+}
+
+// New returns an appraiser that has learned nothing.
+func New(config Config) *Appraiser {
+	return &Appraiser{config: config, press: map[Pair]float64{}, latest: map[string]sample{}}
+}
+
+// Press returns the headroom that one filling task at full speed takes from a
+// serving task.
+func (a *Appraiser) Press(serving, filling string) float64 {
+	if p, ok := a.press[Pair{Serving: serving, Filling: filling}]; ok {
+		return max(0, p)
+	}
+	return a.config.Prior
+}
+
+// Observe takes a sample of an executor: its serving tasks, and by image the sum
+// of the shares of full speed at which filling tasks work.
+func (a *Appraiser) Observe(now time.Time, executor string, serving []Serving, shares map[string]float64) {
+	before, ok := a.latest[executor]
+	if ok && now.Sub(before.at) < a.config.Between {
+		return
+	}
+	current := sample{at: now, headroom: make(map[string]float64, len(serving)), shares: shares}
+	for _, s := range serving {
+		current.headroom[s.Task] = min(s.Headroom, a.config.MaxHeadroom)
+	}
+	a.latest[executor] = current
+	if !ok || now.Sub(before.at) > a.config.MaxGap {
+		return
+	}
+	changes, weight := difference(before.shares, shares)
+	if weight < a.config.MinChange {
+		return
+	}
+	for _, s := range serving {
+		if old, ok := before.headroom[s.Task]; ok {
+			a.learn(s.Image, changes, weight, current.headroom[s.Task]-old)
+		}
+	}
+}
+
+// Forget drops the latest sample of an executor that is gone.
+func (a *Appraiser) Forget(executor string) { delete(a.latest, executor) }
+
+// difference returns how the shares changed, and the sum of the squares.
+func difference(before, after map[string]float64) (map[string]float64, float64) {
+	changes := make(map[string]float64, len(after))
+	for image, share := range after {
+		changes[image] = share
+	}
+	for image, share := range before {
+		changes[image] -= share
+	}
+	sum := 0.0
+	for _, change := range changes {
+		sum += change * change
+	}
+	return changes, sum
+}
+
+// learn corrects the presses on an image by the error of the predicted change.
+func (a *Appraiser) learn(serving string, changes map[string]float64, weight, change float64) {
+	predicted := 0.0
+	for image, c := range changes {
+		predicted -= a.Press(serving, image) * c
+	}
+	wrong := change - predicted
+	for image, c := range changes {
+		pair := Pair{Serving: serving, Filling: image}
+		press := a.Press(serving, image) - a.config.Rate*wrong*c/(a.config.Damping+weight)
+		a.press[pair] = min(max(press, -a.config.MaxPress), a.config.MaxPress)
+	}
+}
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -18,6 +18,7 @@
 
 	"apricotwinch"
 	"apricotwinch/appender"
+	"apricotwinch/appraiser"
 	"apricotwinch/cataloger"
 	"apricotwinch/messenger"
 )
@@ -53,6 +54,7 @@
 	hosts     map[string]*host
 	runs      map[messenger.RunRef]*run
 	steps     []*step
+	appraiser *appraiser.Appraiser
 
 	sequence int64
 	durable  int64
@@ -77,6 +79,8 @@
 		hosts:    map[string]*host{},
 		runs:     map[messenger.RunRef]*run{},
 		orders:   map[string]*messenger.Orders{},
+
+		appraiser: appraiser.New(appraiser.DefaultConfig()),
 	}
 }
 
--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"apricotwinch"
+	"apricotwinch/appraiser"
 	"apricotwinch/messenger"
 )
 
@@ -52,6 +53,9 @@
 	filling   int64
 	serving   int64
 
+	// told holds the presses that the agent was told of.
+	told map[appraiser.Pair]float64
+
 	taken    int
 	seen     int
 	pending  []pendingEnd
@@ -92,6 +96,7 @@
 		h.refusals = 0
 		delete(c.orders, h.name)
 		for _, e := range h.executors {
+			e.told = map[appraiser.Pair]float64{}
 			for _, run := range e.runs {
 				run.order = 0
 			}
@@ -104,6 +109,8 @@
 	c.takeExecutors(now, h, r)
 	reply := messenger.ReportReply{Epoch: int(c.epoch), Owner: true, Lease: true, RefusalsThrough: h.refusals}
 	for _, e := range h.ordered() {
+		c.observe(now, e)
+		reply.Presses = append(reply.Presses, c.pressesFor(e)...)
 		reply.Seen = append(reply.Seen, messenger.EndsSeen{Executor: e.id, Born: e.born, Through: e.seen})
 		if !e.reachable && e.leasedTo.After(now) {
 			reply.Executors = append(reply.Executors, e.record)
@@ -195,6 +202,7 @@
 		labels:   map[string]bool{},
 		capacity: record.Capacity.Value(),
 		runs:     map[messenger.RunRef]*run{},
+		told:     map[appraiser.Pair]float64{},
 	}
 	for _, label := range record.Labels {
 		e.labels[label] = true
@@ -212,6 +220,7 @@
 		c.release(run)
 		c.count("runs.lost")
 	}
+	c.appraiser.Forget(e.id)
 	delete(e.host.executors, e.id)
 	c.recordHost(e.host)
 }
@@ -255,6 +264,10 @@
 	if run.executor != e {
 		return
 	}
+	if state.Unknown && state.Phase == messenger.RunRunning {
+		orders := c.ordersFor(e.host)
+		orders.Known = append(orders.Known, run.described())
+	}
 	run.phase = state.Phase
 	run.percent = state.Percent
 	run.figure = state.Figure
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -194,14 +194,38 @@
 	costAvoided = 10
 	costFailing = 100
 	costFar     = 2
+	// costCapacity is the capacity, in thousandths of a processor, that lasting
+	// tasks avoid as much as an idle executor: they are packed on small ones.
+	costCapacity = 8000
+	// costSameImage is what an executor that runs an image already saves.
+	costSameImage = 1
+	// speedWeight weighs the expected speed of filling work against an even share of
+	// what is unused.
+	speedWeight = 3
 )
 
+// serves reports whether an executor runs a lasting task of an image.
+func (e *executor) serves(image string) bool {
+	for _, r := range e.runs {
+		if r.task.step.spec.Lasting && r.task.step.spec.Image == image {
+			return true
+		}
+	}
+	return false
+}
+
 // cost ranks executors with room; the lowest is chosen.
 func (c *Conductor) cost(now time.Time, t *task, e *executor) float64 {
 	capacity := float64(e.capacity.ProcessorMillis())
 	cost := float64(e.committed.ProcessorMillis()) / capacity
-	if t.step.spec.Fills {
-		cost = float64(e.filling) / max(1, c.unused(e))
+	switch {
+	case t.step.spec.Fills:
+		cost = float64(e.filling)/max(1, c.unused(e)) - speedWeight*c.speed(t.step.spec.Image, e)
+	case t.step.spec.Lasting:
+		cost = capacity/costCapacity - cost
+		if t.step.spec.Image != "" && e.serves(t.step.spec.Image) {
+			cost -= costSameImage
+		}
 	}
 	if t.avoid == e {
 		cost += costAvoided
@@ -231,17 +255,7 @@
 		since:    now,
 	}
 	c.hold(r)
-	spec := t.step.spec
-	orders.Starts = append(orders.Starts, messenger.RunOrder{
-		Run:              r.ref,
-		Executor:         e.id,
-		Payload:          t.step.occurrence.work.spec.Payload,
-		Resources:        spec.Resources,
-		Checkpoint:       t.checkpoint,
-		Fills:            spec.Fills,
-		TailTargetMillis: spec.TailTargetMillis,
-		Image:            spec.Image,
-	})
+	orders.Starts = append(orders.Starts, r.described())
 	c.count("runs.ordered")
 	if c.logger.IsInfo() {
 		c.logger.Info("run ordered", "run", r.ref, "executor", e.id, "host", e.host.name, "order", r.order,
--- /dev/null
+++ b/conductor/press.go
@@ -0,0 +1,114 @@
+package conductor
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"apricotwinch/appraiser"
+	"apricotwinch/messenger"
+)
+
+// tellChange is the least change of a press that an agent is told of.
+const tellChange = 0.05
+
+// Bounds of the speed that is expected of filling work.
+const (
+	// lightPress is the press below which a pair doesn't matter.
+	lightPress = 0.1
+	// typicalHeadroom is the headroom that a serving task has on the average of its
+	// load, wantedHeadroom the one that must be left to it.
+	typicalHeadroom = 2.5
+	wantedHeadroom  = 1.45
+)
+
+// headroom returns the target of a serving run divided by its tail; 0 for unknown.
+func (r *run) headroom() float64 {
+	target := r.task.step.spec.TailTargetMillis
+	if target <= 0 || r.figure <= 0 || r.phase != messenger.RunRunning {
+		return 0
+	}
+	return float64(target) / r.figure
+}
+
+// observe lets the appraiser learn from what an executor reported.
+func (c *Conductor) observe(now time.Time, e *executor) {
+	var serving []appraiser.Serving
+	shares := map[string]float64{}
+	for _, r := range e.runs {
+		spec := r.task.step.spec
+		if h := r.headroom(); h > 0 {
+			serving = append(serving, appraiser.Serving{Task: fmt.Sprint(r.ref), Image: spec.Image, Headroom: h})
+		}
+		if need := r.task.step.need.ProcessorMillis(); spec.Fills && need > 0 && r.phase == messenger.RunRunning {
+			shares[spec.Image] += r.figure / float64(need)
+		}
+	}
+	c.appraiser.Observe(now, e.id, serving, shares)
+}
+
+// pressesFor returns the presses between the images on an executor that its agent
+// does not know yet.
+func (c *Conductor) pressesFor(e *executor) []messenger.Press {
+	var presses []messenger.Press
+	for _, s := range e.runs {
+		if s.task.step.spec.TailTargetMillis <= 0 {
+			continue
+		}
+		for _, f := range e.runs {
+			if !f.task.step.spec.Fills {
+				continue
+			}
+			pair := appraiser.Pair{Serving: s.task.step.spec.Image, Filling: f.task.step.spec.Image}
+			press := c.appraiser.Press(pair.Serving, pair.Filling)
+			if known, ok := e.told[pair]; ok && math.Abs(known-press) < tellChange {
+				continue
+			}
+			e.told[pair] = press
+			presses = append(presses, messenger.Press{Serving: pair.Serving, Filling: pair.Filling, Headroom: press})
+		}
+	}
+	return presses
+}
+
+// speed returns the share of full speed, 0 to 1, at which one more task of a
+// filling image is expected to go beside what serves on an executor.
+func (c *Conductor) speed(image string, e *executor) float64 {
+	speed := 1.0
+	for _, s := range e.runs {
+		spec := s.task.step.spec
+		if spec.TailTargetMillis <= 0 {
+			continue
+		}
+		press := c.appraiser.Press(spec.Image, image)
+		if press < lightPress {
+			continue
+		}
+		spare := typicalHeadroom - wantedHeadroom
+		if h := s.headroom(); h > 0 {
+			spare = min(h, typicalHeadroom) - wantedHeadroom
+		}
+		for _, f := range e.runs {
+			if f.task.step.spec.Fills && f.phase == messenger.RunStarting {
+				spare -= c.appraiser.Press(spec.Image, f.task.step.spec.Image)
+			}
+		}
+		speed = min(speed, max(0, spare)/press)
+	}
+	return speed
+}
+
+// described returns the order that a run was started by.
+func (r *run) described() messenger.RunOrder {
+	spec := r.task.step.spec
+	return messenger.RunOrder{
+		Run:              r.ref,
+		Executor:         r.executor.id,
+		Payload:          r.task.step.occurrence.work.spec.Payload,
+		Resources:        spec.Resources,
+		Checkpoint:       r.task.checkpoint,
+		Fills:            spec.Fills,
+		TailTargetMillis: spec.TailTargetMillis,
+		Image:            spec.Image,
+	}
+}
--- a/custodian/custodian.go
+++ b/custodian/custodian.go
@@ -17,6 +17,7 @@
 
 	"apricotwinch"
 	"apricotwinch/messenger"
+	"apricotwinch/pacer"
 )
 
 // Config holds the bounds of a Custodian.
@@ -32,13 +33,13 @@
 	Silence time.Duration
 	// HoldWait is how long an executor waits for an end before it answers a hold.
 	HoldWait time.Duration
-	// PaceEvery is the time between two changes of the pace at an executor.
+	// PaceEvery is the time after a change of pace in which figures do not show its
+	// effect yet.
 	PaceEvery time.Duration
-	// PaceDown times the pace is the next one while a tail is over its target;
-	// PaceUp percent are added while all tails are under CalmShare of it.
-	PaceDown  float64
-	PaceUp    int
-	CalmShare float64
+	// Pace holds the bounds of the pace.
+	Pace pacer.Config
+	// Press is the press of a pair of images of which nothing is known.
+	Press float64
 }
 
 // DefaultConfig returns the bounds used by agents.
@@ -49,10 +50,9 @@
 		Retry:     500 * time.Millisecond,
 		Silence:   time.Second,
 		HoldWait:  400 * time.Millisecond,
-		PaceEvery: 500 * time.Millisecond,
-		PaceDown:  0.5,
-		PaceUp:    10,
-		CalmShare: 0.7,
+		PaceEvery: 650 * time.Millisecond,
+		Pace:      pacer.DefaultConfig(),
+		Press:     0.35,
 	}
 }
 
@@ -81,6 +81,7 @@
 	refusals  []messenger.RunRefusal
 	refused   int
 	latest    time.Time
+	presses   map[[2]string]float64
 }
 
 // New returns the custodian of a host whose agent serves at address.
@@ -95,6 +96,7 @@
 		origin:      now,
 		ownerAt:     now,
 		executors:   map[string]*executor{},
+		presses:     map[[2]string]float64{},
 	}
 }
 
@@ -120,7 +122,7 @@
 		if !c.replaces(a) {
 			return false
 		}
-		e = &executor{Announcement: a, heardAt: now, runs: map[messenger.RunRef]*run{}, pace: 100, token: a.Clock.Milliseconds()}
+		e = &executor{Announcement: a, heardAt: now, runs: map[messenger.RunRef]*run{}, token: a.Clock.Milliseconds()}
 		c.executors[a.ID] = e
 		c.logger.Info("executor announced", "executor", a.ID, "born", a.Born, "address", a.Address, "draining", a.Draining)
 	}
@@ -313,6 +315,9 @@
 	}
 	c.taken = o.Number
 	var calls Calls
+	for _, order := range o.Known {
+		c.describe(order)
+	}
 	for _, stop := range o.Stops {
 		c.stop(now, stop, &calls)
 	}
@@ -364,6 +369,19 @@
 	c.call(now, e, r, calls)
 }
 
+// describe takes what a run is that was found at an executor.
+func (c *Custodian) describe(order messenger.RunOrder) {
+	e := c.executors[order.Executor]
+	if e == nil || e.runs[order.Run] == nil || e.runs[order.Run].known {
+		return
+	}
+	r := e.runs[order.Run]
+	e.remove(order.Run)
+	r.order = order
+	r.known = true
+	e.add(r)
+}
+
 func (c *Custodian) refuse(ref messenger.RunRef, kind apricotwinch.Kind) {
 	c.refused++
 	c.refusals = append(c.refusals, messenger.RunRefusal{Run: ref, Kind: string(kind)})
@@ -550,6 +568,7 @@
 		s.Phase = r.phase
 		s.Pace = r.pace
 		s.Fills = r.order.Fills
+		s.Unknown = !r.known
 		state.Runs = append(state.Runs, s)
 	}
 	return state
@@ -572,6 +591,9 @@
 	for _, record := range reply.Executors {
 		c.recall(now, record)
 	}
+	for _, p := range reply.Presses {
+		c.presses[[2]string{p.Serving, p.Filling}] = p.Headroom
+	}
 	if keep := c.refused - reply.RefusalsThrough; keep < len(c.refusals) {
 		c.refusals = slices.Clone(c.refusals[len(c.refusals)-max(0, keep):])
 	}
@@ -593,48 +615,59 @@
 	})
 }
 
+// press returns what is known of a pair of images.
+func (c *Custodian) press(serving, filling string) float64 {
+	if p, ok := c.presses[[2]string{serving, filling}]; ok {
+		return p
+	}
+	return c.config.Press
+}
+
 // pace returns the calls that set how fast the work that fills may go.
 func (c *Custodian) pace(now time.Time, e *executor) Calls {
-	var calls Calls
-	c.adjust(now, e)
+	var serving []pacer.Serving
+	var filling []pacer.Filling
+	var runs []*run
 	for _, r := range e.ordered() {
-		if !r.order.Fills || r.phase != messenger.RunRunning || r.pace == e.pace {
+		switch {
+		case r.phase != messenger.RunRunning:
+		case r.order.Fills:
+			filling = append(filling, pacer.Filling{Image: r.order.Image, Pace: r.pace, New: !r.paced})
+			runs = append(runs, r)
+		case r.order.TailTargetMillis > 0:
+			serving = append(serving, pacer.Serving{Image: r.order.Image, Headroom: r.headroom()})
+		}
+	}
+	if len(filling) == 0 {
+		return Calls{}
+	}
+	var calls Calls
+	settled := now.Sub(e.pacedAt) >= c.config.PaceEvery
+	for i, pace := range pacer.Decide(c.config.Pace, serving, filling, c.press, settled) {
+		r := runs[i]
+		r.paced = true
+		if r.pace == pace {
 			continue
 		}
-		r.pace = e.pace
-		calls.Paces = append(calls.Paces, RunCall{Executor: e.ID, Address: e.Address, Token: e.token, Run: r.order.Run, Percent: e.pace})
+		c.logger.Info("pace", "run", r.order.Run, "executor", e.ID, "image", r.order.Image, "percent", pace, "before", r.pace, "tails", serving)
+		r.pace = pace
+		e.pacedAt = now
+		calls.Paces = append(calls.Paces, RunCall{Executor: e.ID, Address: e.Address, Token: e.token, Run: r.order.Run, Percent: pace})
 	}
 	return calls
 }
 
-// adjust lowers the pace while a tail is over its target, and raises it while all
-// are calm.
-func (c *Custodian) adjust(now time.Time, e *executor) {
-	if now.Sub(e.pacedAt) < c.config.PaceEvery {
-		return
-	}
-	worst := 0.0
-	for _, r := range e.runs {
-		if target := r.order.TailTargetMillis; target > 0 && r.phase == messenger.RunRunning {
-			worst = max(worst, r.state.Figure/float64(target))
-		}
-	}
-	before := e.pace
-	switch {
-	case worst > 1:
-		e.pace = int(float64(e.pace) * c.config.PaceDown)
-	case worst < c.config.CalmShare:
-		e.pace = min(100, e.pace+c.config.PaceUp)
-	}
-	if e.pace != before {
-		e.pacedAt = now
-		c.logger.Info("pace", "executor", e.ID, "percent", e.pace, "before", before, "tailOfTarget", worst)
+// headroom returns the target of a serving run divided by its tail; 0 for unknown.
+func (r *run) headroom() float64 {
+	if r.state.Figure <= 0 {
+		return 0
 	}
+	return float64(r.order.TailTargetMillis) / r.state.Figure
 }
 
 // Paced takes the answer to a change of pace; one that failed is made again.
 func (c *Custodian) Paced(call RunCall, err error) {
 	if _, r := c.find(call.Executor, call.Run); r != nil && err != nil {
-		r.pace = -1
+		r.paced = false
 	}
 }
--- a/custodian/executor.go
+++ b/custodian/executor.go
@@ -93,9 +93,7 @@
 	listed    int
 	seen      int
 	committed apricotwinch.Resources
-	pace      int
 	pacedAt   time.Time
-	figuresAt time.Time
 }
 
 // run is one run at an executor.
@@ -107,7 +105,10 @@
 	inFlight  bool
 	retryAt   time.Time
 	state     messenger.RunState
-	pace      int
+	// pace is the share of its speed that it is allowed, in percent; paced is whether
+	// that was decided.
+	pace  int
+	paced bool
 }
 
 // takeClock notes the executor's clock as an answer received at now tells it.
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -715,6 +715,9 @@
 	// Incarnation of the agent that the orders are for.
 	Incarnation string `json:"incarnation"`
 
+	// Runs that the agent found at an executor, as they were ordered.
+	Known []RunOrder `json:"known,omitempty,omitzero"`
+
 	// Number of the orders within the epoch, from 1.
 	Number int `json:"number"`
 
@@ -812,6 +815,18 @@
 	Ping Ping `json:"ping"`
 }
 
+// How much filling work presses on serving work.
+type Press struct {
+	// Image of the filling work.
+	Filling string `json:"filling"`
+
+	// What one filling task at full speed takes from the target divided by the tail.
+	Headroom float64 `json:"headroom"`
+
+	// Image of the serving work.
+	Serving string `json:"serving"`
+}
+
 // The record of a workload's progress.
 type ProgressRecord struct {
 	// Unix time of its end, in milliseconds.
@@ -924,6 +939,9 @@
 	// Address of the owner.
 	OwnerAddress string `json:"ownerAddress,omitempty,omitzero"`
 
+	// What was learned of the images on the host, when it has changed.
+	Presses []Press `json:"presses,omitempty,omitzero"`
+
 	// Number of the last refusal that the owner took.
 	RefusalsThrough int `json:"refusalsThrough,omitempty,omitzero"`
 
@@ -1049,6 +1067,9 @@
 
 	// The run.
 	Run RunRef `json:"run"`
+
+	// Whether the agent was never told what the task is.
+	Unknown bool `json:"unknown,omitempty,omitzero"`
 }
 
 // An order to stop a run.
