--- a/appraiser/appraiser.go
+++ b/appraiser/appraiser.go
@@ -18,10 +18,13 @@
 	// Prior is the press of a pair that was never measured: the headroom that one
 	// filling task at full speed takes.
 	Prior float64
-	// Rate is the part of a prediction's error that one sample corrects, 0 to 1.
-	Rate float64
-	// Damping keeps small changes of share, which say little, from counting much.
-	Damping float64
+	// PriorWeight is how much the prior counts, as a sum of squared changes of share.
+	PriorWeight float64
+	// MaxWeight bounds what earlier samples count: presses change with time.
+	MaxWeight float64
+	// Saturated is the headroom below which a tail grows no further with the load, so
+	// that it shows too small a press.
+	Saturated float64
 	// MinChange is the least change of shares, squared and summed, that counts.
 	MinChange float64
 	// Between is the least time between two samples of an executor, MaxGap the
@@ -38,8 +41,9 @@
 func DefaultConfig() Config {
 	return Config{
 		Prior:       0.35,
-		Rate:        0.3,
-		Damping:     0.05,
+		PriorWeight: 0.5,
+		MaxWeight:   20,
+		Saturated:   0.4,
 		MinChange:   0.02,
 		Between:     250 * time.Millisecond,
 		MaxGap:      1500 * time.Millisecond,
@@ -73,21 +77,27 @@
 
 // Appraiser is what was learned.
 type Appraiser struct {
-	config Config
-	press  map[Pair]float64
-	latest map[string]sample
+	config  Config
+	beliefs map[Pair]*belief
+	latest  map[string]sample
+}
+
+// belief is the press of a pair, and how much was measured of it.
+type belief struct {
+	press  float64
+	weight float64
 }
 
 // New returns an appraiser that has learned nothing.
 func New(config Config) *Appraiser {
-	return &Appraiser{config: config, press: map[Pair]float64{}, latest: map[string]sample{}}
+	return &Appraiser{config: config, beliefs: map[Pair]*belief{}, latest: map[string]sample{}}
 }
 
 // Press returns the headroom that one filling task at full speed takes from a
 // serving task.
 func (a *Appraiser) Press(serving, filling string) float64 {
-	if p, ok := a.press[Pair{Serving: serving, Filling: filling}]; ok {
-		return max(0, p)
+	if b := a.beliefs[Pair{Serving: serving, Filling: filling}]; b != nil {
+		return b.press
 	}
 	return a.config.Prior
 }
@@ -113,7 +123,7 @@
 	}
 	for _, s := range serving {
 		if old, ok := before.headroom[s.Task]; ok {
-			a.learn(s.Image, changes, weight, current.headroom[s.Task]-old)
+			a.learn(s.Image, changes, weight, old, current.headroom[s.Task])
 		}
 	}
 }
@@ -137,16 +147,27 @@
 	return changes, sum
 }
 
-// learn corrects the presses on an image by the error of the predicted change.
-func (a *Appraiser) learn(serving string, changes map[string]float64, weight, change float64) {
-	predicted := 0.0
+// learn corrects the presses on an image by the error of the predicted change. The
+// more a pair was measured, the less one sample counts.
+func (a *Appraiser) learn(serving string, changes map[string]float64, weight, before, after float64) {
+	predicted, total := 0.0, 0.0
 	for image, c := range changes {
-		predicted -= a.Press(serving, image) * c
+		predicted += a.Press(serving, image) * c
+		total += c
+	}
+	wrong := before - after - predicted
+	if min(before, after) < a.config.Saturated && wrong*total < 0 {
+		return
 	}
-	wrong := change - predicted
 	for image, c := range changes {
 		pair := Pair{Serving: serving, Filling: image}
-		press := a.Press(serving, image) - a.config.Rate*wrong*c/(a.config.Damping+weight)
-		a.press[pair] = min(max(press, -a.config.MaxPress), a.config.MaxPress)
+		b := a.beliefs[pair]
+		if b == nil {
+			b = &belief{press: a.config.Prior}
+			a.beliefs[pair] = b
+		}
+		b.weight = min(b.weight+c*c, a.config.MaxWeight)
+		b.press += wrong * c / (b.weight + a.config.PriorWeight + weight - c*c)
+		b.press = min(max(b.press, 0), a.config.MaxPress)
 	}
 }
--- a/attendant/attendant.go
+++ b/attendant/attendant.go
@@ -245,7 +245,9 @@
 	metrics.GetOrRegisterTimer("executor.start", a.deps.Registry).Update(now.Sub(sent))
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.custodian.Started(now, call, answer, err) {
+	calls, news := a.custodian.Started(now, call, answer, err)
+	a.do(calls)
+	if news {
 		a.tell()
 	}
 }
--- a/conductor/config.go
+++ b/conductor/config.go
@@ -12,8 +12,8 @@
 	Margin time.Duration
 	// Authority is how long an earlier owner may have acted after it was fenced.
 	Authority time.Duration
-	// UrgentReserve is the part of an executor's processors, 0 to 1, that lasting
-	// tasks leave free for others.
+	// UrgentReserve is the part of a service's processors, 0 to 1, that lasting tasks
+	// leave free for others.
 	UrgentReserve float64
 	// ServingUse is the part of its processors that a lasting task is expected to
 	// use; the rest is for tasks that fill.
@@ -41,7 +41,7 @@
 		Lease:         4 * time.Second,
 		Margin:        400 * time.Millisecond,
 		Authority:     4 * time.Second,
-		UrgentReserve: 0.1,
+		UrgentReserve: 0.06,
 		ServingUse:    0.5,
 		FillShare:     1,
 		Backoff:       50 * time.Millisecond,
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -119,6 +119,7 @@
 
 // scheduleStep starts what it can of one step.
 func (c *Conductor) scheduleStep(now time.Time, s *step, q *cataloger.Queue, pool []*executor, settled bool) {
+	spare := c.spare(pool)
 	for _, t := range s.tasks {
 		if s.waiting == 0 {
 			return
@@ -126,6 +127,9 @@
 		if t.done || t.current != nil || now.Before(t.notBefore) || t.inherited && !settled {
 			continue
 		}
+		if spare -= s.need.ProcessorMillis(); spare < 0 && s.spec.Lasting && !s.spec.Fills {
+			return
+		}
 		e := c.choose(now, t, pool)
 		if e == nil {
 			return
@@ -134,6 +138,17 @@
 	}
 }
 
+// spare returns the processors, in thousandths, that lasting tasks may take: the
+// rest of what is free stays for others.
+func (c *Conductor) spare(pool []*executor) int64 {
+	var capacity, free int64
+	for _, e := range pool {
+		capacity += e.capacity.ProcessorMillis()
+		free += e.capacity.ProcessorMillis() - e.committed.ProcessorMillis()
+	}
+	return free - int64(c.config.UrgentReserve*float64(capacity))
+}
+
 // choose returns the executor for a task, or nil when none has room.
 func (c *Conductor) choose(now time.Time, t *task, pool []*executor) *executor {
 	var best *executor
@@ -164,12 +179,7 @@
 		}
 		need = apricotwinch.NewResources(0, need.MemoryBytes(), need.Accelerators())
 	}
-	capacity := e.capacity
-	if s.spec.Lasting {
-		reserve := int64(c.config.UrgentReserve * float64(capacity.ProcessorMillis()))
-		capacity = capacity.Sub(apricotwinch.NewResources(reserve, 0, 0))
-	}
-	return e.committed.Add(need).Fits(capacity)
+	return e.committed.Add(need).Fits(e.capacity)
 }
 
 // holds returns the number of tasks of a step on the executor.
--- a/custodian/custodian.go
+++ b/custodian/custodian.go
@@ -427,10 +427,10 @@
 
 // Started takes the answer to a start. It reports whether the owner should be
 // told.
-func (c *Custodian) Started(now time.Time, call StartCall, answer Answer, err error) bool {
+func (c *Custodian) Started(now time.Time, call StartCall, answer Answer, err error) (Calls, bool) {
 	e, r := c.find(call.Executor, call.Order.Run)
 	if r == nil {
-		return false
+		return Calls{}, false
 	}
 	e.takeClock(now, answer.Clock)
 	r.inFlight = false
@@ -442,14 +442,14 @@
 			r.phase = messenger.RunRunning
 		}
 		r.confirmed = now
-		return true
+		return c.pace(now, e), true
 	case apricotwinch.Conflict, apricotwinch.NoCapacity, apricotwinch.Invalid, apricotwinch.NoTarget:
 		e.remove(call.Order.Run)
 		c.refuse(call.Order.Run, kind)
-		return true
+		return Calls{}, true
 	}
 	c.logger.Info("start unanswered", "run", call.Order.Run, "executor", e.ID, "kind", string(kind), "error", err)
-	return false
+	return Calls{}, false
 }
 
 // Stopped takes the answer to a stop.
