Pace by the headroom that serving work would have alone

Cause: figures lag half a second, so that steps waited for their effect; shares and tails of the same half second give the undisturbed headroom at once.

--- a/conductor/press.go
+++ b/conductor/press.go
@@ -7,6 +7,7 @@
 
 	"apricotwinch/appraiser"
 	"apricotwinch/messenger"
+	"apricotwinch/pacer"
 )
 
 // tellChange is the least change of a press that an agent is told of.
@@ -19,7 +20,10 @@
 	// typicalHeadroom is the headroom that a serving task has on the average of its
 	// load, wantedHeadroom the one that must be left to it.
 	typicalHeadroom = 2.5
-	wantedHeadroom  = 1.45
+	wantedHeadroom  = 1.3
+	// smoothing is the part of the latest report in a headroom, 0 to 1; loads swing
+	// in 10 s, and reports come each 400 ms.
+	smoothing = 0.15
 )
 
 // headroom returns the target of a serving run divided by its tail; 0 for unknown.
@@ -45,6 +49,7 @@
 		}
 	}
 	c.appraiser.Observe(now, e.id, serving, shares)
+	c.smooth(e, shares)
 }
 
 // pressesFor returns the presses between the images on an executor that its agent
@@ -71,6 +76,21 @@
 	return presses
 }
 
+// smooth takes a figure into the headroom that a serving run would have alone.
+func (c *Conductor) smooth(e *executor, shares map[string]float64) {
+	for _, r := range e.runs {
+		h := r.headroom()
+		if h <= 0 {
+			continue
+		}
+		alone := pacer.Undisturbed(h, r.task.step.spec.Image, shares, c.appraiser.Press)
+		if r.alone == 0 {
+			r.alone = alone
+		}
+		r.alone += smoothing * (alone - r.alone)
+	}
+}
+
 // speed returns the share of full speed, 0 to 1, at which one more task of a
 // filling image is expected to go beside what serves on an executor.
 func (c *Conductor) speed(image string, e *executor) float64 {
@@ -84,16 +104,17 @@
 		if press < lightPress {
 			continue
 		}
-		spare := typicalHeadroom - wantedHeadroom
-		if h := s.headroom(); h > 0 {
-			spare = min(h, typicalHeadroom) - wantedHeadroom
+		alone := s.alone
+		if alone == 0 {
+			alone = typicalHeadroom
 		}
+		sum := press
 		for _, f := range e.runs {
-			if f.task.step.spec.Fills && f.phase == messenger.RunStarting {
-				spare -= c.appraiser.Press(spec.Image, f.task.step.spec.Image)
+			if f.task.step.spec.Fills {
+				sum += c.appraiser.Press(spec.Image, f.task.step.spec.Image)
 			}
 		}
-		speed = min(speed, max(0, spare)/press)
+		speed = min(speed, max(0, alone-wantedHeadroom)/sum)
 	}
 	return speed
 }
--- a/conductor/workload.go
+++ b/conductor/workload.go
@@ -76,6 +76,8 @@
 	percent  int
 	figure   float64
 	since    time.Time
+	// alone is the headroom that a serving run would have without filling work.
+	alone float64
 }
 
 // terminal reports whether nothing of the workload will start any more.
--- a/custodian/custodian.go
+++ b/custodian/custodian.go
@@ -33,9 +33,10 @@
 	Silence time.Duration
 	// HoldWait is how long an executor waits for an end before it answers a hold.
 	HoldWait time.Duration
-	// PaceEvery is the time after a change of pace in which figures do not show its
-	// effect yet.
-	PaceEvery time.Duration
+	// Smoothing is the part of the latest figure in a serving task's headroom, 0 to 1.
+	Smoothing float64
+	// LogPace is the least change of a pace that is logged, in percent.
+	LogPace int
 	// Pace holds the bounds of the pace.
 	Pace pacer.Config
 	// Press is the press of a pair of images of which nothing is known.
@@ -49,8 +50,9 @@
 		Margin:    200 * time.Millisecond,
 		Retry:     500 * time.Millisecond,
 		Silence:   time.Second,
-		HoldWait:  400 * time.Millisecond,
-		PaceEvery: 650 * time.Millisecond,
+		HoldWait:  250 * time.Millisecond,
+		Smoothing: 0.6,
+		LogPace:   25,
 		Pace:      pacer.DefaultConfig(),
 		Press:     0.35,
 	}
@@ -625,38 +627,74 @@
 
 // pace returns the calls that set how fast the work that fills may go.
 func (c *Custodian) pace(now time.Time, e *executor) Calls {
-	var serving []pacer.Serving
+	shares := map[string]float64{}
 	var filling []pacer.Filling
 	var runs []*run
 	for _, r := range e.ordered() {
-		switch {
-		case r.phase != messenger.RunRunning:
-		case r.order.Fills:
-			filling = append(filling, pacer.Filling{Image: r.order.Image, Pace: r.pace, New: !r.paced})
+		if r.order.Fills && r.phase == messenger.RunRunning {
+			filling = append(filling, pacer.Filling{Image: r.order.Image, Pace: r.pace})
 			runs = append(runs, r)
-		case r.order.TailTargetMillis > 0:
-			serving = append(serving, pacer.Serving{Image: r.order.Image, Headroom: r.headroom()})
+			shares[r.order.Image] += r.share()
 		}
 	}
 	if len(filling) == 0 {
 		return Calls{}
 	}
+	serving := c.serving(now, e, shares)
 	var calls Calls
-	settled := now.Sub(e.pacedAt) >= c.config.PaceEvery
-	for i, pace := range pacer.Decide(c.config.Pace, serving, filling, c.press, settled) {
+	for i, pace := range pacer.Decide(c.config.Pace, serving, filling, c.press) {
 		r := runs[i]
-		r.paced = true
 		if r.pace == pace {
 			continue
 		}
-		c.logger.Info("pace", "run", r.order.Run, "executor", e.ID, "image", r.order.Image, "percent", pace, "before", r.pace, "tails", serving)
+		c.logPace(now, e, r, pace, serving)
 		r.pace = pace
-		e.pacedAt = now
 		calls.Paces = append(calls.Paces, RunCall{Executor: e.ID, Address: e.Address, Token: e.token, Run: r.order.Run, Percent: pace})
 	}
 	return calls
 }
 
+// serving returns the serving tasks of an executor, with the headroom that each
+// would have alone.
+func (c *Custodian) serving(now time.Time, e *executor, shares map[string]float64) []pacer.Serving {
+	var serving []pacer.Serving
+	for _, r := range e.ordered() {
+		if r.order.TailTargetMillis <= 0 || r.phase != messenger.RunRunning {
+			continue
+		}
+		if h := r.headroom(); h > 0 && e.heardAt.After(r.smoothedAt) {
+			alone := pacer.Undisturbed(h, r.order.Image, shares, c.press)
+			if r.alone == 0 || now.Sub(r.smoothedAt) > c.config.Silence {
+				r.alone = alone
+			}
+			r.alone += c.config.Smoothing * (alone - r.alone)
+			r.smoothedAt = e.heardAt
+		}
+		serving = append(serving, pacer.Serving{Image: r.order.Image, Undisturbed: r.alone})
+	}
+	return serving
+}
+
+// logPace tells of a pace that changed much, or not at all for long.
+func (c *Custodian) logPace(now time.Time, e *executor, r *run, pace int, serving []pacer.Serving) {
+	change := pace - r.loggedPace
+	if change < c.config.LogPace && change > -c.config.LogPace {
+		return
+	}
+	r.loggedPace = pace
+	c.logger.Info("pace", "run", r.order.Run, "executor", e.ID, "image", r.order.Image, "percent", pace,
+		"before", r.pace, "alone", serving, "figuresAgeMillis", now.Sub(e.heardAt).Milliseconds())
+}
+
+// share returns the share of full speed at which a filling run worked lately.
+func (r *run) share() float64 {
+	need := r.order.Resources.ProcessorMillis
+	if need <= 0 {
+		return 0
+	}
+	return r.state.Figure / float64(need)
+}
+
 // headroom returns the target of a serving run divided by its tail; 0 for unknown.
 func (r *run) headroom() float64 {
 	if r.state.Figure <= 0 {
@@ -668,6 +706,6 @@
 // Paced takes the answer to a change of pace; one that failed is made again.
 func (c *Custodian) Paced(call RunCall, err error) {
 	if _, r := c.find(call.Executor, call.Run); r != nil && err != nil {
-		r.paced = false
+		r.pace = pacer.Full
 	}
 }
--- a/custodian/executor.go
+++ b/custodian/executor.go
@@ -93,7 +93,6 @@
 	listed    int
 	seen      int
 	committed apricotwinch.Resources
-	pacedAt   time.Time
 }
 
 // run is one run at an executor.
@@ -105,10 +104,13 @@
 	inFlight  bool
 	retryAt   time.Time
 	state     messenger.RunState
-	// pace is the share of its speed that it is allowed, in percent; paced is whether
-	// that was decided.
-	pace  int
-	paced bool
+	// pace is the share of its speed that it is allowed, in percent, loggedPace the
+	// one that was logged last.
+	pace       int
+	loggedPace int
+	// alone is the headroom that a serving task would have without filling work.
+	alone      float64
+	smoothedAt time.Time
 }
 
 // takeClock notes the executor's clock as an answer received at now tells it.
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -1,150 +1,128 @@
 // Package pacer decides how fast each task that fills may go beside tasks that
 // serve their own users: as fast as leaves every tail under its target.
 //
-// It does no I/O and keeps no state; the caller gives the latest figures.
+// It does no I/O and keeps no state; the caller gives what it measured.
 package pacer
 
-import (
-	"cmp"
-	"slices"
-)
-
 // Full is the pace of a task that is not held back, in percent.
 const Full = 100
 
 // Config holds the bounds of the decision.
 type Config struct {
-	// Least is the headroom, a target divided by its tail, below which filling work
-	// is held back; Wanted is the one that it is held back to; Calm is the one from
-	// which on it may go faster.
-	Least, Wanted, Calm float64
+	// Wanted is the headroom, a target divided by its tail, that is left to each
+	// serving task: load that rises shows in figures half a second late.
+	Wanted float64
 	// Light is the press below which a pair doesn't matter.
 	Light float64
-	// Raise is the greatest step up, in percent.
-	Raise int
 	// Floor is the least pace that is worth the memory, in percent; below it a task
 	// stands still.
 	Floor int
+	// Step is the least change of a pace that is worth a call, in percent.
+	Step int
 }
 
 // DefaultConfig returns the bounds used by agents.
 func DefaultConfig() Config {
-	return Config{Least: 1.15, Wanted: 1.45, Calm: 1.45, Light: 0.1, Raise: 25, Floor: 5}
+	return Config{Wanted: 1.3, Light: 0.06, Floor: 4, Step: 4}
 }
 
-// Serving is a task that serves, with its headroom; 0 for unknown.
+// Serving is a task that serves. Undisturbed is the headroom that it would have
+// without the tasks that fill; 0 for unknown.
 type Serving struct {
-	Image    string
-	Headroom float64
+	Image       string
+	Undisturbed float64
 }
 
-// Filling is a task that fills, with its pace in percent; a new one has none yet.
+// Filling is a task that fills, with its pace in percent.
 type Filling struct {
 	Image string
 	Pace  int
-	New   bool
 }
 
 // Press returns the headroom that a filling image at full speed takes from a
 // serving image.
 type Press func(serving, filling string) float64
 
-// Decide returns the pace of each filling task. Settled tells whether the figures
-// show the effect of the last change; until then only new tasks get a pace.
-func Decide(config Config, serving []Serving, filling []Filling, press Press, settled bool) []int {
-	paces := make([]int, len(filling))
-	for i, f := range filling {
-		paces[i] = f.Pace
-		if f.New {
-			paces[i] = initial(config, serving, f, press)
-		}
+// Undisturbed returns the headroom that a serving image would have without the
+// filling work that was measured beside it: by image, the sum of the shares of
+// full speed over the same time.
+func Undisturbed(headroom float64, serving string, shares map[string]float64, press Press) float64 {
+	for image, share := range shares {
+		headroom += press(serving, image) * share
 	}
-	if !settled {
-		return paces
+	return headroom
+}
+
+// Decide returns the pace of each filling task. Work that presses more is held
+// back more; a pace that hardly differs is left.
+func Decide(config Config, serving []Serving, filling []Filling, press Press) []int {
+	shares := make([]float64, len(filling))
+	for i := range shares {
+		shares[i] = 1
 	}
-	held := make([]bool, len(filling))
 	for _, s := range serving {
-		if s.Headroom > 0 && s.Headroom < config.Least {
-			hold(config, s, filling, press, paces, held)
+		if s.Undisturbed > 0 {
+			hold(config, s, filling, press, shares)
 		}
 	}
-	for i, f := range filling {
-		if !held[i] && !f.New {
-			paces[i] = raise(config, serving, f, press, paces[i], len(filling))
-		}
+	paces := make([]int, len(filling))
+	for i, share := range shares {
+		paces[i] = step(config, filling[i].Pace, int(share*Full+0.5))
 	}
 	return paces
 }
 
-// initial returns the pace of a new task: what the headroom leaves room for.
-func initial(config Config, serving []Serving, f Filling, press Press) int {
-	pace := float64(Full)
-	for _, s := range serving {
-		p := press(s.Image, f.Image)
-		if p < config.Light {
-			continue
-		}
-		headroom := s.Headroom
-		if headroom == 0 {
-			headroom = config.Calm
+// hold lowers shares until the presses on s fit its headroom.
+func hold(config Config, s Serving, filling []Filling, press Press, shares []float64) {
+	presses := make([]float64, len(filling))
+	sum := 0.0
+	for i, f := range filling {
+		if p := press(s.Image, f.Image); p >= config.Light {
+			presses[i] = p
+			sum += p * shares[i]
 		}
-		pace = min(pace, Full*max(0, headroom-config.Calm)/p)
 	}
-	return clip(config, int(pace))
-}
-
-// hold lowers the paces that press most on s until its headroom should be back.
-// A tail that no known pair explains lowers all by half.
-func hold(config Config, s Serving, filling []Filling, press Press, paces []int, held []bool) {
-	order := make([]int, len(filling))
-	for i := range order {
-		order[i] = i
+	budget := max(0, s.Undisturbed-config.Wanted)
+	if sum <= budget {
+		return
 	}
-	slices.SortStableFunc(order, func(a, b int) int {
-		return cmp.Compare(press(s.Image, filling[b].Image), press(s.Image, filling[a].Image))
-	})
-	missing := config.Wanted - s.Headroom
-	explained := 0.0
-	for _, i := range order {
-		p := press(s.Image, filling[i].Image)
-		if p < config.Light || missing <= 0 {
-			break
+	low, high := 0.0, 1/config.Light
+	for range bisections {
+		middle := (low + high) / 2
+		if pressed(presses, shares, middle) > budget {
+			low = middle
+		} else {
+			high = middle
 		}
-		gain := min(missing, p*float64(paces[i])/Full)
-		explained += gain
-		missing -= gain
-		paces[i] = clip(config, paces[i]-int(gain/p*Full+0.5))
-		held[i] = true
 	}
-	if explained > 0 || s.Headroom >= 1 {
-		return
-	}
-	for i := range paces {
-		paces[i] = clip(config, paces[i]/2)
-		held[i] = true
+	for i := range shares {
+		shares[i] = limited(presses[i], shares[i], high)
 	}
 }
 
-// raise returns a pace that leaves every tail calm, at most one step up.
-func raise(config Config, serving []Serving, f Filling, press Press, pace, sharing int) int {
-	step := float64(config.Raise)
-	for _, s := range serving {
-		p := press(s.Image, f.Image)
-		if p < config.Light || s.Headroom == 0 {
-			continue
-		}
-		step = min(step, Full*max(0, s.Headroom-config.Calm)/p/float64(sharing))
-	}
-	if step < 1 {
-		return pace
+// bisections is the number of steps in which the common limit is found.
+const bisections = 20
+
+// limited returns the share of a task that presses with p under a limit.
+func limited(p, share, limit float64) float64 {
+	return min(share, max(0, 1-limit*p))
+}
+
+func pressed(presses, shares []float64, limit float64) float64 {
+	sum := 0.0
+	for i, p := range presses {
+		sum += p * limited(p, shares[i], limit)
 	}
-	return min(Full, max(pace+int(step), config.Floor))
+	return sum
 }
 
-// clip returns a pace that is worth the memory, or 0.
-func clip(config Config, pace int) int {
+// step returns the pace to set, given the one in force.
+func step(config Config, before, pace int) int {
 	if pace < config.Floor {
-		return 0
+		pace = 0
+	}
+	if change := pace - before; pace != 0 && pace != Full && change < config.Step && change > -config.Step {
+		return before
 	}
-	return min(pace, Full)
+	return pace
 }
