--- a/appraiser/appraiser.go
+++ b/appraiser/appraiser.go
@@ -27,6 +27,8 @@
 	Saturated float64
 	// MinChange is the least change of shares, squared and summed, that counts.
 	MinChange float64
+	// MaxFall is the fall of a share up to which a sample counts.
+	MaxFall float64
 	// Between is the least time between two samples of an executor, MaxGap the
 	// greatest that still tells a difference.
 	Between, MaxGap time.Duration
@@ -41,8 +43,9 @@
 func DefaultConfig() Config {
 	return Config{
 		Prior:       0.35,
-		PriorWeight: 0.5,
-		MaxWeight:   20,
+		PriorWeight: 0.3,
+		MaxWeight:   10,
+		MaxFall:     0.12,
 		Saturated:   0.4,
 		MinChange:   0.02,
 		Between:     250 * time.Millisecond,
@@ -118,7 +121,7 @@
 		return
 	}
 	changes, weight := difference(before.shares, shares)
-	if weight < a.config.MinChange {
+	if weight < a.config.MinChange || !a.rises(changes) {
 		return
 	}
 	for _, s := range serving {
@@ -131,6 +134,17 @@
 // Forget drops the latest sample of an executor that is gone.
 func (a *Appraiser) Forget(executor string) { delete(a.latest, executor) }
 
+// rises reports whether no share fell: a tail drains for a second after its cause
+// has gone, so that a fall shows too small a press.
+func (a *Appraiser) rises(changes map[string]float64) bool {
+	for _, change := range changes {
+		if change < -a.config.MaxFall {
+			return false
+		}
+	}
+	return true
+}
+
 // difference returns how the shares changed, and the sum of the squares.
 func difference(before, after map[string]float64) (map[string]float64, float64) {
 	changes := make(map[string]float64, len(after))
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -139,7 +139,7 @@
 	}
 	w.shown = w.state
 	w.unstarted = w.state == messenger.WorkloadQueued
-	c.insert(w)
+	c.insert(now, w)
 	if w.terminal() {
 		c.ended = append(c.ended, w)
 		return nil
@@ -171,7 +171,7 @@
 }
 
 // insert takes a workload into the tables and queues what is due of it.
-func (c *Conductor) insert(w *workload) {
+func (c *Conductor) insert(now time.Time, w *workload) {
 	c.jobs[w.id] = w
 	if w.terminal() {
 		return
@@ -180,7 +180,7 @@
 		c.scheduled = append(c.scheduled, w)
 	}
 	for _, o := range w.occurrences {
-		c.enqueue(o)
+		c.enqueue(now, o)
 	}
 }
 
@@ -210,7 +210,7 @@
 	}
 	w := newWorkload(request.Queue, request.Id, *request.Spec, c.epoch, now)
 	w.dirtySpec = true
-	c.insert(w)
+	c.insert(now, w)
 	c.touch(w, true)
 	c.count("workloads.accepted")
 	c.logger.Info("workload accepted", "workload", w.id, "queue", w.queue, "steps", len(w.spec.Steps), "write", w.durableAt)
--- a/conductor/config.go
+++ b/conductor/config.go
@@ -21,6 +21,10 @@
 	// FillShare is how much the tasks that fill may ask for, as a multiple of what
 	// the others are expected to leave.
 	FillShare float64
+	// LeastSpeed is the expected share of full speed, 0 to 1, below which filling work
+	// waits for a better place, for at most Patience.
+	LeastSpeed float64
+	Patience   time.Duration
 	// Backoff is the delay before a task that failed runs again; it doubles with
 	// each failure in a row, up to MaxBackoff.
 	Backoff, MaxBackoff time.Duration
@@ -44,6 +48,8 @@
 		UrgentReserve: 0.06,
 		ServingUse:    0.5,
 		FillShare:     1,
+		LeastSpeed:    0.3,
+		Patience:      4 * time.Second,
 		Backoff:       50 * time.Millisecond,
 		MaxBackoff:    time.Second,
 		FailureStreak: 3,
--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -413,7 +413,7 @@
 	if t.step.left > 0 {
 		return
 	}
-	c.enqueue(t.step.occurrence)
+	c.enqueue(now, t.step.occurrence)
 	if t.step.occurrence.left > 0 || len(w.occurrences) < w.count() {
 		return
 	}
@@ -485,7 +485,7 @@
 	for name, h := range c.hosts {
 		c.tickHost(now, name, h)
 	}
-	c.begin(wall)
+	c.begin(now, wall)
 	for len(c.ended) > 0 && now.Sub(c.ended[0].endedAt) > c.config.Keep {
 		w := c.ended[0]
 		c.ended = c.ended[1:]
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -49,9 +49,12 @@
 }
 
 // enqueue queues the steps of an occurrence whose turn has come.
-func (c *Conductor) enqueue(o *occurrence) {
+func (c *Conductor) enqueue(now time.Time, o *occurrence) {
 	for _, s := range o.steps {
 		if s.waiting > 0 && s.ready() {
+			if s.readyAt.IsZero() {
+				s.readyAt = now
+			}
 			c.queueStep(s)
 		}
 	}
@@ -67,10 +70,10 @@
 }
 
 // begin grows the occurrences that are due.
-func (c *Conductor) begin(wall time.Time) {
+func (c *Conductor) begin(now, wall time.Time) {
 	c.scheduled = slices.DeleteFunc(c.scheduled, func(w *workload) bool {
 		for !w.terminal() && len(w.occurrences) < w.count() && !wall.Before(w.due(len(w.occurrences))) {
-			c.enqueue(w.grow())
+			c.enqueue(now, w.grow())
 			c.touch(w, false)
 		}
 		return w.terminal() || len(w.occurrences) >= w.count()
@@ -157,6 +160,9 @@
 		if !c.fits(t.step, e) {
 			continue
 		}
+		if t.step.spec.Fills && now.Sub(t.step.readyAt) < c.config.Patience && c.speed(t.step.spec.Image, e) < c.config.LeastSpeed {
+			continue
+		}
 		if cost := c.cost(now, t, e); best == nil || cost < bestCost {
 			best, bestCost = e, cost
 		}
--- a/conductor/workload.go
+++ b/conductor/workload.go
@@ -45,6 +45,8 @@
 	left       int
 	waiting    int
 	queued     bool
+	// readyAt is when the steps before were done.
+	readyAt time.Time
 }
 
 // task is one task.
