--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -48,6 +48,8 @@
 	// leavesAt is when it may leave at the earliest, while it drains.
 	leavesAt  time.Time
 	reachable bool
+	// foreign is whether it runs something of which the need is not known.
+	foreign   bool
 	runs      map[messenger.RunRef]*run
 	committed apricotwinch.Resources
 	filling   int64
@@ -239,6 +241,7 @@
 		c.takeEnd(now, e, &state.Ends[i])
 	}
 	listed := make(map[messenger.RunRef]bool, len(state.Runs))
+	e.foreign = false
 	for i := range state.Runs {
 		listed[state.Runs[i].Run] = true
 		c.takeRun(now, e, &state.Runs[i])
@@ -277,7 +280,7 @@
 	if state.Phase == messenger.RunRunning {
 		c.began(run.task.step.occurrence.work)
 	}
-	if state.Phase != messenger.RunStopping && (run.task.done || run.task.step.occurrence.work.terminal()) {
+	if state.Phase != messenger.RunStopping && (run.stray || run.task.done || run.task.step.occurrence.work.terminal()) {
 		run.stopping = false
 		c.stop(run)
 	}
@@ -303,16 +306,24 @@
 	if w != nil {
 		t = w.task(state.Run.Task)
 	}
-	stray := &run{ref: state.Run, executor: e}
-	if t == nil || w.terminal() || t.done || t.current != nil {
+	run := &run{ref: state.Run, task: t, executor: e, since: now}
+	if t == nil {
+		e.foreign = true
 		if state.Phase != messenger.RunStopping {
-			c.logger.Info("stray run", "run", state.Run, "executor", e.id, "known", t != nil)
-			c.count("runs.stray")
-			c.orderStop(stray)
+			c.orderStop(run)
 		}
 		return nil
 	}
-	run := &run{ref: state.Run, task: t, executor: e, since: now}
+	if w.terminal() || t.done || t.current != nil {
+		c.logger.Info("stray run", "run", state.Run, "executor", e.id, "state", w.state, "done", t.done)
+		c.count("runs.stray")
+		run.stray = true
+		run.order = 0
+		c.runs[run.ref] = run
+		e.runs[run.ref] = run
+		e.commit(t.step, 1)
+		return run
+	}
 	c.hold(run)
 	c.logger.Info("run adopted", "run", state.Run, "executor", e.id, "phase", state.Phase)
 	c.count("runs.adopted")
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -109,7 +109,7 @@
 			continue
 		}
 		for _, e := range h.executors {
-			if e.durable && e.reachable && !e.draining && !c.out[e.dc] {
+			if e.durable && e.reachable && !e.foreign && !e.draining && !c.out[e.dc] {
 				pool[e.service] = append(pool[e.service], e)
 			}
 		}
--- a/conductor/workload.go
+++ b/conductor/workload.go
@@ -75,9 +75,12 @@
 	order    int
 	phase    string
 	stopping bool
-	percent  int
-	figure   float64
-	since    time.Time
+	// stray runs are not the task's current one: they are stopped, and hold room
+	// until they are gone.
+	stray   bool
+	percent int
+	figure  float64
+	since   time.Time
 	// alone is the headroom that a serving run would have without filling work.
 	alone float64
 }
--- a/custodian/custodian.go
+++ b/custodian/custodian.go
@@ -445,7 +445,12 @@
 		}
 		r.confirmed = now
 		return c.pace(now, e), true
-	case apricotwinch.Conflict, apricotwinch.NoCapacity, apricotwinch.Invalid, apricotwinch.NoTarget:
+	case apricotwinch.Conflict:
+		// The run, or a later one, was there: the next list tells whether it ended.
+		r.phase = messenger.RunRunning
+		r.confirmed = now
+		return Calls{}, false
+	case apricotwinch.NoCapacity, apricotwinch.Invalid, apricotwinch.NoTarget:
 		e.remove(call.Order.Run)
 		c.refuse(call.Order.Run, kind)
 		return Calls{}, true
