--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -371,8 +371,11 @@
 		e.streak = 0
 		c.finishTask(now, t)
 		return
+	case end.How == messenger.EndFailed && end.Run.Run <= t.failedRun:
+		return
 	case end.How == messenger.EndFailed:
 		t.failures++
+		t.failedRun = end.Run.Run
 		t.streak++
 		t.avoid = e
 		t.notBefore = now.Add(c.backoff(t.streak))
--- a/conductor/workload.go
+++ b/conductor/workload.go
@@ -51,11 +51,14 @@
 
 // task is one task.
 type task struct {
-	step       *step
-	ref        messenger.TaskRef
-	done       bool
-	highest    int
-	failures   int
+	step     *step
+	ref      messenger.TaskRef
+	done     bool
+	highest  int
+	failures int
+	// failedRun is the greatest run that was counted as failed: an end that was not
+	// durable at the last owner is reported again.
+	failedRun  int
 	streak     int
 	checkpoint string
 	notBefore  time.Time
@@ -178,7 +181,7 @@
 				bits[i/8] |= 1 << (i % 8)
 				any = true
 			case t.failures > 0 || t.checkpoint != "":
-				p.Tasks = append(p.Tasks, messenger.TaskProgress{Task: i, Failures: t.failures, Run: t.highest, Checkpoint: t.checkpoint})
+				p.Tasks = append(p.Tasks, messenger.TaskProgress{Task: i, Failures: t.failures, FailedRun: t.failedRun, Run: t.highest, Checkpoint: t.checkpoint})
 			}
 		}
 		if any || len(p.Tasks) > 0 {
@@ -223,7 +226,7 @@
 			continue
 		}
 		t := all[p.Task]
-		t.failures, t.highest, t.checkpoint = p.Failures, p.Run, p.Checkpoint
+		t.failures, t.failedRun, t.highest, t.checkpoint = p.Failures, p.FailedRun, p.Run, p.Checkpoint
 	}
 }
 
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -1298,6 +1298,9 @@
 	// Latest checkpoint.
 	Checkpoint string `json:"checkpoint,omitempty,omitzero"`
 
+	// Greatest run that was counted as failed.
+	FailedRun int `json:"failedRun,omitempty,omitzero"`
+
 	// Runs that ended failed.
 	Failures int `json:"failures,omitempty,omitzero"`
 
