Test the decisions: elector, custodian, conductor, appraiser and pacer

A world in virtual time joins a conductor, custodians and models of executors and of the store; random faults (100 cases, fixed seed) find no doubled or lost task. Found and mended on the way: an executor that comes back under its id got a lower token than its earlier life, and was reported over before what it runs was listed.

--- /dev/null
+++ b/appraiser/appraiser_test.go
@@ -0,0 +1,103 @@
+package appraiser_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"apricotwinch/appraiser"
+)
+
+var start = time.Unix(1000, 0)
+
+// observe feeds one serving task beside one filling image.
+func observe(a *appraiser.Appraiser, at time.Duration, headroom, share float64) {
+	a.Observe(start.Add(at), "e", []appraiser.Serving{{Task: "t", Image: "quotes", Headroom: headroom}}, map[string]float64{"render": share})
+}
+
+func TestPress(t *testing.T) {
+	const tick = 300 * time.Millisecond
+	tests := []struct {
+		name    string
+		samples [][2]float64 // Headroom and share of the filling work.
+		low     float64
+		high    float64
+	}{
+		{name: "never measured", low: 0.35, high: 0.35},
+		{name: "heavy pair", samples: [][2]float64{{2.5, 0}, {1.6, 1}, {1.6, 1}, {2.5, 0}, {2.5, 0}, {1.6, 1}}, low: 0.75, high: 0.95},
+		{name: "light pair", samples: [][2]float64{{2.5, 0}, {2.5, 1}, {2.5, 1}, {2.5, 0}, {2.5, 0}, {2.5, 1}}, low: 0, high: 0.1},
+		{name: "a draining tail teaches nothing", samples: [][2]float64{{1.6, 1}, {1.6, 0}, {2.0, 0}, {2.5, 0}}, low: 0.35, high: 0.35},
+		{name: "an overloaded tail teaches no smaller press", samples: [][2]float64{{0.3, 0}, {0.3, 1}}, low: 0.35, high: 0.35},
+		{name: "a press is never below zero", samples: [][2]float64{{1.5, 0}, {3.5, 1}}, low: 0, high: 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			a := appraiser.New(appraiser.DefaultConfig())
+			for i, s := range test.samples {
+				observe(a, time.Duration(i)*tick, s[0], s[1])
+			}
+			if got := a.Press("quotes", "render"); got < test.low || got > test.high {
+				t.Errorf("press = %.2f, want %.2f to %.2f", got, test.low, test.high)
+			}
+		})
+	}
+}
+
+func TestSamplesFarApartTeachNothing(t *testing.T) {
+	a := appraiser.New(appraiser.DefaultConfig())
+	observe(a, 0, 2.5, 0)
+	observe(a, time.Minute, 1, 1)
+	observe(a, time.Minute+time.Millisecond, 1, 0)
+	if diff := cmp.Diff(appraiser.DefaultConfig().Prior, a.Press("quotes", "render")); diff != "" {
+		t.Errorf("press (-want +got):\n%s", diff)
+	}
+}
+
+// TestPairsAreToldApart holds that among noisy figures, swinging loads and several
+// images at once, the heavy pairs are found.
+func TestPairsAreToldApart(t *testing.T) {
+	truth := map[appraiser.Pair]float64{
+		{Serving: "quotes", Filling: "render"}: 0.9,
+		{Serving: "quotes", Filling: "pack"}:   0,
+		{Serving: "watch", Filling: "render"}:  0,
+		{Serving: "watch", Filling: "pack"}:    0.7,
+	}
+	random := rand.New(rand.NewPCG(7, 7))
+	a := appraiser.New(appraiser.DefaultConfig())
+	shares := map[string]float64{"render": 0, "pack": 0}
+	for i := range 400 {
+		if i%3 == 0 {
+			image := []string{"render", "pack"}[random.IntN(2)]
+			shares = map[string]float64{"render": shares["render"], "pack": shares["pack"]}
+			shares[image] = float64(random.IntN(3)) / 2
+		}
+		var serving []appraiser.Serving
+		for _, image := range []string{"quotes", "watch"} {
+			headroom := 3 + 0.1*random.NormFloat64()
+			for filling, share := range shares {
+				headroom -= truth[appraiser.Pair{Serving: image, Filling: filling}] * share
+			}
+			serving = append(serving, appraiser.Serving{Task: image, Image: image, Headroom: headroom})
+		}
+		a.Observe(start.Add(time.Duration(i)*400*time.Millisecond), "e", serving, shares)
+	}
+	for pair, want := range truth {
+		if got := a.Press(pair.Serving, pair.Filling); got < want-0.2 || got > want+0.2 {
+			t.Errorf("press of %v = %.2f, want about %.2f", pair, got, want)
+		}
+	}
+}
+
+func ExampleAppraiser() {
+	a := appraiser.New(appraiser.DefaultConfig())
+	for i := range 20 {
+		busy := float64(i % 2)
+		observe(a, time.Duration(i)*300*time.Millisecond, 2.5-busy, busy)
+		observe(a, time.Duration(i)*300*time.Millisecond+150*time.Millisecond, 2.5-busy, busy)
+	}
+	fmt.Printf("%.1f\n", a.Press("quotes", "render"))
+	// Output: 1.0
+}
--- /dev/null
+++ b/conductor/conductor_test.go
@@ -0,0 +1,342 @@
+package conductor_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
+	"pgregory.net/rapid"
+
+	"apricotwinch"
+	"apricotwinch/conductor"
+	"apricotwinch/messenger"
+)
+
+func TestMain(m *testing.M) {
+	flag.Set("rapid.seed", "1")
+	os.Exit(m.Run())
+}
+
+func after(steps ...int) func(*messenger.StepSpec) {
+	return func(s *messenger.StepSpec) { s.After = steps }
+}
+
+func lasts(s *messenger.StepSpec) { s.Lasting = true }
+
+func fills(s *messenger.StepSpec) { s.Fills = true }
+
+func TestWorkloadsComplete(t *testing.T) {
+	tests := []struct {
+		name   string
+		steps  []messenger.StepSpec
+		within time.Duration
+	}{
+		{name: "one task", steps: []messenger.StepSpec{tasks(1, 500, time.Second)}, within: 1200 * time.Millisecond},
+		{name: "steps in turn", steps: []messenger.StepSpec{tasks(4, 500, time.Second), tasks(8, 500, time.Second, after(0))}, within: 2300 * time.Millisecond},
+		{name: "more than fits at once", steps: []messenger.StepSpec{tasks(20, 4000, time.Second)}, within: 2300 * time.Millisecond},
+		{name: "filling work", steps: []messenger.StepSpec{tasks(6, 2000, time.Second, fills)}, within: 1200 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w := newWorld(t, 1, 3)
+			w.run(2 * time.Second)
+			w.submit(urgent, "w", test.steps...)
+			w.runUntil(test.within, func() bool { return w.state("w") == messenger.WorkloadCompleted })
+		})
+	}
+}
+
+// TestNothingIsToldBeforeItIsDurable holds that no task starts, and no state is
+// shown, before the store has it.
+func TestNothingIsToldBeforeItIsDurable(t *testing.T) {
+	w := newWorld(t, 1, 3)
+	w.run(2 * time.Second)
+	w.offline = true
+	w.submit(urgent, "w", tasks(1, 500, 100*time.Millisecond))
+	w.run(2 * time.Second)
+	if diff := cmp.Diff("not_found", w.state("w")); diff != "" {
+		t.Errorf("state (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(0, w.running("w")); diff != "" {
+		t.Errorf("running (-want +got):\n%s", diff)
+	}
+	w.offline = false
+	w.runUntil(time.Second, func() bool { return w.running("w") == 1 })
+	w.offline = true
+	w.run(time.Second)
+	if diff := cmp.Diff(messenger.WorkloadRunning, w.state("w")); diff != "" {
+		t.Errorf("state of a task that is done, and not durable (-want +got):\n%s", diff)
+	}
+	w.offline = false
+	w.runUntil(time.Second, func() bool { return w.state("w") == messenger.WorkloadCompleted })
+}
+
+func TestRepeatedSubmissionIsOneWorkload(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.run(2 * time.Second)
+	for range 3 {
+		w.submit(urgent, "w", tasks(2, 500, time.Second))
+		w.run(100 * time.Millisecond)
+	}
+	if diff := cmp.Diff(2, w.running("w")); diff != "" {
+		t.Errorf("running (-want +got):\n%s", diff)
+	}
+}
+
+func TestHopelessWorkIsGivenUp(t *testing.T) {
+	w := newWorld(t, 1, 3)
+	w.run(2 * time.Second)
+	w.submit(urgent, "hopeless", tasks(2, 500, 50*time.Millisecond))
+	w.runUntil(3*time.Second, func() bool { return w.state("hopeless") == messenger.WorkloadFailed })
+	w.run(time.Second)
+	if diff := cmp.Diff(0, w.running("hopeless")); diff != "" {
+		t.Errorf("running (-want +got):\n%s", diff)
+	}
+}
+
+// TestFailureIsCountedOnceOverOwners holds that an end that one owner has counted,
+// and its successor is told of again, is one failure.
+func TestFailureIsCountedOnceOverOwners(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.run(2 * time.Second)
+	w.submit(urgent, "w", tasks(1, 500, time.Second))
+	w.run(100 * time.Millisecond)
+	h := w.hosts[0]
+	ref := h.machine.refs()[0]
+	for range 4 {
+		// The end is listed, recorded, and its acknowledgement never arrives.
+		report := messenger.Report{
+			Host: h.name, Address: h.name + ":1", Incarnation: fmt.Sprint(h.incarnation), TicketMillis: int(w.now.Sub(origin).Milliseconds()) + 1000,
+			Executors: []messenger.ExecutorState{{
+				Executor:  messenger.ExecutorRecord{Id: "executor-" + h.name, Born: h.machine.born, Service: service, Address: h.name + ":2"},
+				Reachable: true,
+				Ends:      []messenger.RunEnd{{Number: 1, Run: ref, How: messenger.EndFailed}},
+			}},
+		}
+		w.owner.Report(w.now, report)
+		w.flush()
+		if diff := cmp.Diff(messenger.WorkloadRunning, w.state("w")); diff != "" {
+			t.Fatalf("state (-want +got):\n%s", diff)
+		}
+		w.replaceOwner(true)
+	}
+}
+
+func TestCancelStopsAndStaysCanceled(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.run(2 * time.Second)
+	w.submit(lasting, "w", tasks(3, 1000, time.Hour, lasts))
+	w.runUntil(time.Second, func() bool { return w.running("w") == 3 })
+	if _, err := w.owner.Cancel(w.now, "w"); err != nil {
+		t.Fatal(err)
+	}
+	w.runUntil(time.Second, func() bool { return w.running("w") == 0 })
+	w.replaceOwner(true)
+	w.run(3 * time.Second)
+	if diff := cmp.Diff(messenger.WorkloadCanceled, w.state("w")); diff != "" {
+		t.Errorf("state (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(0, w.running("w")); diff != "" {
+		t.Errorf("running (-want +got):\n%s", diff)
+	}
+	_, err := w.owner.Cancel(w.now, "other")
+	if diff := cmp.Diff(apricotwinch.NotFound, apricotwinch.KindOf(err)); diff != "" {
+		t.Errorf("kind (-want +got):\n%s", diff)
+	}
+}
+
+func TestPlacementRules(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*messenger.StepSpec)
+		want   int
+	}{
+		{name: "any executor", change: func(*messenger.StepSpec) {}, want: 6},
+		{name: "two on one executor", change: func(s *messenger.StepSpec) { s.MaxPerExecutor = 1 }, want: 3},
+		{name: "a label that one has", change: func(s *messenger.StepSpec) { s.Label = "r1-host-1" }, want: 4},
+		{name: "a label that none has", change: func(s *messenger.StepSpec) { s.Label = "b" }, want: 0},
+		{name: "a gigantic task", change: func(s *messenger.StepSpec) { s.Resources.ProcessorMillis = 20_000 }, want: 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w := newWorld(t, 1, 3)
+			w.run(2 * time.Second)
+			w.submit(urgent, "w", tasks(6, 4000, time.Hour, test.change))
+			w.run(time.Second)
+			if diff := cmp.Diff(test.want, w.running("w")); diff != "" {
+				t.Errorf("running (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestNothingStartsWhereItMustNot(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.run(2 * time.Second)
+	w.owner.SetOut(map[string]bool{"dc": true})
+	w.submit(urgent, "w", tasks(1, 500, time.Second))
+	w.run(2 * time.Second)
+	if diff := cmp.Diff(0, w.running("w")); diff != "" {
+		t.Errorf("running in a data centre that is out (-want +got):\n%s", diff)
+	}
+	w.owner.SetOut(nil)
+	w.runUntil(time.Second, func() bool { return w.running("w") == 1 })
+}
+
+// TestFlashCrowdOfLargeWork holds that urgent work starts at once while more large
+// work than ever fits is waiting.
+func TestFlashCrowdOfLargeWork(t *testing.T) {
+	w := newWorld(t, 1, 4)
+	w.run(2 * time.Second)
+	for i := range 40 {
+		w.submit(batch, fmt.Sprint("large", i), tasks(16, 1800, 5*time.Second, fills))
+	}
+	w.run(time.Second)
+	for i := range 10 {
+		w.submit(urgent, fmt.Sprint("urgent", i), tasks(6, 240, 300*time.Millisecond))
+	}
+	w.runUntil(600*time.Millisecond, func() bool {
+		for i := range 10 {
+			if w.state(fmt.Sprint("urgent", i)) != messenger.WorkloadCompleted {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// TestLastingWorkLeavesAReserve holds that tasks that never end can't take the last
+// room that urgent work needs.
+func TestLastingWorkLeavesAReserve(t *testing.T) {
+	w := newWorld(t, 1, 4)
+	w.run(2 * time.Second)
+	w.submit(lasting, "watch", tasks(100, 1000, time.Hour, lasts))
+	w.run(time.Second)
+	w.submit(urgent, "w", tasks(6, 240, 300*time.Millisecond))
+	w.runUntil(600*time.Millisecond, func() bool { return w.state("w") == messenger.WorkloadCompleted })
+}
+
+// TestRestartHerdOfAgents holds that when all agents restart at once, the owner
+// keeps what their executors run and starts nothing twice.
+func TestRestartHerdOfAgents(t *testing.T) {
+	w := newWorld(t, 1, 4)
+	w.run(2 * time.Second)
+	w.submit(lasting, "watch", tasks(12, 1000, time.Hour, lasts))
+	w.run(time.Second)
+	began := w.running("watch")
+	for _, h := range w.hosts {
+		w.restartAgent(h)
+	}
+	for range 300 {
+		w.step()
+		if diff := cmp.Diff(began, w.running("watch")); diff != "" {
+			t.Fatalf("running (-want +got):\n%s", diff)
+		}
+	}
+}
+
+// TestTakeoverAdoptsWhatRuns holds that a new owner goes on at once with executors
+// that it reaches, and waits for one that it does not.
+func TestTakeoverAdoptsWhatRuns(t *testing.T) {
+	w := newWorld(t, 1, 3)
+	w.run(2 * time.Second)
+	w.submit(batch, "w", tasks(12, 3000, 20*time.Second))
+	w.run(time.Second)
+	w.hosts[0].cut = true
+	w.replaceOwner(false)
+	w.submit(urgent, "new", tasks(2, 500, 300*time.Millisecond))
+	w.runUntil(time.Second, func() bool { return w.state("new") == messenger.WorkloadCompleted })
+	w.runUntil(30*time.Second, func() bool { return w.running("w") == 12 })
+	w.runUntil(60*time.Second, func() bool { return w.state("w") == messenger.WorkloadCompleted })
+}
+
+// TestStoppedWorkHoldsItsRoom holds that what a new owner has to stop still counts
+// until it is gone.
+func TestStoppedWorkHoldsItsRoom(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.run(2 * time.Second)
+	w.submit(urgent, "old", tasks(4, 4000, time.Hour))
+	w.run(time.Second)
+	if _, err := w.owner.Cancel(w.now, "old"); err != nil {
+		t.Fatal(err)
+	}
+	w.flush()
+	w.replaceOwner(true)
+	w.restartAgent(w.hosts[0])
+	w.submit(urgent, "new", tasks(4, 4000, time.Second))
+	w.runUntil(3*time.Second, func() bool { return w.state("new") == messenger.WorkloadCompleted })
+}
+
+// TestRestoreNamesABadRecord holds that records which can't be read are named.
+func TestRestoreNamesABadRecord(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.submit(urgent, "w", tasks(1, 500, time.Second))
+	w.store["w/w"] = []byte("{")
+	owner := conductor.New(w.now, conductor.DefaultConfig(), 9, true, hclog.NewNullLogger(), metrics.NewRegistry())
+	err := owner.Restore(w.now, records(w.store))
+	if diff := cmp.Diff("record w/w: unexpected end of JSON input", fmt.Sprint(err)); diff != "" {
+		t.Errorf("error (-want +got):\n%s", diff)
+	}
+}
+
+// TestNothingIsDoubledUnderFaults plays random faults, singly and together, and
+// checks at each step that no task runs twice, starts before its turn or after its
+// end, or does not fit; in the end everything has completed.
+func TestNothingIsDoubledUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 4).Draw(t, "hosts"))
+		w.run(2 * time.Second)
+		jobs := rapid.IntRange(1, 5).Draw(t, "jobs")
+		for i := range jobs {
+			w.submit(batch, fmt.Sprint("job", i),
+				tasks(rapid.IntRange(1, 6).Draw(t, "tasks"), 2000, 800*time.Millisecond),
+				tasks(rapid.IntRange(1, 6).Draw(t, "tasks"), 3000, 1500*time.Millisecond, after(0)))
+		}
+		faults := []func(){
+			func() { w.replaceOwner(true) },
+			func() { w.replaceOwner(false) },
+			func() { w.restartAgent(w.pick()) },
+			func() { w.pick().down = true },
+			func() { w.pick().cut = true },
+			func() { w.crash(w.pick()) },
+			func() { w.lost = 0.5 },
+			func() { w.offline = true },
+			func() { w.offline = false },
+		}
+		for range rapid.IntRange(0, 12).Draw(t, "faults") {
+			faults[rapid.IntRange(0, len(faults)-1).Draw(t, "fault")]()
+			w.run(time.Duration(rapid.IntRange(0, 2500).Draw(t, "millis")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "heals") {
+				w.heal()
+			}
+		}
+		w.heal()
+		w.runUntil(2*time.Minute, func() bool {
+			for i := range jobs {
+				if w.state(fmt.Sprint("job", i)) != messenger.WorkloadCompleted {
+					return false
+				}
+			}
+			return true
+		})
+	})
+}
+
+func ExampleConductor() {
+	now := time.Unix(1000, 0)
+	owner := conductor.New(now, conductor.DefaultConfig(), 1, true, hclog.NewNullLogger(), metrics.NewRegistry())
+	spec := messenger.WorkloadSpec{Steps: []messenger.StepSpec{{Tasks: 1}}}
+	write, err := owner.Submit(now, messenger.WorkloadRequest{Queue: "designs", Id: "d1", Spec: &spec})
+	fmt.Println(write, err)
+	records, number := owner.TakeWrites()
+	owner.Written(number, records)
+	fmt.Println(owner.Show("d1"))
+	// Output:
+	// 1 <nil>
+	// queued <nil>
+}
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -94,7 +94,7 @@
 			return false
 		}
 		if q, ok := c.queue(w); ok {
-			c.scheduleStep(now, s, q, pool[q.Service], settled)
+			c.scheduleStep(now, s, pool[q.Service], settled)
 		}
 		s.queued = s.waiting > 0
 		return !s.queued
@@ -121,7 +121,7 @@
 }
 
 // scheduleStep starts what it can of one step.
-func (c *Conductor) scheduleStep(now time.Time, s *step, q *cataloger.Queue, pool []*executor, settled bool) {
+func (c *Conductor) scheduleStep(now time.Time, s *step, pool []*executor, settled bool) {
 	spare := c.spare(pool)
 	for _, t := range s.tasks {
 		if s.waiting == 0 {
--- a/conductor/workload.go
+++ b/conductor/workload.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/base64"
-	"slices"
 	"time"
 
 	"apricotwinch"
@@ -97,11 +96,6 @@
 	return false
 }
 
-// lasting reports whether the workload runs until it is canceled.
-func (w *workload) lasting() bool {
-	return slices.ContainsFunc(w.spec.Steps, func(s messenger.StepSpec) bool { return s.Lasting })
-}
-
 // count returns the number of occurrences, at least 1.
 func (w *workload) count() int { return max(1, w.spec.Repeats) }
 
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -218,9 +218,8 @@
 	c.writeAt = c.deps.Clock.Now()
 	c.lazySince = time.Time{}
 	c.mu.Unlock()
-	sent := c.deps.Clock.Now()
 	for {
-		sent = c.deps.Clock.Now()
+		sent := c.deps.Clock.Now()
 		err := c.call(ctx, func(ctx context.Context) error {
 			return c.deps.Log.Append(ctx, appender.JournalWork, producer, records)
 		})
--- a/coordinator/requests.go
+++ b/coordinator/requests.go
@@ -121,7 +121,7 @@
 }
 
 func (c *Coordinator) submitHere(ctx context.Context, request messenger.WorkloadRequest) (messenger.WorkloadReply, error) {
-	number, epoch, err := c.submit(ctx, request)
+	number, epoch, err := c.submit(request)
 	if err != nil {
 		metrics.GetOrRegisterCounter(apricotwinch.KindOf(err).Answer().Counter(), c.deps.Registry).Inc(1)
 		return messenger.WorkloadReply{}, err
@@ -129,7 +129,7 @@
 	return messenger.WorkloadReply{State: messenger.WorkloadQueued}, c.await(ctx, epoch, number)
 }
 
-func (c *Coordinator) submit(ctx context.Context, request messenger.WorkloadRequest) (number, epoch int64, err error) {
+func (c *Coordinator) submit(request messenger.WorkloadRequest) (number, epoch int64, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.deps.Clock.Now()
--- a/custodian/custodian.go
+++ b/custodian/custodian.go
@@ -83,6 +83,7 @@
 	refusals  []messenger.RunRefusal
 	refused   int
 	latest    time.Time
+	token     int64
 	presses   map[[2]string]float64
 }
 
@@ -124,7 +125,7 @@
 		if !c.replaces(a) {
 			return false
 		}
-		e = &executor{Announcement: a, heardAt: now, runs: map[messenger.RunRef]*run{}, token: a.Clock.Milliseconds()}
+		e = &executor{Announcement: a, heardAt: now, runs: map[messenger.RunRef]*run{}, token: c.nextToken(a.Clock)}
 		c.executors[a.ID] = e
 		c.logger.Info("executor announced", "executor", a.ID, "born", a.Born, "address", a.Address, "draining", a.Draining)
 	}
@@ -137,6 +138,13 @@
 	return news
 }
 
+// nextToken returns a token above all that this agent has used, and, as an
+// executor's clock only rises, above those of earlier agents in the same life.
+func (c *Custodian) nextToken(clock time.Duration) int64 {
+	c.token = max(c.token+1, clock.Milliseconds())
+	return c.token
+}
+
 // replaces drops the older lives at the address of a new one, and reports whether
 // it is the newest.
 func (c *Custodian) replaces(a Announcement) bool {
@@ -159,7 +167,9 @@
 	}
 }
 
-// goneLife is how long an executor's end is reported.
+// goneLife is how long an executor's end is reported. A life that another one
+// under the same id follows is reported together with what the next one runs: an
+// order for the one may have reached the other.
 const goneLife = 30 * time.Second
 
 // life is one life of an executor that is over.
@@ -219,14 +229,14 @@
 		return Calls{}, c.holdFailed(now, e, holding.Answer, err)
 	}
 	if holding.Born != 0 && holding.Born != e.Born {
-		c.drop(e, "another life answers")
+		c.reborn(now, e, holding.Answer)
 		return Calls{}, true
 	}
 	e.heardAt = now
 	e.takeClock(now, holding.Clock)
 	if !e.held {
 		if !e.fenced {
-			e.token = max(e.token, holding.Clock.Milliseconds())
+			e.token = c.nextToken(holding.Clock)
 			e.fenced = true
 			return Calls{}, false
 		}
@@ -237,6 +247,14 @@
 	return c.pace(now, e), changed
 }
 
+// reborn takes that an executor answers in another life under its id.
+func (c *Custodian) reborn(now time.Time, e *executor, answer Answer) {
+	c.drop(e, "another life answers")
+	next := e.Announcement
+	next.Born, next.Sequence, next.Clock, next.Draining = answer.Born, 0, answer.Clock, false
+	c.Announced(now, next)
+}
+
 // holdFailed draws the consequences of a hold that was not answered, or refused.
 func (c *Custodian) holdFailed(now time.Time, e *executor, answer Answer, err error) bool {
 	e.takeClock(now, answer.Clock)
@@ -245,7 +263,9 @@
 		c.drop(e, err.Error())
 		return true
 	case apricotwinch.StaleEpoch:
-		e.token = max(e.token+1, answer.Clock.Milliseconds())
+		c.token += e.refused
+		e.refused = 2*e.refused + 1
+		e.token = c.nextToken(answer.Clock)
 		e.fenced = answer.Clock > 0
 	}
 	return false
@@ -536,7 +556,9 @@
 	report.RefusalsThrough = c.refused
 	c.gone = slices.DeleteFunc(c.gone, func(l life) bool { return now.Sub(l.at) > goneLife })
 	for _, l := range c.gone {
-		report.Gone = append(report.Gone, l.ExecutorLife)
+		if next := c.executors[l.Id]; next == nil || next.held {
+			report.Gone = append(report.Gone, l.ExecutorLife)
+		}
 	}
 	for _, id := range c.Executors() {
 		e := c.executors[id]
--- /dev/null
+++ b/custodian/custodian_test.go
@@ -0,0 +1,381 @@
+package custodian_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
+
+	"apricotwinch"
+	"apricotwinch/custodian"
+	"apricotwinch/messenger"
+)
+
+var start = time.Unix(1000, 0)
+
+// stage is a custodian of one executor called e, whose clock began at 0 with the
+// stage.
+type stage struct {
+	*custodian.Custodian
+	now    time.Time
+	epoch  int
+	number int
+}
+
+// newStage returns a custodian whose executor is announced, held and leased.
+func newStage() *stage {
+	s := &stage{now: start, epoch: 1}
+	s.Custodian = custodian.New(start, custodian.DefaultConfig(), "host", "host:1", "i1", hclog.NewNullLogger(), metrics.NewRegistry())
+	s.announce(nil)
+	s.hold(custodian.Holding{}, nil)
+	s.hold(custodian.Holding{}, nil)
+	s.renew()
+	return s
+}
+
+func (s *stage) clock() time.Duration { return s.now.Sub(start) + time.Second }
+
+func (s *stage) announce(change func(*custodian.Announcement)) bool {
+	a := custodian.Announcement{
+		ID: "e", Born: 7, Sequence: int(s.now.Sub(start)/time.Millisecond) + 1, Service: "s", Address: "host:2", DataCentre: "dc",
+		Capacity: apricotwinch.NewResources(4000, 1000, 0), Clock: s.clock(),
+	}
+	if change != nil {
+		change(&a)
+	}
+	return s.Announced(s.now, a)
+}
+
+// hold plays one hold of the executor, 10 ms long.
+func (s *stage) hold(holding custodian.Holding, err error) custodian.HoldCall {
+	call, ok := s.Hold(s.now, "e")
+	if !ok {
+		return call
+	}
+	sent := s.now
+	s.now = s.now.Add(10 * time.Millisecond)
+	if holding.Clock == 0 {
+		holding.Clock = s.clock()
+	}
+	s.Held(s.now, sent, call, holding, err)
+	return call
+}
+
+// renew plays a report to the owner and its answer, and returns the report.
+func (s *stage) renew() messenger.Report {
+	report := s.Report(s.now, true)
+	sent := s.now
+	s.now = s.now.Add(10 * time.Millisecond)
+	s.Answered(s.now, sent, messenger.ReportReply{Epoch: s.epoch, Owner: true, Lease: true, RefusalsThrough: report.RefusalsThrough})
+	return report
+}
+
+func ref(index, run int) messenger.RunRef {
+	return messenger.RunRef{Task: messenger.TaskRef{Workload: "w", Index: index}, Run: run}
+}
+
+func order(index, run int, cpu int) messenger.RunOrder {
+	return messenger.RunOrder{Run: ref(index, run), Executor: "e", Resources: messenger.Resources{ProcessorMillis: cpu, MemoryBytes: 10}}
+}
+
+// orders returns the next orders of the owner.
+func (s *stage) orders(starts ...messenger.RunOrder) messenger.Orders {
+	s.number++
+	return messenger.Orders{
+		Epoch: s.epoch, Number: s.number, Incarnation: "i1", TicketMillis: int(s.now.Sub(start).Milliseconds()), Starts: starts,
+	}
+}
+
+// phases returns the runs that are reported, with their phases.
+func phases(r messenger.Report) map[string]string {
+	got := map[string]string{}
+	for _, e := range r.Executors {
+		for _, run := range e.Runs {
+			got[fmt.Sprintf("%d#%d", run.Run.Task.Index, run.Run.Run)] = run.Phase
+		}
+	}
+	return got
+}
+
+func refusals(r messenger.Report) []string {
+	var kinds []string
+	for _, refusal := range r.Refusals {
+		kinds = append(kinds, refusal.Kind)
+	}
+	return kinds
+}
+
+func TestOrdersAreChecked(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(s *stage, o *messenger.Orders)
+		want   apricotwinch.Kind
+		starts int
+	}{
+		{name: "current", change: func(*stage, *messenger.Orders) {}, starts: 1},
+		{name: "earlier owner", change: func(_ *stage, o *messenger.Orders) { o.Epoch = 0 }, want: apricotwinch.StaleEpoch},
+		{name: "earlier agent", change: func(_ *stage, o *messenger.Orders) { o.Incarnation = "i0" }, want: apricotwinch.StaleIncarnation},
+		{name: "delivered late", change: func(s *stage, _ *messenger.Orders) { s.now = s.now.Add(5 * time.Second) }, want: apricotwinch.StaleView},
+		{name: "delivered twice", change: func(s *stage, o *messenger.Orders) { s.Ordered(s.now, *o) }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := newStage()
+			o := s.orders(order(0, 1, 1000))
+			test.change(s, &o)
+			calls, err := s.Ordered(s.now, o)
+			if diff := cmp.Diff(test.want, apricotwinch.KindOf(err)); diff != "" {
+				t.Errorf("kind (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(test.starts, len(calls.Starts)); diff != "" {
+				t.Errorf("starts (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestStartsAreAnswered(t *testing.T) {
+	unanswered := apricotwinch.Errorf(apricotwinch.Unknown, "no answer")
+	tests := []struct {
+		name     string
+		answers  []error
+		listed   []messenger.RunState
+		ends     []messenger.RunEnd
+		phases   map[string]string
+		refusals []string
+	}{
+		{name: "started", answers: []error{nil}, listed: []messenger.RunState{{Run: ref(0, 1)}}, phases: map[string]string{"0#1": messenger.RunRunning}},
+		{name: "no room", answers: []error{apricotwinch.Errorf(apricotwinch.NoCapacity, "room")}, phases: map[string]string{}, refusals: []string{"no_capacity"}},
+		{name: "unanswered", answers: []error{unanswered}, phases: map[string]string{"0#1": messenger.RunStarting}},
+		{name: "unanswered, and listed", answers: []error{unanswered}, listed: []messenger.RunState{{Run: ref(0, 1)}}, phases: map[string]string{"0#1": messenger.RunRunning}},
+		{name: "unanswered, repeated and gone by", answers: []error{unanswered, apricotwinch.Errorf(apricotwinch.Conflict, "old")},
+			ends: []messenger.RunEnd{{Number: 1, Run: ref(0, 1), How: messenger.EndDone}}, phases: map[string]string{}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := newStage()
+			calls, err := s.Ordered(s.now, s.orders(order(0, 1, 1000)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, answer := range test.answers {
+				if len(calls.Starts) != 1 {
+					t.Fatalf("starts = %d, want 1", len(calls.Starts))
+				}
+				s.now = s.now.Add(time.Millisecond)
+				s.Started(s.now, calls.Starts[0], custodian.Answer{Clock: s.clock()}, answer)
+				s.now = s.now.Add(600 * time.Millisecond)
+				s.hold(custodian.Holding{}, unanswered)
+				calls, _ = s.Tick(s.now)
+			}
+			early := s.renew()
+			s.hold(custodian.Holding{Runs: test.listed, Ends: test.ends}, nil)
+			report := s.renew()
+			if diff := cmp.Diff(test.phases, phases(report)); diff != "" {
+				t.Errorf("phases (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(test.refusals, refusals(early)); diff != "" {
+				t.Errorf("refusals (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(len(test.ends), len(report.Executors[0].Ends)); diff != "" {
+				t.Errorf("ends (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestRoomIsGuarded holds that whatever the owner orders, the executor gets no more
+// than it can hold, and what is being stopped still counts.
+func TestRoomIsGuarded(t *testing.T) {
+	s := newStage()
+	calls, _ := s.Ordered(s.now, s.orders(order(0, 1, 3000), order(1, 1, 2000)))
+	if diff := cmp.Diff(1, len(calls.Starts)); diff != "" {
+		t.Fatalf("starts (-want +got):\n%s", diff)
+	}
+	stop := s.orders(order(2, 1, 2000))
+	stop.Stops = []messenger.RunStop{{Run: ref(0, 1), Executor: "e"}}
+	s.Ordered(s.now, stop)
+	if diff := cmp.Diff([]string{"no_capacity", "no_capacity"}, refusals(s.Report(s.now, true))); diff != "" {
+		t.Errorf("refusals (-want +got):\n%s", diff)
+	}
+	fills := order(3, 1, 9000)
+	fills.Fills = true
+	calls, _ = s.Ordered(s.now, s.orders(fills))
+	if diff := cmp.Diff(1, len(calls.Starts)); diff != "" {
+		t.Errorf("starts of filling work (-want +got):\n%s", diff)
+	}
+}
+
+// TestLeasesRestOnReports holds that an executor gets no lease before the owner
+// knows of it, and none longer than the report that the owner answered allows.
+func TestLeasesRestOnReports(t *testing.T) {
+	s := &stage{now: start, epoch: 1}
+	s.Custodian = custodian.New(start, custodian.DefaultConfig(), "host", "host:1", "i1", hclog.NewNullLogger(), metrics.NewRegistry())
+	s.renew()
+	s.announce(nil)
+	for range 4 {
+		if call := s.hold(custodian.Holding{}, nil); call.Deadline != 0 {
+			t.Fatalf("deadline = %s before a report listed the executor", call.Deadline)
+		}
+	}
+	reported := s.now
+	s.renew()
+	s.now = s.now.Add(time.Second)
+	call := s.hold(custodian.Holding{}, nil)
+	latest := reported.Add(custodian.DefaultConfig().Lease).Sub(start) + time.Second
+	if call.Deadline <= 0 || call.Deadline > latest {
+		t.Errorf("deadline = %s, want at most %s", call.Deadline, latest)
+	}
+	s.now = s.now.Add(10 * time.Second)
+	if call := s.hold(custodian.Holding{}, nil); call.Deadline != 0 {
+		t.Errorf("deadline = %s without an owner", call.Deadline)
+	}
+}
+
+// TestTokenIsAboveEarlierAgents holds that a new agent's token is the executor's
+// clock, and that nothing is reported before the executor has seen it.
+func TestTokenIsAboveEarlierAgents(t *testing.T) {
+	s := &stage{now: start.Add(time.Minute), epoch: 1}
+	s.Custodian = custodian.New(s.now, custodian.DefaultConfig(), "host", "host:1", "i2", hclog.NewNullLogger(), metrics.NewRegistry())
+	s.announce(func(a *custodian.Announcement) { a.Clock = 0 })
+	s.hold(custodian.Holding{Answer: custodian.Answer{Clock: s.clock()}}, apricotwinch.Errorf(apricotwinch.StaleEpoch, "fence"))
+	if got := len(s.Report(s.now, true).Executors); got != 0 {
+		t.Fatalf("%d executors reported before the token was seen", got)
+	}
+	call := s.hold(custodian.Holding{}, nil)
+	if call.Token < time.Minute.Milliseconds() {
+		t.Errorf("token = %d, want the executor's clock", call.Token)
+	}
+	if got := len(s.Report(s.now, true).Executors); got != 1 {
+		t.Errorf("%d executors reported, want 1", got)
+	}
+}
+
+func TestLivesOfExecutors(t *testing.T) {
+	tests := []struct {
+		name string
+		play func(s *stage)
+		gone []messenger.ExecutorLife
+		left []string
+	}{
+		{name: "alive", play: func(*stage) {}, left: []string{"e"}},
+		{name: "nothing listens", left: []string{}, gone: []messenger.ExecutorLife{{Id: "e", Born: 7}}, play: func(s *stage) {
+			s.hold(custodian.Holding{}, apricotwinch.Errorf(apricotwinch.Unreachable, "refused"))
+		}},
+		{name: "silent", left: []string{"e"}, play: func(s *stage) {
+			s.hold(custodian.Holding{}, apricotwinch.Errorf(apricotwinch.Unknown, "timeout"))
+		}},
+		{name: "reborn", left: []string{"e"}, gone: []messenger.ExecutorLife{{Id: "e", Born: 7}}, play: func(s *stage) {
+			s.announce(func(a *custodian.Announcement) { a.Born, a.Sequence = 8, 1 })
+			s.hold(custodian.Holding{}, nil)
+			s.hold(custodian.Holding{}, nil)
+		}},
+		{name: "reborn, and not held yet", left: []string{"e"}, play: func(s *stage) {
+			s.hold(custodian.Holding{Answer: custodian.Answer{Born: 8, Clock: 1}}, nil)
+		}},
+		{name: "late word of an earlier life", left: []string{"e"}, play: func(s *stage) {
+			s.announce(func(a *custodian.Announcement) { a.Born, a.ID = 6, "d" })
+		}},
+		{name: "replaced at its address", left: []string{"f"}, gone: []messenger.ExecutorLife{{Id: "e", Born: 7}}, play: func(s *stage) {
+			s.announce(func(a *custodian.Announcement) { a.Born, a.ID = 9, "f" })
+		}},
+		{name: "late word after its end", left: []string{}, gone: []messenger.ExecutorLife{{Id: "e", Born: 7}}, play: func(s *stage) {
+			s.hold(custodian.Holding{}, apricotwinch.Errorf(apricotwinch.Unreachable, "refused"))
+			s.announce(nil)
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := newStage()
+			test.play(s)
+			if diff := cmp.Diff(test.left, s.Executors()); diff != "" {
+				t.Errorf("executors (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(test.gone, s.Report(s.now, true).Gone); diff != "" {
+				t.Errorf("gone (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestRestartedAgent holds that an agent that knows no executor is told of those
+// that the owner knows, and takes over what they run.
+func TestRestartedAgent(t *testing.T) {
+	s := &stage{now: start.Add(time.Minute), epoch: 1}
+	s.Custodian = custodian.New(s.now, custodian.DefaultConfig(), "host", "host:1", "i2", hclog.NewNullLogger(), metrics.NewRegistry())
+	s.Answered(s.now, s.now, messenger.ReportReply{Epoch: 1, Owner: true, Executors: []messenger.ExecutorRecord{{Id: "e", Born: 7, Address: "host:2"}}})
+	s.hold(custodian.Holding{Answer: custodian.Answer{Clock: s.clock()}}, apricotwinch.Errorf(apricotwinch.StaleEpoch, "fence"))
+	s.hold(custodian.Holding{Runs: []messenger.RunState{{Run: ref(0, 1)}}}, nil)
+	report := s.Report(s.now, true)
+	if diff := cmp.Diff(map[string]string{"0#1": messenger.RunRunning}, phases(report)); diff != "" {
+		t.Errorf("phases (-want +got):\n%s", diff)
+	}
+	if !report.Executors[0].Runs[0].Unknown {
+		t.Error("the run is not reported as unknown")
+	}
+}
+
+// TestSilentExecutorLosesItsRuns holds that the runs of a silent executor end once
+// the last lease that it may have got is over, and not before.
+func TestSilentExecutorLosesItsRuns(t *testing.T) {
+	s := newStage()
+	calls, _ := s.Ordered(s.now, s.orders(order(0, 1, 1000)))
+	s.Started(s.now, calls.Starts[0], custodian.Answer{Clock: s.clock()}, nil)
+	s.renew()
+	silent := apricotwinch.Errorf(apricotwinch.Unknown, "timeout")
+	s.hold(custodian.Holding{}, silent)
+	leased := s.now
+	for s.now.Sub(leased) < custodian.DefaultConfig().Lease-100*time.Millisecond {
+		s.now = s.now.Add(100 * time.Millisecond)
+		s.Tick(s.now)
+		if diff := cmp.Diff(1, len(phases(s.Report(s.now, true)))); diff != "" {
+			t.Fatalf("runs after %s (-want +got):\n%s", s.now.Sub(leased), diff)
+		}
+	}
+	s.now = s.now.Add(time.Second)
+	s.Tick(s.now)
+	if diff := cmp.Diff(map[string]string{}, phases(s.Report(s.now, true))); diff != "" {
+		t.Errorf("runs (-want +got):\n%s", diff)
+	}
+}
+
+// TestNoisyNeighborIsPacedAtOnce holds that filling work that presses on a serving
+// task is held back with its first answer, not with the next figures.
+func TestNoisyNeighborIsPacedAtOnce(t *testing.T) {
+	s := newStage()
+	serving := order(0, 1, 1000)
+	serving.TailTargetMillis, serving.Image = 40, "quotes"
+	calls, _ := s.Ordered(s.now, s.orders(serving))
+	s.Started(s.now, calls.Starts[0], custodian.Answer{Clock: s.clock()}, nil)
+	s.hold(custodian.Holding{Runs: []messenger.RunState{{Run: ref(0, 1), Figure: 25}}}, nil)
+	s.Answered(s.now, s.now, messenger.ReportReply{Epoch: 1, Owner: true, Presses: []messenger.Press{{Serving: "quotes", Filling: "render", Headroom: 1}}})
+	filling := order(1, 1, 2000)
+	filling.Fills, filling.Image = true, "render"
+	calls, _ = s.Ordered(s.now, s.orders(filling))
+	paces, _ := s.Started(s.now, calls.Starts[0], custodian.Answer{Clock: s.clock()}, nil)
+	if len(paces.Paces) != 1 || paces.Paces[0].Percent > 35 {
+		t.Errorf("paces = %+v, want one of at most 35%%", paces.Paces)
+	}
+}
+
+// TestNextLifeGetsAGreaterToken holds that orders for an earlier life of an executor
+// bar no orders for the next one, whose clock begins anew.
+func TestNextLifeGetsAGreaterToken(t *testing.T) {
+	s := newStage()
+	before := s.hold(custodian.Holding{}, nil).Token
+	s.hold(custodian.Holding{Answer: custodian.Answer{Born: 8, Clock: time.Millisecond}}, nil)
+	if got := s.hold(custodian.Holding{Answer: custodian.Answer{Born: 8, Clock: time.Millisecond}}, nil).Token; got <= before {
+		t.Errorf("token = %d, want more than %d", got, before)
+	}
+}
+
+func ExampleCustodian() {
+	c := custodian.New(start, custodian.DefaultConfig(), "host", "host:1", "i1", hclog.NewNullLogger(), metrics.NewRegistry())
+	c.Announced(start, custodian.Announcement{ID: "e", Address: "host:2"})
+	call, known := c.Hold(start, "e")
+	fmt.Println(call.Address, known)
+	// Output: host:2 true
+}
--- a/custodian/executor.go
+++ b/custodian/executor.go
@@ -72,6 +72,9 @@
 type executor struct {
 	Announcement
 	token int64
+	// refused grows with each hold that was refused for a low token: orders for an
+	// earlier life may have left a greater one.
+	refused int64
 	// fenced is whether the token was read from the executor's clock by this agent,
 	// so that it is above those of earlier agents.
 	fenced bool
--- /dev/null
+++ b/elector/elector_test.go
@@ -0,0 +1,181 @@
+package elector_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"apricotwinch/elector"
+	"apricotwinch/messenger"
+)
+
+var start = time.Unix(1000, 0)
+
+func member(name string) messenger.Member {
+	return messenger.Member{Name: name, Address: name + ":1", Incarnation: name + "-1"}
+}
+
+// stage is an elector of entry-b with the time that it is told.
+type stage struct {
+	*elector.Elector
+	now time.Time
+}
+
+func newStage() *stage {
+	return &stage{Elector: elector.New(start, elector.DefaultConfig(), member("entry-b")), now: start}
+}
+
+// pass lets time pass in steps in which the store answers and each of the pings is
+// heard again, and returns the first step that is due.
+func (s *stage) pass(d time.Duration, store bool, pings ...messenger.Ping) elector.Step {
+	for end := s.now.Add(d); s.now.Before(end); {
+		s.now = s.now.Add(25 * time.Millisecond)
+		if store {
+			s.StoreAnswered(s.now)
+		}
+		for _, p := range pings {
+			s.Pinged(s.now, p)
+		}
+		if step := s.Tick(s.now); step != elector.Stay {
+			return step
+		}
+	}
+	return elector.Stay
+}
+
+func ping(name string, epoch int, change func(*messenger.Ping)) messenger.Ping {
+	p := messenger.Ping{Member: member(name), Epoch: epoch}
+	if change != nil {
+		change(&p)
+	}
+	return p
+}
+
+func owning(p *messenger.Ping) { p.Owner = true }
+
+func TestClaims(t *testing.T) {
+	tests := []struct {
+		name string
+		play func(s *stage) elector.Step
+		want elector.Step
+	}{
+		{name: "no owner", play: func(s *stage) elector.Step { return s.pass(time.Second, true) }, want: elector.Claim},
+		{name: "no owner and no store", play: func(s *stage) elector.Step { return s.pass(10*time.Second, false) }},
+		{name: "owner is heard", play: func(s *stage) elector.Step { return s.pass(10*time.Second, true, ping("entry-a", 3, owning)) }},
+		{name: "owner falls silent", want: elector.Claim, play: func(s *stage) elector.Step {
+			s.pass(time.Second, true, ping("entry-a", 3, owning))
+			return s.pass(time.Second, true)
+		}},
+		{name: "owner is silent here, and its hosts hear it", play: func(s *stage) elector.Step {
+			s.pass(time.Second, true, ping("entry-a", 3, owning))
+			for range 100 {
+				s.HostHeard(s.now, "host-1", 3, 100*time.Millisecond)
+				if step := s.pass(50*time.Millisecond, true); step != elector.Stay {
+					return step
+				}
+			}
+			return elector.Stay
+		}},
+		{name: "owner's process is gone", want: elector.Claim, play: func(s *stage) elector.Step {
+			s.pass(time.Second, true, ping("entry-a", 3, owning))
+			s.Refused("entry-a")
+			return s.pass(50*time.Millisecond, true)
+		}},
+		{name: "owner released", want: elector.Claim, play: func(s *stage) elector.Step {
+			s.pass(time.Second, true, ping("entry-a", 3, owning))
+			return s.pass(50*time.Millisecond, true, ping("entry-a", 3, func(p *messenger.Ping) { p.Released = true }))
+		}},
+		{name: "owner came back as another process", want: elector.Claim, play: func(s *stage) elector.Step {
+			s.pass(time.Second, true, ping("entry-a", 3, owning))
+			return s.pass(50*time.Millisecond, true, ping("entry-a", 3, func(p *messenger.Ping) { p.Member.Incarnation = "entry-a-2" }))
+		}},
+		{name: "another one goes first", play: func(s *stage) elector.Step {
+			s.pass(time.Second, true, ping("entry-c", 3, owning), ping("entry-a", 3, nil))
+			return s.pass(720*time.Millisecond, true, ping("entry-a", 3, nil))
+		}},
+		{name: "own earlier process owned", want: elector.Claim, play: func(s *stage) elector.Step {
+			s.Learned(s.now, 3, messenger.Member{Name: "entry-b", Incarnation: "entry-b-0"})
+			return s.pass(50*time.Millisecond, true)
+		}},
+		{name: "shutting down", play: func(s *stage) elector.Step { s.Left(); return s.pass(10*time.Second, true) }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if diff := cmp.Diff(test.want, test.play(newStage())); diff != "" {
+				t.Errorf("step (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestOwnerWithoutStore holds what an owner does that the store does not answer.
+func TestOwnerWithoutStore(t *testing.T) {
+	able := ping("entry-c", 4, nil)
+	unable := ping("entry-c", 4, func(p *messenger.Ping) { p.StoreMillis = 60_000 })
+	tests := []struct {
+		name      string
+		play      func(s *stage) elector.Step
+		step      elector.Step
+		authority bool
+	}{
+		{name: "the store answers", play: func(s *stage) elector.Step { return s.pass(time.Minute, true, able) }, authority: true},
+		{name: "another entry reaches it", play: func(s *stage) elector.Step { return s.pass(time.Minute, false, able) }, step: elector.Release},
+		{name: "no entry reaches it", play: func(s *stage) elector.Step { return s.pass(30*time.Second, false, unable) }, authority: true},
+		{name: "an entry that may have claimed is silent", play: func(s *stage) elector.Step {
+			s.pass(time.Second, true, able)
+			return s.pass(5*time.Second, false)
+		}},
+		{name: "the silence is short", authority: true, play: func(s *stage) elector.Step {
+			s.pass(time.Second, true, able)
+			return s.pass(3*time.Second, false)
+		}},
+		{name: "the machine stood still", play: func(s *stage) elector.Step {
+			s.pass(time.Second, true, able)
+			s.now = s.now.Add(6 * time.Second)
+			return elector.Stay
+		}},
+		{name: "a host knows a later epoch", play: func(s *stage) elector.Step {
+			s.HostHeard(s.now, "host-1", 5, 0)
+			return elector.Stay
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := newStage()
+			s.Claimed(s.now, 4)
+			if diff := cmp.Diff(test.step, test.play(s)); diff != "" {
+				t.Errorf("step (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(test.authority, s.Authority(s.now)); diff != "" {
+				t.Errorf("authority (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestEpochsNeverFall holds that what is learned late changes nothing.
+func TestEpochsNeverFall(t *testing.T) {
+	s := newStage()
+	s.Learned(s.now, 5, member("entry-a"))
+	s.Learned(s.now, 4, member("entry-c"))
+	s.Pinged(s.now, ping("entry-c", 3, owning))
+	if diff := cmp.Diff("entry-a", s.Owner().Name); diff != "" {
+		t.Errorf("owner (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(int64(5), s.Epoch()); diff != "" {
+		t.Errorf("epoch (-want +got):\n%s", diff)
+	}
+}
+
+func ExampleElector() {
+	e := elector.New(start, elector.DefaultConfig(), member("entry-a"))
+	e.StoreAnswered(start)
+	fmt.Println(e.Tick(start.Add(time.Second)) == elector.Claim)
+	e.Claimed(start.Add(time.Second), 1)
+	fmt.Println(e.Authority(start.Add(2 * time.Second)))
+	// Output:
+	// true
+	// true
+}
