--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -127,6 +127,31 @@
 	}
 }
 
+// TestFailuresAreCountedInAnyOrder holds that the failures of one task, told by
+// several executors in another order than they happened, all count.
+func TestFailuresAreCountedInAnyOrder(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.run(2 * time.Second)
+	w.submit(urgent, "w", tasks(1, 500, time.Hour))
+	for i, run := range []int{3, 1, 2} {
+		h := w.hosts[run%2]
+		w.owner.Report(w.now, messenger.Report{
+			Host: h.name, Address: h.name + ":1", Incarnation: fmt.Sprint(h.incarnation), TicketMillis: 1_000_000,
+			Executors: []messenger.ExecutorState{{
+				Executor: messenger.ExecutorRecord{Id: "executor-" + h.name, Born: h.machine.born, Service: service, Address: h.name + ":2"},
+				Ends: []messenger.RunEnd{{
+					Number: 10 + i, How: messenger.EndFailed,
+					Run: messenger.RunRef{Task: messenger.TaskRef{Workload: "w"}, Run: run},
+				}},
+			}},
+		})
+	}
+	w.flush()
+	if diff := cmp.Diff(messenger.WorkloadFailed, w.state("w")); diff != "" {
+		t.Errorf("state (-want +got):\n%s", diff)
+	}
+}
+
 func TestCancelStopsAndStaysCanceled(t *testing.T) {
 	w := newWorld(t, 1, 2)
 	w.run(2 * time.Second)
--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -371,11 +371,10 @@
 		e.streak = 0
 		c.finishTask(now, t)
 		return
-	case end.How == messenger.EndFailed && end.Run.Run <= t.failedRun:
+	case end.How == messenger.EndFailed && slices.Contains(t.failed, end.Run.Run):
 		return
 	case end.How == messenger.EndFailed:
-		t.failures++
-		t.failedRun = end.Run.Run
+		t.fail(end.Run.Run)
 		t.streak++
 		t.avoid = e
 		t.notBefore = now.Add(c.backoff(t.streak))
@@ -385,8 +384,8 @@
 	}
 	c.touch(w, false)
 	queue, ok := c.queue(w)
-	if ok && !t.step.spec.Lasting && t.failures >= queue.MaxAttempts && end.How == messenger.EndFailed {
-		c.logger.Info("workload failed", "workload", w.id, "task", t.ref, "failures", t.failures, "limit", queue.MaxAttempts)
+	if ok && !t.step.spec.Lasting && len(t.failed) >= queue.MaxAttempts && end.How == messenger.EndFailed {
+		c.logger.Info("workload failed", "workload", w.id, "task", t.ref, "failed", t.failed, "limit", queue.MaxAttempts)
 		c.end(now, w, messenger.WorkloadFailed)
 	}
 }
--- a/conductor/workload.go
+++ b/conductor/workload.go
@@ -50,14 +50,14 @@
 
 // task is one task.
 type task struct {
-	step     *step
-	ref      messenger.TaskRef
-	done     bool
-	highest  int
-	failures int
-	// failedRun is the greatest run that was counted as failed: an end that was not
-	// durable at the last owner is reported again.
-	failedRun  int
+	step    *step
+	ref     messenger.TaskRef
+	done    bool
+	highest int
+	// failed holds the runs that were counted as failed: an end that was not
+	// durable at the last owner is reported again, and ends of several executors
+	// arrive in any order.
+	failed     []int
 	streak     int
 	checkpoint string
 	notBefore  time.Time
@@ -174,8 +174,8 @@
 			case t.done:
 				bits[i/8] |= 1 << (i % 8)
 				any = true
-			case t.failures > 0 || t.checkpoint != "":
-				p.Tasks = append(p.Tasks, messenger.TaskProgress{Task: i, Failures: t.failures, FailedRun: t.failedRun, Run: t.highest, Checkpoint: t.checkpoint})
+			case len(t.failed) > 0 || t.checkpoint != "":
+				p.Tasks = append(p.Tasks, messenger.TaskProgress{Task: i, FailedRuns: t.failed, Run: t.highest, Checkpoint: t.checkpoint})
 			}
 		}
 		if any || len(p.Tasks) > 0 {
@@ -220,7 +220,7 @@
 			continue
 		}
 		t := all[p.Task]
-		t.failures, t.failedRun, t.highest, t.checkpoint = p.Failures, p.FailedRun, p.Run, p.Checkpoint
+		t.failed, t.highest, t.checkpoint = p.FailedRuns, p.Run, p.Checkpoint
 	}
 }
 
@@ -237,3 +237,15 @@
 		t.step.occurrence.left--
 	}
 }
+
+// maxFailed bounds the failed runs of a task that are remembered; a lasting task
+// may fail for ever.
+const maxFailed = 64
+
+// fail counts a run as failed.
+func (t *task) fail(run int) {
+	t.failed = append(t.failed, run)
+	if len(t.failed) > maxFailed {
+		t.failed = t.failed[1:]
+	}
+}
--- a/custodian/custodian.go
+++ b/custodian/custodian.go
@@ -35,6 +35,9 @@
 	HoldWait time.Duration
 	// Smoothing is the part of the latest figure in a serving task's headroom, 0 to 1.
 	Smoothing float64
+	// Doubtful is how long a tail is over its target before the presses that are
+	// known of it are doubted; users allow 4 s.
+	Doubtful time.Duration
 	// LogPace is the least change of a pace that is logged, in percent.
 	LogPace int
 	// Pace holds the bounds of the pace.
@@ -52,6 +55,7 @@
 		Silence:   time.Second,
 		HoldWait:  250 * time.Millisecond,
 		Smoothing: 0.6,
+		Doubtful:  1500 * time.Millisecond,
 		LogPace:   25,
 		Pace:      pacer.DefaultConfig(),
 		Press:     0.35,
@@ -697,7 +701,11 @@
 			r.alone += c.config.Smoothing * (alone - r.alone)
 			r.smoothedAt = e.heardAt
 		}
-		serving = append(serving, pacer.Serving{Image: r.order.Image, Undisturbed: r.alone})
+		if h := r.headroom(); h == 0 || h >= 1 {
+			r.calmAt = now
+		}
+		doubtful := !r.calmAt.IsZero() && now.Sub(r.calmAt) > c.config.Doubtful
+		serving = append(serving, pacer.Serving{Image: r.order.Image, Undisturbed: r.alone, Doubtful: doubtful})
 	}
 	return serving
 }
--- a/custodian/executor.go
+++ b/custodian/executor.go
@@ -114,6 +114,8 @@
 	// alone is the headroom that a serving task would have without filling work.
 	alone      float64
 	smoothedAt time.Time
+	// calmAt is when its tail was under its target last.
+	calmAt time.Time
 }
 
 // takeClock notes the executor's clock as an answer received at now tells it.
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -1298,11 +1298,8 @@
 	// Latest checkpoint.
 	Checkpoint string `json:"checkpoint,omitempty,omitzero"`
 
-	// Greatest run that was counted as failed.
-	FailedRun int `json:"failedRun,omitempty,omitzero"`
-
-	// Runs that ended failed.
-	Failures int `json:"failures,omitempty,omitzero"`
+	// Runs that were counted as failed.
+	FailedRuns []int `json:"failedRuns,omitempty,omitzero"`
 
 	// Greatest run that is known.
 	Run int `json:"run,omitempty,omitzero"`
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -14,6 +14,9 @@
 	Wanted float64
 	// Light is the press below which a pair doesn't matter.
 	Light float64
+	// Doubt is the press that is supposed of every filling image while a tail is over
+	// its target for longer than what is known explains.
+	Doubt float64
 	// Floor is the least pace that is worth the memory, in percent; below it a task
 	// stands still.
 	Floor int
@@ -23,7 +26,7 @@
 
 // DefaultConfig returns the bounds used by agents.
 func DefaultConfig() Config {
-	return Config{Wanted: 1.3, Light: 0.06, Floor: 4, Step: 4}
+	return Config{Wanted: 1.3, Light: 0.06, Doubt: 0.35, Floor: 4, Step: 4}
 }
 
 // Serving is a task that serves. Undisturbed is the headroom that it would have
@@ -31,6 +34,8 @@
 type Serving struct {
 	Image       string
 	Undisturbed float64
+	// Doubtful is whether its tail has been over its target for long.
+	Doubtful bool
 }
 
 // Filling is a task that fills, with its pace in percent.
@@ -77,7 +82,11 @@
 	presses := make([]float64, len(filling))
 	sum := 0.0
 	for i, f := range filling {
-		if p := press(s.Image, f.Image); p >= config.Light {
+		p := press(s.Image, f.Image)
+		if s.Doubtful {
+			p = max(p, config.Doubt)
+		}
+		if p >= config.Light {
 			presses[i] = p
 			sum += p * shares[i]
 		}
--- a/pacer/pacer_test.go
+++ b/pacer/pacer_test.go
@@ -27,13 +27,14 @@
 		want    []int
 	}{
 		{name: "nothing serves", filling: []pacer.Filling{{Image: "render"}}, want: []int{100}},
-		{name: "room for all", serving: []pacer.Serving{{"quotes", 3}}, filling: []pacer.Filling{{"render", 100}, {"pack", 100}}, want: []int{100, 100}},
-		{name: "a pair that doesn't matter", serving: []pacer.Serving{{"watch", 1}}, filling: []pacer.Filling{{"render", 50}}, want: []int{100}},
-		{name: "the heavy one is held back more", serving: []pacer.Serving{{"quotes", 2}}, filling: []pacer.Filling{{"render", 100}, {"pack", 100}}, want: []int{52, 90}},
-		{name: "no headroom", serving: []pacer.Serving{{"quotes", 1.1}}, filling: []pacer.Filling{{"render", 100}, {"pack", 100}}, want: []int{0, 0}},
-		{name: "unknown headroom", serving: []pacer.Serving{{"quotes", 0}}, filling: []pacer.Filling{{"render", 30}}, want: []int{100}},
-		{name: "hardly a change", serving: []pacer.Serving{{"quotes", 1.82}}, filling: []pacer.Filling{{"render", 50}}, want: []int{50}},
-		{name: "too slow to be worth it", serving: []pacer.Serving{{"quotes", 1.32}}, filling: []pacer.Filling{{"render", 50}}, want: []int{0}},
+		{name: "room for all", serving: []pacer.Serving{{Image: "quotes", Undisturbed: 3}}, filling: []pacer.Filling{{Image: "render", Pace: 100}, {Image: "pack", Pace: 100}}, want: []int{100, 100}},
+		{name: "a pair that doesn't matter", serving: []pacer.Serving{{Image: "watch", Undisturbed: 1}}, filling: []pacer.Filling{{Image: "render", Pace: 50}}, want: []int{100}},
+		{name: "the heavy one is held back more", serving: []pacer.Serving{{Image: "quotes", Undisturbed: 2}}, filling: []pacer.Filling{{Image: "render", Pace: 100}, {Image: "pack", Pace: 100}}, want: []int{52, 90}},
+		{name: "no headroom", serving: []pacer.Serving{{Image: "quotes", Undisturbed: 1.1}}, filling: []pacer.Filling{{Image: "render", Pace: 100}, {Image: "pack", Pace: 100}}, want: []int{0, 0}},
+		{name: "over its target for long, though nothing is known to press", serving: []pacer.Serving{{Image: "watch", Undisturbed: 0.8, Doubtful: true}}, filling: []pacer.Filling{{Image: "render", Pace: 100}}, want: []int{0}},
+		{name: "unknown headroom", serving: []pacer.Serving{{Image: "quotes", Undisturbed: 0}}, filling: []pacer.Filling{{Image: "render", Pace: 30}}, want: []int{100}},
+		{name: "hardly a change", serving: []pacer.Serving{{Image: "quotes", Undisturbed: 1.82}}, filling: []pacer.Filling{{Image: "render", Pace: 50}}, want: []int{50}},
+		{name: "too slow to be worth it", serving: []pacer.Serving{{Image: "quotes", Undisturbed: 1.32}}, filling: []pacer.Filling{{Image: "render", Pace: 50}}, want: []int{0}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
