Keep learned presses over owners; report lives that another one replaced as over

Cause 1: each change of the owner forgot which images press on which. Cause 2: after a loss of power the executors come back under new ids; the agent ignored those that the owner asked about, and the owner waited out their leases (4.4 s in which no inherited task started). A later life at the address ends them.

--- a/appraiser/appraiser.go
+++ b/appraiser/appraiser.go
@@ -11,7 +11,11 @@
 // concurrent use.
 package appraiser
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // Config holds the bounds of an Appraiser.
 type Config struct {
@@ -20,6 +24,8 @@
 	Prior float64
 	// PriorWeight is how much the prior counts, as a sum of squared changes of share.
 	PriorWeight float64
+	// RestoredWeight is what the belief of an earlier appraiser counts.
+	RestoredWeight float64
 	// MaxWeight bounds what earlier samples count: presses change with time.
 	MaxWeight float64
 	// Saturated is the headroom below which a tail grows no further with the load, so
@@ -42,16 +48,17 @@
 // DefaultConfig returns the bounds used by the owner.
 func DefaultConfig() Config {
 	return Config{
-		Prior:       0.35,
-		PriorWeight: 0.3,
-		MaxWeight:   10,
-		MaxFall:     0.12,
-		Saturated:   0.4,
-		MinChange:   0.02,
-		Between:     250 * time.Millisecond,
-		MaxGap:      1500 * time.Millisecond,
-		MaxPress:    4,
-		MaxHeadroom: 4,
+		Prior:          0.35,
+		PriorWeight:    0.3,
+		RestoredWeight: 3,
+		MaxWeight:      10,
+		MaxFall:        0.12,
+		Saturated:      0.4,
+		MinChange:      0.02,
+		Between:        250 * time.Millisecond,
+		MaxGap:         1500 * time.Millisecond,
+		MaxPress:       4,
+		MaxHeadroom:    4,
 	}
 }
 
@@ -71,6 +78,12 @@
 	Filling string
 }
 
+// Belief is the press of a pair.
+type Belief struct {
+	Pair  Pair
+	Press float64
+}
+
 // sample is the latest sample of an executor.
 type sample struct {
 	at       time.Time
@@ -105,6 +118,26 @@
 	return a.config.Prior
 }
 
+// Beliefs returns what was learned of each pair, in order.
+func (a *Appraiser) Beliefs() []Belief {
+	beliefs := make([]Belief, 0, len(a.beliefs))
+	for pair, b := range a.beliefs {
+		beliefs = append(beliefs, Belief{Pair: pair, Press: b.press})
+	}
+	slices.SortFunc(beliefs, func(x, y Belief) int {
+		return cmp.Or(cmp.Compare(x.Pair.Serving, y.Pair.Serving), cmp.Compare(x.Pair.Filling, y.Pair.Filling))
+	})
+	return beliefs
+}
+
+// Restore takes what an earlier appraiser had learned; it counts for less than
+// what is measured now.
+func (a *Appraiser) Restore(beliefs []Belief) {
+	for _, b := range beliefs {
+		a.beliefs[b.Pair] = &belief{press: b.Press, weight: a.config.RestoredWeight}
+	}
+}
+
 // Observe takes a sample of an executor: its serving tasks, and by image the sum
 // of the shares of full speed at which filling tasks work.
 func (a *Appraiser) Observe(now time.Time, executor string, serving []Serving, shares map[string]float64) {
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -30,6 +30,7 @@
 	prefixHost     = "h/"
 	prefixWork     = "w/"
 	prefixProgress = "p/"
+	keyPresses     = "presses"
 )
 
 // inheritedRuns is the distance between the highest run that an owner knows of
@@ -55,6 +56,7 @@
 	runs      map[messenger.RunRef]*run
 	steps     []*step
 	appraiser *appraiser.Appraiser
+	pressedAt time.Time
 
 	sequence int64
 	durable  int64
@@ -124,9 +126,16 @@
 		c.hosts[name] = h
 		return nil
 	}
+	if r.Key() == keyPresses {
+		return c.restorePresses(r)
+	}
 	if !strings.HasPrefix(r.Key(), prefixWork) {
 		return nil
 	}
+	return c.restoreWork(now, r, progress)
+}
+
+func (c *Conductor) restoreWork(now time.Time, r appender.KeyedRecord, progress map[string]messenger.ProgressRecord) error {
 	var record messenger.WorkloadRecord
 	if err := json.Unmarshal(r.Value(), &record); err != nil {
 		return apricotwinch.Errorf(apricotwinch.Invalid, "record %s: %w", r.Key(), err)
--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -499,6 +499,7 @@
 		c.tickHost(now, name, h)
 	}
 	c.begin(now, wall)
+	c.recordPresses(now)
 	for len(c.ended) > 0 && now.Sub(c.ended[0].endedAt) > c.config.Keep {
 		w := c.ended[0]
 		c.ended = c.ended[1:]
--- a/conductor/press.go
+++ b/conductor/press.go
@@ -1,10 +1,13 @@
 package conductor
 
 import (
+	"encoding/json"
 	"fmt"
 	"math"
 	"time"
 
+	"apricotwinch"
+	"apricotwinch/appender"
 	"apricotwinch/appraiser"
 	"apricotwinch/messenger"
 	"apricotwinch/pacer"
@@ -35,6 +38,38 @@
 	return float64(target) / r.figure
 }
 
+// pressPeriod is the time between two records of what was learned.
+const pressPeriod = 2 * time.Second
+
+// recordPresses makes what was learned durable for the next owner.
+func (c *Conductor) recordPresses(now time.Time) {
+	beliefs := c.appraiser.Beliefs()
+	if now.Sub(c.pressedAt) < pressPeriod || len(beliefs) == 0 {
+		return
+	}
+	c.pressedAt = now
+	record := messenger.PressRecord{}
+	for _, b := range beliefs {
+		record.Presses = append(record.Presses, messenger.Press{Serving: b.Pair.Serving, Filling: b.Pair.Filling, Headroom: b.Press})
+	}
+	c.records = append(c.records, encode(keyPresses, record))
+}
+
+// restorePresses takes what the last owner had learned.
+func (c *Conductor) restorePresses(r appender.KeyedRecord) error {
+	var record messenger.PressRecord
+	if err := json.Unmarshal(r.Value(), &record); err != nil {
+		return apricotwinch.Errorf(apricotwinch.Invalid, "record %s: %w", r.Key(), err)
+	}
+	var beliefs []appraiser.Belief
+	for _, p := range record.Presses {
+		pair := appraiser.Pair{Serving: p.Serving, Filling: p.Filling}
+		beliefs = append(beliefs, appraiser.Belief{Pair: pair, Press: p.Headroom})
+	}
+	c.appraiser.Restore(beliefs)
+	return nil
+}
+
 // observe lets the appraiser learn from what an executor reported.
 func (c *Conductor) observe(now time.Time, e *executor) {
 	var serving []appraiser.Serving
--- a/custodian/custodian.go
+++ b/custodian/custodian.go
@@ -127,6 +127,8 @@
 	}
 	if e == nil {
 		if !c.replaces(a) {
+			c.logger.Info("executor over", "executor", a.ID, "born", a.Born, "reason", "a later one has its address")
+			c.gone = append(c.gone, life{ExecutorLife: messenger.ExecutorLife{Id: a.ID, Born: a.Born}, at: now})
 			return false
 		}
 		e = &executor{Announcement: a, heardAt: now, runs: map[messenger.RunRef]*run{}, token: c.nextToken(a.Clock)}
--- a/custodian/custodian_test.go
+++ b/custodian/custodian_test.go
@@ -276,7 +276,7 @@
 		{name: "reborn, and not held yet", left: []string{"e"}, play: func(s *stage) {
 			s.hold(custodian.Holding{Answer: custodian.Answer{Born: 8, Clock: 1}}, nil)
 		}},
-		{name: "late word of an earlier life", left: []string{"e"}, play: func(s *stage) {
+		{name: "late word of an earlier life", left: []string{"e"}, gone: []messenger.ExecutorLife{{Id: "d", Born: 6}}, play: func(s *stage) {
 			s.announce(func(a *custodian.Announcement) { a.Born, a.ID = 6, "d" })
 		}},
 		{name: "replaced at its address", left: []string{"f"}, gone: []messenger.ExecutorLife{{Id: "e", Born: 7}}, play: func(s *stage) {
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -827,6 +827,12 @@
 	Serving string `json:"serving"`
 }
 
+// The record of what was learned of pairs of images.
+type PressRecord struct {
+	// Presses, in order of their images.
+	Presses []Press `json:"presses"`
+}
+
 // The record of a workload's progress.
 type ProgressRecord struct {
 	// Unix time of its end, in milliseconds.
