Start filling work only where its first moments leave tails under their targets

Cause: a pace takes effect only after a start, so that each start beside sensitive work cost more than a second over its target. Lasting tasks are packed so that executors without them stay; short tasks go beside the lasting ones.

--- a/conductor/config.go
+++ b/conductor/config.go
@@ -25,6 +25,9 @@
 	// waits for a better place, for at most Patience.
 	LeastSpeed float64
 	Patience   time.Duration
+	// LeastPulse is the headroom that serving work must be expected to keep during the
+	// start of filling work beside it, which goes at full speed.
+	LeastPulse float64
 	// Backoff is the delay before a task that failed runs again; it doubles with
 	// each failure in a row, up to MaxBackoff.
 	Backoff, MaxBackoff time.Duration
@@ -48,8 +51,9 @@
 		UrgentReserve: 0.06,
 		ServingUse:    0.5,
 		FillShare:     1,
-		LeastSpeed:    0.3,
-		Patience:      4 * time.Second,
+		LeastSpeed:    0.2,
+		LeastPulse:    1.05,
+		Patience:      8 * time.Second,
 		Backoff:       50 * time.Millisecond,
 		MaxBackoff:    time.Second,
 		FailureStreak: 3,
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -160,7 +160,7 @@
 		if !c.fits(t.step, e) {
 			continue
 		}
-		if t.step.spec.Fills && now.Sub(t.step.readyAt) < c.config.Patience && c.speed(t.step.spec.Image, e) < c.config.LeastSpeed {
+		if t.step.spec.Fills && now.Sub(t.step.readyAt) < c.config.Patience && !c.suits(now, t.step.spec.Image, e) {
 			continue
 		}
 		if cost := c.cost(now, t, e); best == nil || cost < bestCost {
@@ -170,6 +170,12 @@
 	return best
 }
 
+// suits reports whether filling work of an image may start on an executor without
+// harm to what serves there, and is worth it.
+func (c *Conductor) suits(now time.Time, image string, e *executor) bool {
+	return c.speed(image, e) >= c.config.LeastSpeed && c.pulse(now, image, e) >= c.config.LeastPulse
+}
+
 // fits reports whether an executor has room for one more task of a step.
 func (c *Conductor) fits(s *step, e *executor) bool {
 	need := s.need
@@ -214,7 +220,10 @@
 	// tasks avoid as much as an idle executor: they are packed on small ones.
 	costCapacity = 8000
 	// costSameImage is what an executor that runs an image already saves.
-	costSameImage = 1
+	costSameImage = 0.4
+	// costUnshared is the cost of room on an executor without lasting tasks: filling
+	// work runs there at full speed.
+	costUnshared = 2
 	// speedWeight weighs the expected speed of filling work against an even share of
 	// what is unused.
 	speedWeight = 3
@@ -239,9 +248,17 @@
 		cost = float64(e.filling)/max(1, c.unused(e)) - speedWeight*c.speed(t.step.spec.Image, e)
 	case t.step.spec.Lasting:
 		cost = capacity/costCapacity - cost
+		if e.serving == 0 {
+			cost += costUnshared
+		}
 		if t.step.spec.Image != "" && e.serves(t.step.spec.Image) {
 			cost -= costSameImage
 		}
+	default:
+		cost = -cost
+		if e.serving == 0 {
+			cost += costUnshared
+		}
 	}
 	if t.avoid == e {
 		cost += costAvoided
--- a/conductor/press.go
+++ b/conductor/press.go
@@ -24,6 +24,8 @@
 	// load, wantedHeadroom the one that must be left to it.
 	typicalHeadroom = 2.5
 	wantedHeadroom  = 1.3
+	// unseen is how long after its start the press of a task does not show in figures.
+	unseen = 600 * time.Millisecond
 	// smoothing is the part of the latest report in a headroom, 0 to 1; loads swing
 	// in 10 s, and reports come each 400 ms.
 	smoothing = 0.15
@@ -154,6 +156,34 @@
 	return speed
 }
 
+// pulse returns the least headroom that serving work on an executor is expected to
+// keep while one more task of a filling image works at full speed: its pace takes
+// effect only after its start.
+func (c *Conductor) pulse(now time.Time, image string, e *executor) float64 {
+	least := typicalHeadroom
+	for _, s := range e.runs {
+		spec := s.task.step.spec
+		if spec.TailTargetMillis <= 0 {
+			continue
+		}
+		press := c.appraiser.Press(spec.Image, image)
+		if press < lightPress {
+			continue
+		}
+		left := s.headroom()
+		if left == 0 {
+			left = typicalHeadroom
+		}
+		for _, f := range e.runs {
+			if f.task.step.spec.Fills && now.Sub(f.since) < unseen {
+				left -= c.appraiser.Press(spec.Image, f.task.step.spec.Image)
+			}
+		}
+		least = min(least, left-press)
+	}
+	return least
+}
+
 // described returns the order that a run was started by.
 func (r *run) described() messenger.RunOrder {
 	spec := r.task.step.spec
