--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -57,6 +57,7 @@
 	steps     []*step
 	appraiser *appraiser.Appraiser
 	pressedAt time.Time
+	rankedAt  time.Time
 
 	sequence int64
 	durable  int64
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -34,6 +34,7 @@
 	x, y := a.occurrence.work, b.occurrence.work
 	return cmp.Or(
 		cmp.Compare(class(a), class(b)),
+		compareOutlooks(x.outlook, y.outlook),
 		x.acceptedAt.Compare(y.acceptedAt),
 		cmp.Compare(x.id, y.id),
 		cmp.Compare(a.number, b.number),
@@ -83,6 +84,7 @@
 // Schedule starts the tasks that wait and have room.
 func (c *Conductor) Schedule(now time.Time) {
 	settled := c.settled()
+	c.rankSteps(now)
 	pool := c.usable()
 	c.steps = slices.DeleteFunc(c.steps, func(s *step) bool {
 		w := s.occurrence.work
--- a/conductor/workload.go
+++ b/conductor/workload.go
@@ -21,6 +21,7 @@
 
 	occurrences []*occurrence
 	unstarted   bool
+	outlook     outlook
 	dirtySpec   bool
 	dirty       bool
 	// durableAt is the number of the write that holds the latest change.
