--- a/attendant/attendant.go
+++ b/attendant/attendant.go
@@ -370,6 +370,8 @@
 			a.setOwner(address, reply.Epoch, "it says so")
 			a.tell()
 		}
+	case !reply.Owner && reply.OwnerAddress == address && a.owner == address:
+		// The owner may not act now; it goes on or another one takes over.
 	case !reply.Owner && reply.OwnerAddress != "" && reply.Epoch >= a.custodian.Epoch() && reply.OwnerAddress != a.owner:
 		if a.owner == "" || reply.Epoch > a.custodian.Epoch() || a.owner == address {
 			a.setOwner(reply.OwnerAddress, reply.Epoch, "another entry says so")
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -152,6 +152,34 @@
 	}
 }
 
+// TestOrdersOfAnEarlierOwnerDoNotCount holds that an agent that has not met the new
+// owner yet does not make its first orders look carried out.
+func TestOrdersOfAnEarlierOwnerDoNotCount(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.run(2 * time.Second)
+	for i := range 8 {
+		w.submit(urgent, fmt.Sprint("before", i), tasks(1, 100, 50*time.Millisecond))
+		w.run(100 * time.Millisecond)
+	}
+	w.replaceOwner(true)
+	h := w.hosts[0]
+	report := h.agent.Report(w.now, true)
+	w.owner.Report(w.now, report)
+	w.submit(urgent, "w", tasks(1, 100, time.Second))
+	w.owner.Schedule(w.now)
+	late := report
+	late.TicketMillis++
+	w.owner.Report(w.now, late)
+	w.owner.Schedule(w.now)
+	starts := 0
+	for _, orders := range w.owner.TakeOrders() {
+		starts += len(orders.Starts)
+	}
+	if diff := cmp.Diff(1, starts); diff != "" {
+		t.Errorf("starts (-want +got):\n%s", diff)
+	}
+}
+
 func TestCancelStopsAndStaysCanceled(t *testing.T) {
 	w := newWorld(t, 1, 2)
 	w.run(2 * time.Second)
--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -188,11 +188,20 @@
 			c.logger.Info("executor joined", "executor", e.id, "host", h.name, "dataCentre", e.dc, "rack", e.rack, "capacity", e.capacity.String())
 		}
 		if e.born == record.Born {
-			c.takeExecutor(now, e, state, r.Orders)
+			c.takeExecutor(now, e, state, c.processed(r))
 		}
 	}
 }
 
+// processed returns the number of the last of this owner's orders that an agent has
+// taken.
+func (c *Conductor) processed(r messenger.Report) int {
+	if int64(r.Epoch) != c.epoch {
+		return 0
+	}
+	return r.Orders
+}
+
 func newExecutor(h *host, record messenger.ExecutorRecord) *executor {
 	e := &executor{
 		host:     h,
