--- a/appraiser/appraiser.go
+++ b/appraiser/appraiser.go
@@ -13,6 +13,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -33,6 +34,8 @@
 	Saturated float64
 	// MinChange is the least change of shares, squared and summed, that counts.
 	MinChange float64
+	// Lag is the time constant with which a tail follows what presses on it.
+	Lag time.Duration
 	// MaxFall is the fall of a share up to which a sample counts.
 	MaxFall float64
 	// Between is the least time between two samples of an executor, MaxGap the
@@ -52,6 +55,7 @@
 		PriorWeight:    0.3,
 		RestoredWeight: 3,
 		MaxWeight:      10,
+		Lag:            250 * time.Millisecond,
 		MaxFall:        0.12,
 		Saturated:      0.4,
 		MinChange:      0.02,
@@ -159,7 +163,9 @@
 	}
 	for _, s := range serving {
 		if old, ok := before.headroom[s.Task]; ok {
-			a.learn(s.Image, changes, weight, old, current.headroom[s.Task])
+			// The sample shows a part of the change only.
+			shown := 1 - math.Exp(-now.Sub(before.at).Seconds()/a.config.Lag.Seconds())
+			a.learn(s.Image, changes, weight, old, old+(current.headroom[s.Task]-old)/shown)
 		}
 	}
 }
--- a/appraiser/appraiser_test.go
+++ b/appraiser/appraiser_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -27,7 +28,7 @@
 		high    float64
 	}{
 		{name: "never measured", low: 0.35, high: 0.35},
-		{name: "heavy pair", samples: [][2]float64{{2.5, 0}, {1.6, 1}, {1.6, 1}, {2.5, 0}, {2.5, 0}, {1.6, 1}}, low: 0.75, high: 0.95},
+		{name: "heavy pair", samples: [][2]float64{{2.5, 0}, {1.9, 1}, {1.6, 1}, {2.5, 0}, {2.5, 0}, {1.9, 1}}, low: 0.75, high: 0.95},
 		{name: "light pair", samples: [][2]float64{{2.5, 0}, {2.5, 1}, {2.5, 1}, {2.5, 0}, {2.5, 0}, {2.5, 1}}, low: 0, high: 0.1},
 		{name: "a draining tail teaches nothing", samples: [][2]float64{{1.6, 1}, {1.6, 0}, {2.0, 0}, {2.5, 0}}, low: 0.35, high: 0.35},
 		{name: "an overloaded tail teaches no smaller press", samples: [][2]float64{{0.3, 0}, {0.3, 1}}, low: 0.35, high: 0.35},
@@ -68,6 +69,8 @@
 	random := rand.New(rand.NewPCG(7, 7))
 	a := appraiser.New(appraiser.DefaultConfig())
 	shares := map[string]float64{"render": 0, "pack": 0}
+	const interval = 400 * time.Millisecond
+	shown := map[string]float64{"quotes": 3, "watch": 3}
 	for i := range 400 {
 		if i%3 == 0 {
 			image := []string{"render", "pack"}[random.IntN(2)]
@@ -76,13 +79,15 @@
 		}
 		var serving []appraiser.Serving
 		for _, image := range []string{"quotes", "watch"} {
-			headroom := 3 + 0.1*random.NormFloat64()
+			headroom := 3.0
 			for filling, share := range shares {
 				headroom -= truth[appraiser.Pair{Serving: image, Filling: filling}] * share
 			}
-			serving = append(serving, appraiser.Serving{Task: image, Image: image, Headroom: headroom})
+			// Tails follow with a lag, and figures are rough.
+			shown[image] += (headroom - shown[image]) * (1 - math.Exp(-interval.Seconds()/appraiser.DefaultConfig().Lag.Seconds()))
+			serving = append(serving, appraiser.Serving{Task: image, Image: image, Headroom: shown[image] + 0.1*random.NormFloat64()})
 		}
-		a.Observe(start.Add(time.Duration(i)*400*time.Millisecond), "e", serving, shares)
+		a.Observe(start.Add(time.Duration(i)*interval), "e", serving, shares)
 	}
 	for pair, want := range truth {
 		if got := a.Press(pair.Serving, pair.Filling); got < want-0.2 || got > want+0.2 {
@@ -95,8 +100,8 @@
 	a := appraiser.New(appraiser.DefaultConfig())
 	for i := range 20 {
 		busy := float64(i % 2)
-		observe(a, time.Duration(i)*300*time.Millisecond, 2.5-busy, busy)
-		observe(a, time.Duration(i)*300*time.Millisecond+150*time.Millisecond, 2.5-busy, busy)
+		observe(a, time.Duration(i)*2*time.Second, 2.5-busy, busy)
+		observe(a, time.Duration(i)*2*time.Second+time.Second, 2.5-busy, busy)
 	}
 	fmt.Printf("%.1f\n", a.Press("quotes", "render"))
 	// Output: 1.0
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -57,6 +57,7 @@
 	steps     []*step
 	appraiser *appraiser.Appraiser
 	pressedAt time.Time
+	logged    map[appraiser.Pair]float64
 	rankedAt  time.Time
 
 	sequence int64
@@ -84,6 +85,7 @@
 		orders:   map[string]*messenger.Orders{},
 
 		appraiser: appraiser.New(appraiser.DefaultConfig()),
+		logged:    map[appraiser.Pair]float64{},
 	}
 }
 
--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -53,6 +53,7 @@
 	runs      map[messenger.RunRef]*run
 	committed apricotwinch.Resources
 	filling   int64
+	openness  float64
 	serving   int64
 
 	// told holds the presses that the agent was told of.
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -247,7 +247,7 @@
 	cost := float64(e.committed.ProcessorMillis()) / capacity
 	switch {
 	case t.step.spec.Fills:
-		cost = float64(e.filling)/max(1, c.unused(e)) - speedWeight*c.speed(t.step.spec.Image, e)
+		cost = float64(e.filling)/max(1, c.unused(e)) - speedWeight*c.speed(t.step.spec.Image, e) + e.openness
 	case t.step.spec.Lasting:
 		cost = capacity/costCapacity - cost
 		if e.serving == 0 {
--- a/conductor/press.go
+++ b/conductor/press.go
@@ -16,6 +16,9 @@
 // tellChange is the least change of a press that an agent is told of.
 const tellChange = 0.05
 
+// logChange is the least change of a press that is logged.
+const logChange = 0.2
+
 // Bounds of the speed that is expected of filling work.
 const (
 	// lightPress is the press below which a pair doesn't matter.
@@ -23,7 +26,7 @@
 	// typicalHeadroom is the headroom that a serving task has on the average of its
 	// load, wantedHeadroom the one that must be left to it.
 	typicalHeadroom = 2.5
-	wantedHeadroom  = 1.3
+	wantedHeadroom  = 1.25
 	// unseen is how long after its start the press of a task does not show in figures.
 	unseen = 600 * time.Millisecond
 	// smoothing is the part of the latest report in a headroom, 0 to 1; loads swing
@@ -52,11 +55,21 @@
 	c.pressedAt = now
 	record := messenger.PressRecord{}
 	for _, b := range beliefs {
+		c.logPress(b)
 		record.Presses = append(record.Presses, messenger.Press{Serving: b.Pair.Serving, Filling: b.Pair.Filling, Headroom: b.Press})
 	}
 	c.records = append(c.records, encode(keyPresses, record))
 }
 
+// logPress tells of a press that has changed much since it was told.
+func (c *Conductor) logPress(b appraiser.Belief) {
+	if known, ok := c.logged[b.Pair]; ok && math.Abs(known-b.Press) < logChange {
+		return
+	}
+	c.logged[b.Pair] = b.Press
+	c.logger.Info("press learned", "serving", b.Pair.Serving, "filling", b.Pair.Filling, "press", b.Press)
+}
+
 // restorePresses takes what the last owner had learned.
 func (c *Conductor) restorePresses(r appender.KeyedRecord) error {
 	var record messenger.PressRecord
--- a/conductor/rank.go
+++ b/conductor/rank.go
@@ -87,6 +87,41 @@
 		}
 	}
 	slices.SortStableFunc(c.steps, compareSteps)
+	images := c.fillingImages()
+	for _, h := range c.hosts {
+		for _, e := range h.executors {
+			e.openness = c.opennessOf(e, images)
+		}
+	}
+}
+
+// fillingImages returns the images of the work that fills, running or waiting.
+func (c *Conductor) fillingImages() map[string]bool {
+	images := map[string]bool{}
+	for _, s := range c.steps {
+		if s.spec.Fills {
+			images[s.spec.Image] = true
+		}
+	}
+	for _, r := range c.runs {
+		if r.task.step.spec.Fills {
+			images[r.task.step.spec.Image] = true
+		}
+	}
+	return images
+}
+
+// opennessOf returns the mean speed that filling images are expected to have on an
+// executor: work that goes well anywhere leaves the open ones to others.
+func (c *Conductor) opennessOf(e *executor, images map[string]bool) float64 {
+	if len(images) == 0 {
+		return 0
+	}
+	sum := 0.0
+	for image := range images {
+		sum += c.speed(image, e)
+	}
+	return sum / float64(len(images))
 }
 
 // compareOutlooks orders workloads that fill.
