Answer at once when the store refuses: withdraw what was not sent

An append that was provably not carried out is undone and what is new in it withdrawn; so is what waits behind an append that is under way for 0.8 s. An owner without the store lets go after 0.9 s.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -317,6 +317,52 @@
 	return records, c.sequence
 }
 
+// Withdraw takes back what was handed in and not sent to the store yet; none of
+// it has run or ever will. It returns how many workloads that were.
+func (c *Conductor) Withdraw() int {
+	kept := c.dirty[:0]
+	withdrawn := 0
+	for _, w := range c.dirty {
+		if !w.dirtySpec {
+			kept = append(kept, w)
+			continue
+		}
+		c.logger.Info("workload withdrawn", "workload", w.id, "queue", w.queue)
+		c.count("workloads.withdrawn")
+		w.state = messenger.WorkloadCanceled
+		delete(c.jobs, w.id)
+		withdrawn++
+	}
+	c.dirty = kept
+	return withdrawn
+}
+
+// Undo takes back an append that the store provably did not carry out: what it
+// held is written again, but for workloads that were in it for the first time.
+func (c *Conductor) Undo(records []appender.KeyedRecord) {
+	for _, r := range records {
+		if strings.HasPrefix(r.Key(), prefixWork) && len(r.Value()) > 0 {
+			if w := c.jobs[strings.TrimPrefix(r.Key(), prefixWork)]; w != nil {
+				w.dirtySpec = true
+				c.touch(w, true)
+			}
+			continue
+		}
+		id, ok := strings.CutPrefix(r.Key(), prefixProgress)
+		if !ok || len(r.Value()) == 0 {
+			c.records = append(c.records, r)
+			continue
+		}
+		if w := c.jobs[id]; w != nil {
+			c.touch(w, true)
+		}
+	}
+	c.Withdraw()
+}
+
+// Known reports whether a workload is known, durable or not.
+func (c *Conductor) Known(id string) bool { return c.jobs[id] != nil }
+
 // encode returns a record; the types of records always encode.
 func encode(key string, value any) appender.KeyedRecord {
 	data, err := json.Marshal(value)
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -76,6 +76,34 @@
 	w.runUntil(time.Second, func() bool { return w.state("w") == messenger.WorkloadCompleted })
 }
 
+// TestRefusedAppendWithdrawsWhatIsNew holds that after an append that the store
+// provably refused, new workloads are gone for good and all else is written again.
+func TestRefusedAppendWithdrawsWhatIsNew(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.run(2 * time.Second)
+	w.submit(urgent, "old", tasks(1, 500, 300*time.Millisecond))
+	w.run(100 * time.Millisecond)
+	w.offline = true
+	w.submit(urgent, "new", tasks(1, 500, 300*time.Millisecond))
+	w.run(time.Second)
+	refused, _ := w.owner.TakeWrites()
+	w.owner.Undo(refused)
+	w.submit(urgent, "newer", tasks(1, 500, 300*time.Millisecond))
+	if diff := cmp.Diff(1, w.owner.Withdraw()); diff != "" {
+		t.Errorf("withdrawn (-want +got):\n%s", diff)
+	}
+	w.offline = false
+	w.run(2 * time.Second)
+	got := map[string]string{"old": w.state("old"), "new": w.state("new"), "newer": w.state("newer")}
+	want := map[string]string{"old": messenger.WorkloadCompleted, "new": "not_found", "newer": "not_found"}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("states (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(false, w.owner.Known("new")); diff != "" {
+		t.Errorf("known (-want +got):\n%s", diff)
+	}
+}
+
 func TestRepeatedSubmissionIsOneWorkload(t *testing.T) {
 	w := newWorld(t, 1, 2)
 	w.run(2 * time.Second)
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -85,7 +85,10 @@
 	claiming  bool
 	changed   chan struct{}
 	wake      chan struct{}
+	// writeAt is when the append that is under way was first sent; zero for none.
+	// refusing is whether the store provably refused the last one.
 	writeAt   time.Time
+	refusing  bool
 	lazySince time.Time
 	senders   map[string]*sender
 	catalog   *cataloger.Catalog
@@ -239,6 +242,9 @@
 	if c.conductor != nil && !c.elector.Owned() {
 		c.drop("a later epoch")
 	}
+	if c.conductor != nil && c.checkStore(now) != nil && c.conductor.Withdraw() > 0 {
+		c.broadcast()
+	}
 	c.advance(ctx, now, true)
 }
 
@@ -299,7 +305,7 @@
 func (c *Coordinator) StoreAnswered(sent time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.elector.StoreAnswered(sent)
+	c.elector.StoreAnswered(sent, c.deps.Clock.Now())
 }
 
 // Catalog returns the configuration in force, or nil.
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -68,7 +68,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.deps.Clock.Now()
-	c.elector.StoreAnswered(sent)
+	c.elector.StoreAnswered(sent, now)
 	for _, r := range members {
 		var m messenger.Member
 		if err := json.Unmarshal(r.Value(), &m); err != nil {
@@ -164,7 +164,8 @@
 		return
 	}
 	c.elector.Claimed(now, epoch)
-	c.elector.StoreAnswered(sent)
+	c.elector.StoreAnswered(sent, now)
+	c.refusing = false
 	c.producer = producer
 	c.conductor = next
 	c.deps.Logger.Info("ownership taken", "epoch", epoch, "records", len(records), "tookMillis", now.Sub(sent).Milliseconds())
@@ -218,11 +219,19 @@
 	c.writeAt = c.deps.Clock.Now()
 	c.lazySince = time.Time{}
 	c.mu.Unlock()
+	unsure := false
 	for {
 		sent := c.deps.Clock.Now()
 		err := c.call(ctx, func(ctx context.Context) error {
 			return c.deps.Log.Append(ctx, appender.JournalWork, producer, records)
 		})
+		refused := apricotwinch.KindOf(err) == apricotwinch.LogUnavailable
+		unsure = unsure || err != nil && !refused
+		if refused && !unsure {
+			c.undo(owner, producer, records)
+			c.sleep(ctx, storeRetry)
+			return true
+		}
 		if c.written(ctx, owner, number, records, sent, err) {
 			break
 		}
@@ -237,6 +246,23 @@
 	return urgent
 }
 
+// undo takes back an append that the store provably refused.
+func (c *Coordinator) undo(owner *conductor.Conductor, producer appender.Producer, records []appender.KeyedRecord) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conductor != owner {
+		return
+	}
+	if !c.refusing {
+		c.deps.Logger.Info("store refuses appends", "epoch", owner.Epoch(), "records", len(records))
+	}
+	metrics.GetOrRegisterCounter("store.append_refusals", c.deps.Registry).Inc(1)
+	c.refusing = true
+	c.producer = producer
+	owner.Undo(records)
+	c.broadcast()
+}
+
 // written draws the consequences of an append and reports whether it is settled.
 func (c *Coordinator) written(ctx context.Context, owner *conductor.Conductor, number int64, records []appender.KeyedRecord, sent time.Time, err error) bool {
 	c.mu.Lock()
@@ -250,7 +276,11 @@
 	case err == nil:
 		metrics.GetOrRegisterTimer("store.append", c.deps.Registry).Update(now.Sub(sent))
 		c.writeAt = time.Time{}
-		c.elector.StoreAnswered(sent)
+		if c.refusing {
+			c.deps.Logger.Info("store takes appends again", "epoch", owner.Epoch())
+		}
+		c.refusing = false
+		c.elector.StoreAnswered(sent, now)
 		owner.Written(number, records)
 		c.broadcast()
 		c.advance(ctx, now, false)
--- a/coordinator/requests.go
+++ b/coordinator/requests.go
@@ -82,15 +82,19 @@
 	return reply, err
 }
 
-// await waits until the conductor's write with a number is durable.
-func (c *Coordinator) await(ctx context.Context, epoch, number int64) error {
+// await waits until the conductor's write with a number is durable. It fails with
+// kind LogUnavailable when the workload was withdrawn before it was sent.
+func (c *Coordinator) await(ctx context.Context, epoch, number int64, id string) error {
 	for {
 		c.mu.Lock()
 		owner, changed := c.conductor, c.changed
 		done := owner != nil && owner.Epoch() == epoch && owner.Durable() >= number
 		lost := owner == nil || owner.Epoch() != epoch
+		withdrawn := !lost && !owner.Known(id)
 		c.mu.Unlock()
 		switch {
+		case withdrawn:
+			return apricotwinch.Errorf(apricotwinch.LogUnavailable, "workload %s was withdrawn: the store does not answer", id)
 		case done:
 			return nil
 		case lost:
@@ -114,6 +118,9 @@
 
 // checkStore fails while the store does not answer; c.mu is held.
 func (c *Coordinator) checkStore(now time.Time) error {
+	if c.refusing {
+		return apricotwinch.Errorf(apricotwinch.LogUnavailable, "the store refuses appends")
+	}
 	if !c.writeAt.IsZero() && now.Sub(c.writeAt) > failFast {
 		return apricotwinch.Errorf(apricotwinch.LogUnavailable, "the store has not answered for %s", now.Sub(c.writeAt))
 	}
@@ -126,7 +133,7 @@
 		metrics.GetOrRegisterCounter(apricotwinch.KindOf(err).Answer().Counter(), c.deps.Registry).Inc(1)
 		return messenger.WorkloadReply{}, err
 	}
-	return messenger.WorkloadReply{State: messenger.WorkloadQueued}, c.await(ctx, epoch, number)
+	return messenger.WorkloadReply{State: messenger.WorkloadQueued}, c.await(ctx, epoch, number, request.Id)
 }
 
 func (c *Coordinator) submit(request messenger.WorkloadRequest) (number, epoch int64, err error) {
@@ -175,7 +182,7 @@
 	epoch := c.conductor.Epoch()
 	c.advance(context.WithoutCancel(ctx), now, false)
 	c.mu.Unlock()
-	return messenger.WorkloadReply{State: messenger.WorkloadCanceled}, c.await(ctx, epoch, number)
+	return messenger.WorkloadReply{State: messenger.WorkloadCanceled}, c.await(ctx, epoch, number, request.Id)
 }
 
 func (c *Coordinator) countHere(_ context.Context, request messenger.WorkloadRequest) (messenger.WorkloadReply, error) {
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -22,6 +22,8 @@
 	RankDelay time.Duration
 	// Fresh is the age up to which a ping or an answer of the store counts.
 	Fresh time.Duration
+	// Present is the age of a ping up to which an entry could take over now.
+	Present time.Duration
 	// StorePatience is how long an owner goes without the store before it lets go
 	// to an entry that reaches it.
 	StorePatience time.Duration
@@ -38,7 +40,8 @@
 		OwnerSilence:  700 * time.Millisecond,
 		RankDelay:     150 * time.Millisecond,
 		Fresh:         time.Second,
-		StorePatience: 1200 * time.Millisecond,
+		Present:       500 * time.Millisecond,
+		StorePatience: 900 * time.Millisecond,
 		Authority:     4 * time.Second,
 		MemberLife:    time.Minute,
 	}
@@ -85,6 +88,7 @@
 	startedAt  time.Time
 	ownerSince time.Time
 	storeAt    time.Time
+	answeredAt time.Time
 	storeHeard bool
 	peers      map[string]*peer
 	hosts      map[string]sighting
@@ -142,7 +146,7 @@
 	e.owned = true
 	e.released = false
 	e.ownerSince = now
-	e.StoreAnswered(now)
+	e.StoreAnswered(now, now)
 }
 
 // Left takes that this entry shuts down: it never claims again.
@@ -154,11 +158,13 @@
 	}
 }
 
-// StoreAnswered takes an answer of the store to a call that was sent at sent.
-func (e *Elector) StoreAnswered(sent time.Time) {
+// StoreAnswered takes an answer of the store, at now, to a call that was sent at
+// sent.
+func (e *Elector) StoreAnswered(sent, now time.Time) {
 	if sent.After(e.storeAt) {
 		e.storeAt = sent
 	}
+	e.answeredAt = now
 	e.storeHeard = true
 }
 
@@ -167,6 +173,15 @@
 	if !e.storeHeard {
 		return now.Sub(e.startedAt) + e.config.Authority
 	}
+	return now.Sub(e.answeredAt)
+}
+
+// unproved returns how long ago the last answered call of the store was sent: what
+// the store has seen since is not known.
+func (e *Elector) unproved(now time.Time) time.Duration {
+	if !e.storeHeard {
+		return e.StoreSilence(now)
+	}
 	return now.Sub(e.storeAt)
 }
 
@@ -244,7 +259,7 @@
 	if !e.owned {
 		return false
 	}
-	return e.StoreSilence(now) < e.config.Authority || e.unanimous(now)
+	return e.unproved(now) < e.config.Authority || e.unanimous(now)
 }
 
 // unanimous reports whether every other entry was heard lately and knows of no
@@ -296,7 +311,7 @@
 // able reports whether another entry could take over.
 func (e *Elector) able(now time.Time, p *peer) bool {
 	store := time.Duration(p.ping.StoreMillis) * time.Millisecond
-	return !p.gone && !p.ping.Leaving && now.Sub(p.heardAt) < e.config.Fresh && store >= 0 && store < e.config.Fresh
+	return !p.gone && !p.ping.Leaving && now.Sub(p.heardAt) < e.config.Present && store >= 0 && store < e.config.Fresh
 }
 
 // vacant reports whether it is this entry's turn to claim.
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -33,7 +33,7 @@
 	for end := s.now.Add(d); s.now.Before(end); {
 		s.now = s.now.Add(25 * time.Millisecond)
 		if store {
-			s.StoreAnswered(s.now)
+			s.StoreAnswered(s.now, s.now)
 		}
 		for _, p := range pings {
 			s.Pinged(s.now, p)
@@ -171,7 +171,7 @@
 
 func ExampleElector() {
 	e := elector.New(start, elector.DefaultConfig(), member("entry-a"))
-	e.StoreAnswered(start)
+	e.StoreAnswered(start, start)
 	fmt.Println(e.Tick(start.Add(time.Second)) == elector.Claim)
 	e.Claimed(start.Add(time.Second), 1)
 	fmt.Println(e.Authority(start.Add(2 * time.Second)))
