--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -45,6 +45,9 @@
 	lazyFlush = 25 * time.Millisecond
 	// failFast is how long an append may be under way before callers are refused.
 	failFast = 800 * time.Millisecond
+	// refusedFor is how long after a refusal of the store callers are refused without
+	// asking it again.
+	refusedFor = 200 * time.Millisecond
 	// ownerPoll is the time between two tries to reach the owner.
 	ownerPoll = 25 * time.Millisecond
 	// maxPeerConns bounds the connections of agents and entries.
@@ -86,9 +89,9 @@
 	changed   chan struct{}
 	wake      chan struct{}
 	// writeAt is when the append that is under way was first sent; zero for none.
-	// refusing is whether the store provably refused the last one.
+	// refusedAt is when the store provably refused the last one; zero for not.
 	writeAt   time.Time
-	refusing  bool
+	refusedAt time.Time
 	lazySince time.Time
 	senders   map[string]*sender
 	catalog   *cataloger.Catalog
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -165,7 +165,7 @@
 	}
 	c.elector.Claimed(now, epoch)
 	c.elector.StoreAnswered(sent, now)
-	c.refusing = false
+	c.refusedAt = time.Time{}
 	c.producer = producer
 	c.conductor = next
 	c.deps.Logger.Info("ownership taken", "epoch", epoch, "records", len(records), "tookMillis", now.Sub(sent).Milliseconds())
@@ -253,11 +253,12 @@
 	if c.conductor != owner {
 		return
 	}
-	if !c.refusing {
+	if c.refusedAt.IsZero() {
 		c.deps.Logger.Info("store refuses appends", "epoch", owner.Epoch(), "records", len(records))
 	}
 	metrics.GetOrRegisterCounter("store.append_refusals", c.deps.Registry).Inc(1)
-	c.refusing = true
+	c.refusedAt = c.deps.Clock.Now()
+	c.writeAt = time.Time{}
 	c.producer = producer
 	owner.Undo(records)
 	c.broadcast()
@@ -276,10 +277,10 @@
 	case err == nil:
 		metrics.GetOrRegisterTimer("store.append", c.deps.Registry).Update(now.Sub(sent))
 		c.writeAt = time.Time{}
-		if c.refusing {
+		if !c.refusedAt.IsZero() {
 			c.deps.Logger.Info("store takes appends again", "epoch", owner.Epoch())
 		}
-		c.refusing = false
+		c.refusedAt = time.Time{}
 		c.elector.StoreAnswered(sent, now)
 		owner.Written(number, records)
 		c.broadcast()
--- a/coordinator/requests.go
+++ b/coordinator/requests.go
@@ -118,7 +118,7 @@
 
 // checkStore fails while the store does not answer; c.mu is held.
 func (c *Coordinator) checkStore(now time.Time) error {
-	if c.refusing {
+	if !c.refusedAt.IsZero() && now.Sub(c.refusedAt) < refusedFor {
 		return apricotwinch.Errorf(apricotwinch.LogUnavailable, "the store refuses appends")
 	}
 	if !c.writeAt.IsZero() && now.Sub(c.writeAt) > failFast {
