--- /dev/null
+++ b/commander/explain.go
@@ -0,0 +1,131 @@
+package commander
+
+import (
+	"bufio"
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/google/subcommands"
+
+	"apricotwinch"
+)
+
+func init() {
+	register(groupTools, explainCommand)
+}
+
+// maxLineBytes bounds a line of a log file.
+const maxLineBytes = 1 << 20
+
+// logLine is one line of a daemon's log.
+type logLine struct {
+	at     string
+	source string
+	text   string
+	fields map[string]any
+}
+
+// Fields of every line of a log.
+const (
+	fieldTime    = "@timestamp"
+	fieldMessage = "@message"
+	fieldLevel   = "@level"
+	fieldModule  = "@module"
+)
+
+func explainCommand(c *console) subcommands.Command {
+	return &command{
+		name:     "explain",
+		synopsis: "tell the story of one id from the log files of all processes",
+		usage: `explain ID FILE...
+
+Prints every line of the files that names ID, in order of time: what was decided,
+on which inputs, and what came of it. Lines that are not JSON are left out.
+
+  apricotwinch explain 5c0e7a21d94b36f8 logs/*.log
+`,
+		run: func(_ context.Context, args []string) subcommands.ExitStatus {
+			if len(args) < 2 {
+				return c.usage("explain takes an id and at least one file")
+			}
+			var lines []logLine
+			for _, path := range args[1:] {
+				found, err := readLog(path, args[0])
+				if err != nil {
+					return c.fail(err)
+				}
+				lines = append(lines, found...)
+			}
+			if len(lines) == 0 {
+				return c.fail(apricotwinch.Errorf(apricotwinch.NotFound, "id: no line names %q", args[0]))
+			}
+			slices.SortStableFunc(lines, func(a, b logLine) int { return cmp.Compare(a.at, b.at) })
+			for _, line := range lines {
+				fmt.Fprintln(c.out, line)
+			}
+			return subcommands.ExitSuccess
+		},
+	}
+}
+
+// readLog returns the lines of a file that name id.
+func readLog(path, id string) ([]logLine, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, apricotwinch.Errorf(apricotwinch.NotFound, "log file: %w", err)
+	}
+	defer file.Close()
+	return scanLog(file, path, id)
+}
+
+func scanLog(in io.Reader, source, id string) ([]logLine, error) {
+	var lines []logLine
+	scanner := bufio.NewScanner(in)
+	scanner.Buffer(nil, maxLineBytes)
+	for scanner.Scan() {
+		_, text, found := strings.Cut(scanner.Text(), "{")
+		if !found || !strings.Contains(text, id) {
+			continue
+		}
+		fields := map[string]any{}
+		if json.Unmarshal([]byte("{"+text), &fields) != nil {
+			continue
+		}
+		lines = append(lines, logLine{
+			at:     fmt.Sprint(fields[fieldTime]),
+			source: source,
+			text:   fmt.Sprint(fields[fieldMessage]),
+			fields: fields,
+		})
+	}
+	if err := scanner.Err(); err != nil {
+		return nil, apricotwinch.Errorf(apricotwinch.TooLarge, "%s: %w", source, err)
+	}
+	return lines, nil
+}
+
+// String returns the line as time, source, message and fields in order of name.
+func (l logLine) String() string {
+	var names []string
+	for name := range l.fields {
+		if !slices.Contains([]string{fieldTime, fieldMessage, fieldLevel, fieldModule}, name) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	parts := []string{l.at, l.source, l.text}
+	for _, name := range names {
+		value, err := json.Marshal(l.fields[name])
+		if err != nil {
+			value = fmt.Append(nil, l.fields[name])
+		}
+		parts = append(parts, name+"="+string(value))
+	}
+	return strings.Join(parts, "  ")
+}
