--- a/cataloger/cataloger.go
+++ b/cataloger/cataloger.go
@@ -29,6 +29,9 @@
 	// workload may take.
 	Stretch   float64
 	Objective time.Duration
+	// Advised is whether executors take the queue's tasks only with a ticket of an
+	// advice service.
+	Advised bool
 	// Timeout bounds the answer to a request.
 	Timeout time.Duration
 }
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -220,6 +220,11 @@
 	if request.Spec == nil {
 		return 0, apricotwinch.Errorf(apricotwinch.Invalid, "spec: is missing")
 	}
+	if c.catalog != nil {
+		if q, ok := c.catalog.Queue(request.Queue); ok && q.Advised {
+			return 0, apricotwinch.Errorf(apricotwinch.NoTarget, "queue: %s needs tickets of an advice service, which is not supported", q.Name)
+		}
+	}
 	w := newWorkload(request.Queue, request.Id, *request.Spec, c.epoch, now)
 	w.dirtySpec = true
 	c.insert(now, w)
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"apricotwinch"
+	"apricotwinch/cataloger"
 	"apricotwinch/conductor"
 	"apricotwinch/messenger"
 )
@@ -256,6 +257,33 @@
 	}
 }
 
+// TestGangStartsWhole holds that the members of a gang start together under one
+// number, that none starts where not all fit, and that one end stands for all.
+func TestGangStartsWhole(t *testing.T) {
+	gang := func(s *messenger.StepSpec) { s.Gang = true }
+	w := newWorld(t, 1, 3)
+	w.run(2 * time.Second)
+	w.submit(urgent, "large", tasks(13, 4000, time.Second, gang))
+	w.submit(urgent, "w", tasks(8, 4000, time.Second, gang), tasks(1, 500, 100*time.Millisecond, after(0)))
+	w.run(300 * time.Millisecond)
+	if diff := cmp.Diff([]int{0, 8}, []int{w.running("large"), w.running("w")}); diff != "" {
+		t.Errorf("running (-want +got):\n%s", diff)
+	}
+	w.crash(w.hosts[0])
+	w.runUntil(10*time.Second, func() bool { return w.state("w") == messenger.WorkloadCompleted })
+	w.submit(urgent, "hopeless", tasks(3, 500, 50*time.Millisecond, gang))
+	w.runUntil(5*time.Second, func() bool { return w.state("hopeless") == messenger.WorkloadFailed })
+}
+
+func TestAdvisedQueueIsRefused(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.owner.SetCatalog(cataloger.New(2, 1<<20, []cataloger.Queue{{Name: batch, Advised: true}}))
+	_, err := w.owner.Submit(w.now, messenger.WorkloadRequest{Queue: batch, Id: "w", Spec: &messenger.WorkloadSpec{}})
+	if diff := cmp.Diff(apricotwinch.NoTarget, apricotwinch.KindOf(err)); diff != "" {
+		t.Errorf("kind (-want +got):\n%s", diff)
+	}
+}
+
 func TestNothingStartsWhereItMustNot(t *testing.T) {
 	w := newWorld(t, 1, 2)
 	w.run(2 * time.Second)
--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -377,6 +377,9 @@
 	switch {
 	case t.done || w.terminal():
 		return
+	case t.step.spec.Gang:
+		c.settleGang(now, t, end)
+		return
 	case end.How == messenger.EndDone && !t.step.spec.Lasting:
 		e.streak = 0
 		c.finishTask(now, t)
@@ -393,8 +396,17 @@
 		t.checkpoint = end.Checkpoint
 	}
 	c.touch(w, false)
+	if end.How == messenger.EndFailed {
+		c.giveUp(now, t)
+	}
+}
+
+// giveUp ends the workload of a task that has used up its attempts; lasting tasks
+// have no such limit.
+func (c *Conductor) giveUp(now time.Time, t *task) {
+	w := t.step.occurrence.work
 	queue, ok := c.queue(w)
-	if ok && !t.step.spec.Lasting && len(t.failed) >= queue.MaxAttempts && end.How == messenger.EndFailed {
+	if ok && !t.step.spec.Lasting && len(t.failed) >= queue.MaxAttempts {
 		c.logger.Info("workload failed", "workload", w.id, "task", t.ref, "failed", t.failed, "limit", queue.MaxAttempts)
 		c.end(now, w, messenger.WorkloadFailed)
 	}
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -124,6 +124,10 @@
 
 // scheduleStep starts what it can of one step.
 func (c *Conductor) scheduleStep(now time.Time, s *step, pool []*executor, settled bool) {
+	if s.spec.Gang {
+		c.startGang(now, s, pool, settled)
+		return
+	}
 	spare := c.spare(pool)
 	for _, t := range s.tasks {
 		if s.waiting == 0 {
@@ -274,12 +278,17 @@
 	return cost
 }
 
-// start orders the next run of a task.
-func (c *Conductor) start(now time.Time, t *task, e *executor) {
-	number := t.highest + 1
+// next returns the number of the next run of a task.
+func (t *task) next() int {
 	if t.inherited {
-		number = t.highest + inheritedRuns
+		return t.highest + inheritedRuns
 	}
+	return t.highest + 1
+}
+
+// start orders the next run of a task.
+func (c *Conductor) start(now time.Time, t *task, e *executor) {
+	number := t.next()
 	orders := c.ordersFor(e.host)
 	r := &run{
 		ref:      messenger.RunRef{Task: t.ref, Run: number},
--- a/conductor/world_test.go
+++ b/conductor/world_test.go
@@ -368,6 +368,13 @@
 	m.ends = append(m.ends, messenger.RunEnd{Number: m.number, Run: ref, How: how})
 	if how == messenger.EndDone {
 		w.ended[ref.Task] = true
+		if spec := w.work[ref.Task.Workload].Steps[ref.Task.Step]; spec.Gang {
+			for i := range spec.Tasks {
+				member := ref.Task
+				member.Index = i
+				w.ended[member] = true
+			}
+		}
 	}
 }
 
