--- a/commander/explain.go
+++ b/commander/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"cmp"
 	"context"
 	"encoding/json"
@@ -76,12 +77,11 @@
 
 // readLog returns the lines of a file that name id.
 func readLog(path, id string) ([]logLine, error) {
-	file, err := os.Open(path)
+	data, err := os.ReadFile(path)
 	if err != nil {
 		return nil, apricotwinch.Errorf(apricotwinch.NotFound, "log file: %w", err)
 	}
-	defer file.Close()
-	return scanLog(file, path, id)
+	return scanLog(bytes.NewReader(data), path, id)
 }
 
 func scanLog(in io.Reader, source, id string) ([]logLine, error) {
