--- a/attendant/attendant.go
+++ b/attendant/attendant.go
@@ -55,9 +55,9 @@
 )
 
 // Executor calls executors; its functions are the seam that a driver fills. They
-// fail with Unreachable when no process listens, with Unknown when the executor
-// may have acted, with StaleIncarnation when another life answers, with
-// StaleEpoch for a low token, with Conflict for a run that is too low, with
+// fail with Unreachable when nothing was sent, with Unknown when the executor may
+// have acted, with StaleIncarnation when another life answers or no process
+// listens, with StaleEpoch for a low token, with Conflict for a run that is too low, with
 // DeadlineExceeded for a deadline that has passed, with NoCapacity, Invalid or
 // NoTarget when nothing was done.
 type Executor struct {
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -141,6 +141,7 @@
 		// The end is listed, recorded, and its acknowledgement never arrives.
 		report := messenger.Report{
 			Host: h.name, Address: h.name + ":1", Incarnation: fmt.Sprint(h.incarnation), TicketMillis: int(w.now.Sub(origin).Milliseconds()) + 1000,
+			Whole: true,
 			Executors: []messenger.ExecutorState{{
 				Executor:  messenger.ExecutorRecord{Id: "executor-" + h.name, Born: h.machine.born, Service: service, Address: h.name + ":2"},
 				Reachable: true,
@@ -166,6 +167,7 @@
 		h := w.hosts[run%2]
 		w.owner.Report(w.now, messenger.Report{
 			Host: h.name, Address: h.name + ":1", Incarnation: fmt.Sprint(h.incarnation), TicketMillis: 1_000_000,
+			Whole: true,
 			Executors: []messenger.ExecutorState{{
 				Executor: messenger.ExecutorRecord{Id: "executor-" + h.name, Born: h.machine.born, Service: service, Address: h.name + ":2"},
 				Ends: []messenger.RunEnd{{
@@ -209,6 +211,19 @@
 	}
 }
 
+// TestShortReportsChangeNothing holds that a report without executors, meant for an
+// entry that was not the owner yet, takes none of them out of use.
+func TestShortReportsChangeNothing(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.run(2 * time.Second)
+	w.owner.Report(w.now, w.hosts[0].agent.Report(w.now, false))
+	w.submit(urgent, "w", tasks(1, 500, time.Second))
+	w.owner.Schedule(w.now)
+	if diff := cmp.Diff(1, len(w.owner.TakeOrders())); diff != "" {
+		t.Errorf("hosts with orders (-want +got):\n%s", diff)
+	}
+}
+
 func TestCancelStopsAndStaysCanceled(t *testing.T) {
 	w := newWorld(t, 1, 2)
 	w.run(2 * time.Second)
--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -108,8 +108,10 @@
 	h.reported = true
 	h.heardAt = now
 	h.ticket = r.TicketMillis
-	c.takeRefusals(now, h, r)
-	c.takeExecutors(now, h, r)
+	if r.Whole {
+		c.takeRefusals(now, h, r)
+		c.takeExecutors(now, h, r)
+	}
 	reply := messenger.ReportReply{Epoch: int(c.epoch), Owner: true, Lease: true, RefusalsThrough: h.refusals}
 	for _, e := range h.ordered() {
 		c.observe(now, e)
--- a/custodian/custodian.go
+++ b/custodian/custodian.go
@@ -265,7 +265,7 @@
 func (c *Custodian) holdFailed(now time.Time, e *executor, answer Answer, err error) bool {
 	e.takeClock(now, answer.Clock)
 	switch apricotwinch.KindOf(err) {
-	case apricotwinch.Unreachable, apricotwinch.StaleIncarnation:
+	case apricotwinch.StaleIncarnation:
 		c.drop(e, err.Error())
 		return true
 	case apricotwinch.StaleEpoch:
@@ -558,6 +558,7 @@
 	if !whole {
 		return report
 	}
+	report.Whole = true
 	report.Refusals = slices.Clone(c.refusals)
 	report.RefusalsThrough = c.refused
 	c.gone = slices.DeleteFunc(c.gone, func(l life) bool { return now.Sub(l.at) > goneLife })
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -897,7 +897,7 @@
 	// Greatest epoch that the agent has seen.
 	Epoch int `json:"epoch"`
 
-	// Its executors; left out in a report to an entry that is not the owner.
+	// Its executors.
 	Executors []ExecutorState `json:"executors,omitempty,omitzero"`
 
 	// Executors that are known to run nothing any more.
@@ -923,6 +923,10 @@
 
 	// Time of the agent's clock, in milliseconds.
 	TicketMillis int `json:"ticketMillis"`
+
+	// Whether the report lists the executors; a short one only tells that the host is
+	// there.
+	Whole bool `json:"whole,omitempty,omitzero"`
 }
 
 // An entry's answer to a report.
