Move filling work that is held back to where it goes well

Cause: a task held back beside serving work stood still to the end and made its whole workload late; a stop yields a fresh checkpoint, so that a move costs 0.6 s of restoring.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -59,6 +59,7 @@
 	pressedAt time.Time
 	logged    map[appraiser.Pair]float64
 	rankedAt  time.Time
+	movedAt   time.Time
 
 	sequence int64
 	durable  int64
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -334,6 +334,37 @@
 	})
 }
 
+// TestNoisyNeighborMoves holds that filling work that is held back beside serving
+// work, and can resume from a checkpoint, goes on where nothing holds it back.
+func TestNoisyNeighborMoves(t *testing.T) {
+	for _, checkpoints := range []bool{true, false} {
+		w := newWorld(t, 1, 2)
+		for _, h := range w.hosts {
+			h.machine.tail = 4
+		}
+		w.run(2 * time.Second)
+		w.submit(lasting, "watch", tasks(2, 1000, time.Hour, lasts, func(s *messenger.StepSpec) {
+			s.TailTargetMillis, s.Image, s.MaxPerExecutor = 10, "watch", 1
+		}))
+		w.run(time.Second)
+		w.submit(batch, "w", tasks(1, 2000, time.Hour, fills, func(s *messenger.StepSpec) {
+			s.Checkpoints, s.Image = checkpoints, "render"
+		}))
+		w.runUntil(time.Second, func() bool { return w.running("w") == 1 })
+		first := w.hostOf("w")
+		first.machine.tail = 100
+		moved := func() bool { h := w.hostOf("w"); return h != nil && h != first }
+		if checkpoints {
+			w.runUntil(4*time.Second, moved)
+			continue
+		}
+		w.run(4 * time.Second)
+		if moved() {
+			t.Error("work that can't resume was moved")
+		}
+	}
+}
+
 // TestLastingWorkLeavesAReserve holds that tasks that never end can't take the last
 // room that urgent work needs.
 func TestLastingWorkLeavesAReserve(t *testing.T) {
--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -285,6 +285,7 @@
 	}
 	run.phase = state.Phase
 	run.percent = state.Percent
+	run.notePace(now, state)
 	run.figure = state.Figure
 	if state.Checkpoint != "" {
 		run.task.checkpoint = state.Checkpoint
@@ -524,6 +525,7 @@
 	}
 	c.begin(now, wall)
 	c.recordPresses(now)
+	c.moveOne(now)
 	for len(c.ended) > 0 && now.Sub(c.ended[0].endedAt) > c.config.Keep {
 		w := c.ended[0]
 		c.ended = c.ended[1:]
--- a/conductor/press.go
+++ b/conductor/press.go
@@ -26,7 +26,7 @@
 	// typicalHeadroom is the headroom that a serving task has on the average of its
 	// load, wantedHeadroom the one that must be left to it.
 	typicalHeadroom = 2.5
-	wantedHeadroom  = 1.25
+	wantedHeadroom  = 1.3
 	// unseen is how long after its start the press of a task does not show in figures.
 	unseen = 600 * time.Millisecond
 	// smoothing is the part of the latest report in a headroom, 0 to 1; loads swing
--- a/conductor/workload.go
+++ b/conductor/workload.go
@@ -84,6 +84,10 @@
 	percent int
 	figure  float64
 	since   time.Time
+	// pace is the share of its speed that its agent allows it, in percent; slowSince
+	// is since when that is little.
+	pace      int
+	slowSince time.Time
 	// alone is the headroom that a serving run would have without filling work.
 	alone float64
 }
--- a/conductor/world_test.go
+++ b/conductor/world_test.go
@@ -80,6 +80,8 @@
 	ends     []messenger.RunEnd
 	barred   map[messenger.TaskRef]int
 	number   int
+	// tail is the tail latency of serving tasks, in milliseconds.
+	tail float64
 }
 
 type modelRun struct {
@@ -356,7 +358,11 @@
 	})
 	holding.Ends = slices.Clone(m.ends)
 	for ref := range m.runs {
-		holding.Runs = append(holding.Runs, messenger.RunState{Run: ref, Phase: messenger.RunRunning, Percent: 50})
+		state := messenger.RunState{Run: ref, Phase: messenger.RunRunning, Percent: 50}
+		if w.work[ref.Task.Workload].Steps[ref.Task.Step].TailTargetMillis > 0 {
+			state.Figure = m.tail
+		}
+		holding.Runs = append(holding.Runs, state)
 	}
 	return holding, nil
 }
@@ -471,6 +477,18 @@
 	return n
 }
 
+// hostOf returns the host that runs a task of a workload, or nil.
+func (w *world) hostOf(id string) *modelHost {
+	for _, h := range w.hosts {
+		for ref := range h.machine.runs {
+			if ref.Task.Workload == id {
+				return h
+			}
+		}
+	}
+	return nil
+}
+
 // tasks returns a step of n tasks that need cpu thousandths of a processor for d.
 func tasks(n, cpu int, d time.Duration, change ...func(*messenger.StepSpec)) messenger.StepSpec {
 	spec := messenger.StepSpec{
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -26,7 +26,7 @@
 
 // DefaultConfig returns the bounds used by agents.
 func DefaultConfig() Config {
-	return Config{Wanted: 1.25, Light: 0.06, Doubt: 0.35, Floor: 4, Step: 4}
+	return Config{Wanted: 1.3, Light: 0.06, Doubt: 0.35, Floor: 4, Step: 4}
 }
 
 // Serving is a task that serves. Undisturbed is the headroom that it would have
