--- a/conductor/config.go
+++ b/conductor/config.go
@@ -1,6 +1,11 @@
 package conductor
 
-import "time"
+import (
+	"time"
+
+	"apricotwinch"
+	"apricotwinch/pacer"
+)
 
 // Config holds the bounds of a Conductor.
 type Config struct {
@@ -25,6 +30,8 @@
 	// waits for a better place, for at most Patience.
 	LeastSpeed float64
 	Patience   time.Duration
+	// Pace holds the bounds that agents pace by.
+	Pace pacer.Config
 	// LeastPulse is the headroom that serving work must be expected to keep during the
 	// start of filling work beside it, which goes at full speed.
 	LeastPulse float64
@@ -45,13 +52,14 @@
 // DefaultConfig returns the bounds used by the owner.
 func DefaultConfig() Config {
 	return Config{
-		Lease:         4 * time.Second,
+		Lease:         apricotwinch.ExecutorLease,
 		Margin:        400 * time.Millisecond,
-		Authority:     4 * time.Second,
+		Authority:     apricotwinch.OwnerAuthority,
 		UrgentReserve: 0.06,
 		ServingUse:    0.5,
 		FillShare:     1,
 		LeastSpeed:    0.2,
+		Pace:          pacer.DefaultConfig(),
 		LeastPulse:    1.05,
 		Patience:      8 * time.Second,
 		Backoff:       50 * time.Millisecond,
--- a/conductor/press.go
+++ b/conductor/press.go
@@ -21,12 +21,9 @@
 
 // Bounds of the speed that is expected of filling work.
 const (
-	// lightPress is the press below which a pair doesn't matter.
-	lightPress = 0.1
 	// typicalHeadroom is the headroom that a serving task has on the average of its
-	// load, wantedHeadroom the one that must be left to it.
+	// load.
 	typicalHeadroom = 2.5
-	wantedHeadroom  = 1.3
 	// unseen is how long after its start the press of a task does not show in figures.
 	unseen = 600 * time.Millisecond
 	// smoothing is the part of the latest report in a headroom, 0 to 1; loads swing
@@ -151,7 +148,7 @@
 			continue
 		}
 		press := c.appraiser.Press(spec.Image, image)
-		if press < lightPress {
+		if press < c.config.Pace.Light {
 			continue
 		}
 		alone := s.alone
@@ -164,7 +161,7 @@
 				sum += c.appraiser.Press(spec.Image, f.task.step.spec.Image)
 			}
 		}
-		speed = min(speed, max(0, alone-wantedHeadroom)/sum)
+		speed = min(speed, max(0, alone-c.config.Pace.Wanted)/sum)
 	}
 	return speed
 }
@@ -180,7 +177,7 @@
 			continue
 		}
 		press := c.appraiser.Press(spec.Image, image)
-		if press < lightPress {
+		if press < c.config.Pace.Light {
 			continue
 		}
 		left := s.headroom()
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -11,6 +11,7 @@
 	"slices"
 	"time"
 
+	"apricotwinch"
 	"apricotwinch/messenger"
 )
 
@@ -42,7 +43,7 @@
 		Fresh:         time.Second,
 		Present:       500 * time.Millisecond,
 		StorePatience: 900 * time.Millisecond,
-		Authority:     4 * time.Second,
+		Authority:     apricotwinch.OwnerAuthority,
 		MemberLife:    time.Minute,
 	}
 }
