--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -274,6 +274,22 @@
 	}
 }
 
+// TestNoOwnerIsToldBeforeTheDeadline holds that a request that no owner takes is
+// refused, as not run, long before its deadline.
+func TestNoOwnerIsToldBeforeTheDeadline(t *testing.T) {
+	d := newDeployment(t, 1)
+	d.entries[0].HandOver(context.Background())
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	_, err := d.entries[0].Submit(ctx, request("late"))
+	if diff := cmp.Diff(apricotwinch.NotOwner, apricotwinch.KindOf(err)); diff != "" {
+		t.Errorf("kind (-want +got):\n%s", diff)
+	}
+	if ctx.Err() != nil {
+		t.Error("refused at the deadline")
+	}
+}
+
 // TestRefusingStoreIsToldAtOnce holds that while the store provably refuses, callers
 // are told at once, that nothing of what was refused runs, and that the next
 // submission of the same id is accepted.
--- a/coordinator/requests.go
+++ b/coordinator/requests.go
@@ -33,10 +33,15 @@
 
 type handler func(context.Context, messenger.WorkloadRequest) (messenger.WorkloadReply, error)
 
+// ownerPatience is how long a request that nobody has taken waits for an owner: a
+// takeover takes about a second.
+const ownerPatience = 1500 * time.Millisecond
+
 // ask asks the owner, wherever it is, and a later one while there is time. Every
 // request may be repeated.
 func (c *Coordinator) ask(ctx context.Context, method string, request messenger.WorkloadRequest, here handler) (messenger.WorkloadReply, error) {
 	sent := false
+	began := c.deps.Clock.Now()
 	for {
 		reply, err := c.askOnce(ctx, method, request, here)
 		kind := apricotwinch.KindOf(err)
@@ -50,6 +55,9 @@
 			}
 			return reply, err
 		}
+		if !sent && c.deps.Clock.Since(began) > ownerPatience {
+			return reply, err
+		}
 		metrics.GetOrRegisterCounter("ask.retried."+string(kind), c.deps.Registry).Inc(1)
 		c.mu.Lock()
 		changed := c.changed
