--- a/custodian/lives.go
+++ b/custodian/lives.go
@@ -24,8 +24,6 @@
 	}
 	if e == nil {
 		if !c.replaces(a) {
-			c.logger.Info("executor over", "executor", a.ID, "born", a.Born, "reason", "a later one has its address")
-			c.gone = append(c.gone, life{ExecutorLife: messenger.ExecutorLife{Id: a.ID, Born: a.Born}, at: now})
 			return false
 		}
 		e = &executor{Announcement: a, heardAt: now, runs: map[messenger.RunRef]*run{}, token: c.nextToken(a.Clock)}
@@ -83,7 +81,7 @@
 
 // over reports whether a life of an executor is known to be over.
 func (c *Custodian) over(id string, born int) bool {
-	return slices.ContainsFunc(c.gone, func(l life) bool { return l.Id == id && l.Born >= born })
+	return slices.ContainsFunc(c.gone, func(l life) bool { return l.Id == id && l.Born == born })
 }
 
 func (c *Custodian) drop(e *executor, reason string) {
@@ -110,11 +108,28 @@
 	c.Announced(now, next)
 }
 
+// answering returns the executor that has answered at an address, or nil. What ran
+// there before is over, whatever the times of their starts say: a clock may have
+// jumped between them.
+func (c *Custodian) answering(address string) *executor {
+	for _, e := range c.executors {
+		if e.Address == address && e.held {
+			return e
+		}
+	}
+	return nil
+}
+
 // recall takes an executor that the owner knows and this agent does not yet.
 func (c *Custodian) recall(now time.Time, record messenger.ExecutorRecord) {
 	if c.executors[record.Id] != nil || c.over(record.Id, record.Born) {
 		return
 	}
+	if other := c.answering(record.Address); other != nil {
+		c.logger.Info("executor over", "executor", record.Id, "born", record.Born, "reason", "another one answers at its address", "other", other.ID)
+		c.gone = append(c.gone, life{ExecutorLife: messenger.ExecutorLife{Id: record.Id, Born: record.Born}, at: now})
+		return
+	}
 	c.Announced(now, Announcement{
 		ID:         record.Id,
 		Born:       record.Born,
