--- a/attendant/attendant.go
+++ b/attendant/attendant.go
@@ -42,6 +42,9 @@
 	dialTimeout = 400 * time.Millisecond
 	// executorTimeout bounds a call to an executor, beyond the wait it asks for.
 	executorTimeout = time.Second
+	// orderTimeout bounds an order to an executor, which is answered in some
+	// milliseconds; one without an answer is repeated and carried out once.
+	orderTimeout = 300 * time.Millisecond
 	// holdPause is the time between two holds while ends wait to be durable, or
 	// after one that failed.
 	holdPause = 30 * time.Millisecond
@@ -237,7 +240,7 @@
 }
 
 func (a *Attendant) start(ctx context.Context, call custodian.StartCall) {
-	ctx, cancel := context.WithTimeout(ctx, executorTimeout)
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	sent := a.deps.Clock.Now()
 	answer, err := a.deps.Executor.Start(ctx, call)
@@ -253,7 +256,7 @@
 }
 
 func (a *Attendant) stop(ctx context.Context, call custodian.RunCall) {
-	ctx, cancel := context.WithTimeout(ctx, executorTimeout)
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	answer, err := a.deps.Executor.Stop(ctx, call)
 	a.mu.Lock()
@@ -262,7 +265,7 @@
 }
 
 func (a *Attendant) pace(ctx context.Context, call custodian.RunCall) {
-	ctx, cancel := context.WithTimeout(ctx, executorTimeout)
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	_, err := a.deps.Executor.Pace(ctx, call)
 	a.mu.Lock()
--- a/custodian/custodian.go
+++ b/custodian/custodian.go
@@ -50,7 +50,7 @@
 	return Config{
 		Lease:     apricotwinch.ExecutorLease,
 		Margin:    200 * time.Millisecond,
-		Retry:     500 * time.Millisecond,
+		Retry:     350 * time.Millisecond,
 		Silence:   time.Second,
 		HoldWait:  250 * time.Millisecond,
 		Smoothing: 0.6,
