--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -102,6 +102,7 @@
 // insert takes a workload into the tables and queues what is due of it.
 func (c *Conductor) insert(now time.Time, w *workload) {
 	c.jobs[w.id] = w
+	w.priority = c.priorityOf(w)
 	if w.terminal() {
 		return
 	}
@@ -119,10 +120,10 @@
 		return
 	}
 	c.catalog = catalog
-	for _, s := range c.steps {
-		s.occurrence.work.rank(c)
+	for _, w := range c.jobs {
+		w.priority = c.priorityOf(w)
 	}
-	slices.SortFunc(c.steps, compareSteps)
+	slices.SortStableFunc(c.steps, compareSteps)
 }
 
 // SetOut takes the data centres that are out of service.
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -365,6 +365,21 @@
 	}
 }
 
+// TestLessUrgentQueueWaits holds that of two queues that wait for the same room, the
+// one of the better priority gets it, though it came later.
+func TestLessUrgentQueueWaits(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.run(2 * time.Second)
+	w.submit(urgent, "full", tasks(4, 4000, 500*time.Millisecond))
+	w.submit(batch, "patient", tasks(4, 4000, time.Second))
+	w.submit(urgent, "urgent", tasks(4, 4000, time.Second))
+	w.runUntil(time.Second, func() bool { return w.state("full") == messenger.WorkloadCompleted })
+	w.run(200 * time.Millisecond)
+	if diff := cmp.Diff([]int{0, 4}, []int{w.running("patient"), w.running("urgent")}); diff != "" {
+		t.Errorf("running (-want +got):\n%s", diff)
+	}
+}
+
 // TestLastingWorkLeavesAReserve holds that tasks that never end can't take the last
 // room that urgent work needs.
 func TestLastingWorkLeavesAReserve(t *testing.T) {
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -11,8 +11,8 @@
 	"apricotwinch/messenger"
 )
 
-// lowestRank is the rank of a workload whose queue is not configured any more.
-const lowestRank = 1 << 20
+// lowestPriority is that of a workload whose queue is not configured any more.
+const lowestPriority = 1 << 20
 
 // queue returns the queue of a workload.
 func (c *Conductor) queue(w *workload) (*cataloger.Queue, bool) {
@@ -22,18 +22,19 @@
 	return c.catalog.Queue(w.queue)
 }
 
-// rank returns the rank of a workload's queue; 0 comes first.
-func (w *workload) rank(c *Conductor) int {
+// priorityOf returns the priority of a workload's queue; 0 comes first.
+func (c *Conductor) priorityOf(w *workload) int {
 	if q, ok := c.queue(w); ok {
 		return q.Priority
 	}
-	return lowestRank
+	return lowestPriority
 }
 
 func compareSteps(a, b *step) int {
 	x, y := a.occurrence.work, b.occurrence.work
 	return cmp.Or(
 		cmp.Compare(class(a), class(b)),
+		cmp.Compare(x.priority, y.priority),
 		compareOutlooks(x.outlook, y.outlook),
 		x.acceptedAt.Compare(y.acceptedAt),
 		cmp.Compare(x.id, y.id),
--- a/conductor/workload.go
+++ b/conductor/workload.go
@@ -22,6 +22,7 @@
 	occurrences []*occurrence
 	unstarted   bool
 	outlook     outlook
+	priority    int
 	dirtySpec   bool
 	dirty       bool
 	// durableAt is the number of the write that holds the latest change.
