Renew leases by whole reports only

Cause: found by reading. A short report to an entry that had become the owner renewed the executors' leases at the agent, while the owner counts them from the last report that listed them: up to half a second more than it waits. The test failed first.

--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -216,7 +216,10 @@
 func TestShortReportsChangeNothing(t *testing.T) {
 	w := newWorld(t, 1, 1)
 	w.run(2 * time.Second)
-	w.owner.Report(w.now, w.hosts[0].agent.Report(w.now, false))
+	reply := w.owner.Report(w.now, w.hosts[0].agent.Report(w.now, false))
+	if reply.Lease {
+		t.Error("a report that lists no executor renews leases that the owner does not count")
+	}
 	w.submit(urgent, "w", tasks(1, 500, time.Second))
 	w.owner.Schedule(w.now)
 	if diff := cmp.Diff(1, len(w.owner.TakeOrders())); diff != "" {
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -43,7 +43,7 @@
 		c.takeRefusals(now, h, r)
 		c.takeExecutors(now, h, r)
 	}
-	reply := messenger.ReportReply{Epoch: int(c.epoch), Owner: true, Lease: true, RefusalsThrough: h.refusals}
+	reply := messenger.ReportReply{Epoch: int(c.epoch), Owner: true, Lease: r.Whole, RefusalsThrough: h.refusals}
 	for _, e := range h.ordered() {
 		c.observe(now, e)
 		reply.Presses = append(reply.Presses, c.pressesFor(e)...)
