Remove what the workload scheduler never reads, and say shared things once

Found by reading the whole change; no behavior is meant to differ. - What was learned of presses was sorted at each tick of 25 ms for a record each 2 s. - Headroom, share of speed and need without processors stood in two or three packages; pacer and Resources have them now.

--- a/attendant/attendant.go
+++ b/attendant/attendant.go
@@ -24,6 +24,7 @@
 	"apricotwinch/connector"
 	"apricotwinch/custodian"
 	"apricotwinch/messenger"
+	"apricotwinch/timekeeper"
 )
 
 // Periods and bounds of the shell.
@@ -214,18 +215,11 @@
 			a.tell()
 		}
 		if err != nil || call.Wait == 0 {
-			a.sleep(ctx, holdPause)
+			timekeeper.Sleep(ctx, a.deps.Clock, holdPause)
 		}
 	}
 }
 
-func (a *Attendant) sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-a.deps.Clock.After(d):
-	}
-}
-
 // do makes the calls that the custodian wants; a.mu is held.
 func (a *Attendant) do(calls custodian.Calls) {
 	for _, call := range calls.Stops {
@@ -411,7 +405,7 @@
 				go a.reportTo(ctx, seed, false)
 			}
 		}
-		a.sleep(ctx, membersRetry)
+		timekeeper.Sleep(ctx, a.deps.Clock, membersRetry)
 	}
 }
 
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -43,7 +43,6 @@
 	registry metrics.Registry
 
 	epoch     int64
-	startAt   time.Time
 	clean     bool
 	catalog   *cataloger.Catalog
 	out       map[string]bool
@@ -67,15 +66,14 @@
 	orders   map[string]*messenger.Orders
 }
 
-// New returns the conductor of an owner whose epoch began at now. A clean start
-// is one whose last owner is known to have stopped.
-func New(now time.Time, config Config, epoch int64, clean bool, logger hclog.Logger, registry metrics.Registry) *Conductor {
+// New returns the conductor of an owner. A clean start is one whose last owner is
+// known to have stopped.
+func New(config Config, epoch int64, clean bool, logger hclog.Logger, registry metrics.Registry) *Conductor {
 	return &Conductor{
 		config:   config,
 		logger:   logger,
 		registry: registry,
 		epoch:    epoch,
-		startAt:  now,
 		clean:    clean,
 		out:      map[string]bool{},
 		jobs:     map[string]*workload{},
@@ -208,7 +206,7 @@
 // Known reports whether a workload is known, durable or not.
 func (c *Conductor) Known(id string) bool { return c.jobs[id] != nil }
 
-// TakeOrders returns the orders that wait for hosts, by the address of the agent.
+// TakeOrders returns the orders that wait for hosts, by the name of the host.
 func (c *Conductor) TakeOrders() map[string]*messenger.Orders {
 	orders := c.orders
 	c.orders = map[string]*messenger.Orders{}
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -450,7 +450,7 @@
 	w := newWorld(t, 1, 1)
 	w.submit(urgent, "w", tasks(1, 500, time.Second))
 	w.store["w/w"] = []byte("{")
-	owner := conductor.New(w.now, conductor.DefaultConfig(), 9, true, hclog.NewNullLogger(), metrics.NewRegistry())
+	owner := conductor.New(conductor.DefaultConfig(), 9, true, hclog.NewNullLogger(), metrics.NewRegistry())
 	err := owner.Restore(w.now, records(w.store))
 	if diff := cmp.Diff("record w/w: unexpected end of JSON input", fmt.Sprint(err)); diff != "" {
 		t.Errorf("error (-want +got):\n%s", diff)
@@ -502,7 +502,7 @@
 
 func ExampleConductor() {
 	now := time.Unix(1000, 0)
-	owner := conductor.New(now, conductor.DefaultConfig(), 1, true, hclog.NewNullLogger(), metrics.NewRegistry())
+	owner := conductor.New(conductor.DefaultConfig(), 1, true, hclog.NewNullLogger(), metrics.NewRegistry())
 	spec := messenger.WorkloadSpec{Steps: []messenger.StepSpec{{Tasks: 1}}}
 	write, err := owner.Submit(now, messenger.WorkloadRequest{Queue: "designs", Id: "d1", Spec: &spec})
 	fmt.Println(write, err)
--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -41,12 +41,10 @@
 	// listed is whether a report to this owner has listed it.
 	listed bool
 	// leasedTo is when its runs have provably ended, if no report lists it any more.
-	leasedTo time.Time
-	labels   map[string]bool
-	capacity apricotwinch.Resources
-	draining bool
-	// leavesAt is when it may leave at the earliest, while it drains.
-	leavesAt  time.Time
+	leasedTo  time.Time
+	labels    map[string]bool
+	capacity  apricotwinch.Resources
+	draining  bool
 	reachable bool
 	// foreign is whether it runs something of which the need is not known.
 	foreign   bool
@@ -122,9 +120,14 @@
 	t.inherited = false
 	t.step.waiting--
 	t.highest = max(t.highest, r.ref.Run)
+	c.track(r)
+}
+
+// track counts a run, current or stray, in the room of its executor.
+func (c *Conductor) track(r *run) {
 	c.runs[r.ref] = r
 	r.executor.runs[r.ref] = r
-	r.executor.commit(t.step, 1)
+	r.executor.commit(r.task.step, 1)
 }
 
 // release forgets a run that has ended; its task waits again unless it is done.
--- a/conductor/journal.go
+++ b/conductor/journal.go
@@ -152,8 +152,8 @@
 // held is written again, but for workloads that were in it for the first time.
 func (c *Conductor) Undo(records []appender.KeyedRecord) {
 	for _, r := range records {
-		if strings.HasPrefix(r.Key(), prefixWork) && len(r.Value()) > 0 {
-			if w := c.jobs[strings.TrimPrefix(r.Key(), prefixWork)]; w != nil {
+		if id, ok := strings.CutPrefix(r.Key(), prefixWork); ok && len(r.Value()) > 0 {
+			if w := c.jobs[id]; w != nil {
 				w.dirtySpec = true
 				c.touch(w, true)
 			}
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"apricotwinch"
 	"apricotwinch/appender"
 	"apricotwinch/cataloger"
 	"apricotwinch/messenger"
@@ -196,7 +195,7 @@
 		if float64(e.filling+need.ProcessorMillis()) > c.config.FillShare*c.unused(e) {
 			return false
 		}
-		need = apricotwinch.NewResources(0, need.MemoryBytes(), need.Accelerators())
+		need = need.WithoutProcessors()
 	}
 	return e.committed.Add(need).Fits(e.capacity)
 }
--- a/conductor/press.go
+++ b/conductor/press.go
@@ -33,11 +33,10 @@
 
 // headroom returns the target of a serving run divided by its tail; 0 for unknown.
 func (r *run) headroom() float64 {
-	target := r.task.step.spec.TailTargetMillis
-	if target <= 0 || r.figure <= 0 || r.phase != messenger.RunRunning {
+	if r.phase != messenger.RunRunning {
 		return 0
 	}
-	return float64(target) / r.figure
+	return pacer.Headroom(r.task.step.spec.TailTargetMillis, r.figure)
 }
 
 // pressPeriod is the time between two records of what was learned.
@@ -45,8 +44,11 @@
 
 // recordPresses makes what was learned durable for the next owner.
 func (c *Conductor) recordPresses(now time.Time) {
+	if now.Sub(c.pressedAt) < pressPeriod {
+		return
+	}
 	beliefs := c.appraiser.Beliefs()
-	if now.Sub(c.pressedAt) < pressPeriod || len(beliefs) == 0 {
+	if len(beliefs) == 0 {
 		return
 	}
 	c.pressedAt = now
@@ -92,7 +94,7 @@
 			serving = append(serving, appraiser.Serving{Task: fmt.Sprint(r.ref), Image: spec.Image, Headroom: h})
 		}
 		if need := r.task.step.need.ProcessorMillis(); spec.Fills && need > 0 && r.phase == messenger.RunRunning {
-			shares[spec.Image] += r.figure / float64(need)
+			shares[spec.Image] += pacer.Share(r.figure, need)
 		}
 	}
 	c.appraiser.Observe(now, e.id, serving, shares)
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -135,7 +135,6 @@
 		c.logger.Info("executor draining", "executor", e.id, "host", e.host.name, "remainingMillis", state.RemainingMillis)
 	}
 	e.draining = state.Draining
-	e.leavesAt = now.Add(time.Duration(state.RemainingMillis) * time.Millisecond)
 	for i := range state.Ends {
 		c.takeEnd(now, e, &state.Ends[i])
 	}
@@ -171,7 +170,6 @@
 		orders.Known = append(orders.Known, run.described())
 	}
 	run.phase = state.Phase
-	run.percent = state.Percent
 	run.notePace(now, state)
 	run.figure = state.Figure
 	if state.Checkpoint != "" {
@@ -218,10 +216,7 @@
 		c.logger.Info("stray run", "run", state.Run, "executor", e.id, "state", w.state, "done", t.done)
 		c.count("runs.stray")
 		run.stray = true
-		run.order = 0
-		c.runs[run.ref] = run
-		e.runs[run.ref] = run
-		e.commit(t.step, 1)
+		c.track(run)
 		return run
 	}
 	c.hold(run)
--- a/conductor/workload.go
+++ b/conductor/workload.go
@@ -81,10 +81,9 @@
 	stopping bool
 	// stray runs are not the task's current one: they are stopped, and hold room
 	// until they are gone.
-	stray   bool
-	percent int
-	figure  float64
-	since   time.Time
+	stray  bool
+	figure float64
+	since  time.Time
 	// pace is the share of its speed that its agent allows it, in percent; slowSince
 	// is since when that is little.
 	pace      int
--- a/conductor/world_test.go
+++ b/conductor/world_test.go
@@ -122,7 +122,7 @@
 // replaceOwner lets another owner take over from the records of the store.
 func (w *world) replaceOwner(clean bool) {
 	w.epoch++
-	w.owner = conductor.New(w.now, conductor.DefaultConfig(), w.epoch, clean, hclog.NewNullLogger(), metrics.NewRegistry())
+	w.owner = conductor.New(conductor.DefaultConfig(), w.epoch, clean, hclog.NewNullLogger(), metrics.NewRegistry())
 	w.owner.SetCatalog(catalog())
 	if err := w.owner.Restore(w.now, records(w.store)); err != nil {
 		w.t.Fatalf("restore: %v", err)
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -16,6 +16,7 @@
 	"apricotwinch/conductor"
 	"apricotwinch/connector"
 	"apricotwinch/messenger"
+	"apricotwinch/timekeeper"
 )
 
 // producerName names the owner as a writer of the journal of work.
@@ -47,7 +48,7 @@
 		if joined && c.learn(ctx, sent) {
 			return
 		}
-		c.sleep(ctx, storeRetry)
+		timekeeper.Sleep(ctx, c.deps.Clock, storeRetry)
 	}
 }
 
@@ -100,13 +101,6 @@
 	return f(ctx)
 }
 
-func (c *Coordinator) sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-c.deps.Clock.After(d):
-	}
-}
-
 // claim appends a claim in the next epoch and takes the workloads over.
 func (c *Coordinator) claim(ctx context.Context) {
 	defer func() {
@@ -154,7 +148,7 @@
 		c.deps.Logger.Info("claim overtaken", "epoch", epoch, "known", c.elector.Epoch())
 		return
 	}
-	next := conductor.New(now, conductor.DefaultConfig(), epoch, clean, c.deps.Logger, c.deps.Registry)
+	next := conductor.New(conductor.DefaultConfig(), epoch, clean, c.deps.Logger, c.deps.Registry)
 	if c.catalog != nil {
 		next.SetCatalog(c.catalog)
 	}
@@ -184,7 +178,7 @@
 			return err
 		}
 		c.deps.Logger.Info("append repeated", "epoch", producer.Epoch(), "sequence", producer.Sequence(), "error", err)
-		c.sleep(ctx, storeRetry)
+		timekeeper.Sleep(ctx, c.deps.Clock, storeRetry)
 	}
 }
 
@@ -229,13 +223,13 @@
 		unsure = unsure || err != nil && !refused
 		if refused && !unsure {
 			c.undo(owner, producer, records)
-			c.sleep(ctx, storeRetry)
+			timekeeper.Sleep(ctx, c.deps.Clock, storeRetry)
 			return true
 		}
 		if c.written(ctx, owner, number, records, sent, err) {
 			break
 		}
-		c.sleep(ctx, storeRetry)
+		timekeeper.Sleep(ctx, c.deps.Clock, storeRetry)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/coordinator/sender.go
+++ b/coordinator/sender.go
@@ -8,6 +8,7 @@
 
 	"apricotwinch"
 	"apricotwinch/messenger"
+	"apricotwinch/timekeeper"
 )
 
 // sendRetry is the delay after orders that did not reach their agent.
@@ -69,7 +70,7 @@
 	}
 	if !c.elector.Authority(now) {
 		c.mu.Unlock()
-		c.sleep(ctx, sendRetry)
+		timekeeper.Sleep(ctx, c.deps.Clock, sendRetry)
 		return true
 	}
 	orders.TicketMillis = ticket
@@ -94,7 +95,7 @@
 		metrics.GetOrRegisterCounter("orders.failed."+string(kind), c.deps.Registry).Inc(1)
 		c.deps.Logger.Info("orders not delivered", "host", s.host, "number", orders.Number, "kind", string(kind), "error", err)
 		c.mu.Unlock()
-		c.sleep(ctx, sendRetry)
+		timekeeper.Sleep(ctx, c.deps.Clock, sendRetry)
 		c.mu.Lock()
 	}
 	return true
--- a/custodian/executor.go
+++ b/custodian/executor.go
@@ -134,22 +134,23 @@
 	return e.clock + time.Duration(float64(until.Sub(e.clockAt))*slowest)
 }
 
-func (e *executor) need(r *run) apricotwinch.Resources {
+// need returns what is set aside for a run.
+func (r *run) need() apricotwinch.Resources {
 	need := r.order.Resources.Value()
 	if r.order.Fills {
-		return apricotwinch.NewResources(0, need.MemoryBytes(), need.Accelerators())
+		return need.WithoutProcessors()
 	}
 	return need
 }
 
 func (e *executor) add(r *run) {
 	e.runs[r.order.Run] = r
-	e.committed = e.committed.Add(e.need(r))
+	e.committed = e.committed.Add(r.need())
 }
 
 func (e *executor) remove(ref messenger.RunRef) {
 	if r := e.runs[ref]; r != nil {
-		e.committed = e.committed.Sub(e.need(r))
+		e.committed = e.committed.Sub(r.need())
 		delete(e.runs, ref)
 	}
 }
--- a/custodian/hold.go
+++ b/custodian/hold.go
@@ -7,6 +7,7 @@
 
 	"apricotwinch"
 	"apricotwinch/messenger"
+	"apricotwinch/pacer"
 )
 
 // Hold returns the next call to renew the leases of an executor, and false when it
@@ -99,7 +100,7 @@
 		listed[state.Run] = true
 		r := e.runs[state.Run]
 		if r == nil {
-			r = &run{order: messenger.RunOrder{Run: state.Run, Executor: e.ID}, phase: messenger.RunRunning, pace: 100}
+			r = &run{order: messenger.RunOrder{Run: state.Run, Executor: e.ID}, phase: messenger.RunRunning, pace: pacer.Full}
 			e.add(r)
 			news = true
 		}
--- a/custodian/orders.go
+++ b/custodian/orders.go
@@ -9,6 +9,7 @@
 
 	"apricotwinch"
 	"apricotwinch/messenger"
+	"apricotwinch/pacer"
 )
 
 // Ordered takes orders of an owner and returns the calls that carry them out.
@@ -74,8 +75,8 @@
 	if r := e.runs[order.Run]; r != nil {
 		return
 	}
-	r := &run{order: order, known: true, phase: messenger.RunStarting, pace: 100}
-	if !e.committed.Add(e.need(r)).Fits(e.Capacity) {
+	r := &run{order: order, known: true, phase: messenger.RunStarting, pace: pacer.Full}
+	if !e.committed.Add(r.need()).Fits(e.Capacity) {
 		c.refuse(order.Run, apricotwinch.NoCapacity)
 		return
 	}
--- a/custodian/pace.go
+++ b/custodian/pace.go
@@ -82,19 +82,12 @@
 
 // share returns the share of full speed at which a filling run worked lately.
 func (r *run) share() float64 {
-	need := r.order.Resources.ProcessorMillis
-	if need <= 0 {
-		return 0
-	}
-	return r.state.Figure / float64(need)
+	return pacer.Share(r.state.Figure, int64(r.order.Resources.ProcessorMillis))
 }
 
 // headroom returns the target of a serving run divided by its tail; 0 for unknown.
 func (r *run) headroom() float64 {
-	if r.state.Figure <= 0 {
-		return 0
-	}
-	return float64(r.order.TailTargetMillis) / r.state.Figure
+	return pacer.Headroom(r.order.TailTargetMillis, r.state.Figure)
 }
 
 // Paced takes the answer to a change of pace; one that failed is made again.
--- a/custodian/report.go
+++ b/custodian/report.go
@@ -58,7 +58,6 @@
 		Draining:        e.Draining,
 		Reachable:       silent < c.config.Silence,
 		RemainingMillis: int(max(0, e.leavesAt.Sub(now)).Milliseconds()),
-		SilentMillis:    int(silent.Milliseconds()),
 		Ends:            slices.Clone(e.ends),
 	}
 	for _, r := range e.ordered() {
@@ -66,7 +65,6 @@
 		s.Run = r.order.Run
 		s.Phase = r.phase
 		s.Pace = r.pace
-		s.Fills = r.order.Fills
 		s.Unknown = !r.known
 		state.Runs = append(state.Runs, s)
 	}
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -245,7 +245,6 @@
 		Member:      e.self,
 		Epoch:       int(e.epoch),
 		Owner:       e.owned,
-		OwnerName:   e.owner.Name,
 		Released:    e.released,
 		StoreMillis: int(e.StoreSilence(now).Milliseconds()),
 		View:        view,
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -388,9 +388,6 @@
 
 	// Runs that it holds.
 	Runs []RunState `json:"runs,omitempty,omitzero"`
-
-	// Time since it last answered, in milliseconds.
-	SilentMillis int `json:"silentMillis,omitempty,omitzero"`
 }
 
 // A caller's job request that an entry passes to the owner of its partition.
@@ -738,9 +735,6 @@
 type OrdersReply struct {
 	// Whether the agent carries the orders out.
 	Accepted bool `json:"accepted"`
-
-	// Kind of error for which it does not.
-	Kind string `json:"kind,omitempty,omitzero"`
 }
 
 // The record of the owner of all workloads.
@@ -790,9 +784,6 @@
 	// Whether it is the owner.
 	Owner bool `json:"owner"`
 
-	// Name of the owner that it knows.
-	OwnerName string `json:"ownerName,omitempty,omitzero"`
-
 	// Whether it gave up its ownership in that epoch.
 	Released bool `json:"released,omitempty,omitzero"`
 
@@ -1063,9 +1054,6 @@
 	// Tail latency of a serving task in milliseconds; processors in use of any other.
 	Figure float64 `json:"figure,omitempty,omitzero"`
 
-	// Whether no processors are set aside for the task.
-	Fills bool `json:"fills,omitempty,omitzero"`
-
 	// Share of its speed that the agent allows it, in percent.
 	Pace int `json:"pace,omitempty,omitzero"`
 
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -48,6 +48,24 @@
 // serving image.
 type Press func(serving, filling string) float64
 
+// Headroom returns a target divided by a tail, both in milliseconds; 0 when there is
+// no target or the tail is not known.
+func Headroom(targetMillis int, tailMillis float64) float64 {
+	if targetMillis <= 0 || tailMillis <= 0 {
+		return 0
+	}
+	return float64(targetMillis) / tailMillis
+}
+
+// Share returns the share of full speed at which work goes that uses some of the
+// processors that it asks for, both in thousandths; 0 when it asks for none.
+func Share(usedMillis float64, askedMillis int64) float64 {
+	if askedMillis <= 0 {
+		return 0
+	}
+	return usedMillis / float64(askedMillis)
+}
+
 // Undisturbed returns the headroom that a serving image would have without the
 // filling work that was measured beside it: by image, the sum of the shares of
 // full speed over the same time.
--- a/resources.go
+++ b/resources.go
@@ -45,6 +45,13 @@
 	}
 }
 
+// WithoutProcessors returns r with no processors: what work that only fills sets
+// aside.
+func (r Resources) WithoutProcessors() Resources {
+	r.processorMillis = 0
+	return r
+}
+
 // Fits reports whether r is at most o in every field.
 func (r Resources) Fits(o Resources) bool {
 	return r.processorMillis <= o.processorMillis &&
--- a/timekeeper/timekeeper.go
+++ b/timekeeper/timekeeper.go
@@ -3,6 +3,7 @@
 package timekeeper
 
 import (
+	"context"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -32,6 +33,14 @@
 // Until returns the steady time until t.
 func (c *Clock) Until(t time.Time) time.Duration { return t.Sub(c.Now()) }
 
+// Sleep waits until d has passed on clock or ctx is done.
+func Sleep(ctx context.Context, clock clockwork.Clock, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-clock.After(d):
+	}
+}
+
 // sinceBoot returns the time since boot with suspensions, or the time of day
 // where the system has no such clock.
 func sinceBoot() time.Duration {
