List work that waits beside paused work as a known red

Cause: Conductor.fits and unused count filling work in full, also when the pacer gave it almost nothing. Check: TestPausedWorkLeavesRoom shows it without the bench and is red with KNOWN_RED=1.

--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -383,6 +383,27 @@
 	}
 }
 
+// TestPausedWorkLeavesRoom holds that filling work that stands still, as a tail has no
+// headroom, does not keep other filling work from processors that nobody uses.
+func TestPausedWorkLeavesRoom(t *testing.T) {
+	if os.Getenv("KNOWN_RED") == "" {
+		t.Skip("listed in KNOWN-RED.txt")
+	}
+	w := newWorld(t, 1, 1)
+	w.hosts[0].machine.tail = 4
+	w.run(2 * time.Second)
+	w.submit(lasting, "watch", tasks(1, 1000, time.Hour, lasts, func(s *messenger.StepSpec) {
+		s.TailTargetMillis, s.Image = 10, "watch"
+	}))
+	w.run(time.Second)
+	w.submit(batch, "paused", tasks(7, 2000, time.Hour, fills, func(s *messenger.StepSpec) { s.Image = "render" }))
+	w.runUntil(20*time.Second, func() bool { return w.running("paused") == 7 })
+	w.hosts[0].machine.tail = 100
+	w.run(time.Second)
+	w.submit(batch, "w", tasks(1, 2650, time.Hour, fills, func(s *messenger.StepSpec) { s.Image = "pack" }))
+	w.runUntil(20*time.Second, func() bool { return w.running("w") == 1 })
+}
+
 // TestLastingWorkLeavesAReserve holds that tasks that never end can't take the last
 // room that urgent work needs.
 func TestLastingWorkLeavesAReserve(t *testing.T) {
