Double delays in one place

Found by reading the whole change: the delay that doubles up to a bound stood four times (judge, conductor, retrier, router). apricotwinch.Doubled serves all, with a table test; the settings of router and retrier already refuse a bound below the first delay, so each result is as before. Left alone: the checked options of router and retrier (two tables of their own packages, whose loop of six lines would need an exported generic). Also one comment said machine for a host.

--- /dev/null
+++ b/backoff.go
@@ -0,0 +1,14 @@
+package apricotwinch
+
+import "time"
+
+// Doubled returns first, doubled the given number of times, but at most longest.
+func Doubled(first, longest time.Duration, times int) time.Duration {
+	for range times {
+		if first >= longest {
+			break
+		}
+		first *= 2
+	}
+	return min(first, longest)
+}
--- a/conductor/ends.go
+++ b/conductor/ends.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"apricotwinch"
 	"apricotwinch/messenger"
 )
 
@@ -63,7 +64,7 @@
 		t.fail(end.Run.Run)
 		t.streak++
 		t.avoid = e
-		t.notBefore = now.Add(c.backoff(t.streak))
+		t.notBefore = now.Add(apricotwinch.Doubled(c.config.Backoff, c.config.MaxBackoff, t.streak-1))
 		c.blame(now, e, t)
 	case end.Checkpoint != "":
 		t.checkpoint = end.Checkpoint
@@ -85,18 +86,6 @@
 	}
 }
 
-// backoff returns the delay after a number of failures in a row.
-func (c *Conductor) backoff(streak int) time.Duration {
-	delay := c.config.Backoff
-	for range streak - 1 {
-		if delay >= c.config.MaxBackoff {
-			break
-		}
-		delay *= 2
-	}
-	return min(delay, c.config.MaxBackoff)
-}
-
 // blame counts a failure against the executor; several tasks of one workload
 // count once.
 func (c *Conductor) blame(now time.Time, e *executor, t *task) {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -35,7 +35,7 @@
 	pingPeriod = 200 * time.Millisecond
 	// peerTimeout bounds a call to a peer or an agent.
 	peerTimeout = 600 * time.Millisecond
-	// dialTimeout bounds the dial of a peer: a machine that came back is dialed anew.
+	// dialTimeout bounds the dial of a peer: a host that came back is dialed anew.
 	dialTimeout = 400 * time.Millisecond
 	// storeTimeout bounds an append; a slow store takes 60 times its 4 ms.
 	storeTimeout = 1500 * time.Millisecond
--- a/judge/host.go
+++ b/judge/host.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"apricotwinch"
 	"apricotwinch/placer"
 )
 
@@ -105,7 +106,7 @@
 
 // close bars a host until its next trial.
 func (j *Judge) close(now time.Time, h *host, reason Reason) {
-	delay := doubled(j.config.ProbationBase, j.config.ProbationMax, h.strikes)
+	delay := apricotwinch.Doubled(j.config.ProbationBase, j.config.ProbationMax, h.strikes)
 	h.standing = placer.Closed
 	h.probation = now.Add(j.jitter(delay))
 	h.evidence = nil
--- a/judge/judge.go
+++ b/judge/judge.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"time"
 
+	"apricotwinch"
 	"apricotwinch/placer"
 )
 
@@ -161,7 +162,7 @@
 
 // retry returns a verdict with the delay for the failures so far.
 func (j *Judge) retry(now time.Time, work *job, t *task, reason Reason) Verdict {
-	delay := doubled(j.config.BackoffBase, j.config.BackoffMax, t.failures+t.losses-1)
+	delay := apricotwinch.Doubled(j.config.BackoffBase, j.config.BackoffMax, t.failures+t.losses-1)
 	return Verdict{notBefore: now.Add(j.jitter(delay)), avoid: j.avoid(work), reason: reason}
 }
 
@@ -244,14 +245,3 @@
 	half := delay / 2
 	return half + time.Duration(j.random.Int64N(int64(half)+1))
 }
-
-// doubled returns base doubled times over, at most limit.
-func doubled(base, limit time.Duration, times int) time.Duration {
-	for range times {
-		if base >= limit {
-			return limit
-		}
-		base *= 2
-	}
-	return min(base, limit)
-}
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -80,9 +80,6 @@
 
 // delay returns a random delay below a bound that doubles with each try.
 func (r *Retrier) delay(number int) time.Duration {
-	bound := r.config.backoff
-	for range number - 1 {
-		bound = min(2*bound, r.config.maxBackoff)
-	}
+	bound := apricotwinch.Doubled(r.config.backoff, r.config.maxBackoff, number-1)
 	return time.Duration(r.random.Float64() * float64(bound))
 }
--- a/router/ejection.go
+++ b/router/ejection.go
@@ -3,6 +3,8 @@
 import (
 	"container/heap"
 	"time"
+
+	"apricotwinch"
 )
 
 // Ejection of targets that fail: a target leaves the choice for a time that
@@ -51,23 +53,11 @@
 		s.pool.ejected++
 	}
 	h.ejected, h.probing = true, false
-	h.due = now.Add(r.ejectionLength(h.ejections))
+	h.due = now.Add(apricotwinch.Doubled(r.config.ejection, r.config.maxEjection, h.ejections))
 	h.ejections++
 	heap.Push(&r.ejections, s)
 }
 
-// ejectionLength returns the length of an ejection after earlier ones.
-func (r *Router) ejectionLength(earlier int) time.Duration {
-	length := r.config.ejection
-	for range earlier {
-		length *= 2
-		if length >= r.config.maxEjection {
-			return r.config.maxEjection
-		}
-	}
-	return length
-}
-
 // advance lets the targets whose ejection is over prove themselves. They count
 // as ejected until they do.
 func (r *Router) advance(now time.Time) {
