Let the strongest entry own; sample the hosts' view of the owner

On a weak entry with 57 hosts the owner was late with everything. Each host also told each of 9 entries twice a second that it is there, and each answer listed all entries. Changes: members tell their processors; the strongest claims first, and a weak owner yields to one that is half as strong again and reaches the store, after 3 s, doubled each time. A shutdown waits for what was to be written when it began, not until nothing waits. An entry asks hosts for 30 reports a second in all; the list of entries is sent when it is asked for. Silent hosts are forgotten. Ruled out: a store that hid the evacuation; all entries logged it within 60 ms.

--- a/attendant/attendant.go
+++ b/attendant/attendant.go
@@ -35,8 +35,10 @@
 	// lasts several of them.
 	reportPeriod = 400 * time.Millisecond
 	// lookoutPeriod is the time between two short reports to an entry that is not
-	// the owner.
+	// the owner, unless that asks for another one.
 	lookoutPeriod = 500 * time.Millisecond
+	// membersPeriod is the time between two questions to the owner for the entries.
+	membersPeriod = 2 * time.Second
 	// peerTimeout bounds a call to an entry.
 	peerTimeout = 600 * time.Millisecond
 	// dialTimeout bounds the dial of an entry.
@@ -105,7 +107,15 @@
 	members   map[string]messenger.Member
 	owner     string
 	ownerAt   time.Time
-	lookoutAt map[string]time.Time
+	lookouts  map[string]lookout
+	membersAt time.Time
+}
+
+// lookout is the latest short report to an entry, and the time until the next one
+// that the entry asks for while the owner is heard.
+type lookout struct {
+	sentAt time.Time
+	period time.Duration
 }
 
 // New returns an agent that listens on the address of its settings.
@@ -129,7 +139,7 @@
 			deps.Logger, deps.Registry),
 		holding:   map[string]bool{},
 		members:   map[string]messenger.Member{},
-		lookoutAt: map[string]time.Time{},
+		lookouts:  map[string]lookout{},
 	}, nil
 }
 
@@ -330,10 +340,16 @@
 	defer a.mu.Unlock()
 	now := a.deps.Clock.Now()
 	for _, m := range a.members {
-		if m.Address == a.owner || now.Sub(a.lookoutAt[m.Address]) < lookoutPeriod {
+		last := a.lookouts[m.Address]
+		period := lookoutPeriod
+		if a.owner != "" && now.Sub(a.ownerAt) < lookoutPeriod {
+			period = max(period, last.period)
+		}
+		if m.Address == a.owner || now.Sub(last.sentAt) < period {
 			continue
 		}
-		a.lookoutAt[m.Address] = now
+		last.sentAt = now
+		a.lookouts[m.Address] = last
 		go a.reportTo(ctx, m.Address, false)
 	}
 }
@@ -345,6 +361,7 @@
 	a.mu.Lock()
 	sent := a.deps.Clock.Now()
 	report := a.custodian.Report(sent, whole)
+	report.AsksMembers = !whole || sent.Sub(a.membersAt) > membersPeriod
 	a.mu.Unlock()
 	var reply messenger.ReportReply
 	err := a.pool.Call(ctx, address, messenger.MethodReport, report, &reply)
@@ -359,7 +376,7 @@
 		return
 	}
 	a.custodian.Answered(now, sent, reply)
-	a.learn(reply)
+	a.learn(now, address, reply)
 	switch {
 	case reply.Owner && reply.Epoch >= a.custodian.Epoch():
 		a.ownerAt = now
@@ -387,10 +404,18 @@
 }
 
 // learn takes the entries that an entry knows; a.mu is held.
-func (a *Attendant) learn(reply messenger.ReportReply) {
+func (a *Attendant) learn(now time.Time, address string, reply messenger.ReportReply) {
+	if len(reply.Members) == 0 {
+		return
+	}
+	a.membersAt = now
 	for _, m := range reply.Members {
 		a.members[m.Name] = m
 	}
+	if last, ok := a.lookouts[address]; ok {
+		last.period = time.Duration(reply.LookoutMillis) * time.Millisecond
+		a.lookouts[address] = last
+	}
 }
 
 // find looks for entries until there is an owner.
--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -55,7 +55,7 @@
 	// held back leaves to other filling work.
 	idle     int64
 	openness float64
-	serving   int64
+	serving  int64
 
 	// told holds the presses that the agent was told of.
 	told map[appraiser.Pair]float64
--- a/conductor/journal.go
+++ b/conductor/journal.go
@@ -220,3 +220,11 @@
 
 // Durable returns the number of the last append that is durable.
 func (c *Conductor) Durable() int64 { return c.durable }
+
+// LastWrite returns the number of the append that holds all that has changed so far.
+func (c *Conductor) LastWrite() int64 {
+	if any, _ := c.Wants(); any {
+		return c.sequence + 1
+	}
+	return c.sequence
+}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -62,6 +62,9 @@
 	Listen string
 	// Seeds are addresses of entries that may be known before the store answers.
 	Seeds []string
+	// ProcessorMillis is the processor time that the entry may use, in thousandths of
+	// a processor; 0 for unknown.
+	ProcessorMillis int
 }
 
 // Deps is what a coordinator is given by its driver.
@@ -98,6 +101,9 @@
 	encoded   string
 	out       map[string]bool
 	draining  bool
+	// yielding is whether the entry takes no requests as the owner any more, for a
+	// stronger one to take over.
+	yielding bool
 }
 
 // New returns an entry that listens on the address of its settings.
@@ -107,7 +113,7 @@
 	if err != nil {
 		return nil, err
 	}
-	self := messenger.Member{Name: settings.Name, Address: listener.Addr().String(), Incarnation: uuid.NewString()}
+	self := messenger.Member{Name: settings.Name, Address: listener.Addr().String(), Incarnation: uuid.NewString(), ProcessorMillis: settings.ProcessorMillis}
 	pool := connector.NewPool(connector.Security{}, deps.Registry)
 	pool.SetDialTimeout(dialTimeout)
 	return &Coordinator{
@@ -169,18 +175,36 @@
 	c.pingAll(ctx)
 }
 
-// awaitWritten waits a short time until nothing waits to be written.
+// yield gives the ownership to a stronger entry once nothing waits to be written.
+func (c *Coordinator) yield(ctx context.Context) {
+	c.awaitWritten(ctx)
+	c.mu.Lock()
+	c.yielding = false
+	if c.conductor != nil {
+		c.elector.Yielded(c.deps.Clock.Now())
+		c.drop("yielded to a stronger entry")
+	}
+	c.mu.Unlock()
+	c.pingAll(ctx)
+}
+
+// awaitWritten waits a short time until what waits to be written now is durable.
 func (c *Coordinator) awaitWritten(ctx context.Context) {
+	c.mu.Lock()
+	owner := c.conductor
+	if owner == nil {
+		c.mu.Unlock()
+		return
+	}
+	last := owner.LastWrite()
+	c.kick()
+	c.mu.Unlock()
 	deadline := c.deps.Clock.Now().Add(storeTimeout)
 	for c.deps.Clock.Now().Before(deadline) && ctx.Err() == nil {
 		c.mu.Lock()
-		pending := !c.writeAt.IsZero()
-		if c.conductor != nil {
-			any, _ := c.conductor.Wants()
-			pending = pending || any
-		}
+		done := c.conductor != owner || owner.Durable() >= last
 		c.mu.Unlock()
-		if !pending {
+		if done {
 			return
 		}
 		c.deps.Clock.Sleep(tickPeriod)
@@ -239,6 +263,11 @@
 			c.claiming = true
 			go c.claim(ctx)
 		}
+	case elector.Yield:
+		if !c.yielding && !c.draining {
+			c.yielding = true
+			go c.yield(ctx)
+		}
 	case elector.Release:
 		c.drop("the store answers another entry, not this one")
 	}
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -159,10 +159,18 @@
 	store   *store
 	worker  *worker
 	entries []*coordinator.Coordinator
+	counts  []metrics.Registry
 	stop    []context.CancelFunc
 }
 
 func newDeployment(t *testing.T, entries int) *deployment {
+	t.Helper()
+	return newSizedDeployment(t, make([]int, entries)...)
+}
+
+// newSizedDeployment returns a deployment with an entry for each size, in thousandths
+// of a processor.
+func newSizedDeployment(t *testing.T, sizes ...int) *deployment {
 	t.Helper()
 	d := &deployment{
 		store: newStore(),
@@ -183,10 +191,12 @@
 		d.stop = append(d.stop, cancel)
 		running.Go(func() { f(ctx) })
 	}
-	for i := range entries {
+	for i, size := range sizes {
 		clock := timekeeper.New()
-		entry, err := coordinator.New(coordinator.Settings{Name: fmt.Sprint("entry-", i), Listen: "127.0.0.1:0"}, coordinator.Deps{
-			Log: d.store.log(), Clock: clock, Wall: time.Now, Logger: hclog.NewNullLogger(), Registry: metrics.NewRegistry(),
+		d.counts = append(d.counts, metrics.NewRegistry())
+		settings := coordinator.Settings{Name: fmt.Sprint("entry-", i), Listen: "127.0.0.1:0", ProcessorMillis: size}
+		entry, err := coordinator.New(settings, coordinator.Deps{
+			Log: d.store.log(), Clock: clock, Wall: time.Now, Logger: hclog.NewNullLogger(), Registry: d.counts[i],
 		})
 		if err != nil {
 			t.Fatal(err)
@@ -274,6 +284,26 @@
 	}
 }
 
+// TestStrongestEntryOwns holds that the ownership comes to the strongest entry, and
+// that what was accepted before it moved completes once.
+func TestStrongestEntryOwns(t *testing.T) {
+	d := newSizedDeployment(t, 200, 200, 800)
+	for i := range 20 {
+		d.complete(t, d.entries[i%3], fmt.Sprint("w-", i))
+	}
+	until(t, "the strongest entry owns", func() bool {
+		return metrics.GetOrRegisterCounter("ownership.taken", d.counts[2]).Count() > 0
+	})
+	d.complete(t, d.entries[0], "after")
+	d.worker.mu.Lock()
+	defer d.worker.mu.Unlock()
+	for task, starts := range d.worker.starts {
+		if diff := cmp.Diff(1, starts); diff != "" {
+			t.Errorf("starts of %v (-want +got):\n%s", task, diff)
+		}
+	}
+}
+
 // TestNoOwnerIsToldBeforeTheDeadline holds that a request that no owner takes is
 // refused, as not run, long before its deadline.
 func TestNoOwnerIsToldBeforeTheDeadline(t *testing.T) {
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -406,6 +406,9 @@
 		reply.OwnerAddress = c.self.Address
 		c.advance(context.WithoutCancel(ctx), now, false)
 	}
-	reply.Members = append(c.elector.Peers(), c.self)
+	if r.AsksMembers {
+		reply.Members = append(c.elector.Peers(), c.self)
+		reply.LookoutMillis = int(c.elector.Lookout().Milliseconds())
+	}
 	return reply, nil
 }
--- a/coordinator/requests.go
+++ b/coordinator/requests.go
@@ -118,7 +118,7 @@
 
 // checkOwner fails unless this entry is the owner and may act; c.mu is held.
 func (c *Coordinator) checkOwner(now time.Time) error {
-	if c.conductor == nil || !c.elector.Authority(now) || c.draining {
+	if c.conductor == nil || !c.elector.Authority(now) || c.draining || c.yielding {
 		return apricotwinch.Errorf(apricotwinch.NotOwner, "this entry does not own the workloads")
 	}
 	return nil
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -33,6 +34,18 @@
 	Authority time.Duration
 	// MemberLife is how long an entry that is silent is remembered.
 	MemberLife time.Duration
+	// Stronger is how many times an owner's processors another entry must have for
+	// the owner to yield to it.
+	Stronger float64
+	// Sightings is the number of reports a second that an entry wants of all hosts
+	// together, to judge by whether most of them hear the owner.
+	Sightings float64
+	// LeastLookout is the least time between two reports of a host.
+	LeastLookout time.Duration
+	// SightingLife is how long a report counts.
+	SightingLife time.Duration
+	// Settle is how long an owner acts before it yields; it doubles with each time.
+	Settle, MaxSettle time.Duration
 }
 
 // DefaultConfig returns the bounds used by entries.
@@ -45,6 +58,12 @@
 		StorePatience: 900 * time.Millisecond,
 		Authority:     apricotwinch.OwnerAuthority,
 		MemberLife:    time.Minute,
+		Stronger:      1.5,
+		Sightings:     30,
+		LeastLookout:  500 * time.Millisecond,
+		SightingLife:  600 * time.Millisecond,
+		Settle:        3 * time.Second,
+		MaxSettle:     time.Minute,
 	}
 }
 
@@ -58,6 +77,9 @@
 	Claim
 	// Release means to stop acting as the owner.
 	Release
+	// Yield means to finish what is under way, and then to call Yielded: an entry
+	// with more processors can take over.
+	Yield
 )
 
 // peer is another entry.
@@ -85,14 +107,19 @@
 	owned    bool
 	released bool
 	leaving  bool
+	yields   int
 
 	startedAt  time.Time
 	ownerSince time.Time
-	storeAt    time.Time
-	answeredAt time.Time
-	storeHeard bool
-	peers      map[string]*peer
-	hosts      map[string]sighting
+	yieldedAt  time.Time
+	forgotAt   time.Time
+	// ownerHeardAt is when an entry was last heard that owned the workloads.
+	ownerHeardAt time.Time
+	storeAt      time.Time
+	answeredAt   time.Time
+	storeHeard   bool
+	peers        map[string]*peer
+	hosts        map[string]sighting
 }
 
 // New returns an elector of the entry self, which knows no owner.
@@ -159,6 +186,18 @@
 	}
 }
 
+// Yielded takes that this entry has stopped acting as the owner, for a stronger one
+// to claim.
+func (e *Elector) Yielded(now time.Time) {
+	if !e.owned {
+		return
+	}
+	e.owned = false
+	e.released = true
+	e.yields++
+	e.yieldedAt = now
+}
+
 // StoreAnswered takes an answer of the store, at now, to a call that was sent at
 // sent.
 func (e *Elector) StoreAnswered(sent, now time.Time) {
@@ -207,6 +246,9 @@
 	switch {
 	case ping.Owner:
 		e.Learned(now, epoch, ping.Member)
+		if epoch == e.epoch {
+			e.ownerHeardAt = now
+		}
 	case epoch > e.epoch:
 		e.Superseded(epoch)
 	}
@@ -229,6 +271,13 @@
 	}
 }
 
+// Lookout returns the time until the next report that this entry wants of a host:
+// a sample of the hosts is enough to judge an owner.
+func (e *Elector) Lookout() time.Duration {
+	period := time.Duration(float64(len(e.hosts)) / e.config.Sightings * float64(time.Second))
+	return max(e.config.LeastLookout, period)
+}
+
 // Peers returns the other entries in order of their names.
 func (e *Elector) Peers() []messenger.Member {
 	var members []messenger.Member
@@ -280,6 +329,7 @@
 			delete(e.peers, name)
 		}
 	}
+	e.forgetHosts(now)
 	switch {
 	case e.leaving:
 		return Stay
@@ -293,9 +343,23 @@
 	return Stay
 }
 
-// tickOwner lets go when the store refuses this entry and serves another one.
+// forgetHosts drops the hosts that have been silent for long.
+func (e *Elector) forgetHosts(now time.Time) {
+	if now.Sub(e.forgotAt) < e.config.MemberLife {
+		return
+	}
+	e.forgotAt = now
+	maps.DeleteFunc(e.hosts, func(_ string, s sighting) bool { return now.Sub(s.at) > e.config.MemberLife })
+}
+
+// tickOwner lets go when the store refuses this entry and serves another one, and
+// yields to an entry that is much stronger.
 func (e *Elector) tickOwner(now time.Time) Step {
 	if e.StoreSilence(now) < e.config.StorePatience {
+		settle := apricotwinch.Doubled(e.config.Settle, e.config.MaxSettle, e.yields)
+		if now.Sub(e.ownerSince) > settle && e.outranked(now) {
+			return Yield
+		}
 		return Stay
 	}
 	for _, p := range e.peers {
@@ -308,6 +372,16 @@
 	return Stay
 }
 
+// outranked reports whether an entry that could take over is much stronger.
+func (e *Elector) outranked(now time.Time) bool {
+	for _, p := range e.peers {
+		if float64(p.ping.Member.ProcessorMillis) >= e.config.Stronger*float64(e.self.ProcessorMillis) && e.self.ProcessorMillis > 0 && e.able(now, p) {
+			return true
+		}
+	}
+	return false
+}
+
 // able reports whether another entry could take over.
 func (e *Elector) able(now time.Time, p *peer) bool {
 	store := time.Duration(p.ping.StoreMillis) * time.Millisecond
@@ -321,7 +395,7 @@
 		return now.Sub(latest(e.startedAt, e.ownerSince)) > delay+e.config.RankDelay
 	}
 	if e.owner.Name == e.self.Name {
-		return true
+		return now.Sub(e.yieldedAt) > e.config.OwnerSilence+delay
 	}
 	p := e.peers[e.owner.Name]
 	if p == nil {
@@ -339,7 +413,7 @@
 func (e *Elector) seenByHosts(now time.Time) bool {
 	fresh, seen := 0, 0
 	for _, s := range e.hosts {
-		if now.Sub(s.at) > e.config.Fresh {
+		if now.Sub(s.at) > e.config.SightingLife {
 			continue
 		}
 		fresh++
@@ -354,13 +428,19 @@
 func (e *Elector) rank(now time.Time) int {
 	rank := 0
 	for name, p := range e.peers {
-		if name < e.self.Name && name != e.owner.Name && e.able(now, p) {
+		if name != e.owner.Name && before(p.ping.Member, e.self) && e.able(now, p) {
 			rank++
 		}
 	}
 	return rank
 }
 
+// before reports whether one entry claims before another: the one with more
+// processors, as an owner's work grows with the deployment.
+func before(a, b messenger.Member) bool {
+	return cmp.Or(cmp.Compare(b.ProcessorMillis, a.ProcessorMillis), cmp.Compare(a.Name, b.Name)) < 0
+}
+
 // Clean reports whether the owner is known to have stopped acting.
 func (e *Elector) Clean() bool {
 	if e.owner.Name == "" || e.owner.Name == e.self.Name {
@@ -378,7 +458,10 @@
 }
 
 // OwnerHeard reports whether the owner was heard lately.
-func (e *Elector) OwnerHeard(now time.Time) bool {
-	p := e.peers[e.owner.Name]
-	return p != nil && p.ping.Owner && now.Sub(p.heardAt) < e.config.Fresh
+func (e *Elector) OwnerHeard(now time.Time) bool { return e.OwnerSilence(now) < e.config.Fresh }
+
+// OwnerSilence returns how long ago another entry was last heard that owns the
+// workloads, or since when this entry knows of none.
+func (e *Elector) OwnerSilence(now time.Time) time.Duration {
+	return now.Sub(latest(e.ownerHeardAt, e.startedAt))
 }
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -179,3 +179,63 @@
 	// true
 	// true
 }
+
+func sized(name string, processorMillis int) messenger.Member {
+	m := member(name)
+	m.ProcessorMillis = processorMillis
+	return m
+}
+
+// TestWeakOwnerYields holds that an owner on a weak host gives way to a much stronger
+// entry that reaches the store, leaves it time to claim, and yields ever more rarely.
+func TestWeakOwnerYields(t *testing.T) {
+	tests := []struct {
+		name string
+		peer messenger.Ping
+		want elector.Step
+	}{
+		{name: "much stronger", peer: messenger.Ping{Member: sized("entry-c", 800)}, want: elector.Yield},
+		{name: "hardly stronger", peer: messenger.Ping{Member: sized("entry-c", 250)}},
+		{name: "without the store", peer: messenger.Ping{Member: sized("entry-c", 800), StoreMillis: -1}},
+		{name: "shuts down", peer: messenger.Ping{Member: sized("entry-c", 800), Leaving: true}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := &stage{Elector: elector.New(start, elector.DefaultConfig(), sized("entry-b", 192)), now: start}
+			s.Claimed(s.now, 1)
+			test.peer.Epoch = 1
+			if diff := cmp.Diff(test.want, s.pass(10*time.Second, true, test.peer)); diff != "" {
+				t.Fatalf("step (-want +got):\n%s", diff)
+			}
+			if test.want != elector.Yield {
+				return
+			}
+			first := s.now.Sub(start)
+			s.Yielded(s.now)
+			if got := s.pass(500*time.Millisecond, true, test.peer); got != elector.Stay {
+				t.Errorf("step after the yield: got %v, want none", got)
+			}
+			s.Claimed(s.now, 2)
+			claimed := s.now
+			s.pass(time.Minute, true, test.peer)
+			if again := s.now.Sub(claimed); again < 2*first-100*time.Millisecond {
+				t.Errorf("yielded again after %s, at first after %s", again, first)
+			}
+		})
+	}
+}
+
+// TestStrongestClaimsFirst holds that of several entries the one with most processors
+// claims, and the others wait for it.
+func TestStrongestClaimsFirst(t *testing.T) {
+	s := &stage{Elector: elector.New(start, elector.DefaultConfig(), sized("entry-b", 800)), now: start}
+	weak := messenger.Ping{Member: sized("entry-a", 192)}
+	if got := s.pass(200*time.Millisecond, true, weak); got != elector.Claim {
+		t.Errorf("the strongest: got %v, want a claim", got)
+	}
+	s = &stage{Elector: elector.New(start, elector.DefaultConfig(), sized("entry-b", 192)), now: start}
+	strong := messenger.Ping{Member: sized("entry-c", 800)}
+	if got := s.pass(250*time.Millisecond, true, strong); got != elector.Stay {
+		t.Errorf("the weaker: got %v, want none", got)
+	}
+}
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -690,6 +690,9 @@
 
 	// Name of the entry.
 	Name string `json:"name"`
+
+	// Processor time it may use, in thousandths of a processor; 0 for unknown.
+	ProcessorMillis int `json:"processorMillis"`
 }
 
 // What must last of one occurrence.
@@ -885,6 +888,9 @@
 	// Address of the agent, host:port.
 	Address string `json:"address"`
 
+	// Whether the answer lists the entries.
+	AsksMembers bool `json:"asksMembers,omitempty,omitzero"`
+
 	// Greatest epoch that the agent has seen.
 	Epoch int `json:"epoch"`
 
@@ -931,7 +937,11 @@
 	// Whether the leases of the host are renewed.
 	Lease bool `json:"lease,omitempty,omitzero"`
 
-	// Entries that the entry knows.
+	// Time until the next short report to this entry, in milliseconds; 0 for not
+	// told.
+	LookoutMillis int `json:"lookoutMillis,omitempty,omitzero"`
+
+	// Entries that the entry knows, if the report asks for them.
 	Members []Member `json:"members"`
 
 	// Whether the entry is that owner.
