Soak with emulators of the platform; keep the owner through an outage for all

Two parts, committed together.

Tests, red before: TestStoreOutageKeepsTheOwner, TestHerdOfClaimsWaitsForTheWinner, TestEndedWorkloadLeavesAShortRecord, TestNoOwnerIsToldBeforeTheDeadline.

--- a/appender/journal.go
+++ b/appender/journal.go
@@ -71,6 +71,9 @@
 	JournalWork = "work"
 	// JournalMembers holds the entries.
 	JournalMembers = "members"
+	// JournalOwner holds a copy of the owner's record, for those who need no more of
+	// JournalWork.
+	JournalOwner = "owner"
 )
 
 // Settled reports whether an append that ended with err needs no repetition.
--- a/attendant/attendant.go
+++ b/attendant/attendant.go
@@ -7,6 +7,7 @@
 package attendant
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net"
@@ -79,6 +80,9 @@
 	Host string
 	// Listen is the address for entries, host:port.
 	Listen string
+	// Advertise is the address that entries dial, host:port; empty for the one that the
+	// agent listens on.
+	Advertise string
 	// Seeds are addresses of entries that may be known before the store answers.
 	Seeds []string
 }
@@ -135,11 +139,11 @@
 		pool:     pool,
 		listener: listener,
 		news:     make(chan struct{}, 1),
-		custodian: custodian.New(now, custodian.DefaultConfig(), settings.Host, listener.Addr().String(), incarnation,
+		custodian: custodian.New(now, custodian.DefaultConfig(), settings.Host, cmp.Or(settings.Advertise, listener.Addr().String()), incarnation,
 			deps.Logger, deps.Registry),
-		holding:   map[string]bool{},
-		members:   map[string]messenger.Member{},
-		lookouts:  map[string]lookout{},
+		holding:  map[string]bool{},
+		members:  map[string]messenger.Member{},
+		lookouts: map[string]lookout{},
 	}, nil
 }
 
--- a/commander/daemons.go
+++ b/commander/daemons.go
@@ -28,22 +28,36 @@
 
 // platformCommand returns a command that runs a daemon with the platform's
 // settings file until SIGTERM.
-func platformCommand(name, synopsis string, run func(context.Context) error) func(*console) subcommands.Command {
+func platformCommand(name, synopsis string, run func(context.Context, platform.Options) error) func(*console) subcommands.Command {
 	return func(c *console) subcommands.Command {
+		var options platform.Options
+		var check bool
 		return &command{
 			name:     name,
 			synopsis: synopsis,
-			usage: name + `
+			usage: name + ` [-check] [-advertise HOST:PORT]
 
-The platform's environment names the settings file.
+The platform's environment names the settings file. With -advertise, other
+processes dial that address instead of the one that this process listens on.
 
   apricotwinch ` + name + `
+  apricotwinch ` + name + ` -check
 `,
+			setFlags: func(flags *flag.FlagSet) {
+				flags.BoolVar(&check, "check", false, "check the settings file and exit")
+				flags.StringVar(&options.Advertise, "advertise", "", "address that other processes dial, host:port")
+			},
 			run: func(ctx context.Context, args []string) subcommands.ExitStatus {
 				if len(args) > 0 {
 					return c.usage("%s takes no arguments", name)
 				}
-				if err := run(ctx); err != nil {
+				if check {
+					if _, err := platform.Load(); err != nil {
+						return c.fail(err)
+					}
+					return subcommands.ExitSuccess
+				}
+				if err := run(ctx, options); err != nil {
 					return c.fail(err)
 				}
 				return subcommands.ExitSuccess
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -191,6 +191,7 @@
 func (c *Conductor) end(now time.Time, w *workload, state string) {
 	w.state = state
 	w.endedAt = now
+	w.dirtyEnd = true
 	c.ended = append(c.ended, w)
 	for _, o := range w.occurrences {
 		for _, t := range o.tasks() {
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 	"pgregory.net/rapid"
 
 	"apricotwinch"
+	"apricotwinch/appender"
 	"apricotwinch/cataloger"
 	"apricotwinch/conductor"
 	"apricotwinch/messenger"
@@ -401,6 +403,28 @@
 	w.runUntil(20*time.Second, func() bool { return w.running("w") == 1 })
 }
 
+// TestEndedWorkloadLeavesAShortRecord holds that the journal keeps of a workload that
+// has ended only its state, also when the store refused that once, and that the next
+// owner still shows it.
+func TestEndedWorkloadLeavesAShortRecord(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.run(2 * time.Second)
+	w.submit(urgent, "w", tasks(3, 500, 200*time.Millisecond))
+	before := len(w.store["w/w"])
+	w.refuse = func(records []appender.KeyedRecord) bool {
+		return slices.ContainsFunc(records, func(r appender.KeyedRecord) bool { return r.Key() == "w/w" })
+	}
+	w.runUntil(3*time.Second, func() bool { return w.state("w") == messenger.WorkloadCompleted })
+	if after := len(w.store["w/w"]); after >= before {
+		t.Errorf("record of %d bytes, before its end %d", after, before)
+	}
+	w.replaceOwner(true)
+	w.run(time.Second)
+	if diff := cmp.Diff(messenger.WorkloadCompleted, w.state("w")); diff != "" {
+		t.Errorf("state at the next owner (-want +got):\n%s", diff)
+	}
+}
+
 // TestLastingWorkLeavesAReserve holds that tasks that never end can't take the last
 // room that urgent work needs.
 func TestLastingWorkLeavesAReserve(t *testing.T) {
--- a/conductor/journal.go
+++ b/conductor/journal.go
@@ -113,12 +113,10 @@
 	c.sequence++
 	records := c.records
 	for _, w := range c.dirty {
-		if w.dirtySpec {
-			records = append(records, encode(prefixWork+w.id, messenger.WorkloadRecord{
-				Queue: w.queue, Id: w.id, Epoch: int(w.epoch), Spec: w.spec, AcceptedMillis: int(w.acceptedAt.UnixMilli()),
-			}))
-			w.dirtySpec = false
+		if w.dirtySpec || w.dirtyEnd {
+			records = append(records, encode(prefixWork+w.id, w.record()))
 		}
+		w.dirtySpec, w.dirtyEnd = false, false
 		records = append(records, encode(prefixProgress+w.id, w.progress()))
 		w.dirty = false
 	}
@@ -128,6 +126,16 @@
 	return records, c.sequence
 }
 
+// record returns what must last of the workload as it was handed in; of one that has
+// ended only that it was, which keeps the journal short for the next owner.
+func (w *workload) record() messenger.WorkloadRecord {
+	record := messenger.WorkloadRecord{Queue: w.queue, Id: w.id, Epoch: int(w.epoch), AcceptedMillis: int(w.acceptedAt.UnixMilli())}
+	if !w.terminal() {
+		record.Spec = w.spec
+	}
+	return record
+}
+
 // Withdraw takes back what was handed in and not sent to the store yet; none of
 // it has run or ever will. It returns how many workloads that were.
 func (c *Conductor) Withdraw() int {
@@ -154,7 +162,8 @@
 	for _, r := range records {
 		if id, ok := strings.CutPrefix(r.Key(), prefixWork); ok && len(r.Value()) > 0 {
 			if w := c.jobs[id]; w != nil {
-				w.dirtySpec = true
+				w.dirtySpec = w.shown == ""
+				w.dirtyEnd = w.terminal()
 				c.touch(w, true)
 			}
 			continue
--- a/conductor/workload.go
+++ b/conductor/workload.go
@@ -24,7 +24,9 @@
 	outlook     outlook
 	priority    int
 	dirtySpec   bool
-	dirty       bool
+	// dirtyEnd is whether the record must be written without what was to be run.
+	dirtyEnd bool
+	dirty    bool
 	// durableAt is the number of the write that holds the latest change.
 	durableAt int64
 }
--- a/conductor/world_test.go
+++ b/conductor/world_test.go
@@ -48,8 +48,10 @@
 	epoch   int64
 	store   map[string][]byte
 	offline bool
-	hosts   []*modelHost
-	queues  map[string][]*messenger.Orders
+	// refuse picks the next append that the store refuses.
+	refuse func([]appender.KeyedRecord) bool
+	hosts  []*modelHost
+	queues map[string][]*messenger.Orders
 	// ended holds the tasks that an executor has ended as done, noted those of which
 	// the executor was told that the end is known.
 	ended map[messenger.TaskRef]bool
@@ -180,6 +182,11 @@
 		return
 	}
 	records, number := w.owner.TakeWrites()
+	if w.refuse != nil && w.refuse(records) {
+		w.refuse = nil
+		w.owner.Undo(records)
+		return
+	}
 	for _, r := range records {
 		w.store[r.Key()] = r.Value()
 		if len(r.Value()) == 0 {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -7,6 +7,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"sync"
@@ -60,6 +61,9 @@
 	Name string
 	// Listen is the address for peers and agents, host:port.
 	Listen string
+	// Advertise is the address that peers and agents dial, host:port; empty for the one
+	// that the entry listens on.
+	Advertise string
 	// Seeds are addresses of entries that may be known before the store answers.
 	Seeds []string
 	// ProcessorMillis is the processor time that the entry may use, in thousandths of
@@ -89,8 +93,10 @@
 	conductor *conductor.Conductor
 	producer  appender.Producer
 	claiming  bool
-	changed   chan struct{}
-	wake      chan struct{}
+	// failedClaims counts the claims that another entry's forestalled, in a row.
+	failedClaims int
+	changed      chan struct{}
+	wake         chan struct{}
 	// writeAt is when the append that is under way was first sent; zero for none.
 	// refusedAt is when the store provably refused the last one; zero for not.
 	writeAt   time.Time
@@ -113,7 +119,8 @@
 	if err != nil {
 		return nil, err
 	}
-	self := messenger.Member{Name: settings.Name, Address: listener.Addr().String(), Incarnation: uuid.NewString(), ProcessorMillis: settings.ProcessorMillis}
+	address := cmp.Or(settings.Advertise, listener.Addr().String())
+	self := messenger.Member{Name: settings.Name, Address: address, Incarnation: uuid.NewString(), ProcessorMillis: settings.ProcessorMillis}
 	pool := connector.NewPool(connector.Security{}, deps.Registry)
 	pool.SetDialTimeout(dialTimeout)
 	return &Coordinator{
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -318,6 +318,14 @@
 	if ctx.Err() != nil {
 		t.Error("refused at the deadline")
 	}
+	began := time.Now()
+	_, err = d.entries[0].Submit(ctx, request("later"))
+	if diff := cmp.Diff(apricotwinch.NotOwner, apricotwinch.KindOf(err)); diff != "" {
+		t.Errorf("kind of the next (-want +got):\n%s", diff)
+	}
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("the next waited for an owner that has long been gone: %s", took)
+	}
 }
 
 // TestRefusingStoreIsToldAtOnce holds that while the store provably refuses, callers
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -45,21 +45,21 @@
 				c.deps.Logger.Info("entry known in the store", "entry", c.self.Name)
 			}
 		}
-		if joined && c.learn(ctx, sent) {
+		if joined && c.learn(ctx, sent, appender.JournalOwner) {
 			return
 		}
 		timekeeper.Sleep(ctx, c.deps.Clock, storeRetry)
 	}
 }
 
-// learn reads the members and the owner.
-func (c *Coordinator) learn(ctx context.Context, sent time.Time) bool {
-	var members, work []appender.KeyedRecord
+// learn reads the members, and the owner from a journal that holds its record.
+func (c *Coordinator) learn(ctx context.Context, sent time.Time, journal string) bool {
+	var members, holding []appender.KeyedRecord
 	err := c.call(ctx, func(ctx context.Context) (err error) {
 		if members, err = c.deps.Log.Newest(ctx, appender.JournalMembers); err != nil {
 			return err
 		}
-		work, err = c.deps.Log.Newest(ctx, appender.JournalWork)
+		holding, err = c.deps.Log.Newest(ctx, journal)
 		return err
 	})
 	if err != nil {
@@ -78,7 +78,7 @@
 		}
 		c.elector.Known(now, m)
 	}
-	if owner, ok := ownerOf(work); ok {
+	if owner, ok := ownerOf(holding); ok {
 		c.elector.Learned(now, int64(owner.Epoch), owner.Member)
 	}
 	return true
@@ -123,9 +123,10 @@
 	err = c.appendOnce(ctx, producer, []appender.KeyedRecord{appender.NewKeyedRecord(conductor.KeyOwner, record)})
 	if err != nil {
 		c.deps.Logger.Info("claim failed", "epoch", epoch, "kind", string(apricotwinch.KindOf(err)), "error", err)
-		c.learn(ctx, sent)
+		c.claimFailed(ctx, sent, epoch, err)
 		return
 	}
+	c.failedClaims = 0
 	c.deps.Logger.Info("claim landed", "epoch", epoch, "before", before.Name, "clean", clean)
 	var records []appender.KeyedRecord
 	err = c.call(ctx, func(ctx context.Context) (err error) {
@@ -137,6 +138,34 @@
 		return
 	}
 	c.own(epoch, producer.Next(), clean, records, sent)
+	c.publishOwner(ctx, record)
+}
+
+// claimFailed draws the consequences of a claim that did not land. The winner tells of
+// itself soon; the journal, which all losers would read at once, is read only when that
+// did not help.
+func (c *Coordinator) claimFailed(ctx context.Context, sent time.Time, epoch int64, err error) {
+	if apricotwinch.KindOf(err) != apricotwinch.StaleEpoch {
+		return
+	}
+	c.mu.Lock()
+	c.elector.Superseded(c.deps.Clock.Now(), epoch)
+	c.failedClaims++
+	again := c.failedClaims > 1
+	c.mu.Unlock()
+	if again {
+		c.learn(ctx, sent, appender.JournalWork)
+	}
+}
+
+// publishOwner lets entries that start know the owner without the journal of work.
+func (c *Coordinator) publishOwner(ctx context.Context, record []byte) {
+	err := c.call(ctx, func(ctx context.Context) error {
+		return c.deps.Log.Put(ctx, appender.JournalOwner, []appender.KeyedRecord{appender.NewKeyedRecord(conductor.KeyOwner, record)})
+	})
+	if err != nil {
+		c.deps.Logger.Info("owner not published", "kind", string(apricotwinch.KindOf(err)), "error", err)
+	}
 }
 
 // own starts the conductor of an epoch from the records of the journal.
@@ -282,7 +311,7 @@
 		return true
 	case apricotwinch.KindOf(err) == apricotwinch.StaleEpoch:
 		c.writeAt = time.Time{}
-		c.elector.Superseded(owner.Epoch() + 1)
+		c.elector.Superseded(now, owner.Epoch()+1)
 		c.drop("the store knows a later epoch")
 		return true
 	}
--- a/coordinator/requests.go
+++ b/coordinator/requests.go
@@ -33,12 +33,14 @@
 
 type handler func(context.Context, messenger.WorkloadRequest) (messenger.WorkloadReply, error)
 
-// ownerPatience is how long a request that nobody has taken waits for an owner: a
-// takeover takes about a second.
-const ownerPatience = 1500 * time.Millisecond
+// ownerPatience is how long after the loss of the owner requests wait for another
+// one: a takeover takes about a second. A request that finds an owner that can't take
+// it waits as long.
+const ownerPatience = 1300 * time.Millisecond
 
 // ask asks the owner, wherever it is, and a later one while there is time. Every
-// request may be repeated.
+// request may be repeated: one that may have been taken is answered as unknown as soon
+// as there is no owner to ask again, so that the caller can ask another entry.
 func (c *Coordinator) ask(ctx context.Context, method string, request messenger.WorkloadRequest, here handler) (messenger.WorkloadReply, error) {
 	sent := false
 	began := c.deps.Clock.Now()
@@ -50,13 +52,13 @@
 			sent = true
 		case apricotwinch.NotOwner, apricotwinch.Unreachable:
 		default:
-			if sent && err != nil && kind.Answer().NotRun() && kind != apricotwinch.NotFound {
-				err = apricotwinch.Errorf(apricotwinch.Unknown, "workload %s may have been accepted before: %w", request.Id, err)
+			if err != nil && kind.Answer().NotRun() && kind != apricotwinch.NotFound {
+				err = c.settleUnknown(sent, request.Id, err)
 			}
 			return reply, err
 		}
-		if !sent && c.deps.Clock.Since(began) > ownerPatience {
-			return reply, err
+		if c.ownerless() || !sent && c.deps.Clock.Since(began) > ownerPatience {
+			return reply, c.settleUnknown(sent, request.Id, err)
 		}
 		metrics.GetOrRegisterCounter("ask.retried."+string(kind), c.deps.Registry).Inc(1)
 		c.mu.Lock()
@@ -64,16 +66,30 @@
 		c.mu.Unlock()
 		select {
 		case <-ctx.Done():
-			if sent {
-				return reply, apricotwinch.Errorf(apricotwinch.Unknown, "workload %s: %w", request.Id, err)
-			}
-			return reply, err
+			return reply, c.settleUnknown(sent, request.Id, err)
 		case <-changed:
 		case <-c.deps.Clock.After(ownerPoll):
 		}
 	}
 }
 
+// settleUnknown returns the error of a request that is given up: unknown when an owner
+// may have taken it.
+func (c *Coordinator) settleUnknown(sent bool, id string, err error) error {
+	if !sent {
+		return err
+	}
+	return apricotwinch.Errorf(apricotwinch.Unknown, "workload %s may have been taken: %w", id, err)
+}
+
+// ownerless reports whether there has been no owner to ask for so long that a request
+// had better go elsewhere.
+func (c *Coordinator) ownerless() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.conductor == nil && c.elector.OwnerSilence(c.deps.Clock.Now()) > ownerPatience
+}
+
 func (c *Coordinator) askOnce(ctx context.Context, method string, request messenger.WorkloadRequest, here handler) (messenger.WorkloadReply, error) {
 	c.mu.Lock()
 	owned := c.conductor != nil
--- a/coordinator/sender.go
+++ b/coordinator/sender.go
@@ -88,7 +88,7 @@
 			s.queue = s.queue[1:]
 		}
 	case kind == apricotwinch.StaleEpoch:
-		c.elector.Superseded(int64(orders.Epoch) + 1)
+		c.elector.Superseded(now, int64(orders.Epoch)+1)
 		c.drop("an agent obeys a later epoch")
 		return false
 	default:
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -29,6 +29,9 @@
 	// StorePatience is how long an owner goes without the store before it lets go
 	// to an entry that reaches it.
 	StorePatience time.Duration
+	// Served is the age of a peer's last answer of the store up to which the owner lets
+	// go to it: a store that is down for all fell silent for all at once.
+	Served time.Duration
 	// Authority is how long an owner acts without the store while an entry that
 	// may have claimed can't be reached.
 	Authority time.Duration
@@ -56,6 +59,7 @@
 		Fresh:         time.Second,
 		Present:       500 * time.Millisecond,
 		StorePatience: 900 * time.Millisecond,
+		Served:        600 * time.Millisecond,
 		Authority:     apricotwinch.OwnerAuthority,
 		MemberLife:    time.Minute,
 		Stronger:      1.5,
@@ -113,8 +117,10 @@
 	ownerSince time.Time
 	yieldedAt  time.Time
 	forgotAt   time.Time
-	// ownerHeardAt is when an entry was last heard that owned the workloads.
+	// ownerHeardAt is when an entry was last known to own the workloads.
 	ownerHeardAt time.Time
+	// supersededAt is when a later epoch was heard of, whose owner is not known yet.
+	supersededAt time.Time
 	storeAt      time.Time
 	answeredAt   time.Time
 	storeHeard   bool
@@ -159,11 +165,12 @@
 }
 
 // Superseded takes that a later epoch than this entry's exists.
-func (e *Elector) Superseded(epoch int64) {
+func (e *Elector) Superseded(now time.Time, epoch int64) {
 	e.owned = false
 	if epoch > e.epoch {
 		e.epoch = epoch
 		e.owner = messenger.Member{}
+		e.supersededAt = now
 	}
 }
 
@@ -250,7 +257,7 @@
 			e.ownerHeardAt = now
 		}
 	case epoch > e.epoch:
-		e.Superseded(epoch)
+		e.Superseded(now, epoch)
 	}
 }
 
@@ -264,7 +271,7 @@
 // HostHeard takes how long a host has not heard the owner of epoch.
 func (e *Elector) HostHeard(now time.Time, host string, epoch int64, silent time.Duration) {
 	if epoch > e.epoch {
-		e.Superseded(epoch)
+		e.Superseded(now, epoch)
 	}
 	if epoch == e.epoch {
 		e.hosts[host] = sighting{at: now, silent: silent}
@@ -334,6 +341,7 @@
 	case e.leaving:
 		return Stay
 	case e.owned:
+		e.ownerHeardAt = now
 		return e.tickOwner(now)
 	case e.StoreSilence(now) > e.config.Fresh:
 		return Stay
@@ -363,7 +371,7 @@
 		return Stay
 	}
 	for _, p := range e.peers {
-		if e.able(now, p) {
+		if e.able(now, p) && p.storeSilence(now) < e.config.Served {
 			e.owned = false
 			e.released = true
 			return Release
@@ -384,15 +392,27 @@
 
 // able reports whether another entry could take over.
 func (e *Elector) able(now time.Time, p *peer) bool {
+	present := !p.gone && !p.ping.Leaving && now.Sub(p.heardAt) < e.config.Present
 	store := time.Duration(p.ping.StoreMillis) * time.Millisecond
-	return !p.gone && !p.ping.Leaving && now.Sub(p.heardAt) < e.config.Present && store >= 0 && store < e.config.Fresh
+	return present && store >= 0 && store < e.config.Fresh
+}
+
+// storeSilence returns how long ago the store has answered another entry, as far as it
+// told.
+func (p *peer) storeSilence(now time.Time) time.Duration {
+	return time.Duration(p.ping.StoreMillis)*time.Millisecond + now.Sub(p.heardAt)
 }
 
 // vacant reports whether it is this entry's turn to claim.
 func (e *Elector) vacant(now time.Time) bool {
 	delay := time.Duration(e.rank(now)) * e.config.RankDelay
 	if e.owner.Name == "" {
-		return now.Sub(latest(e.startedAt, e.ownerSince)) > delay+e.config.RankDelay
+		wait := delay + e.config.RankDelay
+		if !e.supersededAt.IsZero() {
+			// Somebody has claimed, and reads the journal.
+			wait += e.config.OwnerSilence
+		}
+		return now.Sub(latest(latest(e.startedAt, e.ownerSince), e.supersededAt)) > wait
 	}
 	if e.owner.Name == e.self.Name {
 		return now.Sub(e.yieldedAt) > e.config.OwnerSilence+delay
@@ -460,8 +480,8 @@
 // OwnerHeard reports whether the owner was heard lately.
 func (e *Elector) OwnerHeard(now time.Time) bool { return e.OwnerSilence(now) < e.config.Fresh }
 
-// OwnerSilence returns how long ago another entry was last heard that owns the
-// workloads, or since when this entry knows of none.
+// OwnerSilence returns how long ago an entry, this one included, was last known to own
+// the workloads.
 func (e *Elector) OwnerSilence(now time.Time) time.Duration {
 	return now.Sub(latest(e.ownerHeardAt, e.startedAt))
 }
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -239,3 +239,84 @@
 		t.Errorf("the weaker: got %v, want none", got)
 	}
 }
+
+// TestRetryStormWithoutOwner holds what requests without an owner are judged by: its
+// silence counts from when it was last heard, whoever it was, so that clients that come
+// again are not held once more.
+func TestRetryStormWithoutOwner(t *testing.T) {
+	s := newStage()
+	s.pass(3*time.Second, false, ping("entry-a", 3, owning))
+	if got := s.OwnerSilence(s.now); got > 25*time.Millisecond {
+		t.Errorf("silence of an owner that is heard: %s", got)
+	}
+	s.pass(2*time.Second, false, ping("entry-c", 3, nil))
+	if got := s.OwnerSilence(s.now); got < 2*time.Second {
+		t.Errorf("silence of an owner that is gone: %s", got)
+	}
+	s.Claimed(s.now, 4)
+	s.pass(2*time.Second, true, ping("entry-c", 4, nil))
+	s.Yielded(s.now)
+	if got := s.OwnerSilence(s.now); got > 25*time.Millisecond {
+		t.Errorf("silence after this entry's own ownership: %s", got)
+	}
+}
+
+// TestStoreOutageKeepsTheOwner holds that an owner lets go to an entry that the store
+// serves, but not when the store fell silent for all at once, however the last answers
+// fell.
+func TestStoreOutageKeepsTheOwner(t *testing.T) {
+	tests := []struct {
+		name string
+		// lag is how much later than this entry the other one was last answered, served
+		// whether it still is.
+		lag    time.Duration
+		served bool
+		want   elector.Step
+	}{
+		{name: "down for all", lag: 0},
+		{name: "down for all, the other was answered later", lag: 250 * time.Millisecond},
+		{name: "serves the other", served: true, want: elector.Release},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := newStage()
+			s.Claimed(s.now, 1)
+			s.pass(time.Second, true, ping("entry-a", 1, nil))
+			lost := s.now
+			for range 120 {
+				answered := lost.Add(test.lag)
+				if test.served {
+					answered = s.now
+				}
+				other := ping("entry-a", 1, func(p *messenger.Ping) {
+					p.StoreMillis = int(max(0, s.now.Sub(answered)).Milliseconds())
+				})
+				if step := s.pass(25*time.Millisecond, false, other); step != elector.Stay {
+					if diff := cmp.Diff(test.want, step); diff != "" {
+						t.Errorf("step after %s (-want +got):\n%s", s.now.Sub(lost), diff)
+					}
+					return
+				}
+			}
+			if diff := cmp.Diff(test.want, elector.Stay); diff != "" {
+				t.Errorf("step (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestHerdOfClaimsWaitsForTheWinner holds that an entry whose claim was forestalled
+// leaves the unknown winner time to read the journal.
+func TestHerdOfClaimsWaitsForTheWinner(t *testing.T) {
+	s := newStage()
+	if got := s.pass(time.Second, true); got != elector.Claim {
+		t.Fatalf("got %v, want a claim", got)
+	}
+	s.Superseded(s.now, 1)
+	if got := s.pass(700*time.Millisecond, true); got != elector.Stay {
+		t.Errorf("claimed %v after the winner's claim", got)
+	}
+	if got := s.pass(time.Second, true); got != elector.Claim {
+		t.Errorf("got %v, want a claim when nobody tells of the ownership", got)
+	}
+}
--- /dev/null
+++ b/soaker/soak_test.go
@@ -0,0 +1,152 @@
+package soaker_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Bounds of a soak.
+const (
+	// readyWithin is how long a deployment may take to serve.
+	readyWithin = 20 * time.Second
+	// settleWithin is how long after the last fault every workload must be over.
+	settleWithin = 30 * time.Second
+	// submitPeriod is the mean time between two workloads.
+	submitPeriod = 120 * time.Millisecond
+	// evacuateWithin is how long after an evacuation a start may come in its zone.
+	evacuateWithin = 5 * time.Second
+)
+
+// setting returns a number that the environment sets.
+func setting(t *testing.T, name string, otherwise int) int {
+	t.Helper()
+	text := os.Getenv(name)
+	if text == "" {
+		return otherwise
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		t.Fatalf("%s: %v", name, err)
+	}
+	return n
+}
+
+// regressions are the seeds that failed once, each with its cause.
+var regressions = []struct {
+	seed  uint64
+	cause string
+}{}
+
+// TestSoak plays seeds of faults, and the seeds that ever failed.
+func TestSoak(t *testing.T) {
+	first := setting(t, "SOAK_FIRST", 1)
+	for i := range setting(t, "SOAK_SEEDS", 1) {
+		t.Run(fmt.Sprint("seed-", first+i), func(t *testing.T) { soak(t, uint64(first+i)) })
+	}
+	for _, r := range regressions {
+		t.Run(fmt.Sprint("regression-", r.seed), func(t *testing.T) { soak(t, r.seed) })
+	}
+}
+
+// soak plays one seed.
+func soak(t *testing.T, seed uint64) {
+	f := newFleet(t, setting(t, "SOAK_ENTRIES", 3), setting(t, "SOAK_HOSTS", 5), seed)
+	if !f.ready(readyWithin) {
+		t.Fatalf("not ready within %s\n%s", readyWithin, f.tails())
+	}
+	c := newCallers(f, rand.New(rand.NewPCG(seed, 2)))
+	stop := make(chan struct{})
+	c.work.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(time.Duration(c.pick(int(2 * submitPeriod)))):
+				c.submit()
+			}
+		}
+	})
+	c.work.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(pollPeriod):
+				c.follow()
+			}
+		}
+	})
+	played := disturb(f, seed, time.Duration(setting(t, "SOAK_SECONDS", 10))*time.Second)
+	close(stop)
+	c.work.Wait()
+	for deadline := time.Now().Add(settleWithin); c.follow() > 0 && time.Now().Before(deadline); {
+		time.Sleep(pollPeriod)
+	}
+	checkEvacuation(t, f, c)
+	judge := newChecker(c.orders)
+	judge.check(f.seen())
+	judge.settled(time.Now())
+	t.Logf("%d workloads, %d events, %d faults", len(c.orders), len(f.seen()), len(played))
+	if len(judge.broken) > 0 {
+		t.Errorf("seed %d:\n%s\nplayed:\n%s\nlogs: %s", seed, strings.Join(judge.broken, "\n"), strings.Join(played, "\n"), f.keepLogs(seed))
+	}
+}
+
+// checkEvacuation holds that, without any fault, nothing starts in a zone that was taken
+// out of service a while ago.
+func checkEvacuation(t *testing.T, f *fleet, c *callers) {
+	t.Helper()
+	f.evacuate(zones[0], true)
+	taken := time.Now()
+	for time.Since(taken) < evacuateWithin+time.Second {
+		c.submit()
+		time.Sleep(submitPeriod)
+	}
+	for deadline := time.Now().Add(settleWithin); c.follow() > 0 && time.Now().Before(deadline); {
+		time.Sleep(pollPeriod)
+	}
+	for _, e := range f.seen() {
+		if e.How == "" && e.Zone == zones[0] && e.At.Sub(taken) > evacuateWithin {
+			t.Errorf("EVAC: %s run %d started %s after its zone was taken out", e.Task, e.Run, e.At.Sub(taken))
+		}
+	}
+	c.work.Wait()
+	f.evacuate(zones[0], false)
+}
+
+// keepLogs copies the logs of a seed that failed to where SOAK_LOGS says and returns
+// where they are.
+func (f *fleet) keepLogs(seed uint64) string {
+	kept := os.Getenv("SOAK_LOGS")
+	if kept == "" {
+		return "not kept; set SOAK_LOGS to a directory"
+	}
+	target := filepath.Join(kept, fmt.Sprint("seed-", seed))
+	if err := os.CopyFS(target, os.DirFS(f.directory)); err != nil {
+		return err.Error()
+	}
+	return target
+}
+
+// tails returns the ends of the logs.
+func (f *fleet) tails() string {
+	var all strings.Builder
+	logs, err := filepath.Glob(filepath.Join(f.directory, "*.log"))
+	if err != nil {
+		return err.Error()
+	}
+	for _, path := range logs {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return err.Error()
+		}
+		fmt.Fprintf(&all, "%s:\n%s\n", filepath.Base(path), data[max(0, len(data)-1000):])
+	}
+	return all.String()
+}
