Run the queues that need tickets of the advice service

The conductor asks one question at a time, for the first step in order that lacks a ticket with room: at most 30 executors, those with room and lowest cost first, and with them those whose ticket has lapsed. Tickets count for one life and until 0.3 s before their end; executors that are denied are never asked about again for the step; a refused ticket is dropped; failed questions back off from 0.1 s to 2 s.

--- a/cataloger/cataloger.go
+++ b/cataloger/cataloger.go
@@ -30,8 +30,10 @@
 	Stretch   float64
 	Objective time.Duration
 	// Advised is whether executors take the queue's tasks only with a ticket of an
-	// advice service.
-	Advised bool
+	// advice service, which takes AdviceDecide and AdviceEach for each executor that it
+	// is asked about. A ticket lasts for TicketLife.
+	Advised                              bool
+	AdviceDecide, AdviceEach, TicketLife time.Duration
 	// Timeout bounds the answer to a request.
 	Timeout time.Duration
 }
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -58,6 +58,11 @@
 	rankedAt  time.Time
 	movedAt   time.Time
 
+	question      *Question
+	questionTaken bool
+	askFailures   int
+	askAgainAt    time.Time
+
 	sequence int64
 	durable  int64
 	urgent   bool
@@ -136,11 +141,6 @@
 	if request.Spec == nil {
 		return 0, apricotwinch.Errorf(apricotwinch.Invalid, "spec: is missing")
 	}
-	if c.catalog != nil {
-		if q, ok := c.catalog.Queue(request.Queue); ok && q.Advised {
-			return 0, apricotwinch.Errorf(apricotwinch.NoTarget, "queue: %s needs tickets of an advice service, which is not supported", q.Name)
-		}
-	}
 	w := newWorkload(request.Queue, request.Id, *request.Spec, c.epoch, now)
 	w.dirtySpec = true
 	c.insert(now, w)
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -96,7 +96,11 @@
 			return false
 		}
 		if q, ok := c.queue(w); ok {
-			c.scheduleStep(now, s, pool[q.Service], settled)
+			candidates := pool[q.Service]
+			if q.Advised {
+				candidates = c.advised(now, s, q, candidates)
+			}
+			c.scheduleStep(now, s, candidates, settled)
 		}
 		s.queued = s.waiting > 0
 		return !s.queued
@@ -299,7 +303,9 @@
 		since:    now,
 	}
 	c.hold(r)
-	orders.Starts = append(orders.Starts, r.described())
+	order := r.described()
+	order.Ticket, _ = t.step.valid(now, e)
+	orders.Starts = append(orders.Starts, order)
 	c.count("runs.ordered")
 	if c.logger.IsInfo() {
 		c.logger.Info("run ordered", "run", r.ref, "executor", e.id, "host", e.host.name, "order", r.order,
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -81,8 +81,11 @@
 		c.release(run)
 		t.avoid = run.executor
 		t.notBefore = now.Add(c.config.Backoff)
-		if refusal.Kind == string(apricotwinch.NoTarget) {
+		switch refusal.Kind {
+		case string(apricotwinch.NoTarget):
 			c.blame(now, run.executor, t)
+		case string(apricotwinch.Forbidden):
+			delete(t.step.advice.tickets, run.executor.id)
 		}
 	}
 	h.refusals = max(h.refusals, r.RefusalsThrough)
--- a/conductor/workload.go
+++ b/conductor/workload.go
@@ -50,6 +50,7 @@
 	queued     bool
 	// readyAt is when the steps before were done.
 	readyAt time.Time
+	advice  advice
 }
 
 // task is one task.
--- /dev/null
+++ b/coordinator/advice.go
@@ -0,0 +1,38 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"apricotwinch"
+	"apricotwinch/conductor"
+)
+
+// adviceTimeout bounds a question to the advice service beyond the time that it needs.
+const adviceTimeout = 800 * time.Millisecond
+
+// askAdvice asks the question that the conductor has, if there is one; c.mu is held.
+func (c *Coordinator) askAdvice(ctx context.Context) {
+	if question, ok := c.conductor.TakeQuestion(); ok {
+		go c.advise(context.WithoutCancel(ctx), c.conductor, question)
+	}
+}
+
+func (c *Coordinator) advise(ctx context.Context, owner *conductor.Conductor, q conductor.Question) {
+	ctx, cancel := context.WithTimeout(ctx, q.Takes+adviceTimeout)
+	defer cancel()
+	sent := c.deps.Clock.Now()
+	var tickets map[string]string
+	err := error(apricotwinch.Errorf(apricotwinch.NoTarget, "there is no advice service"))
+	if c.deps.Advise != nil {
+		tickets, err = c.deps.Advise(ctx, q.Step, q.Executors)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conductor != owner {
+		return
+	}
+	now := c.deps.Clock.Now()
+	owner.Advised(now, sent, q, tickets, err)
+	c.advance(ctx, now, false)
+}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -73,7 +73,10 @@
 
 // Deps is what a coordinator is given by its driver.
 type Deps struct {
-	Log      appender.KeyedLog
+	Log appender.KeyedLog
+	// Advise asks the advice service which executors may run a step, and returns their
+	// tickets; nil where there is none.
+	Advise   func(ctx context.Context, step messenger.TaskRef, executors []string) (map[string]string, error)
 	Clock    clockwork.Clock
 	Wall     func() time.Time
 	Logger   hclog.Logger
@@ -297,6 +300,7 @@
 	}
 	c.conductor.Schedule(now)
 	c.send(ctx)
+	c.askAdvice(ctx)
 	if any, urgent := c.conductor.Wants(); any && (urgent || c.lazyDue(now)) {
 		c.kick()
 	}
--- a/custodian/orders.go
+++ b/custodian/orders.go
@@ -163,7 +163,7 @@
 		r.phase = messenger.RunRunning
 		r.confirmed = now
 		return Calls{}, false
-	case apricotwinch.NoCapacity, apricotwinch.Invalid, apricotwinch.NoTarget:
+	case apricotwinch.NoCapacity, apricotwinch.Invalid, apricotwinch.NoTarget, apricotwinch.Forbidden:
 		e.remove(call.Order.Run)
 		c.refuse(call.Order.Run, kind)
 		return Calls{}, true
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -1036,6 +1036,10 @@
 
 	// Latency that the tail of the task must stay below, in milliseconds; 0 for none.
 	TailTargetMillis int `json:"tailTargetMillis,omitempty,omitzero"`
+
+	// Permission of the advice service for the step on this life of the executor;
+	// empty for none.
+	Ticket string `json:"ticket,omitempty,omitzero"`
 }
 
 // One run of a task.
