--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -49,6 +49,11 @@
 	// refusedFor is how long after a refusal of the store callers are refused without
 	// asking it again.
 	refusedFor = 200 * time.Millisecond
+	// configPatience is how long an entry waits for the store to bring a configuration
+	// that a peer has; users allow 2 s.
+	configPatience = 500 * time.Millisecond
+	// configPause is the time between two questions to peers for it.
+	configPause = time.Second
 	// ownerPoll is the time between two tries to reach the owner.
 	ownerPoll = 25 * time.Millisecond
 	// maxPeerConns bounds the connections of agents and entries.
@@ -107,9 +112,14 @@
 	lazySince time.Time
 	senders   map[string]*sender
 	catalog   *cataloger.Catalog
-	encoded   string
-	out       map[string]bool
-	draining  bool
+	// encoded is the configuration as peers get it; empty until one asks.
+	encoded string
+	// behindSince is since when a peer has a later configuration, while this entry's has
+	// not changed; askedConfigAt is when one was last asked for it.
+	behindSince   time.Time
+	askedConfigAt time.Time
+	out           map[string]bool
+	draining      bool
 	// yielding is whether the entry takes no requests as the owner any more, for a
 	// stronger one to take over.
 	yielding bool
@@ -316,10 +326,6 @@
 
 // SetCatalog takes a version of the configuration.
 func (c *Coordinator) SetCatalog(catalog *cataloger.Catalog) {
-	encoded, err := catalog.Encode()
-	if err != nil {
-		c.deps.Logger.Error("configuration not encoded for the peers", "version", catalog.Version(), "error", err)
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.catalog != nil && catalog.Version() <= c.catalog.Version() {
@@ -327,7 +333,8 @@
 	}
 	c.deps.Logger.Info("configuration in force", "version", catalog.Version())
 	c.catalog = catalog
-	c.encoded = encoded
+	c.encoded = ""
+	c.behindSince = time.Time{}
 	if c.conductor != nil {
 		c.conductor.SetCatalog(catalog)
 	}
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -304,6 +304,14 @@
 	}
 }
 
+// TestConfigurationComesFromAPeer holds that an entry which the store does not serve gets
+// a configuration from a peer.
+func TestConfigurationComesFromAPeer(t *testing.T) {
+	d := newDeployment(t, 2)
+	d.entries[0].SetCatalog(cataloger.New(5, 1<<20, []cataloger.Queue{{Name: "q", Host: "h", Prefix: "/", Service: "s", MaxAttempts: 3}}))
+	until(t, "the other entry has it", func() bool { return d.entries[1].Catalog().Version() == 5 })
+}
+
 // TestNoOwnerIsToldBeforeTheDeadline holds that a request that no owner takes is
 // refused, as not run, long before its deadline.
 func TestNoOwnerIsToldBeforeTheDeadline(t *testing.T) {
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -338,13 +338,16 @@
 	c.mu.Lock()
 	peers := c.elector.Peers()
 	ping := c.pingNow()
+	newer := c.asksConfig(ping.View)
 	seeds := c.settings.Seeds
 	if len(peers) > 0 {
 		seeds = nil
 	}
 	c.mu.Unlock()
 	for _, p := range peers {
-		go c.pingPeer(ctx, p.Name, p.Address, ping)
+		told := ping
+		told.AsksConfig = p.Name == newer
+		go c.pingPeer(ctx, p.Name, p.Address, told)
 	}
 	for _, address := range seeds {
 		if address != c.self.Address {
@@ -353,6 +356,38 @@
 	}
 }
 
+// asksConfig returns the peer to ask for a later configuration that the store does not
+// bring; empty for none; c.mu is held.
+func (c *Coordinator) asksConfig(view int) string {
+	now := c.deps.Clock.Now()
+	name, ok := c.elector.Newer(now, view)
+	switch {
+	case !ok:
+		c.behindSince = time.Time{}
+		return ""
+	case c.behindSince.IsZero():
+		c.behindSince = now
+	}
+	if now.Sub(c.behindSince) < configPatience || now.Sub(c.askedConfigAt) < configPause {
+		return ""
+	}
+	c.askedConfigAt = now
+	c.deps.Logger.Info("configuration asked of a peer", "peer", name, "version", view, "behindMillis", now.Sub(c.behindSince).Milliseconds())
+	return name
+}
+
+// encodedConfig returns the configuration in force for a peer; c.mu is held.
+func (c *Coordinator) encodedConfig() string {
+	if c.encoded == "" {
+		encoded, err := c.catalog.Encode()
+		if err != nil {
+			c.deps.Logger.Error("configuration not encoded for a peer", "version", c.catalog.Version(), "error", err)
+		}
+		c.encoded = encoded
+	}
+	return c.encoded
+}
+
 // pingNow returns what this entry tells; c.mu is held.
 func (c *Coordinator) pingNow() messenger.Ping {
 	version := 0
@@ -402,8 +437,8 @@
 	defer c.mu.Unlock()
 	c.elector.Pinged(c.deps.Clock.Now(), ping)
 	reply := messenger.PingReply{Ping: c.pingNow(), Members: c.elector.Peers()}
-	if reply.Ping.View > ping.View {
-		reply.Config = c.encoded
+	if ping.AsksConfig && reply.Ping.View > ping.View {
+		reply.Config = c.encodedConfig()
 	}
 	return reply, nil
 }
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -477,6 +477,24 @@
 	return b
 }
 
+// Newer returns the strongest entry, heard lately, that has a later configuration than
+// view; false when there is none.
+func (e *Elector) Newer(now time.Time, view int) (string, bool) {
+	var best *peer
+	for _, p := range e.peers {
+		if p.gone || p.ping.View <= view || now.Sub(p.heardAt) > e.config.Present {
+			continue
+		}
+		if best == nil || before(p.ping.Member, best.ping.Member) {
+			best = p
+		}
+	}
+	if best == nil {
+		return "", false
+	}
+	return best.ping.Member.Name, true
+}
+
 // OwnerHeard reports whether the owner was heard lately.
 func (e *Elector) OwnerHeard(now time.Time) bool { return e.OwnerSilence(now) < e.config.Fresh }
 
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -320,3 +320,31 @@
 		t.Errorf("got %v, want a claim when nobody tells of the ownership", got)
 	}
 }
+
+// TestHerdOfConfigurationsAsksOnePeer holds that an entry that is behind finds one peer to
+// ask: the strongest of those that are heard and have a later configuration.
+func TestHerdOfConfigurationsAsksOnePeer(t *testing.T) {
+	s := newStage()
+	view := func(name string, processorMillis, view int) messenger.Ping {
+		return messenger.Ping{Member: sized(name, processorMillis), View: view}
+	}
+	s.pass(100*time.Millisecond, true, view("entry-a", 200, 9), view("entry-c", 800, 9), view("entry-d", 800, 7))
+	tests := []struct {
+		name string
+		view int
+		wait time.Duration
+		want string
+	}{
+		{name: "behind", view: 7, want: "entry-c"},
+		{name: "the same", view: 9, want: ""},
+		{name: "all are silent", view: 7, wait: time.Second, want: ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			got, ok := s.Newer(s.now.Add(test.wait), test.view)
+			if got != test.want || ok != (test.want != "") {
+				t.Errorf("got %q, %v, want %q", got, ok, test.want)
+			}
+		})
+	}
+}
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -775,6 +775,9 @@
 
 // What an entry tells another one.
 type Ping struct {
+	// Whether the answer brings the configuration, if that is later.
+	AsksConfig bool `json:"asksConfig,omitempty,omitzero"`
+
 	// Greatest epoch that it knows.
 	Epoch int `json:"epoch"`
 
