--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -44,6 +44,10 @@
 		`{"name": "a"} {}`,
 		``,
 		`[]`,
+		"{\n\"name\": \"a\",\n\"name\": \"b\"}",
+		`{"name": "a", "racks": [{"id": "r"}, {"id": "s", "id": "t"}]}`,
+		`{"name": ` + strings.Repeat("[", 65),
+		"\xef\xbb\xbf{\"name\": \"a\"}",
 	}
 	schema := loader.MustSchema([]byte(schemaText))
 	var got strings.Builder
--- a/loader/schema.go
+++ b/loader/schema.go
@@ -47,8 +47,12 @@
 }
 
 // Check checks data against the schema. It fails with kind Invalid, naming
-// source and each field that breaks the schema.
+// source and each field that breaks the schema or is there twice.
 func (s *Schema) Check(source string, data []byte) error {
+	data = Trim(data)
+	if err := CheckKeys(source, data); err != nil {
+		return err
+	}
 	document, err := jsonschema.UnmarshalJSON(bytes.NewReader(data))
 	if err != nil {
 		return syntaxError(source, data, err)
@@ -70,7 +74,7 @@
 	if err := s.Check(source, data); err != nil {
 		return err
 	}
-	return decodeWhole(source, data, v)
+	return decodeWhole(source, Trim(data), v)
 }
 
 // syntaxError names the line of a syntax error.
