Leave executors that hang or are slow: judge by progress, start anew or copy

Agents tell how long ago an executor answered, so that silence isn't taken for standing still. Ruled out: rescue without a bound, which restarts a task that takes ten times its estimate for ever.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -19,6 +19,7 @@
 	"apricotwinch/appraiser"
 	"apricotwinch/cataloger"
 	"apricotwinch/messenger"
+	"apricotwinch/monitor"
 )
 
 // Keys of the journal of work.
@@ -53,10 +54,12 @@
 	runs      map[messenger.RunRef]*run
 	steps     []*step
 	appraiser *appraiser.Appraiser
+	monitor   *monitor.Monitor
 	pressedAt time.Time
 	logged    map[appraiser.Pair]float64
 	rankedAt  time.Time
 	movedAt   time.Time
+	rescuedAt time.Time
 
 	question      *Question
 	questionTaken bool
@@ -87,6 +90,7 @@
 		orders:   map[string]*messenger.Orders{},
 
 		appraiser: appraiser.New(appraiser.DefaultConfig()),
+		monitor:   monitor.New(monitor.DefaultConfig()),
 		logged:    map[appraiser.Pair]float64{},
 	}
 }
@@ -195,9 +199,7 @@
 	c.ended = append(c.ended, w)
 	for _, o := range w.occurrences {
 		for _, t := range o.tasks() {
-			if t.current != nil {
-				c.stop(t.current)
-			}
+			c.stopRuns(t)
 		}
 	}
 	c.touch(w, true)
--- a/conductor/ends.go
+++ b/conductor/ends.go
@@ -101,9 +101,7 @@
 
 // finishTask takes that a task is done.
 func (c *Conductor) finishTask(now time.Time, t *task) {
-	if t.current != nil {
-		c.stop(t.current)
-	}
+	c.stopRuns(t)
 	t.finish()
 	w := t.step.occurrence.work
 	c.touch(w, false)
--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -112,6 +112,7 @@
 		c.count("runs.lost")
 	}
 	c.appraiser.Forget(e.id)
+	c.monitor.Forget(e.id)
 	delete(e.host.executors, e.id)
 	c.recordHost(e.host)
 }
@@ -142,8 +143,14 @@
 	delete(r.executor.runs, r.ref)
 	r.setIdle(0)
 	r.executor.commit(r.task.step, -1)
-	if r.task.current == r {
-		r.task.current = nil
+	if r.task.copied == r {
+		r.task.copied = nil
+	}
+	if r.task.current != r {
+		return
+	}
+	r.task.current = nil
+	if !r.task.done {
 		r.task.step.waiting++
 		c.queueStep(r.task.step)
 	}
@@ -171,6 +178,7 @@
 	c.begin(now, wall)
 	c.recordPresses(now)
 	c.moveOne(now)
+	c.rescue(now)
 	for len(c.ended) > 0 && now.Sub(c.ended[0].endedAt) > c.config.Keep {
 		w := c.ended[0]
 		c.ended = c.ended[1:]
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -8,6 +8,7 @@
 	"apricotwinch/appender"
 	"apricotwinch/cataloger"
 	"apricotwinch/messenger"
+	"apricotwinch/monitor"
 )
 
 // lowestPriority is that of a workload whose queue is not configured any more.
@@ -225,7 +226,9 @@
 const (
 	costAvoided = 10
 	costFailing = 100
-	costFar     = 2
+	// costTroubled is the cost of an executor that hangs or is slow.
+	costTroubled = 50
+	costFar      = 2
 	// costCapacity is the capacity, in thousandths of a processor, that lasting
 	// tasks avoid as much as an idle executor: they are packed on small ones.
 	costCapacity = 8000
@@ -276,6 +279,9 @@
 	if e.streak >= c.config.FailureStreak && now.Sub(e.failedAt) < c.config.StreakLife {
 		cost += costFailing
 	}
+	if c.monitor.Verdict(now, e.id) != monitor.Sound {
+		cost += costTroubled
+	}
 	if t.step.spec.Rack != "" && t.step.spec.Rack != e.rack {
 		cost += costFar
 	}
@@ -301,6 +307,7 @@
 		order:    orders.Number,
 		phase:    messenger.RunStarting,
 		since:    now,
+		resumed:  t.checkpoint != "",
 	}
 	c.hold(r)
 	order := r.described()
@@ -322,6 +329,16 @@
 	c.orderStop(r)
 }
 
+// stopRuns orders the end of whatever runs of a task.
+func (c *Conductor) stopRuns(t *task) {
+	if t.current != nil {
+		c.stop(t.current)
+	}
+	if t.copied != nil {
+		c.stop(t.copied)
+	}
+}
+
 func (c *Conductor) orderStop(r *run) {
 	orders := c.ordersFor(r.executor.host)
 	orders.Stops = append(orders.Stops, messenger.RunStop{Run: r.ref, Executor: r.executor.id})
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -154,6 +154,7 @@
 			c.release(run)
 		}
 	}
+	c.watch(now, e, time.Duration(state.SilentMillis)*time.Millisecond)
 }
 
 // takeRun takes a run that an executor holds.
@@ -175,6 +176,7 @@
 	run.phase = state.Phase
 	run.notePace(now, state)
 	run.figure = state.Figure
+	run.percent = state.Percent
 	if state.Checkpoint != "" {
 		run.task.checkpoint = state.Checkpoint
 	}
--- a/conductor/workload.go
+++ b/conductor/workload.go
@@ -68,6 +68,10 @@
 	notBefore  time.Time
 	avoid      *executor
 	current    *run
+	// copied is an earlier run that goes on beside the current one.
+	copied *run
+	// rescues counts how often it was started anew since its executor did not work.
+	rescues int
 	// inherited tasks may run at a host that has not reported yet.
 	inherited bool
 }
@@ -87,6 +91,9 @@
 	stray  bool
 	figure float64
 	since  time.Time
+	// percent is how much is done, resumed whether it began from a checkpoint.
+	percent int
+	resumed bool
 	// pace is the share of its speed that its agent allows it, in percent; slowSince
 	// is since when that is little.
 	pace      int
@@ -242,7 +249,9 @@
 	}
 	t.done = true
 	t.checkpoint = ""
-	t.step.waiting--
+	if t.current == nil {
+		t.step.waiting--
+	}
 	t.step.left--
 	if t.step.left == 0 {
 		t.step.occurrence.left--
--- a/custodian/report.go
+++ b/custodian/report.go
@@ -57,6 +57,7 @@
 		},
 		Draining:        e.Draining,
 		Reachable:       silent < c.config.Silence,
+		SilentMillis:    int(silent.Milliseconds()),
 		RemainingMillis: int(max(0, e.leavesAt.Sub(now)).Milliseconds()),
 		Ends:            slices.Clone(e.ends),
 	}
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -388,6 +388,9 @@
 
 	// Runs that it holds.
 	Runs []RunState `json:"runs,omitempty,omitzero"`
+
+	// Time since it last answered, in milliseconds.
+	SilentMillis int `json:"silentMillis,omitempty,omitzero"`
 }
 
 // A caller's job request that an entry passes to the owner of its partition.
