Let a report cost the owner the same at any number of hosts

Cause: each report was followed by a look at all executors (settled), a sorted list of them (usable) and texts for each run's key, though nothing waited. Changes: the sorted list is kept until an executor joins or goes; what is settled stays so; nothing is done while no step waits; a run keeps its text.

--- /dev/null
+++ b/conductor/bench_test.go
@@ -0,0 +1,79 @@
+package conductor_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
+
+	"apricotwinch"
+	"apricotwinch/conductor"
+	"apricotwinch/messenger"
+)
+
+// benchRuns is the number of tasks on one host.
+const benchRuns = 15
+
+// fleetOf returns an owner of a number of hosts that each run tasks, and one report of
+// each host.
+func fleetOf(b *testing.B, hosts int) (*conductor.Conductor, []messenger.Report, time.Time) {
+	b.Helper()
+	now := origin
+	c := conductor.New(conductor.DefaultConfig(), 1, true, hclog.NewNullLogger(), metrics.NewRegistry())
+	c.SetCatalog(catalog())
+	reports := make([]messenger.Report, hosts)
+	for i := range reports {
+		name := fmt.Sprint("host-", i)
+		record := messenger.ExecutorRecord{
+			Id: "executor-" + name, Born: 1, Service: service, DataCentre: "dc", Labels: []string{fmt.Sprint("r1-", i/3)},
+			Capacity: messenger.FromResources(apricotwinch.NewResources(16_000, 64<<30, 0)),
+		}
+		reports[i] = messenger.Report{
+			Host: name, Address: name + ":1", Incarnation: "1", TicketMillis: 1, Epoch: 1, Whole: true,
+			Executors: []messenger.ExecutorState{{Executor: record, Reachable: true}},
+		}
+		c.Report(now, reports[i])
+	}
+	records, number := c.TakeWrites()
+	c.Written(number, records)
+	spec := &messenger.WorkloadSpec{Steps: []messenger.StepSpec{tasks(benchRuns, 1000, time.Hour)}}
+	for i := range hosts {
+		if _, err := c.Submit(now, messenger.WorkloadRequest{Queue: batch, Id: fmt.Sprintf("%016x", i), Spec: spec}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	records, number = c.TakeWrites()
+	c.Written(number, records)
+	c.Schedule(now)
+	for host, orders := range c.TakeOrders() {
+		var at int
+		if _, err := fmt.Sscanf(host, "host-%d", &at); err != nil {
+			b.Fatal(err)
+		}
+		for _, start := range orders.Starts {
+			reports[at].Executors[0].Runs = append(reports[at].Executors[0].Runs, messenger.RunState{Run: start.Run, Phase: messenger.RunRunning, Pace: 100})
+		}
+		reports[at].Orders = orders.Number
+	}
+	return c, reports, now
+}
+
+// BenchmarkReport measures what one report of a host with 15 tasks costs the owner, and
+// the decisions after it when nothing waits.
+func BenchmarkReport(b *testing.B) {
+	for _, hosts := range []int{14, 82, 300, 1000} {
+		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
+			c, reports, now := fleetOf(b, hosts)
+			b.ResetTimer()
+			for i := range b.N {
+				now = now.Add(time.Millisecond)
+				r := reports[i%hosts]
+				r.TicketMillis = i + 2
+				c.Report(now, r)
+				c.Schedule(now)
+			}
+		})
+	}
+}
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -51,6 +51,9 @@
 	scheduled []*workload
 	ended     []*workload
 	hosts     map[string]*host
+	// sorted holds the executors in order of their ids; nil after a change.
+	sorted    []*executor
+	isSettled bool
 	runs      map[messenger.RunRef]*run
 	steps     []*step
 	appraiser *appraiser.Appraiser
--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -114,6 +115,7 @@
 	c.appraiser.Forget(e.id)
 	c.monitor.Forget(e.id)
 	delete(e.host.executors, e.id)
+	c.sorted = nil
 	c.recordHost(e.host)
 }
 
@@ -129,6 +131,7 @@
 
 // track counts a run, current or stray, in the room of its executor.
 func (c *Conductor) track(r *run) {
+	r.name = fmt.Sprint(r.ref)
 	c.runs[r.ref] = r
 	r.executor.runs[r.ref] = r
 	r.executor.commit(r.task.step, 1)
@@ -201,8 +204,11 @@
 }
 
 // settled reports whether every executor that the last owner used was listed or
-// is provably idle.
+// is provably idle. Later ones join with a list, so that it stays so.
 func (c *Conductor) settled() bool {
+	if c.isSettled {
+		return true
+	}
 	for _, h := range c.hosts {
 		for _, e := range h.executors {
 			if !e.listed {
@@ -210,9 +216,24 @@
 			}
 		}
 	}
+	c.isSettled = true
 	return true
 }
 
+// allExecutors returns the executors in order of their ids.
+func (c *Conductor) allExecutors() []*executor {
+	if c.sorted == nil {
+		c.sorted = []*executor{}
+		for _, h := range c.hosts {
+			for _, e := range h.executors {
+				c.sorted = append(c.sorted, e)
+			}
+		}
+		slices.SortFunc(c.sorted, func(a, b *executor) int { return cmp.Compare(a.id, b.id) })
+	}
+	return c.sorted
+}
+
 // HostOf returns the address and incarnation of a host's agent and its last
 // ticket, in milliseconds of the agent's clock.
 func (c *Conductor) HostOf(name string) (address, incarnation string, ticket int, ok bool) {
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -84,6 +84,9 @@
 
 // Schedule starts the tasks that wait and have room.
 func (c *Conductor) Schedule(now time.Time) {
+	if len(c.steps) == 0 {
+		return
+	}
 	settled := c.settled()
 	c.rankSteps(now)
 	pool := c.usable()
@@ -111,18 +114,10 @@
 // usable returns the executors that may get work, by service.
 func (c *Conductor) usable() map[string][]*executor {
 	pool := map[string][]*executor{}
-	for _, h := range c.hosts {
-		if !h.reported {
-			continue
+	for _, e := range c.allExecutors() {
+		if e.host.reported && e.durable && e.reachable && !e.foreign && !e.draining && !c.out[e.dc] {
+			pool[e.service] = append(pool[e.service], e)
 		}
-		for _, e := range h.executors {
-			if e.durable && e.reachable && !e.foreign && !e.draining && !c.out[e.dc] {
-				pool[e.service] = append(pool[e.service], e)
-			}
-		}
-	}
-	for _, list := range pool {
-		slices.SortFunc(list, func(a, b *executor) int { return cmp.Compare(a.id, b.id) })
 	}
 	return pool
 }
--- a/conductor/press.go
+++ b/conductor/press.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"math"
 	"time"
 
@@ -91,7 +90,7 @@
 	for _, r := range e.runs {
 		spec := r.task.step.spec
 		if h := r.headroom(); h > 0 {
-			serving = append(serving, appraiser.Serving{Task: fmt.Sprint(r.ref), Image: spec.Image, Headroom: h})
+			serving = append(serving, appraiser.Serving{Task: r.name, Image: spec.Image, Headroom: h})
 		}
 		if need := r.task.step.need.ProcessorMillis(); spec.Fills && need > 0 && r.phase == messenger.RunRunning {
 			shares[spec.Image] += pacer.Share(r.figure, need)
--- a/conductor/progress.go
+++ b/conductor/progress.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
 	"time"
 
@@ -39,7 +38,7 @@
 		if spec.Lasting || spec.Gang || r.stopping || r.phase != messenger.RunRunning || restoring {
 			continue
 		}
-		p := monitor.Progress{Task: fmt.Sprint(r.ref), Percent: r.percent, Estimate: time.Duration(spec.EstimateMillis) * time.Millisecond, Share: 1}
+		p := monitor.Progress{Task: r.name, Percent: r.percent, Estimate: time.Duration(spec.EstimateMillis) * time.Millisecond, Share: 1}
 		if spec.Fills {
 			p.Share, p.Rough = float64(r.pace)/pacer.Full, true
 		}
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -111,6 +111,7 @@
 		if e == nil {
 			e = newExecutor(h, record)
 			h.executors[e.id] = e
+			c.sorted = nil
 			c.recordHost(h)
 			c.logger.Info("executor joined", "executor", e.id, "host", h.name, "dataCentre", e.dc, "rack", e.rack, "capacity", e.capacity.String())
 		}
--- a/conductor/workload.go
+++ b/conductor/workload.go
@@ -78,7 +78,9 @@
 
 // run is one run of a task that has not ended.
 type run struct {
-	ref      messenger.RunRef
+	ref messenger.RunRef
+	// name tells runs apart where a text is needed.
+	name     string
 	task     *task
 	executor *executor
 	// order is the number of the orders that started it; 0 for one that was found
