Keep the reserve for urgent work in every data centre

Change: lasting tasks leave the reserve in each data centre. Test: conductor TestReserveOutlivesADataCentre, red before.

--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -545,6 +545,26 @@
 	w.runUntil(600*time.Millisecond, func() bool { return w.state("w") == messenger.WorkloadCompleted })
 }
 
+// TestReserveOutlivesADataCentre holds that urgent work still has room when lasting tasks
+// have filled a service and then any one data centre is taken out.
+func TestReserveOutlivesADataCentre(t *testing.T) {
+	dcs := []string{"north", "middle", "south"}
+	for _, out := range dcs {
+		t.Run(out, func(t *testing.T) {
+			w := newWorld(t, 1, 6)
+			for i, h := range w.hosts {
+				h.dc = dcs[i%len(dcs)]
+			}
+			w.run(2 * time.Second)
+			w.submit(lasting, "watch", tasks(100, 700, time.Hour, lasts), tasks(100, 700, time.Hour, lasts))
+			w.run(time.Second)
+			w.owner.SetOut(map[string]bool{out: true})
+			w.submit(urgent, "w", tasks(4, 700, 300*time.Millisecond))
+			w.runUntil(time.Second, func() bool { return w.state("w") == messenger.WorkloadCompleted })
+		})
+	}
+}
+
 // TestRestartHerdOfAgents holds that when all agents restart at once, the owner
 // keeps what their executors run and starts nothing twice.
 func TestRestartHerdOfAgents(t *testing.T) {
--- a/conductor/config.go
+++ b/conductor/config.go
@@ -17,8 +17,8 @@
 	Margin time.Duration
 	// Authority is how long an earlier owner may have acted after it was fenced.
 	Authority time.Duration
-	// UrgentReserve is the part of a service's processors, 0 to 1, that lasting tasks
-	// leave free for others.
+	// UrgentReserve is the part of a service's processors in each data centre, 0 to 1, that
+	// lasting tasks leave free for others.
 	UrgentReserve float64
 	// ServingUse is the part of its processors that a lasting task is expected to
 	// use; the rest is for tasks that fill.
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -128,7 +128,12 @@
 		c.startGang(now, s, pool, settled)
 		return
 	}
-	spare := c.spare(pool)
+	leaves := s.spec.Lasting && !s.spec.Fills
+	var spare map[string]int64
+	if leaves {
+		spare = c.spare(pool)
+	}
+	need := s.need.ProcessorMillis()
 	for _, t := range s.tasks {
 		if s.waiting == 0 {
 			return
@@ -136,26 +141,34 @@
 		if t.done || t.current != nil || now.Before(t.notBefore) || t.inherited && !settled {
 			continue
 		}
-		if spare -= s.need.ProcessorMillis(); spare < 0 && s.spec.Lasting && !s.spec.Fills {
-			return
+		candidates := pool
+		if leaves {
+			candidates = slices.DeleteFunc(slices.Clone(pool), func(e *executor) bool { return spare[e.dc] < need })
 		}
-		e := c.choose(now, t, pool)
+		e := c.choose(now, t, candidates)
 		if e == nil {
 			return
 		}
+		if leaves {
+			spare[e.dc] -= need
+		}
 		c.start(now, t, e)
 	}
 }
 
-// spare returns the processors, in thousandths, that lasting tasks may take: the
-// rest of what is free stays for others.
-func (c *Conductor) spare(pool []*executor) int64 {
-	var capacity, free int64
+// spare returns the processors, in thousandths, that lasting tasks may take of each data
+// centre: the rest of what is free stays for others, in every one of them, as any may be
+// taken out of service.
+func (c *Conductor) spare(pool []*executor) map[string]int64 {
+	capacity, free := map[string]int64{}, map[string]int64{}
 	for _, e := range pool {
-		capacity += e.capacity.ProcessorMillis()
-		free += e.capacity.ProcessorMillis() - e.committed.ProcessorMillis()
+		capacity[e.dc] += e.capacity.ProcessorMillis()
+		free[e.dc] += e.capacity.ProcessorMillis() - e.committed.ProcessorMillis()
+	}
+	for dc := range free {
+		free[dc] -= int64(c.config.UrgentReserve * float64(capacity[dc]))
 	}
-	return free - int64(c.config.UrgentReserve*float64(capacity))
+	return free
 }
 
 // choose returns the executor for a task, or nil when none has room.
--- a/conductor/world_test.go
+++ b/conductor/world_test.go
@@ -68,7 +68,9 @@
 
 // modelHost is a host with its agent and its executor.
 type modelHost struct {
-	name        string
+	name string
+	// dc is its data centre; empty for dc.
+	dc          string
 	agent       *custodian.Custodian
 	incarnation int
 	cut         bool
@@ -164,7 +166,7 @@
 func (w *world) announce(h *modelHost) {
 	h.agent.Announced(w.now, custodian.Announcement{
 		ID: "executor-" + h.name, Born: h.machine.born, Sequence: int(w.now.Sub(origin).Milliseconds()) + 1, Service: service,
-		Address: h.name + ":2", DataCentre: "dc", Capacity: h.machine.capacity, Labels: []string{"a", "r1-" + h.name},
+		Address: h.name + ":2", DataCentre: cmp.Or(h.dc, "dc"), Capacity: h.machine.capacity, Labels: []string{"a", "r1-" + h.name},
 		Clock: h.machine.clock(w.now),
 	})
 }
