--- a/attendant/attendant.go
+++ b/attendant/attendant.go
@@ -35,6 +35,9 @@
 	// reportPeriod is the longest time between two reports to the owner; a lease
 	// lasts several of them.
 	reportPeriod = 400 * time.Millisecond
+	// reportGap is the least time between two reports to the owner: ends that come close
+	// together go into one.
+	reportGap = 15 * time.Millisecond
 	// lookoutPeriod is the time between two short reports to an entry that is not
 	// the owner, unless that asks for another one.
 	lookoutPeriod = 500 * time.Millisecond
@@ -329,6 +332,7 @@
 		if owner == "" {
 			wait = holdPause
 		}
+		timekeeper.Sleep(ctx, a.deps.Clock, reportGap)
 		select {
 		case <-ctx.Done():
 			return
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -216,6 +216,31 @@
 
 // TestShortReportsChangeNothing holds that a report without executors, meant for an
 // entry that was not the owner yet, takes none of them out of use.
+// TestLateOrderOfAnEarlierOwner holds that a new owner does not take a host for idle whose
+// agent may still obey the last owner: orders of that one can arrive after the report was
+// made, and before its answer.
+func TestLateOrderOfAnEarlierOwner(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.run(2 * time.Second)
+	w.submit(urgent, "w", tasks(2, 500, 3*time.Second))
+	w.owner.Schedule(w.now)
+	late := w.owner.TakeOrders()
+	w.replaceOwner(true)
+	for _, h := range w.hosts {
+		reply := w.owner.Report(w.now, h.agent.Report(w.now, true))
+		if orders := late[h.name]; orders != nil {
+			calls, err := h.agent.Ordered(w.now, *orders)
+			if err != nil {
+				t.Fatalf("the order is refused: %v", err)
+			}
+			w.carryOut(h, calls)
+		}
+		w.owner.Schedule(w.now)
+		h.agent.Answered(w.now, w.now, reply)
+	}
+	w.runUntil(10*time.Second, func() bool { return w.state("w") == messenger.WorkloadCompleted })
+}
+
 func TestShortReportsChangeNothing(t *testing.T) {
 	w := newWorld(t, 1, 1)
 	w.run(2 * time.Second)
--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -39,7 +39,8 @@
 	rack    string
 	// durable is whether the record of the executor is: no task starts there before.
 	durable bool
-	// listed is whether a report to this owner has listed it.
+	// listed is whether a report of an agent that obeys this owner has listed it, or no
+	// earlier owner used it.
 	listed bool
 	// leasedTo is when its runs have provably ended, if no report lists it any more.
 	leasedTo  time.Time
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -110,12 +110,15 @@
 		}
 		if e == nil {
 			e = newExecutor(h, record)
+			e.listed = true
 			h.executors[e.id] = e
 			c.sorted = nil
 			c.recordHost(h)
 			c.logger.Info("executor joined", "executor", e.id, "host", h.name, "dataCentre", e.dc, "rack", e.rack, "capacity", e.capacity.String())
 		}
 		if e.born == record.Born {
+			// An agent that has not met this epoch may still obey the last owner.
+			e.listed = e.listed || int64(r.Epoch) >= c.epoch
 			c.takeExecutor(now, e, state, c.processed(r))
 		}
 	}
@@ -132,7 +135,6 @@
 
 func (c *Conductor) takeExecutor(now time.Time, e *executor, state *messenger.ExecutorState, processed int) {
 	e.capacity = state.Executor.Capacity.Value()
-	e.listed = true
 	e.leasedTo = now.Add(c.config.Lease + c.config.Margin)
 	e.reachable = state.Reachable
 	if state.Draining && !e.draining {
