--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -570,6 +570,27 @@
 	w.runUntil(600*time.Millisecond, func() bool { return w.state("w") == messenger.WorkloadCompleted })
 }
 
+// TestLastingTaskComesBackIntoTheReserve holds that lasting tasks whose executor was lost
+// run again though other work has taken some of the room: they take of the reserve that new
+// ones must leave.
+func TestLastingTaskComesBackIntoTheReserve(t *testing.T) {
+	w := newWorld(t, 1, 4)
+	w.run(2 * time.Second)
+	w.submit(lasting, "watch", tasks(100, 1100, time.Hour, lasts))
+	w.run(time.Second)
+	before := w.running("watch")
+	lost := w.hosts[0]
+	for _, h := range w.hosts {
+		if len(h.machine.runs) > len(lost.machine.runs) {
+			lost = h
+		}
+	}
+	w.crash(lost)
+	w.submit(urgent, "w", tasks(6, 500, time.Hour))
+	// One may find no room that is whole.
+	w.runUntil(5*time.Second, func() bool { return w.running("w") == 6 && w.running("watch") >= before-1 })
+}
+
 // TestReserveOutlivesADataCentre holds that urgent work still has room when lasting tasks
 // have filled a service and then any one data centre is taken out.
 func TestReserveOutlivesADataCentre(t *testing.T) {
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -128,9 +128,8 @@
 		c.startGang(now, s, pool, settled)
 		return
 	}
-	leaves := s.spec.Lasting && !s.spec.Fills
 	var spare map[string]int64
-	if leaves {
+	if s.spec.Lasting && !s.spec.Fills {
 		spare = c.spare(pool)
 	}
 	need := s.need.ProcessorMillis()
@@ -142,6 +141,8 @@
 			continue
 		}
 		candidates := pool
+		// A lasting task that ran before comes back into the reserve, too.
+		leaves := spare != nil && t.highest == 0 && !t.inherited
 		if leaves {
 			candidates = slices.DeleteFunc(slices.Clone(pool), func(e *executor) bool { return spare[e.dc] < need })
 		}
@@ -149,7 +150,7 @@
 		if e == nil {
 			return
 		}
-		if leaves {
+		if spare != nil {
 			spare[e.dc] -= need
 		}
 		c.start(now, t, e)
