--- a/conductor/world_test.go
+++ b/conductor/world_test.go
@@ -335,7 +335,7 @@
 // carryOut makes the calls of a custodian; some answers are lost.
 func (w *world) carryOut(h *modelHost, calls custodian.Calls) {
 	for _, call := range calls.Starts {
-		answer, err := custodian.Answer{}, error(apricotwinch.Errorf(apricotwinch.Forbidden, "ticket"))
+		answer, err := custodian.Answer{}, apricotwinch.Errorf(apricotwinch.Forbidden, "ticket")
 		if w.permits(h, call.Order) {
 			answer, err = h.machine.start(w, call)
 		}
--- a/coordinator/advice.go
+++ b/coordinator/advice.go
@@ -23,7 +23,7 @@
 	defer cancel()
 	sent := c.deps.Clock.Now()
 	var tickets map[string]string
-	err := error(apricotwinch.Errorf(apricotwinch.NoTarget, "there is no advice service"))
+	err := apricotwinch.Errorf(apricotwinch.NoTarget, "there is no advice service")
 	if c.deps.Advise != nil {
 		tickets, err = c.deps.Advise(ctx, q.Step, q.Executors)
 	}
--- a/soaker/checker_test.go
+++ b/soaker/checker_test.go
@@ -176,14 +176,11 @@
 	for n, s := range o.steps {
 		for i := range s.Count {
 			h := c.tasks[task{id: o.id, step: n, index: i}]
-			switch {
-			case h == nil:
-				undone++
-			default:
+			if h != nil {
 				alive += h.alive
-				if !h.done {
-					undone++
-				}
+			}
+			if h == nil || !h.done {
+				undone++
 			}
 		}
 	}
--- a/soaker/process_test.go
+++ b/soaker/process_test.go
@@ -115,13 +115,3 @@
 	p.terminate()
 	p.start()
 }
-
-// running reports whether the process has not ended.
-func (p *process) running() bool {
-	select {
-	case <-p.ended:
-		return false
-	default:
-		return true
-	}
-}
