Spread the return of refused callers

Cause: every caller that was refused in an outage was told the same Retry-After, so that all came back at once. It is now drawn between half and one and a half of the kind's delay, in whole seconds. Test: TestRetryStormIsSpread.

--- a/kind.go
+++ b/kind.go
@@ -89,6 +89,14 @@
 // RetryAfter returns how long a caller should wait before it tries again.
 func (a Answer) RetryAfter() time.Duration { return a.retryAfter }
 
+// SpreadRetryAfter returns how long one of many callers should wait: half of RetryAfter to
+// one and a half of it, in whole seconds, by a fraction from 0 to 1, so that callers that
+// were refused together don't come back together.
+func (a Answer) SpreadRetryAfter(fraction float64) time.Duration {
+	wait := time.Duration((0.5 + fraction) * float64(a.retryAfter))
+	return (wait + time.Second - 1).Truncate(time.Second)
+}
+
 // Counter returns the name of the counter that counts refusals of this kind.
 func (a Answer) Counter() string { return "refused." + string(a.kind) }
 
--- a/kind_test.go
+++ b/kind_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -41,3 +42,25 @@
 		t.Errorf("KindOf (-want +got):\n%s", diff)
 	}
 }
+
+// TestRetryStormIsSpread holds that callers that are refused together are told to come back
+// over a time, in whole seconds, and the others not at all.
+func TestRetryStormIsSpread(t *testing.T) {
+	tests := []struct {
+		kind     apricotwinch.Kind
+		fraction float64
+		want     time.Duration
+	}{
+		{apricotwinch.NotOwner, 0, time.Second},
+		{apricotwinch.NotOwner, 0.4, time.Second},
+		{apricotwinch.NotOwner, 0.6, 2 * time.Second},
+		{apricotwinch.LogUnavailable, 0, 3 * time.Second},
+		{apricotwinch.LogUnavailable, 0.99, 8 * time.Second},
+		{apricotwinch.Invalid, 0.5, 0},
+	}
+	for _, test := range tests {
+		if got := test.kind.Answer().SpreadRetryAfter(test.fraction); got != test.want {
+			t.Errorf("%s at %v: %s, want %s", test.kind, test.fraction, got, test.want)
+		}
+	}
+}
