Start filling work one by one beside a tail over its target; reserve a tenth

Cause: after 8 s of patience all filling work that waited for a better place started at once wherever memory allowed, also beside tails over their target, each at full speed until its pace took effect. Now none starts on an executor whose tail is over its target while filling work there is not held back yet. An agent that finds a tail over its target at its start counts from then, not never. Ruled out and reverted: stopping all that fills after 2 s over the target, as no test could show a case that the pacer does not handle.

--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -537,6 +537,27 @@
 	w.runUntil(20*time.Second, func() bool { return w.running("w") == 1 })
 }
 
+// TestFillingCrowdDoesNotKeepATailUp holds that work that fills and has waited for long
+// starts one after the other beside a tail that is over its target: each start works at
+// full speed until its pace takes effect.
+func TestFillingCrowdDoesNotKeepATailUp(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.hosts[0].machine.tail = 4
+	w.run(2 * time.Second)
+	w.submit(lasting, "watch", tasks(1, 1000, time.Hour, lasts, func(s *messenger.StepSpec) {
+		s.TailTargetMillis, s.Image = 10, "watch"
+	}))
+	w.run(time.Second)
+	w.hosts[0].machine.tail = 100
+	w.run(time.Second)
+	w.submit(batch, "w", tasks(6, 500, time.Hour, fills, func(s *messenger.StepSpec) { s.Image = "render" }))
+	w.run(conductor.DefaultConfig().Patience + 500*time.Millisecond)
+	if got := w.running("w"); got > 1 {
+		t.Errorf("%d started at once beside a tail over its target", got)
+	}
+	w.runUntil(15*time.Second, func() bool { return w.running("w") == 6 })
+}
+
 // TestEndedWorkloadLeavesAShortRecord holds that the journal keeps of a workload that
 // has ended only its state, also when the store refused that once, and that the next
 // owner still shows it.
--- a/conductor/config.go
+++ b/conductor/config.go
@@ -55,7 +55,7 @@
 		Lease:         apricotwinch.ExecutorLease,
 		Margin:        400 * time.Millisecond,
 		Authority:     apricotwinch.OwnerAuthority,
-		UrgentReserve: 0.06,
+		UrgentReserve: 0.1,
 		ServingUse:    0.5,
 		FillShare:     1,
 		LeastSpeed:    0.2,
--- a/conductor/move.go
+++ b/conductor/move.go
@@ -51,7 +51,7 @@
 	for _, r := range c.runs {
 		spec := r.task.step.spec
 		movable := spec.Fills && spec.Checkpoints && !spec.Gang && !r.stopping && !r.stray
-		if movable && !r.slowSince.IsZero() && now.Sub(r.slowSince) >= slowFor {
+		if movable && r.heldBack(now) {
 			slow = append(slow, r)
 		}
 	}
@@ -78,13 +78,18 @@
 	case r.slowSince.IsZero():
 		r.slowSince = now
 	}
-	if r.slowSince.IsZero() || now.Sub(r.slowSince) < slowFor || !r.task.step.spec.Fills {
+	if !r.heldBack(now) || !r.task.step.spec.Fills {
 		r.setIdle(0)
 		return
 	}
 	r.setIdle(r.task.step.need.ProcessorMillis() * int64(fullPace-r.pace) / fullPace)
 }
 
+// heldBack reports whether a run has been held back for long.
+func (r *run) heldBack(now time.Time) bool {
+	return !r.slowSince.IsZero() && now.Sub(r.slowSince) >= slowFor
+}
+
 // setIdle changes what a run leaves unused of its need.
 func (r *run) setIdle(idle int64) {
 	r.executor.idle += idle - r.idle
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -180,7 +180,7 @@
 		if !c.fits(t.step, e) {
 			continue
 		}
-		if t.step.spec.Fills && now.Sub(t.step.readyAt) < c.config.Patience && !c.suits(now, t.step.spec.Image, e) {
+		if t.step.spec.Fills && (e.strained(now) || now.Sub(t.step.readyAt) < c.config.Patience && !c.suits(now, t.step.spec.Image, e)) {
 			continue
 		}
 		if cost := c.cost(now, t, e); best == nil || cost < bestCost {
@@ -190,6 +190,19 @@
 	return best
 }
 
+// strained reports whether a tail is over its target on an executor while filling work
+// there is not held back yet: more of it would keep the tail there.
+func (e *executor) strained(now time.Time) bool {
+	over, working := false, false
+	for _, r := range e.runs {
+		if h := r.headroom(); h > 0 && h < 1 {
+			over = true
+		}
+		working = working || r.task.step.spec.Fills && !r.heldBack(now)
+	}
+	return over && working
+}
+
 // suits reports whether filling work of an image may start on an executor without
 // harm to what serves there, and is worth it.
 func (c *Conductor) suits(now time.Time, image string, e *executor) bool {
--- a/custodian/pace.go
+++ b/custodian/pace.go
@@ -60,10 +60,10 @@
 			r.alone += c.config.Smoothing * (alone - r.alone)
 			r.smoothedAt = e.heardAt
 		}
-		if h := r.headroom(); h == 0 || h >= 1 {
+		if h := r.headroom(); h == 0 || h >= 1 || r.calmAt.IsZero() {
 			r.calmAt = now
 		}
-		doubtful := !r.calmAt.IsZero() && now.Sub(r.calmAt) > c.config.Doubtful
+		doubtful := now.Sub(r.calmAt) > c.config.Doubtful
 		serving = append(serving, pacer.Serving{Image: r.order.Image, Undisturbed: r.alone, Doubtful: doubtful})
 	}
 	return serving
