--- a/connector/codec.go
+++ b/connector/codec.go
@@ -20,7 +20,7 @@
 	// compressedBit in the length of a frame marks a message that is compressed.
 	compressedBit = 1 << 31
 	// compressFrom is the length, in bytes, from which a message is compressed: reports
-	// and orders repeat their field names for each run, and shrink to a fifth or less.
+	// and orders repeat their field names for each run, and shrink to a third or less.
 	compressFrom = 512
 )
 
