Don't call a workload refused while its append may still land

Cause: the check of a silent store looked at what is shown, which is durable, and not at what is known. A repeat now waits for the same append, and is unknown at its deadline. Test: coordinator TestRepeatDuringASilentStoreIsNotCalledRefused, red before.

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -30,6 +30,8 @@
 	epoch    int64
 	next     int64
 	refuse   bool
+	// silent is whether appends get no answer.
+	silent bool
 }
 
 func newStore() *store { return &store{journals: map[string]map[string][]byte{}} }
@@ -40,6 +42,12 @@
 	s.refuse = refuse
 }
 
+func (s *store) setSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+}
+
 func (s *store) put(journal string, records []appender.KeyedRecord) {
 	if s.journals[journal] == nil {
 		s.journals[journal] = map[string][]byte{}
@@ -49,9 +57,15 @@
 	}
 }
 
-func (s *store) append(_ context.Context, journal string, p appender.Producer, records []appender.KeyedRecord) error {
+func (s *store) append(ctx context.Context, journal string, p appender.Producer, records []appender.KeyedRecord) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.silent {
+		s.mu.Unlock()
+		<-ctx.Done()
+		s.mu.Lock()
+		return apricotwinch.Errorf(apricotwinch.Unknown, "no answer: %w", ctx.Err())
+	}
 	switch {
 	case s.refuse:
 		return apricotwinch.Errorf(apricotwinch.LogUnavailable, "busy")
@@ -360,3 +374,25 @@
 	}
 	d.complete(t, d.entries[0], "refused")
 }
+
+// TestRepeatDuringASilentStoreIsNotCalledRefused holds that a workload whose append has no
+// answer yet is not called refused when it is handed in again: it may still be accepted.
+func TestRepeatDuringASilentStoreIsNotCalledRefused(t *testing.T) {
+	d := newDeployment(t, 1)
+	d.complete(t, d.entries[0], "before")
+	d.store.setSilent(true)
+	submit := func(timeout time.Duration) apricotwinch.Kind {
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		defer cancel()
+		_, err := d.entries[0].Submit(ctx, request("unsure"))
+		return apricotwinch.KindOf(err)
+	}
+	if diff := cmp.Diff(apricotwinch.Unknown, submit(1200*time.Millisecond)); diff != "" {
+		t.Errorf("kind (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(apricotwinch.Unknown, submit(300*time.Millisecond)); diff != "" {
+		t.Errorf("kind of the repeat (-want +got):\n%s", diff)
+	}
+	d.store.setSilent(false)
+	d.complete(t, d.entries[0], "unsure")
+}
--- a/coordinator/requests.go
+++ b/coordinator/requests.go
@@ -167,7 +167,8 @@
 	if err := c.checkOwner(now); err != nil {
 		return 0, 0, err
 	}
-	if _, err := c.conductor.Show(request.Id); err != nil {
+	// A workload that is known may be on its way to the store: it can't be called refused.
+	if !c.conductor.Known(request.Id) {
 		if err := c.checkStore(now); err != nil {
 			c.deps.Logger.Info("workload refused", "workload", request.Id, "queue", request.Queue, "error", err)
 			return 0, 0, err
--- a/soaker/caller_test.go
+++ b/soaker/caller_test.go
@@ -183,8 +183,9 @@
 	if err != nil {
 		return false
 	}
-	rejected := 0
+	tries, rejected := 0, 0
 	for try := range maxTries {
+		tries++
 		status, _ := c.call(http.MethodPost, o.queue+o.id, body)
 		switch status {
 		case http.StatusOK:
@@ -202,7 +203,7 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.refused = rejected > 0 && rejected >= 3
+	o.refused = rejected == tries
 	return false
 }
 
