Watch the owner through standbys: an entry's pings no longer grow with the entries

Cause: each entry pinged every other one five times a second, and each answer listed all entries; each host sent short reports to all entries, and each answer listed them too.

Change: the owner and the seven entries that claim next ping each other each 200 ms; every other entry pings them each 500 ms, or slower, so that one takes 100 a second of them; one further peer is probed each 200 ms. Members and the owner are sent only when asked for. Agents send short reports to the standbys. An entry that stood still restarts the times of silence of its peers, and doesn't claim for them.

Ruled out: gossip of ages among random peers (more state for the same messages); pings to the owner only (a dead owner and no common order of claims).

TestTakeover- AmongManyEntries: killed 0.5 s, frozen 1.2 s, owner and standbys killed 2 s at most.

--- a/attendant/attendant.go
+++ b/attendant/attendant.go
@@ -9,6 +9,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,8 +40,10 @@
 	// shortReportPeriod is the time between two short reports to an entry that is not the owner,
 	// unless that entry asks for a longer one.
 	shortReportPeriod = 500 * time.Millisecond
-	// membersPeriod is the time after which the owner is asked for the entries again.
-	membersPeriod = 2 * time.Second
+	// standbysPeriod is the time after which an entry is asked for the standbys again.
+	standbysPeriod = time.Second
+	// searchedAtOnce is how many entries of the store's list are asked for the owner at once.
+	searchedAtOnce = 4
 	// peerTimeout bounds a call to an entry.
 	peerTimeout = 600 * time.Millisecond
 	// dialTimeout bounds the dial of an entry.
@@ -54,9 +57,10 @@
 	// hold. It also bounds the wait between two rounds of reports while no owner is
 	// known.
 	holdPause = 30 * time.Millisecond
-	// membersRetryPeriod is the time between two reads of the members from the store while no
-	// owner is known.
-	membersRetryPeriod = 500 * time.Millisecond
+	// membersRetryPeriod is the time between the first reads of the members from the store while
+	// no owner is known; it doubles up to maxMembersRetryPeriod.
+	membersRetryPeriod    = 500 * time.Millisecond
+	maxMembersRetryPeriod = 2 * time.Second
 	// storeTimeout bounds a read of the store.
 	storeTimeout = 1500 * time.Millisecond
 	// maxPeerConns bounds the connections from entries.
@@ -107,15 +111,18 @@
 	listener  net.Listener
 	reportNow chan struct{}
 
-	mu           sync.Mutex
-	ctx          context.Context
-	custodian    *custodian.Custodian
-	holdLoops    map[string]bool
+	mu        sync.Mutex
+	ctx       context.Context
+	custodian *custodian.Custodian
+	holdLoops map[string]bool
+	// members are the entries that the store lists. standbys are those that take short reports,
+	// as an entry last named them.
 	members      map[string]messenger.Member
+	standbys     []messenger.Member
 	owner        string
 	ownerSeenAt  time.Time
 	shortReports map[string]shortReport
-	membersAt    time.Time
+	standbysAt   time.Time
 }
 
 // shortReport is the last short report to an entry, and the interval that the entry asks for
@@ -343,13 +350,13 @@
 	}
 }
 
-// sendShortReports reports to the other entries that the host is up and how long the owner has
-// not answered it.
+// sendShortReports reports to the standbys that the host is up and how long the owner has not
+// answered it, and to some other entries while no owner is known.
 func (a *Attendant) sendShortReports(ctx context.Context) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.deps.Clock.Now()
-	for _, m := range a.members {
+	for _, m := range append(a.searchedMembers(now), a.standbys...) {
 		last := a.shortReports[m.Address]
 		period := shortReportPeriod
 		if a.owner != "" && now.Sub(a.ownerSeenAt) < shortReportPeriod {
@@ -364,6 +371,24 @@
 	}
 }
 
+// searchedMembers returns the entries that are asked for the owner now: searchedAtOnce of those
+// that were not asked for shortReportPeriod, while no owner is known. The caller holds a.mu.
+func (a *Attendant) searchedMembers(now time.Time) []messenger.Member {
+	if a.owner != "" {
+		return nil
+	}
+	var searched []messenger.Member
+	for _, m := range a.members {
+		if now.Sub(a.shortReports[m.Address].sentAt) >= shortReportPeriod {
+			searched = append(searched, m)
+		}
+	}
+	slices.SortFunc(searched, func(x, y messenger.Member) int {
+		return cmp.Or(a.shortReports[x.Address].sentAt.Compare(a.shortReports[y.Address].sentAt), cmp.Compare(x.Name, y.Name))
+	})
+	return searched[:min(len(searched), searchedAtOnce)]
+}
+
 // sendReport sends a report and applies the answer.
 func (a *Attendant) sendReport(ctx context.Context, address string, full bool) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
@@ -371,7 +396,7 @@
 	a.mu.Lock()
 	sent := a.deps.Clock.Now()
 	report := a.custodian.Report(sent, full)
-	report.AsksMembers = !full || sent.Sub(a.membersAt) > membersPeriod
+	report.AsksMembers = sent.Sub(a.standbysAt) > standbysPeriod
 	a.mu.Unlock()
 	var reply messenger.ReportReply
 	err := a.pool.Call(ctx, address, messenger.MethodReport, report, &reply)
@@ -386,7 +411,7 @@
 		return
 	}
 	a.custodian.HandleReportAnswer(now, sent, reply)
-	a.addMembers(now, address, reply)
+	a.setStandbys(now, address, reply)
 	switch {
 	case reply.Owner && reply.Epoch >= a.custodian.Epoch():
 		a.ownerSeenAt = now
@@ -413,15 +438,12 @@
 	a.ownerSeenAt = a.deps.Clock.Now()
 }
 
-// addMembers adds the entries that an entry reports, and records the interval of short reports
-// that it asks for. The caller holds a.mu.
-func (a *Attendant) addMembers(now time.Time, address string, reply messenger.ReportReply) {
-	if len(reply.Members) == 0 {
-		return
-	}
-	a.membersAt = now
-	for _, m := range reply.Members {
-		a.members[m.Name] = m
+// setStandbys records the entries that take short reports, and the interval that an entry asks
+// for. The caller holds a.mu.
+func (a *Attendant) setStandbys(now time.Time, address string, reply messenger.ReportReply) {
+	if len(reply.Members) > 0 {
+		a.standbysAt = now
+		a.standbys = reply.Members
 	}
 	if last, ok := a.shortReports[address]; ok {
 		last.period = time.Duration(reply.LookoutMillis) * time.Millisecond
@@ -431,17 +453,21 @@
 
 // findOwner looks for entries while no owner is known.
 func (a *Attendant) findOwner(ctx context.Context) {
+	reads := 0
 	for ctx.Err() == nil {
 		a.mu.Lock()
 		noOwner := a.owner == ""
 		a.mu.Unlock()
-		if noOwner {
+		if !noOwner {
+			reads = 0
+		} else {
 			a.readMembers(ctx)
+			reads++
 			for _, seed := range a.settings.Seeds {
 				go a.sendReport(ctx, seed, false)
 			}
 		}
-		timekeeper.Sleep(ctx, a.deps.Clock, membersRetryPeriod)
+		timekeeper.Sleep(ctx, a.deps.Clock, apricotwinch.ExponentialBackoff(membersRetryPeriod, maxMembersRetryPeriod, reads))
 	}
 }
 
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -32,9 +32,12 @@
 	// tickPeriod is the time between two ticks, at which the elector and the conductor do
 	// what is due.
 	tickPeriod = 25 * time.Millisecond
-	// pingPeriod is the time between two pings of a peer. An owner that is silent for
-	// several periods is replaced.
-	pingPeriod = 200 * time.Millisecond
+	// pingPeriod is the time between two looks for peers to ping.
+	pingPeriod = 50 * time.Millisecond
+	// membersPeriod is the time between two requests to a peer for the entries that it knows, and
+	// startMembersPeriod that in the first membersPeriod of an entry.
+	membersPeriod      = 10 * time.Second
+	startMembersPeriod = 500 * time.Millisecond
 	// peerTimeout bounds a call to a peer or an agent.
 	peerTimeout = 600 * time.Millisecond
 	// dialTimeout bounds one attempt to connect to a peer, so that a host that has come back
@@ -135,6 +138,8 @@
 	// configuration.
 	behindSince       time.Time
 	configRequestedAt time.Time
+	startedAt         time.Time
+	membersAskedAt    time.Time
 	outOfService      map[string]bool
 	// draining is whether the entry shuts down: it never claims the ownership again.
 	draining bool
@@ -161,6 +166,7 @@
 		self:         self,
 		pool:         pool,
 		listener:     listener,
+		startedAt:    deps.Clock.Now(),
 		elector:      elector.New(deps.Clock.Now(), elector.DefaultConfig(), self),
 		changed:      make(chan struct{}),
 		writerWake:   make(chan struct{}, 1),
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 
@@ -15,6 +16,7 @@
 	"apricotwinch/cataloger"
 	"apricotwinch/conductor"
 	"apricotwinch/connector"
+	"apricotwinch/elector"
 	"apricotwinch/messenger"
 	"apricotwinch/timekeeper"
 )
@@ -336,7 +338,7 @@
 	ticker := c.deps.Clock.NewTicker(pingPeriod)
 	defer ticker.Stop()
 	for {
-		c.pingAll(ctx)
+		c.ping(ctx, (*elector.Elector).PingTargets)
 		select {
 		case <-ctx.Done():
 			return
@@ -345,20 +347,32 @@
 	}
 }
 
-// pingAll pings all peers, or the seeds while no peer is known. It does not wait for replies.
+// pingAll pings all peers, so that they learn of a change of the owner at once.
 func (c *Coordinator) pingAll(ctx context.Context) {
+	c.ping(ctx, (*elector.Elector).AllPingTargets)
+}
+
+// ping pings the peers that targets returns, or the seeds while no peer is known. It does not
+// wait for replies.
+func (c *Coordinator) ping(ctx context.Context, targets func(*elector.Elector, time.Time) []messenger.Member) {
 	c.mu.Lock()
-	peers := c.elector.Peers()
+	now := c.deps.Clock.Now()
+	peers := targets(c.elector, now)
 	ping := c.currentPing()
-	newerPeer := c.choosePeerForConfig(ping.View)
+	newerPeer, behind := c.choosePeerForConfig(ping.View)
+	if behind && !slices.Contains(peers, newerPeer) {
+		peers = append(peers, newerPeer)
+	}
+	ping.AsksMembers = c.membersDue(now)
 	seeds := c.settings.Seeds
-	if len(peers) > 0 {
+	if c.elector.PeerCount() > 0 {
 		seeds = nil
 	}
 	c.mu.Unlock()
 	for _, p := range peers {
 		peerPing := ping
-		peerPing.AsksConfig = p.Name == newerPeer
+		peerPing.AsksConfig = behind && p == newerPeer
+		ping.AsksMembers = false
 		go c.pingPeer(ctx, p.Name, p.Address, peerPing)
 	}
 	for _, address := range seeds {
@@ -369,24 +383,38 @@
 }
 
 // choosePeerForConfig returns the peer to request a configuration from: one that has a later
-// version than view, which the store has not delivered for peerConfigDelay. The name is empty
-// if no request is due. c.mu is held.
-func (c *Coordinator) choosePeerForConfig(view int) string {
+// version than view, which the store has not delivered for peerConfigDelay. It returns false if
+// no request is due. c.mu is held.
+func (c *Coordinator) choosePeerForConfig(view int) (messenger.Member, bool) {
 	now := c.deps.Clock.Now()
-	name, ok := c.elector.PeerWithNewerConfig(now, view)
+	peer, ok := c.elector.PeerWithNewerConfig(now, view)
 	switch {
 	case !ok:
 		c.behindSince = time.Time{}
-		return ""
+		return peer, false
 	case c.behindSince.IsZero():
 		c.behindSince = now
 	}
 	if now.Sub(c.behindSince) < peerConfigDelay || now.Sub(c.configRequestedAt) < peerConfigInterval {
-		return ""
+		return peer, false
 	}
 	c.configRequestedAt = now
-	c.deps.Logger.Info("configuration requested from a peer", "peer", name, "version", view, "behindMillis", now.Sub(c.behindSince).Milliseconds())
-	return name
+	c.deps.Logger.Info("configuration requested from a peer", "peer", peer.Name, "version", view, "behindMillis", now.Sub(c.behindSince).Milliseconds())
+	return peer, true
+}
+
+// membersDue reports whether it is time to ask a peer for the entries that it knows: often after
+// the start, as entries that start together register one after the other. c.mu is held.
+func (c *Coordinator) membersDue(now time.Time) bool {
+	period := membersPeriod
+	if now.Sub(c.startedAt) < membersPeriod {
+		period = startMembersPeriod
+	}
+	if now.Sub(c.membersAskedAt) < period || c.elector.PeerCount() == 0 {
+		return false
+	}
+	c.membersAskedAt = now
+	return true
 }
 
 // encodedConfig returns the configuration in force in the form that is sent to peers; c.mu is
@@ -431,6 +459,9 @@
 	for _, m := range reply.Members {
 		c.elector.AddMember(now, m)
 	}
+	if reply.Owner != nil {
+		c.elector.RecordOwner(now, int64(reply.Owner.Epoch), reply.Owner.Member)
+	}
 }
 
 // applyPeerConfig puts the configuration of a peer in force if its version is later; encoded is
@@ -453,7 +484,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.elector.HandlePing(c.deps.Clock.Now(), ping)
-	reply := messenger.PingReply{Ping: c.currentPing(), Members: c.elector.Peers()}
+	reply := messenger.PingReply{Ping: c.currentPing()}
+	if ping.AsksMembers {
+		reply.Members = c.elector.Peers()
+	}
+	if owner := c.elector.Owner(); ping.AsksOwner && owner.Name != "" {
+		reply.Owner = &messenger.OwnerRecord{Member: owner, Epoch: int(c.elector.Epoch())}
+	}
 	if ping.AsksConfig && reply.Ping.View > ping.View {
 		reply.Config = c.encodedConfig()
 	}
@@ -488,9 +525,9 @@
 		reply.OwnerAddress = c.self.Address
 		c.advance(context.WithoutCancel(ctx), now, false)
 	}
+	reply.LookoutMillis = int(c.elector.ReportInterval().Milliseconds())
 	if r.AsksMembers {
-		reply.Members = append(c.elector.Peers(), c.self)
-		reply.LookoutMillis = int(c.elector.ReportInterval().Milliseconds())
+		reply.Members = c.elector.Standbys(now)
 	}
 	return reply, nil
 }
--- a/coordinator/requests.go
+++ b/coordinator/requests.go
@@ -109,6 +109,11 @@
 	}
 	var reply messenger.WorkloadReply
 	err := c.pool.Call(ctx, owner.Address, method, request, &reply)
+	if err == nil {
+		c.mu.Lock()
+		c.elector.RecordOwnerAnswer(c.deps.Clock.Now(), owner)
+		c.mu.Unlock()
+	}
 	return reply, err
 }
 
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -16,6 +16,9 @@
 	"apricotwinch/messenger"
 )
 
+// prunePeriod is the time between two searches for peers and hosts that are no longer remembered.
+const prunePeriod = 5 * time.Second
+
 // Config holds the time limits and thresholds of an Elector.
 type Config struct {
 	// OwnerTimeout is how long an owner must be silent before another entry claims.
@@ -50,6 +53,20 @@
 	MinReportInterval time.Duration
 	// ReportTTL is how long the report of a host counts.
 	ReportTTL time.Duration
+	// Standbys is the number of entries, the next ones to claim, that watch the owner closely.
+	Standbys int
+	// PingInterval is the time between two pings among the owner and the standbys.
+	PingInterval time.Duration
+	// MinWatchInterval is the least time between two pings of another entry to the owner or to a
+	// standby. PingsPerSecond is how many such pings a second each of them takes from all other
+	// entries together.
+	MinWatchInterval time.Duration
+	PingsPerSecond   float64
+	// ResponseTimeout is how long a peer may leave pings unanswered before it counts as
+	// unresponsive. An entry that did nothing for that long was paused itself.
+	ResponseTimeout time.Duration
+	// MinProbeInterval is the least time between two pings of a peer that is not watched.
+	MinProbeInterval time.Duration
 	// YieldDelay is how long an owner acts before it yields. It doubles with each time that it
 	// yielded, up to MaxYieldDelay.
 	YieldDelay, MaxYieldDelay time.Duration
@@ -70,6 +87,12 @@
 		ReportsPerSecond:   30,
 		MinReportInterval:  500 * time.Millisecond,
 		ReportTTL:          600 * time.Millisecond,
+		Standbys:           7,
+		PingInterval:       200 * time.Millisecond,
+		MinWatchInterval:   500 * time.Millisecond,
+		PingsPerSecond:     100,
+		ResponseTimeout:    500 * time.Millisecond,
+		MinProbeInterval:   time.Second,
 		YieldDelay:         3 * time.Second,
 		MaxYieldDelay:      time.Minute,
 	}
@@ -97,6 +120,10 @@
 	lastPingAt time.Time
 	listedAt   time.Time
 	gone       bool
+	// pingedAt is when this entry last pinged the peer; unansweredSince is when it sent the first
+	// ping since the peer's last one, and zero if it sent none.
+	pingedAt        time.Time
+	unansweredSince time.Time
 }
 
 // hostReport is how long the owner had not answered a host, as of the host's report.
@@ -118,10 +145,14 @@
 	leaving    bool
 	yieldCount int
 
-	startedAt     time.Time
-	ownerSince    time.Time
-	yieldedAt     time.Time
-	hostsPrunedAt time.Time
+	startedAt  time.Time
+	ownerSince time.Time
+	yieldedAt  time.Time
+	prunedAt   time.Time
+	probedAt   time.Time
+	// activeAt is when this entry last did something; resumedAt is when it last resumed after a
+	// pause.
+	activeAt, resumedAt time.Time
 	// ownerSeenAt is when an entry, this one included, was last known to own the workloads.
 	ownerSeenAt time.Time
 	// supersededAt is when this entry learned of a later epoch without its owner.
@@ -130,7 +161,9 @@
 	storeAnsweredAt time.Time
 	storeAnswered   bool
 	peers           map[string]*peer
-	hostReports     map[string]hostReport
+	// claimOrder holds the peers in the order in which they claim; nil if it must be sorted again.
+	claimOrder  []*peer
+	hostReports map[string]hostReport
 }
 
 // New returns the elector of the entry self. It knows no owner yet.
@@ -247,16 +280,30 @@
 	}
 	p := e.peers[member.Name]
 	if p == nil || p.ping.Member.Incarnation != member.Incarnation && now.Sub(p.lastPingAt) > e.config.MaxAge {
-		e.peers[member.Name] = &peer{ping: messenger.Ping{Member: member, StoreMillis: -1}, listedAt: now}
+		e.setPeer(member.Name, &peer{ping: messenger.Ping{Member: member, StoreMillis: -1}, listedAt: now})
 	}
 }
 
+// setPeer adds or replaces a peer.
+func (e *Elector) setPeer(name string, p *peer) {
+	e.peers[name] = p
+	e.claimOrder = nil
+}
+
+// PeerCount returns the number of other known entries.
+func (e *Elector) PeerCount() int { return len(e.peers) }
+
 // HandlePing records the state that another entry sent in a ping.
 func (e *Elector) HandlePing(now time.Time, ping messenger.Ping) {
 	if ping.Member.Name == e.self.Name {
 		return
 	}
-	e.peers[ping.Member.Name] = &peer{ping: ping, lastPingAt: now}
+	p := e.peers[ping.Member.Name]
+	if p == nil || p.ping.Member != ping.Member {
+		p = &peer{}
+		e.setPeer(ping.Member.Name, p)
+	}
+	p.ping, p.lastPingAt, p.unansweredSince, p.gone = ping, now, time.Time{}, false
 	epoch := int64(ping.Epoch)
 	switch {
 	case ping.Owner:
@@ -315,6 +362,7 @@
 		StoreMillis: int(e.StoreSilence(now).Milliseconds()),
 		View:        view,
 		Leaving:     e.leaving,
+		AsksOwner:   e.owner.Name == "",
 	}
 }
 
@@ -341,12 +389,8 @@
 
 // Tick forgets silent entries and hosts, and returns the action that is due.
 func (e *Elector) Tick(now time.Time) Action {
-	for name, p := range e.peers {
-		if now.Sub(latest(p.lastPingAt, p.listedAt)) > e.config.MemberTTL {
-			delete(e.peers, name)
-		}
-	}
-	e.pruneHosts(now)
+	e.detectPause(now)
+	e.prune(now)
 	switch {
 	case e.leaving:
 		return None
@@ -355,18 +399,25 @@
 		return e.tickOwner(now)
 	case e.StoreSilence(now) > e.config.MaxAge:
 		return None
-	case e.shouldClaim(now):
+	case e.isStandby(now) && e.shouldClaim(now):
 		return Claim
 	}
 	return None
 }
 
-// pruneHosts removes the reports of hosts that have been silent for MemberTTL.
-func (e *Elector) pruneHosts(now time.Time) {
-	if now.Sub(e.hostsPrunedAt) < e.config.MemberTTL {
+// prune removes, once each prunePeriod, the peers and the reports of hosts that have been silent
+// for MemberTTL.
+func (e *Elector) prune(now time.Time) {
+	if now.Sub(e.prunedAt) < prunePeriod {
 		return
 	}
-	e.hostsPrunedAt = now
+	e.prunedAt = now
+	for name, p := range e.peers {
+		if now.Sub(latest(p.lastPingAt, p.listedAt)) > e.config.MemberTTL && e.isUnresponsive(now, p) {
+			delete(e.peers, name)
+			e.claimOrder = nil
+		}
+	}
 	maps.DeleteFunc(e.hostReports, func(_ string, s hostReport) bool { return now.Sub(s.at) > e.config.MemberTTL })
 }
 
@@ -437,7 +488,7 @@
 	if replaced || p.gone || p.ping.Released || p.ping.Leaving && !p.ping.Owner {
 		return e.rank(now) == 0 || now.Sub(p.lastPingAt) > delay
 	}
-	since := latest(latest(p.lastPingAt, e.ownerSince), e.startedAt)
+	since := latest(latest(p.lastPingAt, e.ownerSince), latest(e.startedAt, e.resumedAt))
 	return now.Sub(since) > e.config.OwnerTimeout+delay && !e.hostsReachOwner(now)
 }
 
@@ -469,8 +520,10 @@
 
 // claimsBefore reports whether entry a claims before entry b: the one with more processors
 // does, since an owner's work grows with the deployment. Equal ones are ordered by name.
-func claimsBefore(a, b messenger.Member) bool {
-	return cmp.Or(cmp.Compare(b.ProcessorMillis, a.ProcessorMillis), cmp.Compare(a.Name, b.Name)) < 0
+func claimsBefore(a, b messenger.Member) bool { return compareClaims(a, b) < 0 }
+
+func compareClaims(a, b messenger.Member) int {
+	return cmp.Or(cmp.Compare(b.ProcessorMillis, a.ProcessorMillis), cmp.Compare(a.Name, b.Name))
 }
 
 // PreviousOwnerStopped reports whether the owner is known to have stopped acting: it released the
@@ -490,12 +543,13 @@
 	return b
 }
 
-// PeerWithNewerConfig returns the name of the strongest entry that sent a ping recently and whose
+// PeerWithNewerConfig returns the strongest entry that sent a ping recently and whose
 // configuration is later than view, and whether there is one.
-func (e *Elector) PeerWithNewerConfig(now time.Time, view int) (string, bool) {
+func (e *Elector) PeerWithNewerConfig(now time.Time, view int) (messenger.Member, bool) {
 	var best *peer
+	maxAge := max(e.config.MaxTakeoverPingAge, 2*e.watchInterval(now))
 	for _, p := range e.peers {
-		if p.gone || p.ping.View <= view || now.Sub(p.lastPingAt) > e.config.MaxTakeoverPingAge {
+		if p.gone || p.ping.View <= view || now.Sub(p.lastPingAt) > maxAge {
 			continue
 		}
 		if best == nil || claimsBefore(p.ping.Member, best.ping.Member) {
@@ -503,9 +557,9 @@
 		}
 	}
 	if best == nil {
-		return "", false
+		return messenger.Member{}, false
 	}
-	return best.ping.Member.Name, true
+	return best.ping.Member, true
 }
 
 // OwnerRecentlyKnown reports whether an owner was known within MaxAge.
@@ -514,7 +568,16 @@
 }
 
 // OwnerSilence returns how long ago an entry, this one included, was last known to own the
-// workloads.
+// workloads. The time by which this entry pings the owner later than a standby does is left
+// out.
 func (e *Elector) OwnerSilence(now time.Time) time.Duration {
-	return now.Sub(latest(e.ownerSeenAt, e.startedAt))
+	silence := now.Sub(latest(e.ownerSeenAt, e.startedAt))
+	return max(0, silence-(e.watchInterval(now)-e.config.PingInterval))
+}
+
+// RecordOwnerAnswer records that an entry answered a request as the owner.
+func (e *Elector) RecordOwnerAnswer(now time.Time, owner messenger.Member) {
+	if owner == e.owner {
+		e.ownerSeenAt = now
+	}
 }
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -345,8 +345,8 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			got, ok := s.PeerWithNewerConfig(s.now.Add(test.wait), test.view)
-			if got != test.want || ok != (test.want != "") {
-				t.Errorf("got %q, %v, want %q", got, ok, test.want)
+			if got.Name != test.want || ok != (test.want != "") {
+				t.Errorf("got %q, %v, want %q", got.Name, ok, test.want)
 			}
 		})
 	}
--- /dev/null
+++ b/elector/watch_test.go
@@ -0,0 +1,272 @@
+package elector_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"apricotwinch/elector"
+	"apricotwinch/messenger"
+)
+
+const (
+	// lookPeriod is the time between two looks of an entry for peers to ping, and between two ticks.
+	lookPeriod = 50 * time.Millisecond
+	// weakProcessors and strongProcessors are the sizes of entries, in thousandths of a processor.
+	weakProcessors, strongProcessors = 192, 800
+)
+
+// simulatedEntry is an entry of a simulatedFleet.
+type simulatedEntry struct {
+	*elector.Elector
+	member messenger.Member
+	dead   bool
+	// frozen entries neither act nor answer; their processes are not gone.
+	frozen       bool
+	sent, served int
+}
+
+// simulatedFleet joins electors to each other and to a store that accepts one claim of each
+// epoch. Messages arrive at once.
+type simulatedFleet struct {
+	t       *testing.T
+	now     time.Time
+	entries []*simulatedEntry
+	byName  map[string]*simulatedEntry
+	epoch   int64
+	claims  int
+}
+
+// newSimulatedFleet returns a fleet of n entries, each third one strong, that know each other.
+func newSimulatedFleet(t *testing.T, n int, config elector.Config) *simulatedFleet {
+	f := &simulatedFleet{t: t, now: start, byName: map[string]*simulatedEntry{}}
+	for i := range n {
+		processors := weakProcessors
+		if i%3 == 0 {
+			processors = strongProcessors
+		}
+		f.add(memberWithProcessors(fmt.Sprintf("entry-%03d", i), processors), config)
+	}
+	return f
+}
+
+func (f *simulatedFleet) add(m messenger.Member, config elector.Config) *simulatedEntry {
+	entry := &simulatedEntry{Elector: elector.New(f.now, config, m), member: m}
+	for _, other := range f.entries {
+		other.AddMember(f.now, m)
+		entry.AddMember(f.now, other.member)
+	}
+	f.entries = append(f.entries, entry)
+	f.byName[m.Name] = entry
+	return entry
+}
+
+// run moves the time forward by d.
+func (f *simulatedFleet) run(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(lookPeriod) {
+		for _, e := range f.entries {
+			if !e.dead && !e.frozen {
+				f.step(e)
+			}
+		}
+	}
+}
+
+func (f *simulatedFleet) step(e *simulatedEntry) {
+	e.RecordStoreAnswer(f.now, f.now)
+	switch e.Tick(f.now) {
+	case elector.Claim:
+		f.claim(e)
+	case elector.Yield:
+		e.RecordYield(f.now)
+		f.ping(e, e.AllPingTargets(f.now))
+	}
+	f.ping(e, e.PingTargets(f.now))
+}
+
+func (f *simulatedFleet) claim(e *simulatedEntry) {
+	f.claims++
+	if next := e.Epoch() + 1; next <= f.epoch {
+		e.RecordLaterEpoch(f.now, next)
+		return
+	}
+	f.epoch = e.Epoch() + 1
+	e.RecordClaim(f.now, f.epoch)
+	f.ping(e, e.AllPingTargets(f.now))
+}
+
+func (f *simulatedFleet) ping(e *simulatedEntry, targets []messenger.Member) {
+	for _, m := range targets {
+		e.sent++
+		peer := f.byName[m.Name]
+		switch {
+		case peer.dead:
+			e.MarkPeerGone(m.Name)
+		case !peer.frozen:
+			peer.served++
+			request := e.Ping(f.now, 0)
+			peer.HandlePing(f.now, request)
+			e.HandlePing(f.now, peer.Ping(f.now, 0))
+			if owner := peer.Owner(); request.AsksOwner && owner.Name != "" {
+				e.RecordOwner(f.now, peer.Epoch(), owner)
+			}
+		}
+	}
+}
+
+// owner returns the entry that owns the workloads, or nil if none does. It fails the test when
+// two entries act as the owner of one epoch.
+func (f *simulatedFleet) owner() *simulatedEntry {
+	var owner *simulatedEntry
+	for _, e := range f.entries {
+		if e.dead || e.frozen || !e.IsOwner() || e.Epoch() != f.epoch {
+			continue
+		}
+		if owner != nil {
+			f.t.Fatalf("%s and %s both own epoch %d", owner.member.Name, e.member.Name, f.epoch)
+		}
+		owner = e
+	}
+	return owner
+}
+
+// awaitOwner runs until some entry owns the workloads and returns how long that took.
+func (f *simulatedFleet) awaitOwner(limit time.Duration) time.Duration {
+	f.t.Helper()
+	began := f.now
+	for f.owner() == nil {
+		if f.now.Sub(began) > limit {
+			f.t.Fatalf("no owner after %s", limit)
+		}
+		f.run(lookPeriod)
+	}
+	return f.now.Sub(began)
+}
+
+// uninformed returns how many live entries do not know the owner.
+func (f *simulatedFleet) uninformed() int {
+	owner, count := f.owner(), 0
+	for _, e := range f.entries {
+		if !e.dead && !e.frozen && e.Owner() != owner.member {
+			count++
+		}
+	}
+	return count
+}
+
+// TestPingsDoNotGrowWithEntries checks how many messages an entry sends and answers while nothing
+// happens. If each entry pinged all others, their number at one entry would grow with the
+// entries, and in the fleet with their square.
+func TestPingsDoNotGrowWithEntries(t *testing.T) {
+	const (
+		seconds = 5
+		// maxWatcherRate and maxWatchedRate are the messages a second at an entry that is neither
+		// owner nor standby, and at one that is.
+		maxWatcherRate = 40
+		maxWatchedRate = 200
+	)
+	for _, n := range []int{10, 55, 300} {
+		t.Run(fmt.Sprint(n, " entries"), func(t *testing.T) {
+			f := newSimulatedFleet(t, n, elector.DefaultConfig())
+			f.awaitOwner(2 * time.Second)
+			f.run(4 * time.Second)
+			for _, e := range f.entries {
+				e.sent, e.served = 0, 0
+			}
+			f.run(seconds * time.Second)
+			watched := map[string]bool{f.owner().member.Name: true}
+			for _, m := range f.owner().Standbys(f.now) {
+				watched[m.Name] = true
+			}
+			for _, e := range f.entries {
+				limit := maxWatcherRate
+				if watched[e.member.Name] {
+					limit = maxWatchedRate
+				}
+				if rate := (e.sent + e.served) / seconds; rate > limit {
+					t.Errorf("%s: %d messages a second, want at most %d", e.member.Name, rate, limit)
+				}
+			}
+			if diff := cmp.Diff(0, f.uninformed()); diff != "" {
+				t.Errorf("entries that do not know the owner (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestTakeoverAmongManyEntries checks that an owner that fails is replaced soon, also when the
+// standbys fail with it, and that every entry soon knows the new owner.
+func TestTakeoverAmongManyEntries(t *testing.T) {
+	const entries = 55
+	killOwner := func(f *simulatedFleet) { f.owner().dead = true }
+	freezeOwner := func(f *simulatedFleet) { f.owner().frozen = true }
+	failWatched := func(fail func(e *simulatedEntry)) func(f *simulatedFleet) {
+		return func(f *simulatedFleet) {
+			owner := f.owner()
+			for _, m := range owner.Standbys(f.now) {
+				fail(f.byName[m.Name])
+			}
+			fail(owner)
+		}
+	}
+	tests := []struct {
+		name string
+		fail func(f *simulatedFleet)
+		want time.Duration
+	}{
+		{name: "owner killed", fail: killOwner, want: 500 * time.Millisecond},
+		{name: "owner frozen", fail: freezeOwner, want: 1200 * time.Millisecond},
+		{name: "owner and standbys killed", fail: failWatched(func(e *simulatedEntry) { e.dead = true }), want: 2 * time.Second},
+		{name: "owner and standbys frozen", fail: failWatched(func(e *simulatedEntry) { e.frozen = true }), want: 4 * time.Second},
+		{name: "more than half of all killed", want: 2 * time.Second, fail: func(f *simulatedFleet) {
+			random := rand.New(rand.NewPCG(1, 2))
+			f.owner().dead = true
+			for _, e := range f.entries {
+				e.dead = e.dead || random.Float64() < 0.55
+			}
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f := newSimulatedFleet(t, entries, elector.DefaultConfig())
+			f.awaitOwner(2 * time.Second)
+			f.run(10 * time.Second)
+			claims := f.claims
+			test.fail(f)
+			if took := f.awaitOwner(10 * time.Second); took > test.want {
+				t.Errorf("new owner after %s, want at most %s", took, test.want)
+			}
+			if attempts := f.claims - claims; attempts > 3 {
+				t.Errorf("%d claims for one takeover, want at most 3", attempts)
+			}
+			f.run(time.Second)
+			if diff := cmp.Diff(0, f.uninformed()); diff != "" {
+				t.Errorf("entries that do not know the owner 1 s later (-want +got):\n%s", diff)
+			}
+			f.run(20 * time.Second)
+			if diff := cmp.Diff(strongProcessors, f.owner().member.ProcessorMillis); diff != "" {
+				t.Errorf("processors of the owner 20 s later (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestPausedEntryDoesNotClaim checks that an entry that stood still for some seconds does not take
+// the silence of that time for the owner's.
+func TestPausedEntryDoesNotClaim(t *testing.T) {
+	f := newSimulatedFleet(t, 10, elector.DefaultConfig())
+	f.awaitOwner(2 * time.Second)
+	f.run(5 * time.Second)
+	owner, claims := f.owner(), f.claims
+	paused := f.byName[owner.Standbys(f.now)[0].Name]
+	paused.frozen = true
+	f.run(5 * time.Second)
+	paused.frozen = false
+	f.run(2 * time.Second)
+	if diff := cmp.Diff(claims, f.claims); diff != "" {
+		t.Errorf("claims (-want +got):\n%s", diff)
+	}
+}
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -810,6 +810,13 @@
 	// later version.
 	AsksConfig bool `json:"asksConfig,omitempty,omitzero"`
 
+	// Whether the reply should list the entries that the other entry knows.
+	AsksMembers bool `json:"asksMembers,omitempty,omitzero"`
+
+	// Whether the reply should name the owner, because the asking entry does not know
+	// it.
+	AsksOwner bool `json:"asksOwner,omitempty,omitzero"`
+
 	// Greatest epoch that the entry knows.
 	Epoch int `json:"epoch"`
 
@@ -838,9 +845,12 @@
 	// than the asker's.
 	Config string `json:"config,omitempty,omitzero"`
 
-	// Other entries that the replying entry knows.
+	// Other entries that the replying entry knows, if the ping asks for them.
 	Members []Member `json:"members,omitempty,omitzero"`
 
+	// The owner that the replying entry knows, if the ping asks for it.
+	Owner *OwnerRecord `json:"owner,omitempty,omitzero"`
+
 	// State of the replying entry.
 	Ping Ping `json:"ping"`
 }
@@ -968,7 +978,7 @@
 	// milliseconds; 0 if not specified.
 	LookoutMillis int `json:"lookoutMillis,omitempty,omitzero"`
 
-	// Entries that the entry knows, if the report asks for them.
+	// Entries that take short reports, if the report asks for them.
 	Members []Member `json:"members"`
 
 	// Whether the replying entry is that owner.
