Try blocked steps only on executors that changed

Cause: after each report of a host every waiting step was tried on every executor, so that the owner's work grew as steps that wait times executors times reports. The search for a run to move went over all executors at each tick while none was found.

Change: a step that fits nowhere is blocked; later passes try it on executors that reported or lost a run since, and on all of them each 0.5 s, after a new configuration, a data centre out or back, or when one of its tasks waits again. Searches for moves come each 0.1 s.

--- a/conductor/bench_test.go
+++ b/conductor/bench_test.go
@@ -77,3 +77,32 @@
 		})
 	}
 }
+
+// BenchmarkReportWithBacklog measures one report of a host and the scheduling pass after it while
+// best-effort steps wait that fit nowhere.
+func BenchmarkReportWithBacklog(b *testing.B) {
+	const waitingSteps = 60
+	for _, hosts := range []int{14, 82, 240} {
+		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
+			c, reports, now := newBenchFleet(b, hosts)
+			step := tasks(tasksPerHost, 2000, time.Hour)
+			step.Fills, step.Image = true, "batch"
+			for i := range waitingSteps {
+				id := fmt.Sprintf("%016x", 1<<20+i)
+				if _, err := c.Submit(now, messenger.WorkloadRequest{Queue: batchQueue, Id: id, Spec: &messenger.WorkloadSpec{Steps: []messenger.StepSpec{step}}}); err != nil {
+					b.Fatal(err)
+				}
+			}
+			records, number := c.TakeWrites()
+			c.AppendCommitted(number, records)
+			b.ResetTimer()
+			for i := range b.N {
+				now = now.Add(time.Millisecond)
+				r := reports[i%hosts]
+				r.TicketMillis = i + 2
+				c.Report(now, r)
+				c.Schedule(now)
+			}
+		})
+	}
+}
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -53,7 +53,10 @@
 	ended        []*workload
 	hosts        map[string]*host
 	// sortedExecutors caches the executors in order of their ids; nil after a change.
-	sortedExecutors        []*executor
+	sortedExecutors []*executor
+	// changedExecutors holds the executors that reported or lost a run since the last pass over the
+	// waiting steps.
+	changedExecutors       map[*executor]bool
 	allReconciled          bool
 	runs                   map[messenger.RunRef]*run
 	steps                  []*step
@@ -96,6 +99,7 @@
 		runs:         map[messenger.RunRef]*run{},
 		orders:       map[string]*messenger.Orders{},
 
+		changedExecutors:   map[*executor]bool{},
 		appraiser:          appraiser.New(appraiser.DefaultConfig()),
 		monitor:            monitor.New(monitor.DefaultConfig()),
 		loggedInterference: map[appraiser.Pair]float64{},
@@ -139,10 +143,14 @@
 		w.priority = c.priorityOf(w)
 	}
 	slices.SortStableFunc(c.steps, compareSteps)
+	c.unblockSteps()
 }
 
 // SetOutOfService sets the data centres that are out of service; no task starts there.
-func (c *Conductor) SetOutOfService(out map[string]bool) { c.outOfService = out }
+func (c *Conductor) SetOutOfService(out map[string]bool) {
+	c.outOfService = out
+	c.unblockSteps()
+}
 
 // Submit accepts a workload. It returns the number of the append that must be durable before the
 // acceptance is reported to the caller; for an id that is known already, that of its latest
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -613,6 +613,34 @@
 	sim.runUntil(5*time.Second, func() bool { return sim.running("w") == 6 && sim.running("watch") >= before-1 })
 }
 
+// TestBlockedStepsUseFreedRoom verifies that steps that fitted nowhere start as soon as other
+// work ends on some executor, and that the first in order gets the room.
+func TestBlockedStepsUseFreedRoom(t *testing.T) {
+	sim := newSimulation(t, 1, 4)
+	sim.run(2 * time.Second)
+	sim.submit(batchQueue, "running", tasks(64, 1000, 2*time.Second))
+	sim.run(time.Second)
+	sim.submit(batchQueue, "second", tasks(64, 1000, time.Second))
+	sim.submit(urgentQueue, "first", tasks(16, 1000, time.Second))
+	sim.runUntil(2*time.Second, func() bool { return sim.running("first") == 16 })
+	sim.runUntil(500*time.Millisecond, func() bool { return sim.running("second") == 48 })
+	sim.runUntil(3*time.Second, func() bool { return sim.state("second") == messenger.WorkloadCompleted })
+}
+
+// TestBlockedStepsUseNewExecutor verifies that a step that fitted nowhere starts on an executor
+// that joins.
+func TestBlockedStepsUseNewExecutor(t *testing.T) {
+	sim := newSimulation(t, 1, 4)
+	joining := sim.hosts[3]
+	joining.disconnected = true
+	sim.run(2 * time.Second)
+	sim.submit(batchQueue, "running", tasks(48, 1000, time.Hour))
+	sim.submit(batchQueue, "waiting", tasks(16, 1000, time.Hour))
+	sim.run(2 * time.Second)
+	joining.disconnected = false
+	sim.runUntil(time.Second, func() bool { return sim.running("waiting") == 16 })
+}
+
 // TestReserveSurvivesLossOfDataCentre verifies that urgent work still fits when long-running
 // tasks have taken all they may of a service and then any one data centre goes out of service.
 func TestReserveSurvivesLossOfDataCentre(t *testing.T) {
--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -29,6 +30,8 @@
 	lastOrders      int
 	refusalsThrough int
 	executors       map[string]*executor
+	// sorted caches the executors in order of their ids; nil after a change.
+	sorted []*executor
 }
 
 // executor is one incarnation of an executor.
@@ -82,16 +85,17 @@
 	return &host{name: name, address: address, lastReportAt: now, executors: map[string]*executor{}}
 }
 
-// executorsByID returns the executors of the host in order of their ids.
+// executorsByID returns the executors of the host in order of their ids. The caller must not
+// change the list.
 func (h *host) executorsByID() []*executor {
-	list := make([]*executor, 0, len(h.executors))
-	for _, e := range h.executors {
-		list = append(list, e)
+	if h.sorted == nil {
+		h.sorted = slices.SortedFunc(maps.Values(h.executors), compareExecutors)
 	}
-	slices.SortFunc(list, func(a, b *executor) int { return cmp.Compare(a.id, b.id) })
-	return list
+	return h.sorted
 }
 
+func compareExecutors(a, b *executor) int { return cmp.Compare(a.id, b.id) }
+
 func newExecutor(h *host, record messenger.ExecutorRecord) *executor {
 	e := &executor{
 		host:             h,
@@ -121,9 +125,11 @@
 		c.release(run)
 		c.count("runs.lost")
 	}
+	delete(c.changedExecutors, e)
 	c.appraiser.Forget(e.id)
 	c.monitor.Forget(e.id)
 	delete(e.host.executors, e.id)
+	e.host.sorted = nil
 	c.sortedExecutors = nil
 	c.recordHost(e.host)
 }
@@ -156,6 +162,7 @@
 	delete(r.executor.runs, r.ref)
 	r.setIdle(0)
 	r.executor.allocate(r.task.step, -1)
+	c.changedExecutors[r.executor] = true
 	if r.task.originalRun == r {
 		r.task.originalRun = nil
 	}
@@ -241,7 +248,7 @@
 				c.sortedExecutors = append(c.sortedExecutors, e)
 			}
 		}
-		slices.SortFunc(c.sortedExecutors, func(a, b *executor) int { return cmp.Compare(a.id, b.id) })
+		slices.SortFunc(c.sortedExecutors, compareExecutors)
 	}
 	return c.sortedExecutors
 }
--- a/conductor/gang.go
+++ b/conductor/gang.go
@@ -7,16 +7,17 @@
 	"apricotwinch/messenger"
 )
 
-// startGang starts all tasks of a step under one run number, or none of them.
-func (c *Conductor) startGang(now time.Time, s *step, pool []*executor, reconciled bool) {
+// startGang starts all tasks of a step under one run number, or none of them. It reports whether
+// the step does not wait for room.
+func (c *Conductor) startGang(now time.Time, s *step, pool []*executor, reconciled bool) bool {
 	if slices.ContainsFunc(s.tasks, func(t *task) bool {
 		return t.current != nil || now.Before(t.notBefore) || t.inherited && !reconciled
 	}) {
-		return
+		return true
 	}
 	chosen := c.chooseGang(now, s, pool)
 	if chosen == nil {
-		return
+		return false
 	}
 	number := 0
 	for _, t := range s.tasks {
@@ -29,6 +30,7 @@
 		t.checkpoint = checkpoint
 		c.startRun(now, t, chosen[i])
 	}
+	return true
 }
 
 // chooseGang returns an executor for each task of a step, taking the resources of the other
--- a/conductor/journal.go
+++ b/conductor/journal.go
@@ -227,6 +227,7 @@
 	for _, r := range record.Executors {
 		if e := h.executors[r.Id]; e != nil && e.incarnation == r.Born {
 			e.durable = true
+			c.changedExecutors[e] = true
 		}
 	}
 }
--- a/conductor/move.go
+++ b/conductor/move.go
@@ -20,7 +20,7 @@
 	// minMoveSpeed is the share of full speed, 0 to 1, that the run must be expected to have on
 	// the other executor.
 	minMoveSpeed = 0.6
-	// movePeriod is the least time between two moves.
+	// movePeriod is the time between two searches for a run to move.
 	movePeriod = 100 * time.Millisecond
 )
 
@@ -30,13 +30,20 @@
 	if now.Sub(c.movedAt) < movePeriod {
 		return
 	}
+	c.movedAt = now
 	pool := c.usableExecutors()
+	better := map[*step][]*executor{}
 	for _, r := range c.movableRuns(now) {
 		q, ok := c.queue(r.task.step.occurrence.workload)
-		if !ok || !c.hasBetterExecutor(now, r, pool[q.Service]) {
+		if !ok {
+			continue
+		}
+		if _, ok := better[r.task.step]; !ok {
+			better[r.task.step] = c.betterExecutors(now, r.task.step, pool[q.Service])
+		}
+		if !slices.ContainsFunc(better[r.task.step], func(e *executor) bool { return e != r.executor }) {
 			continue
 		}
-		c.movedAt = now
 		c.count("runs.moved")
 		c.logger.Info("run moved", "run", r.ref, "executor", r.executor.id, "pace", r.pace, "slowMillis", now.Sub(r.throttledSince).Milliseconds())
 		r.task.avoid = r.executor
@@ -61,13 +68,20 @@
 	return movable
 }
 
-// hasBetterExecutor reports whether another executor in the pool fits a run and is expected to
-// run it at minMoveSpeed or faster without harm to the serving tasks there.
-func (c *Conductor) hasBetterExecutor(now time.Time, r *run, pool []*executor) bool {
-	image := r.task.step.spec.Image
-	return slices.ContainsFunc(pool, func(e *executor) bool {
-		return e != r.executor && c.fits(r.task.step, e) && c.expectedSpeed(image, e) >= minMoveSpeed && c.suitable(now, image, e)
-	})
+// betterExecutors returns up to two executors in the pool that fit a task of a step and are
+// expected to run it at minMoveSpeed or faster without harm to the serving tasks there. One of
+// two is not the executor that the task is to leave.
+func (c *Conductor) betterExecutors(now time.Time, s *step, pool []*executor) []*executor {
+	var better []*executor
+	for _, e := range pool {
+		if c.fits(s, e) && c.expectedSpeed(s.spec.Image, e) >= minMoveSpeed && c.suitable(now, s.spec.Image, e) {
+			better = append(better, e)
+		}
+		if len(better) == 2 {
+			break
+		}
+	}
+	return better
 }
 
 // updatePace records the pace of a run, since when it is throttled, and what it leaves unused
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -62,7 +62,9 @@
 	}
 }
 
+// queueStep queues a step that has waiting tasks. They are tried on all executors.
 func (c *Conductor) queueStep(s *step) {
+	s.blockedAt = time.Time{}
 	if s.queued || s.occurrence.workload.terminal() {
 		return
 	}
@@ -82,96 +84,6 @@
 	})
 }
 
-// Schedule starts waiting tasks on executors that have room for them.
-func (c *Conductor) Schedule(now time.Time) {
-	if len(c.steps) == 0 {
-		return
-	}
-	reconciled := c.reconciled()
-	c.rankSteps(now)
-	pool := c.usableExecutors()
-	c.steps = slices.DeleteFunc(c.steps, func(s *step) bool {
-		w := s.occurrence.workload
-		if w.terminal() || s.waiting == 0 {
-			s.queued = false
-			return true
-		}
-		if w.durableState == "" {
-			return false
-		}
-		if q, ok := c.queue(w); ok {
-			candidates := pool[q.Service]
-			if q.Advised {
-				candidates = c.allowedExecutors(now, s, q, candidates)
-			}
-			c.scheduleStep(now, s, candidates, reconciled)
-		}
-		s.queued = s.waiting > 0
-		return !s.queued
-	})
-}
-
-// usableExecutors returns the executors that may get tasks, by service.
-func (c *Conductor) usableExecutors() map[string][]*executor {
-	pool := map[string][]*executor{}
-	for _, e := range c.allExecutors() {
-		if e.host.reported && e.durable && e.reachable && !e.runsUnknown && !e.draining && !c.outOfService[e.dc] {
-			pool[e.service] = append(pool[e.service], e)
-		}
-	}
-	return pool
-}
-
-// scheduleStep starts as many waiting tasks of a step as fit.
-func (c *Conductor) scheduleStep(now time.Time, s *step, pool []*executor, reconciled bool) {
-	if s.spec.Gang {
-		c.startGang(now, s, pool, reconciled)
-		return
-	}
-	var unreserved map[string]int64
-	if s.spec.Lasting && !s.spec.Fills {
-		unreserved = c.unreserved(pool)
-	}
-	need := s.need.ProcessorMillis()
-	for _, t := range s.tasks {
-		if s.waiting == 0 {
-			return
-		}
-		if t.done || t.current != nil || now.Before(t.notBefore) || t.inherited && !reconciled {
-			continue
-		}
-		candidates := pool
-		// A long-running task that ran before may use the reserve.
-		keepsReserve := unreserved != nil && t.highestRun == 0 && !t.inherited
-		if keepsReserve {
-			candidates = slices.DeleteFunc(slices.Clone(pool), func(e *executor) bool { return unreserved[e.dc] < need })
-		}
-		e := c.chooseExecutor(now, t, candidates)
-		if e == nil {
-			return
-		}
-		if unreserved != nil {
-			unreserved[e.dc] -= need
-		}
-		c.startRun(now, t, e)
-	}
-}
-
-// unreserved returns the processors, in thousandths, that new long-running tasks may take in
-// each data centre. The rest of the free processors is reserved for other tasks, in every data
-// centre, as any one may go out of service.
-func (c *Conductor) unreserved(pool []*executor) map[string]int64 {
-	capacity, free := map[string]int64{}, map[string]int64{}
-	for _, e := range pool {
-		capacity[e.dc] += e.capacity.ProcessorMillis()
-		free[e.dc] += e.capacity.ProcessorMillis() - e.allocated.ProcessorMillis()
-	}
-	for dc := range free {
-		free[dc] -= int64(c.config.UrgentReserve * float64(capacity[dc]))
-	}
-	return free
-}
-
 // chooseExecutor returns the executor of lowest cost for a task, or nil when none is suitable.
 func (c *Conductor) chooseExecutor(now time.Time, t *task, pool []*executor) *executor {
 	var best *executor
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -113,6 +113,7 @@
 			e = newExecutor(h, record)
 			e.listed = true
 			h.executors[e.id] = e
+			h.sorted = nil
 			c.sortedExecutors = nil
 			c.recordHost(h)
 			c.logger.Info("executor joined", "executor", e.id, "host", h.name, "dataCentre", e.dc, "rack", e.rack, "capacity", e.capacity.String())
@@ -135,6 +136,7 @@
 }
 
 func (c *Conductor) updateExecutor(now time.Time, e *executor, state *messenger.ExecutorState, processed int) {
+	c.changedExecutors[e] = true
 	e.capacity = state.Executor.Capacity.Value()
 	e.leaseEnd = now.Add(c.config.Lease + c.config.Margin)
 	e.reachable = state.Reachable
--- a/conductor/workload.go
+++ b/conductor/workload.go
@@ -53,7 +53,9 @@
 	queued     bool
 	// readyAt is when the steps that this one depends on were done.
 	readyAt time.Time
-	advice  advice
+	// blockedAt is when a task of the step last fitted on none of all executors; zero if one did.
+	blockedAt time.Time
+	advice    advice
 }
 
 // task is the state of one task of a step.
