Fence an executor whose lease lapsed while starts on it were in doubt

Cause: a start whose answer never came was repeated by the agent after its lease had lapsed and been renewed, and an executor could carry out the first try late, while the owner had given up the executor and started the task elsewhere.

Change: at a lapse the agent raises the executor's token when runs on it are in doubt, and reports and uses the executor again only after it has answered a call with that token; starts that it does not list then can't happen any more.

--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -749,6 +749,7 @@
 			func() { sim.randomHost().disconnected = true },
 			func() { sim.crash(sim.randomHost()) },
 			func() { sim.lostShare = 0.5 },
+			func() { sim.lateShare = 0.5 },
 			func() { sim.randomHost().executor.slowdown = 1 },
 			func() { sim.randomHost().executor.slowdown = 0.8 },
 			func() { sim.storeOffline = true },
@@ -773,6 +774,41 @@
 	})
 }
 
+// TestLateStartAfterCutDoesNotDouble cuts hosts off until the owner has started their tasks
+// elsewhere, while most calls to executors get no answer and are carried out seconds later. After the
+// cut neither such a start nor its repetition by the agent may run a task a second time.
+func TestLateStartAfterCutDoesNotDouble(t *testing.T) {
+	for seed := range uint64(60) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			sim := newSimulation(t, seed, 6)
+			sim.run(2 * time.Second)
+			sim.lateShare = 0.95
+			for i := range 4 {
+				sim.submit(batchQueue, fmt.Sprint("job", i), tasks(12, 2000, 800*time.Millisecond))
+				sim.run(200 * time.Millisecond)
+			}
+			for _, h := range sim.hosts[:3] {
+				h.disconnected = true
+			}
+			sim.run(4*time.Second + time.Duration(200*(seed%10))*time.Millisecond)
+			for _, h := range sim.hosts {
+				h.disconnected = false
+			}
+			sim.run(3 * time.Second)
+			sim.clearFaults()
+			sim.runUntil(time.Minute, func() bool {
+				for i := range 4 {
+					if sim.state(fmt.Sprint("job", i)) != messenger.WorkloadCompleted {
+						return false
+					}
+				}
+				return true
+			})
+			sim.run(12 * time.Second)
+		})
+	}
+}
+
 func ExampleConductor() {
 	now := time.Unix(1000, 0)
 	owner := conductor.New(conductor.DefaultConfig(), 1, true, hclog.NewNullLogger(), metrics.NewRegistry())
--- a/conductor/config.go
+++ b/conductor/config.go
@@ -62,7 +62,7 @@
 		BestEffortRatio:        1,
 		MinSpeed:               0.2,
 		Pacer:                  pacer.DefaultConfig(),
-		MinStartHeadroom:       1.05,
+		MinStartHeadroom:       1.25,
 		MaxPlacementWait:       8 * time.Second,
 		Backoff:                50 * time.Millisecond,
 		MaxBackoff:             time.Second,
--- a/custodian/executor.go
+++ b/custodian/executor.go
@@ -120,9 +120,12 @@
 	phase string
 	// confirmedAt is the time as of which the executor last confirmed the run; zero if it never did.
 	confirmedAt time.Time
-	inFlight    bool
-	retryAt     time.Time
-	state       messenger.RunState
+	// fenced is set when the executor's token was raised while the run was in doubt. Once the
+	// executor has answered a call with that token, a run that it doesn't list can't start.
+	fenced   bool
+	inFlight bool
+	retryAt  time.Time
+	state    messenger.RunState
 	// pace is the allowed percentage of full speed, loggedPace the pace that was logged last.
 	pace       int
 	loggedPace int
@@ -160,6 +163,19 @@
 	return requested
 }
 
+// inDoubt reports whether a call that starts the run was made and the executor has not shown
+// what came of it: it may still carry the call out.
+func (r *run) inDoubt() bool { return r.confirmedAt.IsZero() && !r.fenced }
+
+func (e *executor) hasRunInDoubt() bool {
+	for _, r := range e.runs {
+		if r.inDoubt() {
+			return true
+		}
+	}
+	return false
+}
+
 func (e *executor) add(r *run) {
 	e.runs[r.order.Run] = r
 	e.reserved = e.reserved.Add(r.reservation())
--- a/custodian/hold.go
+++ b/custodian/hold.go
@@ -117,9 +117,16 @@
 			changed = true
 		}
 		r.confirmedAt = sent
+		r.fenced = false
 		r.state = state
 	}
 	for ref, r := range e.runs {
+		if r.fenced && e.confirmed {
+			c.logger.Info("run never started", "run", ref, "executor", e.ID)
+			e.remove(ref)
+			changed = true
+			continue
+		}
 		gone := !r.confirmedAt.IsZero() && r.confirmedAt.Before(sent) && !r.inFlight
 		if gone && !listed[ref] && r.phase != messenger.RunStarting {
 			c.logger.Info("run no longer listed", "run", ref, "executor", e.ID)
--- a/custodian/orders.go
+++ b/custodian/orders.go
@@ -203,15 +203,19 @@
 	changed := false
 	for _, id := range c.Executors() {
 		e := c.executors[id]
+		changed = c.fenceAfterLapse(now, e) || changed
 		if len(e.runs) > 0 && now.After(e.grantedUntil.Add(c.config.Margin)) && now.Sub(e.lastContactAt) > c.config.SilenceTimeout {
 			c.logger.Info("executor leases expired", "executor", id, "runs", len(e.runs), "silentMillis", now.Sub(e.lastContactAt).Milliseconds())
+			if e.hasRunInDoubt() {
+				c.fence(e)
+			}
 			for ref := range e.runs {
 				e.remove(ref)
 			}
 			changed = true
 		}
 		for _, r := range e.sortedRuns() {
-			if !r.inFlight && r.phase != messenger.RunRunning && !now.Before(r.retryAt) {
+			if !r.inFlight && !r.fenced && r.phase != messenger.RunRunning && !now.Before(r.retryAt) {
 				c.addCall(now, e, r, &calls)
 			}
 		}
@@ -219,6 +223,30 @@
 	return calls, changed
 }
 
+// fenceAfterLapse raises the token of an executor whose lease has lapsed while runs on it are in
+// doubt, and reports whether it did. The owner may have started their tasks elsewhere since, so
+// that neither a repeated start nor one that the executor carries out late may take effect
+// once the lease is renewed.
+func (c *Custodian) fenceAfterLapse(now time.Time, e *executor) bool {
+	if e.leaseUntil.IsZero() || !now.After(e.leaseUntil) || !e.confirmed || !e.hasRunInDoubt() {
+		return false
+	}
+	c.logger.Info("executor fenced", "executor", e.ID, "runs", len(e.runs), "lapsedMillis", now.Sub(e.leaseUntil).Milliseconds())
+	c.fence(e)
+	return true
+}
+
+// fence raises the token of an executor. The executor is reported again after it has answered a
+// call with that token.
+func (c *Custodian) fence(e *executor) {
+	metrics.GetOrRegisterCounter("executors.fenced", c.registry).Inc(1)
+	e.token = c.nextToken(e.clock)
+	e.confirmed = false
+	for _, r := range e.runs {
+		r.fenced = r.inDoubt()
+	}
+}
+
 // sortedRuns returns the runs in a fixed order.
 func (e *executor) sortedRuns() []*run {
 	runs := make([]*run, 0, len(e.runs))
--- a/custodian/report.go
+++ b/custodian/report.go
@@ -83,6 +83,7 @@
 	c.acknowledgeEnds(reply.Seen)
 	for _, e := range c.executors {
 		listed := !e.reportedAt.IsZero() && !e.reportedAt.After(sent)
+		c.fenceAfterLapse(now, e)
 		if until := sent.Add(c.config.Lease); reply.Lease && listed && until.After(e.leaseUntil) {
 			e.leaseUntil = until
 		}
