Withdraw undelivered starts of runs that were given up

Cause: orders that did not reach an agent were sent again with the ticket of the host's latest report. When a cut host came back after the owner had given its runs up, old orders passed the agent's check of their age and started tasks that ran elsewhere by then.

Change: Conductor.PrepareOrders, asked before each try, leaves out the starts of runs that the owner no longer expects.

TestUndeliveredStartIsWithdrawn failed before.

--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -809,6 +809,23 @@
 	}
 }
 
+// TestUndeliveredStartIsWithdrawn cuts hosts off before they get their orders and until the owner
+// has started the tasks elsewhere. The orders, which are sent again after the cut, may not start
+// these tasks any more.
+func TestUndeliveredStartIsWithdrawn(t *testing.T) {
+	sim := newSimulation(t, 1, 6)
+	sim.run(2 * time.Second)
+	for _, h := range sim.hosts[:3] {
+		h.disconnected = true
+	}
+	sim.submit(batchQueue, "w", tasks(24, 2000, 3*time.Second))
+	sim.runUntil(6*time.Second, func() bool { return sim.running("w") == 24 })
+	for _, h := range sim.hosts[:3] {
+		h.disconnected = false
+	}
+	sim.runUntil(5*time.Second, func() bool { return sim.state("w") == messenger.WorkloadCompleted })
+}
+
 func ExampleConductor() {
 	now := time.Unix(1000, 0)
 	owner := conductor.New(conductor.DefaultConfig(), 1, true, hclog.NewNullLogger(), metrics.NewRegistry())
--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -253,13 +253,25 @@
 	return c.sortedExecutors
 }
 
-// HostOf returns the address and incarnation of a host's agent and the ticket of its last
-// report, in milliseconds of the agent's clock. ok is false for a host that has not reported to
-// this owner.
-func (c *Conductor) HostOf(name string) (address, incarnation string, ticket int, ok bool) {
+// PrepareOrders returns undelivered orders as they may be sent now, and the address of the host's
+// agent. They carry the ticket of the host's last report, and no longer start runs that were
+// given up since the orders were made: their tasks may run elsewhere by now. ok is false for a
+// host that has not reported to this owner, and for orders to another incarnation of its agent.
+func (c *Conductor) PrepareOrders(name string, undelivered *messenger.Orders) (orders messenger.Orders, address string, ok bool) {
 	h := c.hosts[name]
-	if h == nil || !h.reported {
-		return "", "", 0, false
+	if h == nil || !h.reported || undelivered.Incarnation != h.incarnation {
+		return messenger.Orders{}, "", false
 	}
-	return h.address, h.incarnation, h.reportTicket, true
+	orders = *undelivered
+	orders.TicketMillis = h.reportTicket
+	orders.Starts = slices.DeleteFunc(slices.Clone(orders.Starts), func(start messenger.StartOrder) bool {
+		run := c.runs[start.Run]
+		givenUp := run == nil || run.executor.host != h || run.ordersNumber != orders.Number
+		if givenUp {
+			c.count("orders.starts_withdrawn")
+			c.logger.Info("start withdrawn", "run", start.Run, "host", name, "order", orders.Number)
+		}
+		return givenUp
+	})
+	return orders, h.address, true
 }
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -349,11 +349,9 @@
 	}
 	for _, h := range sim.hosts {
 		for !h.disconnected && !h.agentDown && len(sim.undelivered[h.name]) > 0 {
-			orders := sim.undelivered[h.name][0]
-			_, incarnation, ticket, ok := sim.owner.HostOf(h.name)
-			if ok && orders.Incarnation == incarnation {
-				orders.TicketMillis = ticket
-				calls, err := h.agent.HandleOrders(sim.now, *orders)
+			orders, _, ok := sim.owner.PrepareOrders(h.name, sim.undelivered[h.name][0])
+			if ok {
+				calls, err := h.agent.HandleOrders(sim.now, orders)
 				if err != nil && apricotwinch.KindOf(err) != apricotwinch.StaleIncarnation {
 					break
 				}
--- a/coordinator/sender.go
+++ b/coordinator/sender.go
@@ -64,9 +64,9 @@
 		c.mu.Unlock()
 		return false
 	}
-	address, incarnation, ticket, ok := c.conductor.HostOf(s.host)
-	orders := s.queue[0]
-	if !ok || orders.Incarnation != incarnation {
+	undelivered := s.queue[0]
+	orders, address, ok := c.conductor.PrepareOrders(s.host, undelivered)
+	if !ok {
 		s.queue = s.queue[1:]
 		c.mu.Unlock()
 		return true
@@ -76,7 +76,6 @@
 		timekeeper.Sleep(ctx, c.deps.Clock, sendRetryDelay)
 		return true
 	}
-	orders.TicketMillis = ticket
 	c.mu.Unlock()
 	call, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
@@ -87,7 +86,7 @@
 	kind := apricotwinch.KindOf(err)
 	switch {
 	case err == nil || kind == apricotwinch.StaleIncarnation:
-		if len(s.queue) > 0 && s.queue[0] == orders {
+		if len(s.queue) > 0 && s.queue[0] == undelivered {
 			s.queue = s.queue[1:]
 		}
 	case kind == apricotwinch.StaleEpoch:
