Let reads of the store end by stalls only, and wait for an entry that takes over

Entries repeated these reads for ever: no entry took over after a loss of power, and routes were unknown seconds after they were acknowledged. An entry that had claimed and was reading was fenced by the next claim; an entry without the owner's record claimed epochs 1, 2, 3 one after the other.

An entry that has claimed says so in its pings, and others wait for it, at most 8 s. A fenced append that names the epoch is taken at its word.

--- a/appender/journal.go
+++ b/appender/journal.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 
 	"apricotwinch"
 )
@@ -77,6 +78,16 @@
 	JournalOwner = "owner"
 )
 
+// FencedError is the cause of an error of kind StaleEpoch of a store that names the epoch that
+// fences the append.
+type FencedError struct {
+	// Epoch is that epoch.
+	Epoch int64
+}
+
+// Error returns the epoch as text.
+func (e FencedError) Error() string { return fmt.Sprintf("fenced by epoch %d", e.Epoch) }
+
 // IsFinal reports whether an append that returned err needs no retry: it succeeded, or it was
 // rejected for a stale epoch.
 func IsFinal(err error) bool {
--- a/attendant/attendant.go
+++ b/attendant/attendant.go
@@ -61,8 +61,9 @@
 	// no owner is known; it doubles up to maxMembersRetryPeriod.
 	membersRetryPeriod    = 500 * time.Millisecond
 	maxMembersRetryPeriod = 2 * time.Second
-	// storeTimeout bounds a read of the store.
-	storeTimeout = 1500 * time.Millisecond
+	// storeTimeout bounds a read of the store. The store's client ends a read that brings nothing
+	// much earlier.
+	storeTimeout = 5 * time.Second
 	// maxPeerConns bounds the connections from entries.
 	maxPeerConns = 64
 )
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -46,6 +46,9 @@
 	// storeTimeout bounds a call of the store. An append usually takes 4 ms, in a slow store
 	// 60 times that.
 	storeTimeout = 1500 * time.Millisecond
+	// storeReadTimeout bounds a read of a journal, which may be large for the link. The store's
+	// client ends a read that brings nothing much earlier.
+	storeReadTimeout = 20 * time.Second
 	// storeRetryDelay is the delay before a failed call of the store is repeated.
 	storeRetryDelay = 100 * time.Millisecond
 	// nonUrgentFlushDelay is how long records that no caller waits for are held back, so that
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -59,7 +59,7 @@
 // elector. It reports whether the store could be read.
 func (c *Coordinator) readOwnership(ctx context.Context, sent time.Time, journal string) bool {
 	var members, ownerRecords []appender.KeyedRecord
-	err := c.callStore(ctx, func(ctx context.Context) (err error) {
+	err := c.readStore(ctx, func(ctx context.Context) (err error) {
 		if members, err = c.deps.Log.Newest(ctx, appender.JournalMembers); err != nil {
 			return err
 		}
@@ -106,6 +106,13 @@
 	return f(ctx)
 }
 
+// readStore calls f, which reads journals, with a timeout of storeReadTimeout.
+func (c *Coordinator) readStore(ctx context.Context, f func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, storeReadTimeout)
+	defer cancel()
+	return f(ctx)
+}
+
 // claim appends a claim in the next epoch to the journal of work. If the store commits it, which
 // fences every earlier owner, claim reads the journal and takes over the workloads.
 func (c *Coordinator) claim(ctx context.Context) {
@@ -132,10 +139,19 @@
 		c.handleClaimFailure(ctx, sent, epoch, err)
 		return
 	}
+	c.mu.Lock()
 	c.failedClaims = 0
+	c.elector.RecordTakeover(epoch)
+	c.mu.Unlock()
+	defer func() {
+		c.mu.Lock()
+		c.elector.EndTakeover(c.deps.Clock.Now())
+		c.mu.Unlock()
+	}()
 	c.deps.Logger.Info("claim committed", "epoch", epoch, "before", previous.Name, "clean", ownerStopped)
+	c.pingAll(ctx)
 	var records []appender.KeyedRecord
-	err = c.callStore(ctx, func(ctx context.Context) (err error) {
+	err = c.readStore(ctx, func(ctx context.Context) (err error) {
 		records, err = c.deps.Log.Newest(ctx, appender.JournalWork)
 		return err
 	})
@@ -154,6 +170,10 @@
 	if apricotwinch.KindOf(err) != apricotwinch.StaleEpoch {
 		return
 	}
+	var fenced appender.FencedError
+	if errors.As(err, &fenced) {
+		epoch = max(epoch, fenced.Epoch)
+	}
 	c.mu.Lock()
 	c.elector.RecordLaterEpoch(c.deps.Clock.Now(), epoch)
 	c.failedClaims++
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -53,6 +53,9 @@
 	MinReportInterval time.Duration
 	// ReportTTL is how long the report of a host counts.
 	ReportTTL time.Duration
+	// MaxTakeover is how long other entries wait for an entry that has claimed and reads the journal,
+	// which takes long over a slow link.
+	MaxTakeover time.Duration
 	// Standbys is the number of entries, the next ones to claim, that watch the owner closely.
 	Standbys int
 	// PingInterval is the time between two pings among the owner and the standbys.
@@ -87,6 +90,7 @@
 		ReportsPerSecond:   30,
 		MinReportInterval:  500 * time.Millisecond,
 		ReportTTL:          600 * time.Millisecond,
+		MaxTakeover:        8 * time.Second,
 		Standbys:           7,
 		PingInterval:       200 * time.Millisecond,
 		MinWatchInterval:   500 * time.Millisecond,
@@ -119,7 +123,10 @@
 	ping       messenger.Ping
 	lastPingAt time.Time
 	listedAt   time.Time
-	gone       bool
+	// takingOverSince is when the peer first reported that it takes over the epoch of its last
+	// ping; zero if it doesn't.
+	takingOverSince time.Time
+	gone            bool
 	// pingedAt is when this entry last pinged the peer; unansweredSince is when it sent the first
 	// ping since the peer's last one, and zero if it sent none.
 	pingedAt        time.Time
@@ -138,12 +145,15 @@
 	config Config
 	self   messenger.Member
 
-	epoch      int64
-	owner      messenger.Member
-	isOwner    bool
-	released   bool
-	leaving    bool
-	yieldCount int
+	epoch    int64
+	owner    messenger.Member
+	isOwner  bool
+	released bool
+	leaving  bool
+	// takingOverEpoch is the epoch that this entry has claimed and does not act in yet; 0 if there
+	// is none.
+	takingOverEpoch int64
+	yieldCount      int
 
 	startedAt  time.Time
 	ownerSince time.Time
@@ -214,6 +224,18 @@
 	}
 }
 
+// RecordTakeover records that the store accepted this entry's claim of epoch. The entry reads the
+// journal, and then calls RecordClaim if it can act as the owner, and EndTakeover.
+func (e *Elector) RecordTakeover(epoch int64) { e.takingOverEpoch = epoch }
+
+// EndTakeover records that a takeover has ended, whether or not this entry owns the workloads.
+func (e *Elector) EndTakeover(now time.Time) {
+	if e.takingOverEpoch > e.epoch {
+		e.RecordLaterEpoch(now, e.takingOverEpoch)
+	}
+	e.takingOverEpoch = 0
+}
+
 // RecordClaim records that the store accepted this entry's claim of epoch.
 func (e *Elector) RecordClaim(now time.Time, epoch int64) {
 	e.epoch = epoch
@@ -303,6 +325,12 @@
 		p = &peer{}
 		e.setPeer(ping.Member.Name, p)
 	}
+	switch {
+	case !ping.TakingOver:
+		p.takingOverSince = time.Time{}
+	case p.takingOverSince.IsZero() || p.ping.Epoch != ping.Epoch:
+		p.takingOverSince = now
+	}
 	p.ping, p.lastPingAt, p.unansweredSince, p.gone = ping, now, time.Time{}, false
 	epoch := int64(ping.Epoch)
 	switch {
@@ -354,9 +382,11 @@
 // Ping returns the state of this entry to send to the others. View is the version of its
 // configuration.
 func (e *Elector) Ping(now time.Time, view int) messenger.Ping {
+	takingOver := e.takingOverEpoch > e.epoch
 	return messenger.Ping{
 		Member:      e.self,
-		Epoch:       int(e.epoch),
+		Epoch:       int(max(e.epoch, e.takingOverEpoch)),
+		TakingOver:  takingOver,
 		Owner:       e.isOwner,
 		Released:    e.released,
 		StoreMillis: int(e.StoreSilence(now).Milliseconds()),
@@ -469,6 +499,9 @@
 // shouldClaim reports whether it is this entry's turn to claim.
 func (e *Elector) shouldClaim(now time.Time) bool {
 	delay := time.Duration(e.rank(now)) * e.config.RankDelay
+	if e.isPeerTakingOver(now) {
+		return false
+	}
 	if e.owner.Name == "" {
 		wait := delay + e.config.RankDelay
 		if !e.supersededAt.IsZero() {
@@ -492,6 +525,17 @@
 	return now.Sub(since) > e.config.OwnerTimeout+delay && !e.hostsReachOwner(now)
 }
 
+// isPeerTakingOver reports whether another entry is taking over the greatest known epoch.
+func (e *Elector) isPeerTakingOver(now time.Time) bool {
+	for _, p := range e.peers {
+		current := p.ping.TakingOver && int64(p.ping.Epoch) == e.epoch && !p.gone
+		if current && now.Sub(p.lastPingAt) < e.config.OwnerTimeout && now.Sub(p.takingOverSince) < e.config.MaxTakeover {
+			return true
+		}
+	}
+	return false
+}
+
 // hostsReachOwner reports whether most hosts with a recent report reach the owner.
 func (e *Elector) hostsReachOwner(now time.Time) bool {
 	recent, reaching := 0, 0
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -324,6 +324,47 @@
 	}
 }
 
+// TestTakeoverOverSlowLinkIsAwaited checks that other entries do not claim while one that has
+// claimed still reads the journal, but do if it takes too long or its process is gone. Entries
+// on slow links would otherwise fence each other before any of them acts.
+func TestTakeoverOverSlowLinkIsAwaited(t *testing.T) {
+	takingOver := ping("entry-a", 4, func(p *messenger.Ping) { p.TakingOver = true })
+	s := newFixture()
+	s.advance(time.Second, true, ping("entry-c", 3, asOwner), ping("entry-a", 3, nil))
+	if got := s.advance(6*time.Second, true, takingOver); got != elector.None {
+		t.Errorf("during the takeover: got %v, want none", got)
+	}
+	if got := s.advance(6*time.Second, true, takingOver); got != elector.Claim {
+		t.Errorf("after a takeover that does not end: got %v, want a claim", got)
+	}
+	s = newFixture()
+	s.advance(time.Second, true, takingOver)
+	s.MarkPeerGone("entry-a")
+	if got := s.advance(2*time.Second, true); got != elector.Claim {
+		t.Errorf("after the death of the entry that takes over: got %v, want a claim", got)
+	}
+}
+
+// TestTakeoverIsReported checks what an entry reports to others from its claim until it acts.
+func TestTakeoverIsReported(t *testing.T) {
+	s := newFixture()
+	s.RecordOwner(s.now, 3, member("entry-a"))
+	s.RecordTakeover(4)
+	if p := s.Ping(s.now, 0); p.Epoch != 4 || !p.TakingOver || p.Owner {
+		t.Errorf("during the takeover: %+v", p)
+	}
+	s.RecordClaim(s.now, 4)
+	s.EndTakeover(s.now)
+	if p := s.Ping(s.now, 0); p.Epoch != 4 || p.TakingOver || !p.Owner {
+		t.Errorf("after the takeover: %+v", p)
+	}
+	s.RecordTakeover(5)
+	s.EndTakeover(s.now)
+	if p := s.Ping(s.now, 0); p.Epoch != 5 || p.TakingOver || p.Owner {
+		t.Errorf("after a takeover that failed: %+v", p)
+	}
+}
+
 // TestPeerWithNewerConfigReturnsStrongestPeer checks that an entry whose configuration is behind
 // asks a single peer: the strongest of those that send pings and have a later configuration.
 func TestPeerWithNewerConfigReturnsStrongestPeer(t *testing.T) {
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -835,6 +835,10 @@
 	// Time since the store last answered the entry, in milliseconds; -1 for never.
 	StoreMillis int `json:"storeMillis"`
 
+	// Whether the entry has claimed that epoch and reads the journal before it acts
+	// as the owner.
+	TakingOver bool `json:"takingOver,omitempty,omitzero"`
+
 	// Version of the configuration that the entry has.
 	View int `json:"view"`
 }
@@ -955,6 +959,10 @@
 	// Number of the last refusal in refusals.
 	RefusalsThrough int `json:"refusalsThrough,omitempty,omitzero"`
 
+	// Whether the entry has claimed that epoch and reads the journal before it acts
+	// as the owner.
+	TakingOver bool `json:"takingOver,omitempty,omitzero"`
+
 	// Time of the agent's clock, in milliseconds.
 	TicketMillis int `json:"ticketMillis"`
 
