Skip odd entries one by one, and keep a panic to the call that caused it

One that never answers is forgotten after 5 s. - a panic of a handler ended the process; it now fails the call (connector.panics).

Two rows of TestExecutorIncarnations let the executor be silent first; two new rows have it answer.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -154,7 +154,7 @@
 
 // Submit accepts a workload. It returns the number of the append that must be durable before the
 // acceptance is reported to the caller; for an id that is known already, that of its latest
-// change. The error is Invalid when the request has no spec.
+// change. The error is Invalid, and names the field, when the request has no spec or a bad one.
 func (c *Conductor) Submit(now time.Time, request messenger.WorkloadRequest) (int64, error) {
 	if w, ok := c.workloads[request.Id]; ok {
 		return w.durableAt, nil
@@ -162,6 +162,9 @@
 	if request.Spec == nil {
 		return 0, apricotwinch.Errorf(apricotwinch.Invalid, "spec: is missing")
 	}
+	if err := checkSpec(request.Spec); err != nil {
+		return 0, err
+	}
 	w := newWorkload(request.Queue, request.Id, *request.Spec, c.epoch, now)
 	w.dirtySpec = true
 	c.insert(now, w)
--- a/conductor/journal.go
+++ b/conductor/journal.go
@@ -12,25 +12,34 @@
 )
 
 // Restore loads the latest records of the journal. It must be called at most once, before any
-// other method. The error is Invalid and names the record that can't be decoded or applied.
-func (c *Conductor) Restore(now time.Time, records []appender.KeyedRecord) error {
+// other method. It returns an error of the kind Invalid for each record that can't be decoded
+// or applied, and skips these records: one odd record may not keep every entry from owning the
+// workloads.
+func (c *Conductor) Restore(now time.Time, records []appender.KeyedRecord) []error {
+	var errs []error
 	progress := map[string]messenger.ProgressRecord{}
+	unreadable := map[string]bool{}
 	for _, r := range records {
 		if id, ok := strings.CutPrefix(r.Key(), prefixProgress); ok {
 			var p messenger.ProgressRecord
 			if err := json.Unmarshal(r.Value(), &p); err != nil {
-				return apricotwinch.Errorf(apricotwinch.Invalid, "record %s: %w", r.Key(), err)
+				errs = append(errs, apricotwinch.Errorf(apricotwinch.Invalid, "record %s: %w", r.Key(), err))
+				unreadable[prefixWork+id] = true
+				continue
 			}
 			progress[id] = p
 		}
 	}
 	for _, r := range records {
+		if unreadable[r.Key()] {
+			continue // Without its progress, its tasks would run again.
+		}
 		if err := c.restore(now, r, progress); err != nil {
-			return err
+			errs = append(errs, err)
 		}
 	}
 	slices.SortFunc(c.steps, compareSteps)
-	return nil
+	return errs
 }
 
 func (c *Conductor) restore(now time.Time, r appender.KeyedRecord, progress map[string]messenger.ProgressRecord) error {
@@ -63,6 +72,11 @@
 	if err := json.Unmarshal(r.Value(), &record); err != nil {
 		return apricotwinch.Errorf(apricotwinch.Invalid, "record %s: %w", r.Key(), err)
 	}
+	if p := progress[record.Id]; p.EndedMillis == 0 {
+		if err := checkSpec(&record.Spec); err != nil {
+			return apricotwinch.Errorf(apricotwinch.Invalid, "record %s: %w", r.Key(), err)
+		}
+	}
 	w := newWorkload(record.Queue, record.Id, record.Spec, int64(record.Epoch), time.UnixMilli(int64(record.AcceptedMillis)))
 	if p, ok := progress[record.Id]; ok {
 		if err := w.restore(p); err != nil {
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -31,6 +31,7 @@
 		"fail": connector.Handle(func(_ context.Context, m message) (message, error) {
 			return m, apricotwinch.Errorf(apricotwinch.NoCapacity, "full")
 		}),
+		"panic": connector.Handle(func(context.Context, message) (message, error) { panic("index out of range") }),
 		"hang": connector.Handle(func(ctx context.Context, m message) (message, error) {
 			<-ctx.Done()
 			return m, ctx.Err()
@@ -58,6 +59,7 @@
 		{name: "wrong key", serverKey: "k", clientKey: "x", method: "echo", timeout: time.Minute, want: apricotwinch.Unreachable},
 		{name: "no key", serverKey: "k", method: "echo", timeout: time.Minute, want: apricotwinch.Unauthenticated},
 		{name: "remote kind", method: "fail", timeout: time.Minute, want: apricotwinch.NoCapacity},
+		{name: "panic of the handler", method: "panic", timeout: time.Minute, want: apricotwinch.Internal},
 		{name: "no method", method: "none", timeout: time.Minute, want: apricotwinch.NotFound},
 		{name: "timeout", method: "hang", timeout: 50 * time.Millisecond, want: apricotwinch.Unknown},
 	}
--- a/connector/server.go
+++ b/connector/server.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"net"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -164,13 +165,25 @@
 	if !ok {
 		return nil, encodeError(apricotwinch.Errorf(apricotwinch.NotFound, "unknown method %q", req.Method))
 	}
-	result, err := handler(ctx, params(req))
+	result, err := s.callRecovering(ctx, handler, req)
 	if err != nil {
 		return nil, encodeError(err)
 	}
 	return result, nil
 }
 
+// callRecovering calls a handler. A panic, which would end the process with all that it serves,
+// fails the one call with kind Internal instead.
+func (s *Server) callRecovering(ctx context.Context, handler Handler, req *jsonrpc2.Request) (result any, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			metrics.GetOrRegisterCounter("connector.panics", s.registry).Inc(1)
+			result, err = nil, apricotwinch.Errorf(apricotwinch.Internal, "%s: panic: %v\n%s", req.Method, cause, debug.Stack())
+		}
+	}()
+	return handler(ctx, params(req))
+}
+
 // closeConn closes a connection and stops counting it against maxConns.
 func (s *Server) closeConn(conn net.Conn) {
 	conn.Close()
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -211,9 +211,9 @@
 		next.SetCatalog(c.catalog)
 	}
 	next.SetOutOfService(c.outOfService)
-	if err := next.Restore(now, records); err != nil {
-		c.deps.Logger.Error("journal not restored", "error", err)
-		return
+	for _, err := range next.Restore(now, records) {
+		c.deps.Logger.Error("record not restored", "epoch", epoch, "error", err)
+		metrics.GetOrRegisterCounter("journal.bad_records", c.deps.Registry).Inc(1)
 	}
 	c.elector.RecordClaim(now, epoch)
 	c.elector.RecordStoreAnswer(sent, now)
--- a/custodian/custodian.go
+++ b/custodian/custodian.go
@@ -30,6 +30,9 @@
 	RetryDelay time.Duration
 	// SilenceTimeout is how long an executor must be silent to count as unreachable.
 	SilenceTimeout time.Duration
+	// AnnouncementTTL is how long an executor that never answered is remembered after its last
+	// announcement.
+	AnnouncementTTL time.Duration
 	// HoldWait is how long an executor waits for a run to end before it answers a hold.
 	HoldWait time.Duration
 	// Smoothing is the weight of the latest measurement in the headroom of a serving task, 0 to 1.
@@ -52,6 +55,7 @@
 		Margin:              200 * time.Millisecond,
 		RetryDelay:          350 * time.Millisecond,
 		SilenceTimeout:      time.Second,
+		AnnouncementTTL:     5 * time.Second,
 		HoldWait:            250 * time.Millisecond,
 		Smoothing:           0.6,
 		DoubtAfter:          1500 * time.Millisecond,
--- a/custodian/custodian_test.go
+++ b/custodian/custodian_test.go
@@ -272,6 +272,7 @@
 			s.hold(custodian.HoldAnswer{}, apricotwinch.Errorf(apricotwinch.Unreachable, "dial: timeout"))
 		}},
 		{name: "reborn", executors: []string{"e"}, gone: []messenger.ExecutorIncarnation{{Id: "e", Born: 7}}, run: func(s *fixture) {
+			s.now = s.now.Add(1100 * time.Millisecond)
 			s.announce(func(a *custodian.Announcement) { a.StartedMillis, a.Sequence = 8, 1 })
 			s.hold(custodian.HoldAnswer{}, nil)
 			s.hold(custodian.HoldAnswer{}, nil)
@@ -297,6 +298,13 @@
 			s.announce(func(a *custodian.Announcement) { a.StartedMillis, a.ID = 6, "d" })
 		}},
 		{name: "replaced at its address", executors: []string{"f"}, gone: []messenger.ExecutorIncarnation{{Id: "e", Born: 7}}, run: func(s *fixture) {
+			s.now = s.now.Add(1100 * time.Millisecond)
+			s.announce(func(a *custodian.Announcement) { a.StartedMillis, a.ID = 9, "f" })
+		}},
+		{name: "another writer announces a later start while it answers", executors: []string{"e"}, run: func(s *fixture) {
+			s.announce(func(a *custodian.Announcement) { a.StartedMillis, a.Sequence = 8, 1 })
+		}},
+		{name: "another writer announces its address while it answers", executors: []string{"e"}, run: func(s *fixture) {
 			s.announce(func(a *custodian.Announcement) { a.StartedMillis, a.ID = 9, "f" })
 		}},
 		{name: "late announcement after its end", executors: []string{}, gone: []messenger.ExecutorIncarnation{{Id: "e", Born: 7}}, run: func(s *fixture) {
@@ -446,3 +454,53 @@
 		t.Errorf("executors: %+v, want the incarnation born at 9 with the end of its run", report.Executors)
 	}
 }
+
+// TestLapseFencesRunsInDoubt checks that after a lapse of the lease, during which the owner may
+// have started a task elsewhere, a start without an answer is not repeated, and that the
+// executor is not reported or used before it has answered a greater token.
+func TestLapseFencesRunsInDoubt(t *testing.T) {
+	s := newFixture()
+	calls, err := s.HandleOrders(s.now, s.orders(order(0, 1, 1000)))
+	if err != nil || len(calls.Starts) != 1 {
+		t.Fatalf("starts %v, error %v", calls.Starts, err)
+	}
+	s.HandleStartAnswer(s.now, calls.Starts[0], custodian.Answer{}, apricotwinch.Errorf(apricotwinch.Unknown, "no answer"))
+	before := s.hold(custodian.HoldAnswer{}, nil).Token
+	s.now = s.now.Add(5 * time.Second)
+	if report := s.renew(); len(report.Executors) != 1 {
+		t.Fatalf("report during the lapse lists %d executors, want 1", len(report.Executors))
+	}
+	if calls, _ := s.Tick(s.now); len(calls.Starts) != 0 {
+		t.Errorf("start repeated after the lapse: %v", calls.Starts)
+	}
+	if report := s.renew(); len(report.Executors) != 0 {
+		t.Errorf("the executor is reported before it has answered the greater token")
+	}
+	fencing := s.hold(custodian.HoldAnswer{}, nil)
+	if fencing.Token <= before || fencing.Deadline != 0 {
+		t.Errorf("hold with token %d and deadline %s, want a token above %d and no lease", fencing.Token, fencing.Deadline, before)
+	}
+	if diff := cmp.Diff(map[string]string{}, phases(s.renew())); diff != "" {
+		t.Errorf("runs after the fence (-want +got):\n%s", diff)
+	}
+}
+
+// TestUnconfirmedExecutorIsForgotten checks that an announcement of another writer, which names a
+// later incarnation and an address at which nothing answers, stands for the executor of that id
+// only for a while.
+func TestUnconfirmedExecutorIsForgotten(t *testing.T) {
+	s := newFixture()
+	s.announce(func(a *custodian.Announcement) { a.StartedMillis, a.Address = 1<<41, "host:3" })
+	for range 12 {
+		s.hold(custodian.HoldAnswer{}, apricotwinch.Errorf(apricotwinch.Unreachable, "no route"))
+		s.now = s.now.Add(time.Second)
+		s.announce(nil)
+		s.Tick(s.now)
+	}
+	s.hold(custodian.HoldAnswer{}, nil)
+	s.hold(custodian.HoldAnswer{}, nil)
+	report := s.renew()
+	if len(report.Executors) != 1 || report.Executors[0].Executor.Born != 7 {
+		t.Errorf("got %+v, want the executor that announces itself", report.Executors)
+	}
+}
--- a/custodian/executor.go
+++ b/custodian/executor.go
@@ -93,6 +93,7 @@
 	clock         time.Duration
 	clockAt       time.Time
 	lastContactAt time.Time
+	announcedAt   time.Time
 	// reportedAt is when a report first listed the executor. The owner's answers to this and later
 	// reports renew its leases until leaseUntil. The last lease that the executor may have
 	// received ends at grantedUntil.
--- a/custodian/incarnations.go
+++ b/custodian/incarnations.go
@@ -19,17 +19,21 @@
 		return false
 	}
 	if e != nil && a.StartedMillis > e.StartedMillis {
+		if c.answersNow(now, e) {
+			return false
+		}
 		c.dropExecutor(e, "reborn")
 		e = nil
 	}
 	if e == nil {
-		if !c.replaceAtAddress(a) {
+		if !c.replaceAtAddress(now, a) {
 			return false
 		}
 		e = &executor{Announcement: a, lastContactAt: now, runs: map[messenger.RunRef]*run{}, token: c.nextToken(a.Clock)}
 		c.executors[a.ID] = e
 		c.logger.Info("executor announced", "executor", a.ID, "born", a.StartedMillis, "address", a.Address, "draining", a.Draining)
 	}
+	e.announcedAt = now
 	changed := e.Draining != a.Draining || !e.confirmed
 	e.Announcement = a
 	e.updateClock(now, a.Clock)
@@ -47,14 +51,21 @@
 	return c.lastToken
 }
 
+// answersNow reports whether an executor has just answered. No announcement replaces it then, as
+// another writer may have sent that: if the executor has ended, its next answer, or the lack of
+// one, shows it.
+func (c *Custodian) answersNow(now time.Time, e *executor) bool {
+	return e.confirmed && now.Sub(e.lastContactAt) < c.config.SilenceTimeout
+}
+
 // replaceAtAddress drops the older incarnations at the address of a new one, and reports
 // whether the new one is the newest.
-func (c *Custodian) replaceAtAddress(a Announcement) bool {
+func (c *Custodian) replaceAtAddress(now time.Time, a Announcement) bool {
 	for _, e := range c.executors {
 		if e.Address != a.Address {
 			continue
 		}
-		if e.StartedMillis > a.StartedMillis {
+		if e.StartedMillis > a.StartedMillis || c.answersNow(now, e) {
 			return false
 		}
 		c.dropExecutor(e, "replaced at its address")
@@ -85,6 +96,17 @@
 	return slices.ContainsFunc(c.ended, func(ended endedIncarnation) bool { return ended.Id == id && ended.Born == startedMillis })
 }
 
+// forgetUnconfirmed removes executors that never answered and are announced no more. Another
+// writer's announcement could otherwise stand for the executor whose id or address it names.
+func (c *Custodian) forgetUnconfirmed(now time.Time) {
+	for id, e := range c.executors {
+		if !e.confirmed && e.reportedAt.IsZero() && len(e.runs) == 0 && now.Sub(e.announcedAt) > c.config.AnnouncementTTL {
+			c.logger.Info("executor forgotten", "executor", id, "born", e.StartedMillis, "address", e.Address)
+			delete(c.executors, id)
+		}
+	}
+}
+
 func (c *Custodian) dropExecutor(e *executor, reason string) {
 	c.ended = append(c.ended, endedIncarnation{ExecutorIncarnation: messenger.ExecutorIncarnation{Id: e.ID, Born: e.StartedMillis}, endedAt: c.updatedAt})
 	c.logger.Info("executor dropped", "executor", e.ID, "born", e.StartedMillis, "runs", len(e.runs), "reason", reason)
--- a/custodian/orders.go
+++ b/custodian/orders.go
@@ -201,6 +201,7 @@
 func (c *Custodian) Tick(now time.Time) (Calls, bool) {
 	var calls Calls
 	changed := false
+	c.forgetUnconfirmed(now)
 	for _, id := range c.Executors() {
 		e := c.executors[id]
 		changed = c.fenceAfterLapse(now, e) || changed
