--- a/custodian/hold.go
+++ b/custodian/hold.go
@@ -100,7 +100,7 @@
 }
 
 // updateRuns takes the list of an executor's runs, as of a call that was sent at sent. It
-// reports whether a run was added, changed its phase or ended.
+// reports whether a run was added or has ended.
 func (c *Custodian) updateRuns(e *executor, sent time.Time, states []messenger.RunState) bool {
 	changed := false
 	listed := make(map[messenger.RunRef]bool, len(states))
@@ -114,7 +114,6 @@
 		}
 		if r.phase == messenger.RunStarting {
 			r.phase = messenger.RunRunning
-			changed = true
 		}
 		r.confirmedAt = sent
 		r.fenced = false
--- a/custodian/orders.go
+++ b/custodian/orders.go
@@ -144,7 +144,8 @@
 }
 
 // HandleStartAnswer takes the answer to a start. It returns the calls to make, and reports whether
-// a report to the owner is due at once.
+// a report to the owner is due at once. That a run has started can wait for the next report: the
+// owner counts it from its order on.
 func (c *Custodian) HandleStartAnswer(now time.Time, call StartCall, answer Answer, err error) (Calls, bool) {
 	e, r := c.findRun(call.Executor, call.Order.Run)
 	if r == nil {
@@ -164,7 +165,7 @@
 			r.phase = messenger.RunRunning
 		}
 		r.confirmedAt = now
-		return c.updatePaces(now, e), true
+		return c.updatePaces(now, e), false
 	case apricotwinch.Conflict:
 		// The executor already had this run or a later one; its next list of runs shows whether
 		// this one has ended.
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -959,10 +959,6 @@
 	// Number of the last refusal in refusals.
 	RefusalsThrough int `json:"refusalsThrough,omitempty,omitzero"`
 
-	// Whether the entry has claimed that epoch and reads the journal before it acts
-	// as the owner.
-	TakingOver bool `json:"takingOver,omitempty,omitzero"`
-
 	// Time of the agent's clock, in milliseconds.
 	TicketMillis int `json:"ticketMillis"`
 
