Report ends alone between whole reports

Cause: each end of a run sent the state of the whole host, some 3 KB, to the owner: 900 ends a second at 240 hosts.

Change: a whole report comes each 350 ms and when something but an end has changed; an end between them is reported alone. The appraiser takes samples from whole reports only, and only these renew leases. The simulation's hosts report in the same way.

--- a/attendant/attendant.go
+++ b/attendant/attendant.go
@@ -396,7 +396,10 @@
 	defer cancel()
 	a.mu.Lock()
 	sent := a.deps.Clock.Now()
-	report := a.custodian.Report(sent, full)
+	report := a.custodian.Report(sent, false)
+	if full {
+		report = a.custodian.NextReport(sent)
+	}
 	report.AsksMembers = sent.Sub(a.standbysAt) > standbysPeriod
 	a.mu.Unlock()
 	var reply messenger.ReportReply
@@ -405,6 +408,7 @@
 	defer a.mu.Unlock()
 	now := a.deps.Clock.Now()
 	if err != nil {
+		a.custodian.RequireWholeReport()
 		metrics.GetOrRegisterCounter("report.failed."+string(apricotwinch.KindOf(err)), a.deps.Registry).Inc(1)
 		if full && a.owner == address && now.Sub(a.ownerSeenAt) > peerTimeout {
 			a.setOwner("", a.custodian.Epoch(), "the owner does not answer")
@@ -436,6 +440,7 @@
 func (a *Attendant) setOwner(address string, epoch int, reason string) {
 	a.deps.Logger.Info("owner", "address", address, "epoch", epoch, "before", a.owner, "reason", reason)
 	a.owner = address
+	a.custodian.RequireWholeReport()
 	a.ownerSeenAt = a.deps.Clock.Now()
 }
 
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -40,14 +40,19 @@
 	h.reported = true
 	h.lastReportAt = now
 	h.reportTicket = r.TicketMillis
-	if r.Whole {
+	switch {
+	case r.Whole:
 		c.applyRefusals(now, h, r)
 		c.updateExecutors(now, h, r)
+	case r.EndsOnly:
+		c.recordEnds(now, h, r)
 	}
 	reply := messenger.ReportReply{Epoch: int(c.epoch), Owner: true, Lease: r.Whole, RefusalsThrough: h.refusalsThrough}
 	for _, e := range h.executorsByID() {
-		c.observe(now, e)
-		reply.Presses = append(reply.Presses, c.interferenceUpdates(e)...)
+		if r.Whole {
+			c.observe(now, e)
+			reply.Presses = append(reply.Presses, c.interferenceUpdates(e)...)
+		}
 		reply.Seen = append(reply.Seen, messenger.DurableEnds{Executor: e.id, Born: e.incarnation, Through: e.acknowledgedEnd})
 		if !e.reachable && e.leaseEnd.After(now) {
 			reply.Executors = append(reply.Executors, e.record)
@@ -56,6 +61,21 @@
 	return reply
 }
 
+// recordEnds applies the ends of a report that lists nothing else.
+func (c *Conductor) recordEnds(now time.Time, h *host, r messenger.Report) {
+	for i := range r.Executors {
+		state := &r.Executors[i]
+		e := h.executors[state.Executor.Id]
+		if e == nil || e.incarnation != state.Executor.Born {
+			continue // The next whole report lists the executor and the ends again.
+		}
+		c.changedExecutors[e] = true
+		for j := range state.Ends {
+			c.recordEnd(now, e, &state.Ends[j])
+		}
+	}
+}
+
 // recordHost queues an urgent write of the record of a host and its executors.
 func (c *Conductor) recordHost(h *host) {
 	record := messenger.HostRecord{Address: h.address}
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -337,7 +337,7 @@
 	if h.disconnected {
 		return
 	}
-	report := h.agent.Report(sim.now, true)
+	report := h.agent.NextReport(sim.now)
 	reply := sim.owner.Report(sim.now, report)
 	h.agent.HandleReportAnswer(sim.now, sim.now, reply)
 }
--- a/custodian/custodian.go
+++ b/custodian/custodian.go
@@ -33,6 +33,9 @@
 	// AnnouncementTTL is how long an executor that never answered is remembered after its last
 	// announcement.
 	AnnouncementTTL time.Duration
+	// WholeReportPeriod is the time between two reports that list everything. A lease lasts for
+	// several of them.
+	WholeReportPeriod time.Duration
 	// HoldWait is how long an executor waits for a run to end before it answers a hold.
 	HoldWait time.Duration
 	// Smoothing is the weight of the latest measurement in the headroom of a serving task, 0 to 1.
@@ -56,6 +59,7 @@
 		RetryDelay:          350 * time.Millisecond,
 		SilenceTimeout:      time.Second,
 		AnnouncementTTL:     5 * time.Second,
+		WholeReportPeriod:   350 * time.Millisecond,
 		HoldWait:            250 * time.Millisecond,
 		Smoothing:           0.6,
 		DoubtAfter:          1500 * time.Millisecond,
@@ -90,6 +94,8 @@
 	refusals        []messenger.RunRefusal
 	refusalCount    int
 	updatedAt       time.Time
+	wholeReportAt   time.Time
+	wholeReportDue  bool
 	lastToken       int64
 	// interferences holds the estimates that the owner sent, by the serving and the best-effort
 	// image.
--- a/custodian/hold.go
+++ b/custodian/hold.go
@@ -42,10 +42,13 @@
 		return Calls{}, false
 	}
 	if err != nil {
-		return Calls{}, c.handleHoldError(now, e, answer.Answer, err)
+		changed := c.handleHoldError(now, e, answer.Answer, err)
+		c.wholeReportDue = c.wholeReportDue || changed
+		return Calls{}, changed
 	}
 	if answer.StartedMillis != 0 && answer.StartedMillis != e.StartedMillis {
 		c.handleRestart(now, e, answer.Answer)
+		c.wholeReportDue = true
 		return Calls{}, true
 	}
 	e.lastContactAt = now
@@ -58,10 +61,12 @@
 			return Calls{}, false
 		}
 		e.confirmed = call.Token == e.token
+		c.wholeReportDue = true
 	}
-	changed := c.addEnds(e, answer.Ends)
-	changed = c.updateRuns(e, sent, answer.Runs) || changed
-	return c.updatePaces(now, e), changed
+	ended := c.addEnds(e, answer.Ends)
+	changed := c.updateRuns(e, sent, answer.Runs)
+	c.wholeReportDue = c.wholeReportDue || changed
+	return c.updatePaces(now, e), ended || changed
 }
 
 // handleHoldError takes the error of a hold that was not answered or was rejected. It reports
--- a/custodian/incarnations.go
+++ b/custodian/incarnations.go
@@ -40,6 +40,7 @@
 	if a.Draining {
 		e.drainDeadline = now.Add(a.Remaining)
 	}
+	c.wholeReportDue = c.wholeReportDue || changed
 	return changed
 }
 
@@ -77,6 +78,7 @@
 func (c *Custodian) MarkDraining(id string) {
 	if e := c.executors[id]; e != nil {
 		e.Draining = true
+		c.wholeReportDue = true
 	}
 }
 
--- a/custodian/orders.go
+++ b/custodian/orders.go
@@ -50,6 +50,7 @@
 		c.logger.Info("later epoch", "epoch", epoch, "before", c.epoch)
 		c.epoch = epoch
 		c.lastOrders = 0
+		c.wholeReportDue = true
 	}
 }
 
@@ -101,6 +102,7 @@
 }
 
 func (c *Custodian) refuseRun(ref messenger.RunRef, kind apricotwinch.Kind) {
+	c.wholeReportDue = true
 	c.refusalCount++
 	c.refusals = append(c.refusals, messenger.RunRefusal{Run: ref, Kind: string(kind)})
 	metrics.GetOrRegisterCounter(kind.ErrorResponse().Counter(), c.registry).Inc(1)
@@ -153,6 +155,7 @@
 	}
 	if answer.StartedMillis > e.StartedMillis && e.StartedMillis != 0 {
 		c.handleRestart(now, e, answer)
+		c.wholeReportDue = true
 		return Calls{}, true
 	}
 	e.updateClock(now, answer.Clock)
@@ -205,7 +208,9 @@
 	c.forgetUnconfirmed(now)
 	for _, id := range c.Executors() {
 		e := c.executors[id]
-		changed = c.fenceAfterLapse(now, e) || changed
+		if c.fenceAfterLapse(now, e) {
+			changed = true
+		}
 		if len(e.runs) > 0 && now.After(e.grantedUntil.Add(c.config.Margin)) && now.Sub(e.lastContactAt) > c.config.SilenceTimeout {
 			c.logger.Info("executor leases expired", "executor", id, "runs", len(e.runs), "silentMillis", now.Sub(e.lastContactAt).Milliseconds())
 			if e.hasRunInDoubt() {
@@ -222,6 +227,7 @@
 			}
 		}
 	}
+	c.wholeReportDue = c.wholeReportDue || changed
 	return calls, changed
 }
 
--- a/custodian/report.go
+++ b/custodian/report.go
@@ -7,6 +7,28 @@
 	"apricotwinch/messenger"
 )
 
+// NextReport returns the next report to the owner. It lists everything once in each
+// WholeReportPeriod and when something but ends has changed, and otherwise ends alone.
+func (c *Custodian) NextReport(now time.Time) messenger.Report {
+	if c.wholeReportDue || now.Sub(c.wholeReportAt) >= c.config.WholeReportPeriod {
+		c.wholeReportDue = false
+		c.wholeReportAt = now
+		return c.Report(now, true)
+	}
+	report := c.Report(now, false)
+	report.EndsOnly = true
+	for _, id := range c.Executors() {
+		if e := c.executors[id]; e.confirmed && len(e.ends) > 0 {
+			record := messenger.ExecutorRecord{Id: e.ID, Born: e.StartedMillis}
+			report.Executors = append(report.Executors, messenger.ExecutorState{Executor: record, Ends: slices.Clone(e.ends)})
+		}
+	}
+	return report
+}
+
+// RequireWholeReport makes the next report list everything.
+func (c *Custodian) RequireWholeReport() { c.wholeReportDue = true }
+
 // Report returns the report to an entry. A full report, for the owner, also lists executors,
 // runs and refusals.
 func (c *Custodian) Report(now time.Time, full bool) messenger.Report {
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -932,6 +932,9 @@
 	// Whether the reply should list the entries.
 	AsksMembers bool `json:"asksMembers,omitempty,omitzero"`
 
+	// Whether the report lists only ends of runs, of the executors that have some.
+	EndsOnly bool `json:"endsOnly,omitempty,omitzero"`
+
 	// Greatest epoch that the agent has seen.
 	Epoch int `json:"epoch"`
 
