--- a/conductor/config.go
+++ b/conductor/config.go
@@ -17,10 +17,6 @@
 	Margin time.Duration
 	// Authority is how long an earlier owner may have continued to act after it was fenced.
 	Authority time.Duration
-	// WholeReportsPerSecond is the number of whole reports a second that the owner wants from all
-	// hosts together, and MinWholeReportPeriod the least time between two of a host.
-	WholeReportsPerSecond float64
-	MinWholeReportPeriod  time.Duration
 	// UrgentReserve is the share of a service's processors in each data centre, 0 to 1, that new
 	// long-running tasks leave free for other tasks.
 	UrgentReserve float64
@@ -61,8 +57,6 @@
 		Lease:                  apricotwinch.ExecutorLease,
 		Margin:                 400 * time.Millisecond,
 		Authority:              apricotwinch.OwnerAuthority,
-		WholeReportsPerSecond:  400,
-		MinWholeReportPeriod:   350 * time.Millisecond,
 		UrgentReserve:          0.1,
 		LongRunningUtilization: 0.5,
 		BestEffortRatio:        1,
--- a/conductor/ends.go
+++ b/conductor/ends.go
@@ -124,16 +124,15 @@
 	c.endWorkload(now, w, messenger.WorkloadCompleted)
 }
 
-// acknowledge acknowledges the ends of an executor that have become durable, with the orders that
-// are pending for its host if there are any. Each reply to a report carries the acknowledgment
-// as well.
+// acknowledge orders the acknowledgment of the ends of an executor that have become durable.
 func (c *Conductor) acknowledge(h *host, e *executor) {
 	before := e.acknowledgedEnd
 	for len(e.pendingEnds) > 0 && e.pendingEnds[0].write <= c.durable {
 		e.acknowledgedEnd = e.pendingEnds[0].number
 		e.pendingEnds = e.pendingEnds[1:]
 	}
-	if orders := c.orders[h.name]; orders != nil && e.acknowledgedEnd > before {
+	if e.acknowledgedEnd > before {
+		orders := c.ordersFor(h)
 		orders.Seen = append(orders.Seen, messenger.DurableEnds{Executor: e.id, Born: e.incarnation, Through: e.acknowledgedEnd})
 	}
 }
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -47,10 +47,7 @@
 	case r.EndsOnly:
 		c.recordEnds(now, h, r)
 	}
-	reply := messenger.ReportReply{
-		Epoch: int(c.epoch), Owner: true, Lease: r.Whole, RefusalsThrough: h.refusalsThrough,
-		WholeReportMillis: int(c.wholeReportPeriod().Milliseconds()),
-	}
+	reply := messenger.ReportReply{Epoch: int(c.epoch), Owner: true, Lease: r.Whole, RefusalsThrough: h.refusalsThrough}
 	for _, e := range h.executorsByID() {
 		if r.Whole {
 			c.observe(now, e)
@@ -64,13 +61,6 @@
 	return reply
 }
 
-// wholeReportPeriod returns the time between two whole reports of a host. It grows with the number
-// of hosts, so that the owner can take them all, and stays well under a lease.
-func (c *Conductor) wholeReportPeriod() time.Duration {
-	period := time.Duration(float64(len(c.hosts)) / c.config.WholeReportsPerSecond * float64(time.Second))
-	return min(max(c.config.MinWholeReportPeriod, period), c.config.Lease/4)
-}
-
 // recordEnds applies the ends of a report that lists nothing else.
 func (c *Conductor) recordEnds(now time.Time, h *host, r messenger.Report) {
 	for i := range r.Executors {
--- a/custodian/custodian.go
+++ b/custodian/custodian.go
@@ -33,8 +33,8 @@
 	// AnnouncementTTL is how long an executor that never answered is remembered after its last
 	// announcement.
 	AnnouncementTTL time.Duration
-	// WholeReportPeriod is the time between two reports that list everything until an owner asks
-	// for another one. A lease lasts for several of them.
+	// WholeReportPeriod is the time between two reports that list everything. A lease lasts for
+	// several of them.
 	WholeReportPeriod time.Duration
 	// HoldWait is how long an executor waits for a run to end before it answers a hold.
 	HoldWait time.Duration
@@ -96,9 +96,7 @@
 	updatedAt       time.Time
 	wholeReportAt   time.Time
 	wholeReportDue  bool
-	// wholeReportPeriod is the period that the owner asks for.
-	wholeReportPeriod time.Duration
-	lastToken         int64
+	lastToken       int64
 	// interferences holds the estimates that the owner sent, by the serving and the best-effort
 	// image.
 	interferences map[[2]string]float64
@@ -118,8 +116,6 @@
 		ownerAnsweredAt: now,
 		executors:       map[string]*executor{},
 		interferences:   map[[2]string]float64{},
-
-		wholeReportPeriod: config.WholeReportPeriod,
 	}
 }
 
--- a/custodian/report.go
+++ b/custodian/report.go
@@ -8,9 +8,9 @@
 )
 
 // NextReport returns the next report to the owner. It lists everything once in each
-// period that the owner asks for and when something but ends has changed, and otherwise ends alone.
+// WholeReportPeriod and when something but ends has changed, and otherwise ends alone.
 func (c *Custodian) NextReport(now time.Time) messenger.Report {
-	if c.wholeReportDue || now.Sub(c.wholeReportAt) >= c.wholeReportPeriod {
+	if c.wholeReportDue || now.Sub(c.wholeReportAt) >= c.config.WholeReportPeriod {
 		c.wholeReportDue = false
 		c.wholeReportAt = now
 		return c.Report(now, true)
@@ -102,9 +102,6 @@
 	}
 	c.advanceEpoch(reply.Epoch)
 	c.ownerAnsweredAt = now
-	if reply.WholeReportMillis > 0 {
-		c.wholeReportPeriod = time.Duration(reply.WholeReportMillis) * time.Millisecond
-	}
 	c.acknowledgeEnds(reply.Seen)
 	for _, e := range c.executors {
 		listed := !e.reportedAt.IsZero() && !e.reportedAt.After(sent)
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -1002,10 +1002,6 @@
 
 	// Run ends that are durable.
 	Seen []DurableEnds `json:"seen,omitempty,omitzero"`
-
-	// Time between two whole reports that the owner asks for, in milliseconds; 0 if
-	// not specified.
-	WholeReportMillis int `json:"wholeReportMillis,omitempty,omitzero"`
 }
 
 // An amount of processors, memory and accelerators.
