Take withdrawn starts out of the undelivered orders once

Cause: each try of orders that had not arrived logged and counted the same withdrawn starts again. Found on reading the change as a whole; no behavior differs otherwise.

--- a/attendant/attendant.go
+++ b/attendant/attendant.go
@@ -116,8 +116,8 @@
 	ctx       context.Context
 	custodian *custodian.Custodian
 	holdLoops map[string]bool
-	// members are the entries that the store lists. standbys are those that take short reports,
-	// as an entry last named them.
+	// members holds the entries that the store lists, by name, and standbys those that take short
+	// reports, as an entry last named them.
 	members      map[string]messenger.Member
 	standbys     []messenger.Member
 	owner        string
--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -254,24 +254,25 @@
 }
 
 // PrepareOrders returns undelivered orders as they may be sent now, and the address of the host's
-// agent. They carry the ticket of the host's last report, and no longer start runs that were
-// given up since the orders were made: their tasks may run elsewhere by now. ok is false for a
-// host that has not reported to this owner, and for orders to another incarnation of its agent.
+// agent. They carry the ticket of the host's last report. Starts of runs that were given up since
+// the orders were made are removed from undelivered, as their tasks may run elsewhere by now. ok
+// is false for a host that has not reported to this owner, and for orders to another incarnation
+// of its agent.
 func (c *Conductor) PrepareOrders(name string, undelivered *messenger.Orders) (orders messenger.Orders, address string, ok bool) {
 	h := c.hosts[name]
 	if h == nil || !h.reported || undelivered.Incarnation != h.incarnation {
 		return messenger.Orders{}, "", false
 	}
-	orders = *undelivered
-	orders.TicketMillis = h.reportTicket
-	orders.Starts = slices.DeleteFunc(slices.Clone(orders.Starts), func(start messenger.StartOrder) bool {
+	undelivered.Starts = slices.DeleteFunc(undelivered.Starts, func(start messenger.StartOrder) bool {
 		run := c.runs[start.Run]
-		givenUp := run == nil || run.executor.host != h || run.ordersNumber != orders.Number
+		givenUp := run == nil || run.executor.host != h || run.ordersNumber != undelivered.Number
 		if givenUp {
 			c.count("orders.starts_withdrawn")
-			c.logger.Info("start withdrawn", "run", start.Run, "host", name, "order", orders.Number)
+			c.logger.Info("start withdrawn", "run", start.Run, "host", name, "order", undelivered.Number)
 		}
 		return givenUp
 	})
+	orders = *undelivered
+	orders.TicketMillis = h.reportTicket
 	return orders, h.address, true
 }
--- a/conductor/journal.go
+++ b/conductor/journal.go
@@ -72,6 +72,7 @@
 	if err := json.Unmarshal(r.Value(), &record); err != nil {
 		return apricotwinch.Errorf(apricotwinch.Invalid, "record %s: %w", r.Key(), err)
 	}
+	// The record of a workload that has ended has no spec.
 	if p := progress[record.Id]; p.EndedMillis == 0 {
 		if err := checkSpec(&record.Spec); err != nil {
 			return apricotwinch.Errorf(apricotwinch.Invalid, "record %s: %w", r.Key(), err)
