--- a/conductor/bench_test.go
+++ b/conductor/bench_test.go
@@ -60,20 +60,26 @@
 	return c, reports, now
 }
 
+// benchReports measures reports of the hosts in turn, each with the scheduling pass after it.
+func benchReports(b *testing.B, c *conductor.Conductor, reports []messenger.Report, now time.Time) {
+	b.Helper()
+	b.ResetTimer()
+	for i := range b.N {
+		now = now.Add(time.Millisecond)
+		r := reports[i%len(reports)]
+		r.TicketMillis = i + 2
+		c.Report(now, r)
+		c.Schedule(now)
+	}
+}
+
 // BenchmarkReport measures one report of a host with 15 tasks and the scheduling pass after
 // it when no task waits.
 func BenchmarkReport(b *testing.B) {
 	for _, hosts := range []int{14, 82, 300, 1000} {
 		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
 			c, reports, now := newBenchFleet(b, hosts)
-			b.ResetTimer()
-			for i := range b.N {
-				now = now.Add(time.Millisecond)
-				r := reports[i%hosts]
-				r.TicketMillis = i + 2
-				c.Report(now, r)
-				c.Schedule(now)
-			}
+			benchReports(b, c, reports, now)
 		})
 	}
 }
@@ -95,14 +101,7 @@
 			}
 			records, number := c.TakeWrites()
 			c.AppendCommitted(number, records)
-			b.ResetTimer()
-			for i := range b.N {
-				now = now.Add(time.Millisecond)
-				r := reports[i%hosts]
-				r.TicketMillis = i + 2
-				c.Report(now, r)
-				c.Schedule(now)
-			}
+			benchReports(b, c, reports, now)
 		})
 	}
 }
--- a/conductor/move.go
+++ b/conductor/move.go
@@ -69,8 +69,8 @@
 }
 
 // betterExecutors returns up to two executors in the pool that fit a task of a step and are
-// expected to run it at minMoveSpeed or faster without harm to the serving tasks there. One of
-// two is not the executor that the task is to leave.
+// expected to run it at minMoveSpeed or faster without harm to the serving tasks there. Two
+// are enough: at most one of them is the executor that the task leaves.
 func (c *Conductor) betterExecutors(now time.Time, s *step, pool []*executor) []*executor {
 	var better []*executor
 	for _, e := range pool {
