--- a/review/harness/cases.go
+++ b/review/harness/cases.go
@@ -1,11 +1,13 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +23,7 @@
 	"record":    {play: playLargeJob, hosts: 4, label: kindA},
 	"longtimed": {play: playLongTimedJob, hosts: 4, label: kindA},
 	"budget":    {play: playRemovedRoute, hosts: 4, label: kindA},
+	"silent":    {play: playSilentExecutor, hosts: 8, label: kindA},
 	"kind":      {play: playChangedKind, hosts: 4, label: kindAThenB},
 }
 
@@ -291,3 +294,77 @@
 	}
 	return violations, nil
 }
+
+// playSilentExecutor lets one of eight executors fall silent for good while it runs tasks.
+func playSilentExecutor(ctx context.Context, f *fleet, trouble bool) ([]string, error) {
+	const runTime, quietTime = 3 * time.Second, 10 * time.Second
+	steps := []map[string]any{{"count": 8, "cpu": 1000, "mem_mb": 256, "estimate_ms": runTime.Milliseconds()}}
+	for range 12 {
+		if !f.submit(ctx, newID(), jobBody(taskSpec{Millis: int(runTime.Milliseconds())}, steps, nil)) {
+			return nil, errNotAccepted
+		}
+	}
+	if err := sleep(ctx, time.Second); err != nil {
+		return nil, err
+	}
+	if trouble {
+		go f.record.busiest(f.executors).crash(caseDuration, nil)
+	}
+	if err := sleep(ctx, 30*time.Second); err != nil {
+		return nil, err
+	}
+	return f.record.findAbandonedJobs(time.Now().Add(-quietTime)), nil
+}
+
+// busiest returns the executor with the most starts.
+func (r *record) busiest(executors []*executor) *executor {
+	starts := map[string]int{}
+	for _, e := range r.snapshot() {
+		if e.kind == eventStart {
+			starts[e.executor]++
+		}
+	}
+	return slices.MaxFunc(executors, func(a, b *executor) int { return cmp.Compare(starts[a.name], starts[b.name]) })
+}
+
+// findAbandonedJobs returns the violations of the rule LOST: jobs with a task that was started and
+// has not ended as done, of which nothing runs on an executor that is up or has run there since the
+// given time.
+func (r *record) findAbandonedJobs(since time.Time) []string {
+	executors, done, last := map[string]string{}, map[string]bool{}, map[string]time.Time{}
+	for _, e := range r.snapshot() {
+		job, _, _ := strings.Cut(e.task, ".")
+		switch e.kind {
+		case eventStart:
+			executors[e.task] = e.executor
+			last[job] = e.at
+		case eventEnd:
+			executors[e.task] = ""
+			done[e.task] = done[e.task] || e.how == "done"
+			last[job] = e.at
+		case eventCrash:
+			for task, executor := range executors {
+				if executor == e.executor {
+					executors[task] = ""
+				}
+			}
+		}
+	}
+	unfinished, running := map[string]int{}, map[string]int{}
+	for task, executor := range executors {
+		job, _, _ := strings.Cut(task, ".")
+		if executor != "" {
+			running[job]++
+		}
+		if !done[task] {
+			unfinished[job]++
+		}
+	}
+	var violations []string
+	for job, tasks := range unfinished {
+		if running[job] == 0 && last[job].Before(since) {
+			violations = append(violations, fmt.Sprintf("LOST: %d tasks of job %s have not ended as done, and nothing of it has run since %.3f s", tasks, job, r.seconds(last[job])))
+		}
+	}
+	return violations
+}
