--- a/review/harness/cases.go
+++ b/review/harness/cases.go
@@ -24,6 +24,7 @@
 	"longtimed": {play: playLongTimedJob, hosts: 4, label: kindA},
 	"budget":    {play: playRemovedRoute, hosts: 4, label: kindA},
 	"silent":    {play: playSilentExecutor, hosts: 8, label: kindA},
+	"fills":     {play: playWideFill, hosts: 4, label: kindA},
 	"kind":      {play: playChangedKind, hosts: 4, label: kindAThenB},
 }
 
@@ -368,3 +369,34 @@
 	}
 	return violations
 }
+
+// playWideFill hands in a best-effort task that requests all cores of an executor, while each
+// executor runs a small task that lasts.
+func playWideFill(ctx context.Context, f *fleet, trouble bool) ([]string, error) {
+	const runTime, waitTime = 3 * time.Second, 40 * time.Second
+	lasting := []map[string]any{{"count": 4, "cpu": 1000, "mem_mb": 1024, "estimate_ms": 500, "perpetual": true, "anti_affinity": 1}}
+	if !f.submit(ctx, newID(), jobBody(taskSpec{Millis: int(time.Hour.Milliseconds())}, lasting, nil)) {
+		return nil, errNotAccepted
+	}
+	if err := sleep(ctx, 3*time.Second); err != nil {
+		return nil, err
+	}
+	cores := 8000
+	if trouble {
+		cores = capacityCPU
+	}
+	id := newID()
+	fill := []map[string]any{{"count": 1, "cpu": cores, "mem_mb": 1024, "estimate_ms": runTime.Milliseconds(), "fills": true, "image": "batch"}}
+	if !f.submit(ctx, id, jobBody(taskSpec{Millis: int(runTime.Milliseconds())}, fill, nil)) {
+		return nil, errNotAccepted
+	}
+	if err := sleep(ctx, waitTime); err != nil {
+		return nil, err
+	}
+	f.send(ctx, 0, http.MethodGet, id, "")
+	started := slices.ContainsFunc(f.record.snapshot(), func(e event) bool { return e.kind == eventStart && strings.HasPrefix(e.task, id) })
+	if started {
+		return nil, nil
+	}
+	return []string{fmt.Sprintf("LOST: job %s was accepted and has not run for %s", id, waitTime)}, nil
+}
