Give up hosts only with a proof that the owner has no successor

Cause: an owner that was cut off removed hosts 4.4 s after their last whole report, which may be older than the last call of 4 s ago on which its authority rested; a successor had renewed their leases meanwhile. On the same path: any answer of the store, and pings that a partition had held up, extended the authority, so that an owner back from a long cut acted again; and a takeover was clean as soon as the last owner had stopped, although one before it might act.

Change: authority rests on appends that the store accepted in the owner's epoch, and on replies of the other entries, as of when the call was first sent; an idle owner rewrites its record each second. An executor whose leases expired is removed after such a proof that is later than the expiry. An owner records when no earlier one can act any more. A successor can no longer have renewed what an owner gives up, as its claim would have fenced the proof.

Tests of elector passed a time to RecordStoreAnswer and took any ping for a proof; they now record the append or the reply that the case means, and check the same results.

Without the proof, TestIsolatedOwnerKeepsRuns... runs a task on host-2 and host-3; without the record, TestSuccessorOfShortOwnership... on host-0 and host-3; without the renewal, TestIdleOwnerLearnsOfLaterEpoch waits for 1 minute in vain. TestInvariantsUnderFaults does not find the fault.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -26,6 +26,7 @@
 const (
 	// KeyOwner is the key of the OwnerRecord.
 	KeyOwner        = "owner"
+	keySettled      = "settled"
 	prefixHost      = "h/"
 	prefixWork      = "w/"
 	prefixProgress  = "p/"
@@ -44,8 +45,14 @@
 	logger   hclog.Logger
 	registry metrics.Registry
 
-	epoch        int64
-	clean        bool
+	epoch int64
+	// clean is whether every earlier owner is known to have stopped. settled is whether it is
+	// recorded that no earlier owner can act any more, and startedAt when this owner began.
+	clean     bool
+	settled   bool
+	startedAt time.Time
+	// awaitsProof is whether leases have expired that a successor may have renewed.
+	awaitsProof  bool
 	catalog      *cataloger.Catalog
 	outOfService map[string]bool
 	workloads    map[string]*workload
@@ -85,7 +92,7 @@
 }
 
 // New returns a conductor for the owner with the given epoch. clean is whether the last owner is
-// known to have stopped.
+// known to have stopped; Restore finds out whether those before it have, too.
 func New(config Config, epoch int64, clean bool, logger hclog.Logger, registry metrics.Registry) *Conductor {
 	return &Conductor{
 		config:       config,
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -808,6 +808,7 @@
 		faults := []func(){
 			func() { sim.replaceOwner(true) },
 			func() { sim.replaceOwner(false) },
+			func() { sim.isolateOwner(sim.randomHost()) },
 			func() { sim.restartAgent(sim.randomHost()) },
 			func() { sim.randomHost().agentDown = true },
 			func() { sim.randomHost().disconnected = true },
@@ -873,6 +874,50 @@
 	}
 }
 
+// TestIsolatedOwnerKeepsRunsThatSuccessorRenewed guards against tasks that run twice after a
+// partition: an owner that is cut off, and still has authority, must not take the runs of hosts
+// that a successor reaches for ended.
+func TestIsolatedOwnerKeepsRunsThatSuccessorRenewed(t *testing.T) {
+	sim := newSimulation(t, 1, 4)
+	sim.run(2 * time.Second)
+	sim.submit(batchQueue, "w", tasks(24, 2000, 20*time.Second))
+	sim.runUntil(time.Second, func() bool { return sim.running("w") == 24 })
+	// The last reports of the busy hosts are older than the owner's last append.
+	for _, h := range sim.hosts {
+		h.disconnected = len(h.executor.runs) > 0
+	}
+	sim.run(500 * time.Millisecond)
+	var idle []*modelHost
+	for _, h := range sim.hosts {
+		if !h.disconnected {
+			idle = append(idle, h)
+		}
+		h.disconnected = false
+	}
+	sim.isolateOwner(idle...)
+	sim.run(12 * time.Second)
+	if diff := cmp.Diff(false, sim.isolated.hasAuthority(sim.now)); diff != "" {
+		t.Errorf("authority of the isolated owner (-want +got):\n%s", diff)
+	}
+	sim.clearFaults()
+	sim.runUntil(30*time.Second, func() bool { return sim.state("w") == messenger.WorkloadCompleted })
+}
+
+// TestSuccessorOfShortOwnershipWaitsForEarlierOwner guards against tasks that run twice after two
+// takeovers in a row: that the last owner has stopped does not mean that the one before it has.
+func TestSuccessorOfShortOwnershipWaitsForEarlierOwner(t *testing.T) {
+	sim := newSimulation(t, 1, 4)
+	sim.run(2 * time.Second)
+	sim.submit(batchQueue, "w", tasks(24, 2000, 20*time.Second))
+	sim.runUntil(time.Second, func() bool { return sim.running("w") == 24 })
+	sim.isolateOwner(sim.hosts[0])
+	sim.run(200 * time.Millisecond)
+	sim.replaceOwner(true)
+	sim.run(12 * time.Second)
+	sim.clearFaults()
+	sim.runUntil(30*time.Second, func() bool { return sim.state("w") == messenger.WorkloadCompleted })
+}
+
 // TestUndeliveredStartIsWithdrawn cuts hosts off before they get their orders and until the owner
 // has started the tasks elsewhere. The orders, which are sent again after the cut, may not start
 // these tasks any more.
--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -192,11 +192,14 @@
 
 // Tick does periodic work: it removes executors whose leases have expired, adds occurrences that
 // are due, records interference, moves and rescues runs, and deletes workloads that ended long
-// ago. wall is the time of day.
-func (c *Conductor) Tick(now, wall time.Time) {
+// ago. wall is the time of day. provenAt is the latest time at which this owner provably had no
+// successor.
+func (c *Conductor) Tick(now, wall, provenAt time.Time) {
+	c.awaitsProof = false
 	for name, h := range c.hosts {
-		c.tickHost(now, name, h)
+		c.tickHost(now, provenAt, name, h)
 	}
+	c.recordSettled(now)
 	c.addDueOccurrences(now, wall)
 	c.recordInterference(now)
 	c.moveThrottledRun(now)
@@ -210,10 +213,16 @@
 	}
 }
 
-func (c *Conductor) tickHost(now time.Time, name string, h *host) {
+func (c *Conductor) tickHost(now, provenAt time.Time, name string, h *host) {
 	for _, e := range h.executorsByID() {
-		if now.After(e.leaseEnd) {
+		switch {
+		case !now.After(e.leaseEnd):
+		case provenAt.After(e.leaseEnd):
 			c.removeExecutor(e, "its leases have expired")
+		default:
+			// A successor may have renewed the leases before they expired.
+			e.reachable = false
+			c.awaitsProof = true
 		}
 	}
 	if len(h.executors) == 0 && now.Sub(h.lastReportAt) > c.config.HostRetention {
@@ -222,6 +231,10 @@
 	}
 }
 
+// AwaitsProof reports whether executors can be removed once it is proven that this owner had no
+// successor when their leases expired.
+func (c *Conductor) AwaitsProof() bool { return c.awaitsProof }
+
 // reconciled reports whether every executor that the last owner used has been listed in a report
 // or is provably idle. It stays true, since executors that join later are listed when they join.
 func (c *Conductor) reconciled() bool {
--- a/conductor/journal.go
+++ b/conductor/journal.go
@@ -17,6 +17,8 @@
 // workloads.
 func (c *Conductor) Restore(now time.Time, records []appender.KeyedRecord) []error {
 	var errs []error
+	c.startedAt = now
+	c.clean = c.clean && (c.epoch == 1 || settledEpoch(records) == c.epoch-1)
 	progress := map[string]messenger.ProgressRecord{}
 	unreadable := map[string]bool{}
 	for _, r := range records {
@@ -109,6 +111,34 @@
 	return until
 }
 
+// settledEpoch returns the epoch of the last owner that recorded that no earlier owner could act
+// any more; 0 if there is none.
+func settledEpoch(records []appender.KeyedRecord) int64 {
+	for _, r := range records {
+		var record messenger.SettledRecord
+		if r.Key() == keySettled && json.Unmarshal(r.Value(), &record) == nil {
+			return int64(record.Epoch)
+		}
+	}
+	return 0
+}
+
+// recordSettled queues, once, a write of the record that no earlier owner can act any more. The
+// next owner may otherwise find this one stopped while one before it still acts.
+func (c *Conductor) recordSettled(now time.Time) {
+	if c.settled || !c.clean && now.Sub(c.startedAt) < c.config.Authority {
+		return
+	}
+	c.settled = true
+	c.records = append(c.records, encode(keySettled, messenger.SettledRecord{Epoch: int(c.epoch)}))
+}
+
+// RecordOwner queues an urgent write of the owner's record.
+func (c *Conductor) RecordOwner(member messenger.Member) {
+	c.records = append(c.records, encode(KeyOwner, messenger.OwnerRecord{Member: member, Epoch: int(c.epoch)}))
+	c.urgent = true
+}
+
 // markDirty marks the progress of a workload as to be written; urgent requests that it is
 // written at once.
 func (c *Conductor) markDirty(w *workload, urgent bool) {
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -56,6 +56,10 @@
 	hosts        []*modelHost
 	// undelivered holds the orders that are still to be delivered, by host.
 	undelivered map[string][]*messenger.Orders
+	// provenAt is when the store was last online for the owner.
+	provenAt time.Time
+	// isolated is an earlier owner that is cut off from the store; nil if there is none.
+	isolated *isolatedOwner
 	// doneTasks holds the tasks that an executor has ended as done, acknowledged those of
 	// which the executor got the acknowledgment that the end is durable.
 	doneTasks    map[messenger.TaskRef]bool
@@ -81,8 +85,22 @@
 	agent        *custodian.Custodian
 	incarnation  int
 	disconnected bool
-	agentDown    bool
-	executor     *modelExecutor
+	// isolated is whether the host reaches the isolated owner and no other one.
+	isolated  bool
+	agentDown bool
+	executor  *modelExecutor
+}
+
+// isolatedOwner is an owner that was cut off from the store, with some hosts, and that has been
+// replaced. It acts until its authority ends.
+type isolatedOwner struct {
+	conductor   *conductor.Conductor
+	undelivered map[string][]*messenger.Orders
+	provenAt    time.Time
+}
+
+func (o *isolatedOwner) hasAuthority(now time.Time) bool {
+	return now.Sub(o.provenAt) < apricotwinch.OwnerAuthority
 }
 
 // modelExecutor is a model of an executor.
@@ -167,6 +185,16 @@
 	sim.undelivered = map[string][]*messenger.Orders{}
 }
 
+// isolateOwner cuts the owner and some hosts off from the store and the other hosts, and replaces
+// it.
+func (sim *simulation) isolateOwner(hosts ...*modelHost) {
+	sim.isolated = &isolatedOwner{conductor: sim.owner, undelivered: sim.undelivered, provenAt: sim.provenAt}
+	for _, h := range sim.hosts {
+		h.isolated = slices.Contains(hosts, h)
+	}
+	sim.replaceOwner(false)
+}
+
 func (sim *simulation) newModelExecutor(incarnation int) *modelExecutor {
 	return &modelExecutor{
 		incarnation:   incarnation,
@@ -283,11 +311,19 @@
 			sim.report(h)
 		}
 	}
-	sim.owner.Tick(sim.now, sim.now)
+	if !sim.storeOffline {
+		sim.provenAt = sim.now
+	}
+	sim.owner.Tick(sim.now, sim.now, sim.provenAt)
 	sim.owner.Schedule(sim.now)
 	sim.answerAdvice()
 	sim.flush()
-	sim.deliver()
+	sim.deliver(sim.owner, sim.undelivered, false)
+	if o := sim.isolated; o != nil && o.hasAuthority(sim.now) {
+		o.conductor.Tick(sim.now, sim.now, o.provenAt)
+		o.conductor.Schedule(sim.now)
+		sim.deliver(o.conductor, o.undelivered, true)
+	}
 	sim.checkInvariants()
 }
 
@@ -332,24 +368,30 @@
 	sim.makeCalls(h, calls)
 }
 
-// report simulates a report to the owner, unless the host is disconnected.
+// report simulates a report to the owner that the host reaches, unless the host is disconnected or
+// that owner may not act.
 func (sim *simulation) report(h *modelHost) {
-	if h.disconnected {
+	owner := sim.owner
+	if h.isolated {
+		owner = sim.isolated.conductor
+	}
+	if h.disconnected || h.isolated && !sim.isolated.hasAuthority(sim.now) {
 		return
 	}
 	report := h.agent.NextReport(sim.now)
-	reply := sim.owner.Report(sim.now, report)
+	reply := owner.Report(sim.now, report)
 	h.agent.HandleReportAnswer(sim.now, sim.now, reply)
 }
 
-// deliver sends the owner's orders to the hosts in the order of their numbers.
-func (sim *simulation) deliver() {
-	for name, orders := range sim.owner.TakeOrders() {
-		sim.undelivered[name] = append(sim.undelivered[name], orders)
+// deliver sends the orders of an owner to the hosts that it reaches, in the order of their
+// numbers.
+func (sim *simulation) deliver(owner *conductor.Conductor, undelivered map[string][]*messenger.Orders, isolated bool) {
+	for name, orders := range owner.TakeOrders() {
+		undelivered[name] = append(undelivered[name], orders)
 	}
 	for _, h := range sim.hosts {
-		for !h.disconnected && !h.agentDown && len(sim.undelivered[h.name]) > 0 {
-			orders, _, ok := sim.owner.PrepareOrders(h.name, sim.undelivered[h.name][0])
+		for h.isolated == isolated && !h.disconnected && !h.agentDown && len(undelivered[h.name]) > 0 {
+			orders, _, ok := owner.PrepareOrders(h.name, undelivered[h.name][0])
 			if ok {
 				calls, err := h.agent.HandleOrders(sim.now, orders)
 				if err != nil && apricotwinch.KindOf(err) != apricotwinch.StaleIncarnation {
@@ -357,7 +399,7 @@
 				}
 				sim.makeCalls(h, calls)
 			}
-			sim.undelivered[h.name] = sim.undelivered[h.name][1:]
+			undelivered[h.name] = undelivered[h.name][1:]
 		}
 	}
 }
@@ -639,8 +681,10 @@
 	sim.lostShare = 0
 	sim.lateShare = 0
 	sim.storeOffline = false
+	sim.isolated = nil
 	for _, h := range sim.hosts {
 		h.disconnected = false
+		h.isolated = false
 		h.executor.slowdown = 0
 		if h.agentDown {
 			sim.restartAgent(h)
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -334,6 +334,21 @@
 		c.broadcast()
 	}
 	c.advance(ctx, now, true)
+	c.renewProof(now)
+}
+
+// renewProof appends the owner's record again, or whatever is to be written, when a new proof is
+// due that this owner has no successor: the store accepts an append only if there is none. It
+// does so without authority too, as an owner may have lost that in a long outage of the store.
+// c.mu is held.
+func (c *Coordinator) renewProof(now time.Time) {
+	if c.conductor == nil || !c.appendStartedAt.IsZero() || !c.elector.ProofDue(now) && !c.conductor.AwaitsProof() {
+		return
+	}
+	if pending, _ := c.conductor.PendingWrites(); !pending {
+		c.conductor.RecordOwner(c.self)
+	}
+	c.wakeWriter()
 }
 
 // advance lets the conductor schedule, and also do what is due at a tick if runDue is set, and
@@ -343,7 +358,7 @@
 		return
 	}
 	if runDue {
-		c.conductor.Tick(now, c.deps.Wall())
+		c.conductor.Tick(now, c.deps.Wall(), c.elector.ProvenAt(now))
 	}
 	c.conductor.Schedule(now)
 	c.sendOrders(ctx)
@@ -390,11 +405,11 @@
 	}
 }
 
-// RecordStoreAnswer records that the store has answered a call that was sent at sent.
-func (c *Coordinator) RecordStoreAnswer(sent time.Time) {
+// RecordStoreAnswer records that the store has answered a call.
+func (c *Coordinator) RecordStoreAnswer() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.elector.RecordStoreAnswer(sent, c.deps.Clock.Now())
+	c.elector.RecordStoreAnswer(c.deps.Clock.Now())
 }
 
 // Catalog returns the configuration in force, or nil if there is none yet.
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -48,6 +48,20 @@
 	s.unresponsive = unresponsive
 }
 
+// claim raises the epoch, as the claim of an entry that no other one reaches does.
+func (s *fakeStore) claim() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.epoch++
+	s.next = 1
+}
+
+func (s *fakeStore) has(journal, key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.journals[journal][key] != nil
+}
+
 func (s *fakeStore) put(journal string, records []appender.KeyedRecord) {
 	if s.journals[journal] == nil {
 		s.journals[journal] = map[string][]byte{}
@@ -220,7 +234,7 @@
 		run(entry.Run)
 		run(func(ctx context.Context) error {
 			for ctx.Err() == nil {
-				entry.RecordStoreAnswer(clock.Now())
+				entry.RecordStoreAnswer()
 				time.Sleep(50 * time.Millisecond)
 			}
 			return nil
@@ -298,6 +312,18 @@
 	}
 }
 
+// TestIdleOwnerLearnsOfLaterEpoch guards against an owner that acts for as long as it has nothing
+// to write, although an entry that it doesn't reach has taken over.
+func TestIdleOwnerLearnsOfLaterEpoch(t *testing.T) {
+	d := newDeployment(t, 1)
+	taken := metrics.GetOrRegisterCounter("ownership.taken", d.registries[0])
+	eventually(t, "the owner has written all that it must", func() bool {
+		return d.store.has(appender.JournalWork, "settled") && d.store.has(appender.JournalWork, "h/host")
+	})
+	d.store.claim()
+	eventually(t, "the ownership is lost and claimed again", func() bool { return taken.Count() == 2 })
+}
+
 // TestStrongestEntryTakesOwnership checks that the entry with the most processors becomes the
 // owner, and that workloads accepted before the failover complete exactly once.
 func TestStrongestEntryTakesOwnership(t *testing.T) {
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -38,7 +38,6 @@
 	}
 	joined := false
 	for ctx.Err() == nil {
-		sent := c.deps.Clock.Now()
 		if !joined {
 			err := c.callStore(ctx, func(ctx context.Context) error {
 				return c.deps.Log.Put(ctx, appender.JournalMembers, []appender.KeyedRecord{appender.NewKeyedRecord(c.self.Name, record)})
@@ -48,7 +47,7 @@
 				c.deps.Logger.Info("entry registered in the store", "entry", c.self.Name)
 			}
 		}
-		if joined && c.readOwnership(ctx, sent, appender.JournalOwner) {
+		if joined && c.readOwnership(ctx, appender.JournalOwner) {
 			return
 		}
 		timekeeper.Sleep(ctx, c.deps.Clock, storeRetryDelay)
@@ -57,7 +56,7 @@
 
 // readOwnership reads the members, and the owner from the given journal, and passes them to the
 // elector. It reports whether the store could be read.
-func (c *Coordinator) readOwnership(ctx context.Context, sent time.Time, journal string) bool {
+func (c *Coordinator) readOwnership(ctx context.Context, journal string) bool {
 	var members, ownerRecords []appender.KeyedRecord
 	err := c.readStore(ctx, func(ctx context.Context) (err error) {
 		if members, err = c.deps.Log.Newest(ctx, appender.JournalMembers); err != nil {
@@ -73,7 +72,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.deps.Clock.Now()
-	c.elector.RecordStoreAnswer(sent, now)
+	c.elector.RecordStoreAnswer(now)
 	for _, r := range members {
 		var m messenger.Member
 		if err := json.Unmarshal(r.Value(), &m); err != nil {
@@ -136,7 +135,7 @@
 	err = c.appendUntilFinal(ctx, producer, []appender.KeyedRecord{appender.NewKeyedRecord(conductor.KeyOwner, record)})
 	if err != nil {
 		c.deps.Logger.Info("claim failed", "epoch", epoch, "kind", string(apricotwinch.KindOf(err)), "error", err)
-		c.handleClaimFailure(ctx, sent, epoch, err)
+		c.handleClaimFailure(ctx, epoch, err)
 		return
 	}
 	c.mu.Lock()
@@ -166,7 +165,7 @@
 // handleClaimFailure notes that another entry's claim came first, if that is why the claim in
 // epoch failed. The new owner's pings usually name it soon. The entry reads the journal only
 // after a second failure in a row, since otherwise all entries that lost would read it at once.
-func (c *Coordinator) handleClaimFailure(ctx context.Context, sent time.Time, epoch int64, err error) {
+func (c *Coordinator) handleClaimFailure(ctx context.Context, epoch int64, err error) {
 	if apricotwinch.KindOf(err) != apricotwinch.StaleEpoch {
 		return
 	}
@@ -180,7 +179,7 @@
 	repeated := c.failedClaims > 1
 	c.mu.Unlock()
 	if repeated {
-		c.readOwnership(ctx, sent, appender.JournalWork)
+		c.readOwnership(ctx, appender.JournalWork)
 	}
 }
 
@@ -215,8 +214,7 @@
 		c.deps.Logger.Error("record not restored", "epoch", epoch, "error", err)
 		metrics.GetOrRegisterCounter("journal.bad_records", c.deps.Registry).Inc(1)
 	}
-	c.elector.RecordClaim(now, epoch)
-	c.elector.RecordStoreAnswer(sent, now)
+	c.elector.RecordClaim(sent, now, epoch)
 	c.appendRefusedAt = time.Time{}
 	c.producer = producer
 	c.conductor = next
@@ -270,7 +268,8 @@
 	records, number := owner.TakeWrites()
 	producer := c.producer
 	c.producer = producer.Next()
-	c.appendStartedAt = c.deps.Clock.Now()
+	firstSent := c.deps.Clock.Now()
+	c.appendStartedAt = firstSent
 	c.nonUrgentSince = time.Time{}
 	c.mu.Unlock()
 	maybeWritten := false
@@ -286,6 +285,9 @@
 			timekeeper.Sleep(ctx, c.deps.Clock, storeRetryDelay)
 			return true
 		}
+		if err == nil {
+			c.recordAppend(owner, firstSent)
+		}
 		if c.handleAppendResult(ctx, owner, number, records, sent, err) {
 			break
 		}
@@ -300,6 +302,16 @@
 	return urgent
 }
 
+// recordAppend records that the store accepted an append of an owner. A repeated append may have
+// taken effect when it was first sent, at firstSent.
+func (c *Coordinator) recordAppend(owner *conductor.Conductor, firstSent time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conductor == owner {
+		c.elector.RecordAppend(firstSent)
+	}
+}
+
 // undoAppend takes back an append that the store refused, so that it was certainly not carried
 // out. Submissions are refused for refusalBackoff from then on.
 func (c *Coordinator) undoAppend(owner *conductor.Conductor, producer appender.Producer, records []appender.KeyedRecord) {
@@ -337,7 +349,7 @@
 			c.deps.Logger.Info("store accepts appends again", "epoch", owner.Epoch())
 		}
 		c.appendRefusedAt = time.Time{}
-		c.elector.RecordStoreAnswer(sent, now)
+		c.elector.RecordStoreAnswer(now)
 		owner.AppendCommitted(number, records)
 		c.broadcast()
 		c.advance(ctx, now, false)
@@ -463,6 +475,7 @@
 func (c *Coordinator) pingPeer(ctx context.Context, name, address string, ping messenger.Ping) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
+	sent := c.deps.Clock.Now()
 	var reply messenger.PingReply
 	err := c.pool.Call(ctx, address, messenger.MethodPing, ping, &reply)
 	c.applyPeerConfig(reply.Config)
@@ -475,7 +488,7 @@
 		return
 	}
 	now := c.deps.Clock.Now()
-	c.elector.HandlePing(now, reply.Ping)
+	c.elector.HandlePingReply(sent, now, reply.Ping)
 	for _, m := range reply.Members {
 		c.elector.AddMember(now, m)
 	}
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -38,9 +38,10 @@
 	// down in its favor. It is less than StoreTimeout: when the store is down for all entries, it
 	// fell silent for all of them at the same time, and the owner must stay.
 	MaxPeerStoreAge time.Duration
-	// AuthorityTimeout is how long an owner acts without the store while an entry that may have
-	// claimed cannot be reached.
+	// AuthorityTimeout is how long an owner acts after its last proof that it has no successor.
 	AuthorityTimeout time.Duration
+	// ProofInterval is the age of that proof from which on an owner renews it.
+	ProofInterval time.Duration
 	// MemberTTL is how long a silent entry or host is remembered.
 	MemberTTL time.Duration
 	// YieldRatio is how many times this owner's processors another entry must have for the owner
@@ -85,6 +86,7 @@
 		StoreTimeout:       900 * time.Millisecond,
 		MaxPeerStoreAge:    600 * time.Millisecond,
 		AuthorityTimeout:   apricotwinch.OwnerAuthority,
+		ProofInterval:      time.Second,
 		MemberTTL:          time.Minute,
 		YieldRatio:         1.5,
 		ReportsPerSecond:   30,
@@ -123,6 +125,9 @@
 	ping       messenger.Ping
 	lastPingAt time.Time
 	listedAt   time.Time
+	// repliedTo is when this entry sent the last ping that the peer replied to. Only a reply dates
+	// the state of a peer: a partition may hold a ping of the peer up for seconds.
+	repliedTo time.Time
 	// takingOverSince is when the peer first reported that it takes over the epoch of its last
 	// ping; zero if it doesn't.
 	takingOverSince time.Time
@@ -167,10 +172,11 @@
 	ownerSeenAt time.Time
 	// supersededAt is when this entry learned of a later epoch without its owner.
 	supersededAt    time.Time
-	storeSentAt     time.Time
 	storeAnsweredAt time.Time
 	storeAnswered   bool
-	peers           map[string]*peer
+	// appendSentAt is when the last append that the store accepted in this entry's epoch was sent.
+	appendSentAt time.Time
+	peers        map[string]*peer
 	// claimOrder holds the peers in the order in which they claim; nil if it must be sorted again.
 	claimOrder  []*peer
 	hostReports map[string]hostReport
@@ -236,16 +242,23 @@
 	e.takingOverEpoch = 0
 }
 
-// RecordClaim records that the store accepted this entry's claim of epoch.
-func (e *Elector) RecordClaim(now time.Time, epoch int64) {
+// RecordClaim records that the store accepted this entry's claim of epoch, which was sent at
+// sent.
+func (e *Elector) RecordClaim(sent, now time.Time, epoch int64) {
 	e.epoch = epoch
 	e.owner = e.self
 	e.isOwner = true
 	e.released = false
 	e.ownerSince = now
-	e.RecordStoreAnswer(now, now)
+	e.appendSentAt = sent
+	e.RecordStoreAnswer(now)
 }
 
+// RecordAppend records that the store accepted an append in the epoch of this owner, which was
+// first sent at sent. It proves that no entry had claimed a later epoch by then; other answers of
+// the store prove nothing, as the store does not check the epoch for them.
+func (e *Elector) RecordAppend(sent time.Time) { e.appendSentAt = latest(e.appendSentAt, sent) }
+
 // Shutdown records that this entry shuts down: it releases the ownership and never claims again.
 func (e *Elector) Shutdown() {
 	e.leaving = true
@@ -267,11 +280,8 @@
 	e.yieldedAt = now
 }
 
-// RecordStoreAnswer records that the store answered, at now, a call that was sent at sent.
-func (e *Elector) RecordStoreAnswer(sent, now time.Time) {
-	if sent.After(e.storeSentAt) {
-		e.storeSentAt = sent
-	}
+// RecordStoreAnswer records that the store answered a call at now.
+func (e *Elector) RecordStoreAnswer(now time.Time) {
 	e.storeAnsweredAt = now
 	e.storeAnswered = true
 }
@@ -285,15 +295,6 @@
 	return now.Sub(e.storeAnsweredAt)
 }
 
-// sinceStoreCall returns how long ago the last answered call to the store was sent. Another
-// entry may have claimed since then without this one knowing.
-func (e *Elector) sinceStoreCall(now time.Time) time.Duration {
-	if !e.storeAnswered {
-		return e.StoreSilence(now)
-	}
-	return now.Sub(e.storeSentAt)
-}
-
 // AddMember records an entry from the list of members. A known entry is kept unless it is another
 // incarnation and its last ping is too old.
 func (e *Elector) AddMember(now time.Time, member messenger.Member) {
@@ -315,6 +316,15 @@
 // PeerCount returns the number of other known entries.
 func (e *Elector) PeerCount() int { return len(e.peers) }
 
+// HandlePingReply records the state that another entry sent in reply to a ping that was sent at
+// sent.
+func (e *Elector) HandlePingReply(sent, now time.Time, ping messenger.Ping) {
+	e.HandlePing(now, ping)
+	if p := e.peers[ping.Member.Name]; p != nil {
+		p.repliedTo = latest(p.repliedTo, sent)
+	}
+}
+
 // HandlePing records the state that another entry sent in a ping.
 func (e *Elector) HandlePing(now time.Time, ping messenger.Ping) {
 	if ping.Member.Name == e.self.Name {
@@ -400,21 +410,34 @@
 // entry can have claimed a later one so long ago that its new owner counts this owner's hosts
 // as lost.
 func (e *Elector) HasAuthority(now time.Time) bool {
-	if !e.isOwner {
-		return false
-	}
-	return e.sinceStoreCall(now) < e.config.AuthorityTimeout || e.peersConfirmEpoch(now)
+	return e.isOwner && now.Sub(e.ProvenAt(now)) < e.config.AuthorityTimeout
 }
 
-// peersConfirmEpoch reports whether every other entry sent a ping recently and knows of no later
-// epoch. An entry whose process is gone is not waited for.
-func (e *Elector) peersConfirmEpoch(now time.Time) bool {
+// ProvenAt returns the latest time at which this owner provably had no successor that acted: the
+// store had accepted no later claim, or no other entry knew that it had claimed.
+func (e *Elector) ProvenAt(now time.Time) time.Time {
+	return latest(e.appendSentAt, e.peersProvenAt(now))
+}
+
+// peersProvenAt returns the latest time at which no other entry knew of a later epoch; the zero
+// time if one does or has never replied to a ping. An entry whose process is gone is not waited
+// for.
+func (e *Elector) peersProvenAt(now time.Time) time.Time {
+	provenAt := now
 	for _, p := range e.peers {
-		if !p.gone && now.Sub(p.lastPingAt) > e.config.MaxAge || int64(p.ping.Epoch) > e.epoch {
-			return false
+		if int64(p.ping.Epoch) > e.epoch {
+			return time.Time{}
+		}
+		if !p.gone && p.repliedTo.Before(provenAt) {
+			provenAt = p.repliedTo
 		}
 	}
-	return true
+	return provenAt
+}
+
+// ProofDue reports whether this owner should renew the proof that it has no successor.
+func (e *Elector) ProofDue(now time.Time) bool {
+	return e.isOwner && now.Sub(e.appendSentAt) >= e.config.ProofInterval
 }
 
 // Tick forgets silent entries and hosts, and returns the action that is due.
@@ -571,9 +594,13 @@
 }
 
 // PreviousOwnerStopped reports whether the owner is known to have stopped acting: it released the
-// ownership, its process is gone or was replaced, or there is no other owner.
+// ownership, its process is gone or was replaced, or there has been no other owner. An owner that
+// this entry doesn't know by name may still act.
 func (e *Elector) PreviousOwnerStopped() bool {
-	if e.owner.Name == "" || e.owner.Name == e.self.Name {
+	if e.owner.Name == "" {
+		return e.epoch == 0
+	}
+	if e.owner.Name == e.self.Name {
 		return true
 	}
 	p := e.peers[e.owner.Name]
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -27,16 +27,18 @@
 	return &fixture{Elector: elector.New(start, elector.DefaultConfig(), member("entry-b")), now: start}
 }
 
-// advance moves the time forward in ticks of 25 ms. At each tick every ping is received again,
-// and the store answers if store is set. It returns the first action that is due.
+// advance moves the time forward in ticks of 25 ms. At each tick every ping is received again, in
+// reply to one of this entry, and the store answers and accepts an append if store is set. It
+// returns the first action that is due.
 func (s *fixture) advance(d time.Duration, store bool, pings ...messenger.Ping) elector.Action {
 	for end := s.now.Add(d); s.now.Before(end); {
 		s.now = s.now.Add(25 * time.Millisecond)
 		if store {
-			s.RecordStoreAnswer(s.now, s.now)
+			s.RecordStoreAnswer(s.now)
+			s.RecordAppend(s.now)
 		}
 		for _, p := range pings {
-			s.HandlePing(s.now, p)
+			s.HandlePingReply(s.now, s.now, p)
 		}
 		if action := s.Tick(s.now); action != elector.None {
 			return action
@@ -144,7 +146,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			s := newFixture()
-			s.RecordClaim(s.now, 4)
+			s.RecordClaim(s.now, s.now, 4)
 			if diff := cmp.Diff(test.want, test.run(s)); diff != "" {
 				t.Errorf("action (-want +got):\n%s", diff)
 			}
@@ -155,6 +157,55 @@
 	}
 }
 
+// TestOnlyFencedAppendsExtendAuthority guards against an owner that acts although a successor has
+// long taken over: answers of the store to other calls, and pings that a partition held up, say
+// nothing of a later epoch.
+func TestOnlyFencedAppendsExtendAuthority(t *testing.T) {
+	const step = 100 * time.Millisecond
+	peer := ping("entry-c", 4, nil)
+	tests := []struct {
+		name   string
+		update func(s *fixture)
+		want   bool
+	}{
+		{name: "the store answers other calls", update: func(s *fixture) { s.RecordStoreAnswer(s.now) }},
+		{name: "a peer's pings arrive", update: func(s *fixture) { s.HandlePing(s.now, peer) }},
+		{name: "a peer replies to a ping that was sent long ago", update: func(s *fixture) { s.HandlePingReply(start, s.now, peer) }},
+		{name: "the store accepts an append that was first sent long ago", update: func(s *fixture) { s.RecordAppend(start) }},
+		{name: "the store accepts appends", update: func(s *fixture) { s.RecordAppend(s.now) }, want: true},
+		{name: "a peer replies to pings", update: func(s *fixture) { s.HandlePingReply(s.now, s.now, peer) }, want: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := newFixture()
+			s.RecordClaim(s.now, s.now, 4)
+			s.AddMember(s.now, member("entry-c"))
+			for range 50 {
+				s.now = s.now.Add(step)
+				s.RecordStoreAnswer(s.now)
+				test.update(s)
+			}
+			if diff := cmp.Diff(test.want, s.HasAuthority(s.now)); diff != "" {
+				t.Errorf("authority (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestUnknownOwnerCountsAsActing guards against a takeover that trusts the silence of an owner
+// that this entry does not know by name.
+func TestUnknownOwnerCountsAsActing(t *testing.T) {
+	s := newFixture()
+	if diff := cmp.Diff(true, s.PreviousOwnerStopped()); diff != "" {
+		t.Errorf("stopped before the first epoch (-want +got):\n%s", diff)
+	}
+	s.RecordOwner(s.now, 3, member("entry-a"))
+	s.RecordLaterEpoch(s.now, 4)
+	if diff := cmp.Diff(false, s.PreviousOwnerStopped()); diff != "" {
+		t.Errorf("stopped when the owner of epoch 4 is not known (-want +got):\n%s", diff)
+	}
+}
+
 // TestEpochNeverDecreases checks that reports of earlier epochs that arrive late change
 // nothing.
 func TestEpochNeverDecreases(t *testing.T) {
@@ -172,9 +223,9 @@
 
 func ExampleElector() {
 	e := elector.New(start, elector.DefaultConfig(), member("entry-a"))
-	e.RecordStoreAnswer(start, start)
+	e.RecordStoreAnswer(start)
 	fmt.Println(e.Tick(start.Add(time.Second)) == elector.Claim)
-	e.RecordClaim(start.Add(time.Second), 1)
+	e.RecordClaim(start.Add(time.Second), start.Add(time.Second), 1)
 	fmt.Println(e.HasAuthority(start.Add(2 * time.Second)))
 	// Output:
 	// true
@@ -204,7 +255,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			s := &fixture{Elector: elector.New(start, elector.DefaultConfig(), memberWithProcessors("entry-b", 192)), now: start}
-			s.RecordClaim(s.now, 1)
+			s.RecordClaim(s.now, s.now, 1)
 			test.peer.Epoch = 1
 			if diff := cmp.Diff(test.want, s.advance(10*time.Second, true, test.peer)); diff != "" {
 				t.Fatalf("action (-want +got):\n%s", diff)
@@ -217,7 +268,7 @@
 			if got := s.advance(500*time.Millisecond, true, test.peer); got != elector.None {
 				t.Errorf("action after the yield: got %v, want none", got)
 			}
-			s.RecordClaim(s.now, 2)
+			s.RecordClaim(s.now, s.now, 2)
 			claimed := s.now
 			s.advance(time.Minute, true, test.peer)
 			if nextYieldAfter := s.now.Sub(claimed); nextYieldAfter < 2*firstYieldAfter-100*time.Millisecond {
@@ -255,7 +306,7 @@
 	if got := s.OwnerSilence(s.now); got < 2*time.Second {
 		t.Errorf("silence of an owner that is gone: got %s, want at least 2 s", got)
 	}
-	s.RecordClaim(s.now, 4)
+	s.RecordClaim(s.now, s.now, 4)
 	s.advance(2*time.Second, true, ping("entry-c", 4, nil))
 	s.RecordYield(s.now)
 	if got := s.OwnerSilence(s.now); got > 25*time.Millisecond {
@@ -282,7 +333,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			s := newFixture()
-			s.RecordClaim(s.now, 1)
+			s.RecordClaim(s.now, s.now, 1)
 			s.advance(time.Second, true, ping("entry-a", 1, nil))
 			outageStart := s.now
 			for range 120 {
@@ -353,7 +404,7 @@
 	if p := s.Ping(s.now, 0); p.Epoch != 4 || !p.TakingOver || p.Owner {
 		t.Errorf("during the takeover: %+v", p)
 	}
-	s.RecordClaim(s.now, 4)
+	s.RecordClaim(s.now, s.now, 4)
 	s.EndTakeover(s.now)
 	if p := s.Ping(s.now, 0); p.Epoch != 4 || p.TakingOver || !p.Owner {
 		t.Errorf("after the takeover: %+v", p)
--- a/elector/watch.go
+++ b/elector/watch.go
@@ -115,22 +115,23 @@
 
 // watchedPeers returns the peers whose state this entry needs and has not heard for its watch
 // interval: the owner and the standbys, and all peers while this entry owns the workloads and
-// the store does not answer, since its authority then depends on them.
+// the store accepts no append, since its authority then depends on their replies.
 func (e *Elector) watchedPeers(now time.Time) []*peer {
 	watched := e.standbys(now)
 	if p := e.peers[e.owner.Name]; p != nil && !p.gone {
 		watched = append(watched, p)
 	}
-	if e.isOwner && e.StoreSilence(now) > e.config.StoreTimeout/2 {
-		watched = watched[:0]
-		for _, p := range e.peers {
-			watched = append(watched, p)
-		}
+	needsReplies := e.isOwner && now.Sub(e.appendSentAt) > e.config.ProofInterval+e.config.StoreTimeout/2
+	if needsReplies {
+		watched = slices.Collect(maps.Values(e.peers))
 	}
 	interval := e.watchInterval(now) - e.config.PingInterval/4
 	return slices.DeleteFunc(watched, func(p *peer) bool {
-		self := p.ping.Member.Name == e.self.Name
-		return self || now.Sub(latest(p.lastPingAt, p.pingedAt)) < interval
+		heardAt := p.pingedAt
+		if !needsReplies {
+			heardAt = latest(p.lastPingAt, p.pingedAt)
+		}
+		return p.ping.Member.Name == e.self.Name || now.Sub(heardAt) < interval
 	})
 }
 
--- a/elector/watch_test.go
+++ b/elector/watch_test.go
@@ -76,7 +76,10 @@
 }
 
 func (f *simulatedFleet) step(e *simulatedEntry) {
-	e.RecordStoreAnswer(f.now, f.now)
+	e.RecordStoreAnswer(f.now)
+	if e.ProofDue(f.now) && e.Epoch() == f.epoch {
+		e.RecordAppend(f.now)
+	}
 	switch e.Tick(f.now) {
 	case elector.Claim:
 		f.claim(e)
@@ -94,7 +97,7 @@
 		return
 	}
 	f.epoch = e.Epoch() + 1
-	e.RecordClaim(f.now, f.epoch)
+	e.RecordClaim(f.now, f.now, f.epoch)
 	f.ping(e, e.AllPingTargets(f.now))
 }
 
@@ -109,7 +112,7 @@
 			peer.served++
 			request := e.Ping(f.now, 0)
 			peer.HandlePing(f.now, request)
-			e.HandlePing(f.now, peer.Ping(f.now, 0))
+			e.HandlePingReply(f.now, f.now, peer.Ping(f.now, 0))
 			if owner := peer.Owner(); request.AsksOwner && owner.Name != "" {
 				e.RecordOwner(f.now, peer.Epoch(), owner)
 			}
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -1199,6 +1199,12 @@
 	Voids []RejectedEdit `json:"voids,omitempty,omitzero"`
 }
 
+// The record that no owner before that of an epoch can act any more.
+type SettledRecord struct {
+	// The epoch.
+	Epoch int `json:"epoch"`
+}
+
 // An order to start a run at an executor.
 type StartOrder struct {
 	// Checkpoint to resume from; empty for none.
