Stop a refused start in doubt before its refusal is reported

Cause: an executor left a start without an answer, refused its repeat with 503, and carried the first call out seconds later. The agent took the refusal of the repeat for the fate of the run, and the owner started the task elsewhere.

Change: the agent remembers that a call had no answer, stops such a run until the executor confirms the stop, and only then reports the refusal. A confirmed stop makes the executor reject the first call, so nothing can start late; a run that did start is listed with its end.

Without the change, TestRefusedRepeatWaitsForStop finds no stop and TestLateStartAfterRefusedRepeat a task twice on host-0; the random faults of TestInvariantsUnderFaults do not find it.

--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -815,6 +815,7 @@
 			func() { sim.crash(sim.randomHost()) },
 			func() { sim.lostShare = 0.5 },
 			func() { sim.lateShare = 0.5 },
+			func() { sim.lateShare, sim.refusedShare = 0.3, 0.5 },
 			func() { sim.randomHost().executor.slowdown = 1 },
 			func() { sim.randomHost().executor.slowdown = 0.8 },
 			func() { sim.storeOffline = true },
@@ -874,6 +875,24 @@
 	}
 }
 
+// TestLateStartAfterRefusedRepeat guards against a task that runs twice: an executor carries out a
+// start late whose repeat it refused.
+func TestLateStartAfterRefusedRepeat(t *testing.T) {
+	sim := newSimulation(t, 1, 3)
+	sim.run(2 * time.Second)
+	sim.lateShare = 1
+	sim.submit(batchQueue, "w", tasks(6, 2000, 15*time.Second))
+	sim.run(100 * time.Millisecond)
+	sim.lateShare, sim.refusedShare = 0, 1
+	sim.run(time.Second)
+	sim.refusedShare = 0
+	sim.run(12 * time.Second)
+	if diff := cmp.Diff(0, len(sim.lateCalls)); diff != "" {
+		t.Errorf("late calls that are still to come (-want +got):\n%s", diff)
+	}
+	sim.runUntil(20*time.Second, func() bool { return sim.state("w") == messenger.WorkloadCompleted })
+}
+
 // TestIsolatedOwnerKeepsRunsThatSuccessorRenewed guards against tasks that run twice after a
 // partition: an owner that is cut off, and still has authority, must not take the runs of hosts
 // that a successor reaches for ended.
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -71,6 +71,8 @@
 	// later, 0 to 1; lateCalls holds these.
 	lateShare float64
 	lateCalls []lateCall
+	// refusedShare is the share of starts that executors refuse as unhealthy, 0 to 1.
+	refusedShare float64
 	// advise answers the owner's requests for tickets; nil when no tickets are needed.
 	// ticketExpiries holds when each ticket expires.
 	advise         func(conductor.AdviceRequest) (map[string]string, error)
@@ -412,13 +414,17 @@
 			continue
 		}
 		answer, err := custodian.Answer{}, apricotwinch.Errorf(apricotwinch.Forbidden, "ticket")
-		if sim.hasValidTicket(h, call.Order) {
+		switch {
+		case sim.random.Float64() < sim.refusedShare:
+			err = apricotwinch.Errorf(apricotwinch.NoTarget, "unhealthy")
+		case sim.hasValidTicket(h, call.Order):
 			answer, err = h.executor.start(sim, call)
 		}
 		if sim.random.Float64() < sim.lostShare {
 			answer, err = custodian.Answer{}, apricotwinch.Errorf(apricotwinch.Unknown, "lost")
 		}
-		h.agent.HandleStartAnswer(sim.now, call, answer, err)
+		next, _ := h.agent.HandleStartAnswer(sim.now, call, answer, err)
+		calls.Stops = append(calls.Stops, next.Stops...)
 	}
 	for _, call := range calls.Stops {
 		if sim.delay(h, func(e *modelExecutor) { _, _ = e.stop(sim, call) }) {
@@ -680,6 +686,7 @@
 func (sim *simulation) clearFaults() {
 	sim.lostShare = 0
 	sim.lateShare = 0
+	sim.refusedShare = 0
 	sim.storeOffline = false
 	sim.isolated = nil
 	for _, h := range sim.hosts {
--- a/custodian/custodian_test.go
+++ b/custodian/custodian_test.go
@@ -187,6 +187,68 @@
 	}
 }
 
+// TestRefusedRepeatWaitsForStop guards against a task that runs twice: the refusal of a repeated
+// start says nothing of the first call, which the executor may carry out late.
+func TestRefusedRepeatWaitsForStop(t *testing.T) {
+	unanswered := apricotwinch.Errorf(apricotwinch.Unknown, "no answer")
+	tests := []struct {
+		name string
+		kind apricotwinch.Kind
+		// ends are the ends that the executor lists once it has confirmed the stop.
+		ends     []messenger.RunEnd
+		refusals []string
+	}{
+		{name: "unhealthy", kind: apricotwinch.NoTarget, refusals: []string{"no_target"}},
+		{name: "no capacity", kind: apricotwinch.NoCapacity, refusals: []string{"no_capacity"}},
+		{name: "no ticket", kind: apricotwinch.Forbidden, refusals: []string{"forbidden"}},
+		{name: "bad request", kind: apricotwinch.Invalid, refusals: []string{"invalid"}},
+		{name: "the first call was carried out", kind: apricotwinch.NoTarget, ends: []messenger.RunEnd{{Number: 1, Run: ref(0, 1), How: messenger.EndStopped}}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := newFixture()
+			calls, err := s.HandleOrders(s.now, s.orders(order(0, 1, 3000)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			s.HandleStartAnswer(s.now, calls.Starts[0], custodian.Answer{}, unanswered)
+			s.now = s.now.Add(400 * time.Millisecond)
+			calls, _ = s.Tick(s.now)
+			if len(calls.Starts) != 1 {
+				t.Fatalf("repeated starts = %d, want 1", len(calls.Starts))
+			}
+			calls, _ = s.HandleStartAnswer(s.now, calls.Starts[0], custodian.Answer{}, apricotwinch.Errorf(test.kind, "refused"))
+			if len(calls.Stops) != 1 {
+				t.Fatalf("stops = %d, want 1", len(calls.Stops))
+			}
+			s.HandleStopAnswer(s.now, calls.Stops[0], custodian.Answer{}, apricotwinch.Errorf(apricotwinch.NoTarget, "refused"))
+			s.hold(custodian.HoldAnswer{}, nil)
+			report := s.renew()
+			if diff := cmp.Diff(map[string]string{"0#1": messenger.RunStopping}, phases(report)); diff != "" {
+				t.Errorf("phases in doubt (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff([]string(nil), refusals(report)); diff != "" {
+				t.Errorf("refusals in doubt (-want +got):\n%s", diff)
+			}
+			s.now = s.now.Add(400 * time.Millisecond)
+			calls, _ = s.Tick(s.now)
+			if len(calls.Stops) != 1 {
+				t.Fatalf("repeated stops = %d, want 1", len(calls.Stops))
+			}
+			s.HandleStopAnswer(s.now, calls.Stops[0], custodian.Answer{}, nil)
+			s.now = s.now.Add(time.Millisecond)
+			s.hold(custodian.HoldAnswer{Ends: test.ends}, nil)
+			report = s.Report(s.now, true)
+			if diff := cmp.Diff(map[string]string{}, phases(report)); diff != "" {
+				t.Errorf("phases after the stop (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(test.refusals, refusals(report)); diff != "" {
+				t.Errorf("refusals after the stop (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestStartsFitCapacity checks that the executor never gets more than it has capacity for,
 // whatever the owner orders. A run that is being stopped still counts.
 func TestStartsFitCapacity(t *testing.T) {
--- a/custodian/executor.go
+++ b/custodian/executor.go
@@ -121,6 +121,10 @@
 	phase string
 	// confirmedAt is the time as of which the executor last confirmed the run; zero if it never did.
 	confirmedAt time.Time
+	// maybeStarted is set when a call that starts the run got no answer: the executor may carry it
+	// out later. refusal is why it refused a call after that; empty if it has not.
+	maybeStarted bool
+	refusal      apricotwinch.Kind
 	// fenced is set when the executor's token was raised while the run was in doubt. Once the
 	// executor has answered a call with that token, a run that it doesn't list can't start.
 	fenced   bool
--- a/custodian/hold.go
+++ b/custodian/hold.go
@@ -127,16 +127,25 @@
 	for ref, r := range e.runs {
 		if r.fenced && e.confirmed {
 			c.logger.Info("run never started", "run", ref, "executor", e.ID)
-			e.remove(ref)
+			c.removeUnlisted(e, r)
 			changed = true
 			continue
 		}
 		gone := !r.confirmedAt.IsZero() && r.confirmedAt.Before(sent) && !r.inFlight
 		if gone && !listed[ref] && r.phase != messenger.RunStarting {
 			c.logger.Info("run no longer listed", "run", ref, "executor", e.ID)
-			e.remove(ref)
+			c.removeUnlisted(e, r)
 			changed = true
 		}
 	}
 	return changed
 }
+
+// removeUnlisted removes a run that the executor does not have and cannot start any more, and
+// reports the refusal of its start if there was one.
+func (c *Custodian) removeUnlisted(e *executor, r *run) {
+	e.remove(r.order.Run)
+	if r.refusal != "" {
+		c.refuseRun(r.order.Run, r.refusal)
+	}
+}
--- a/custodian/orders.go
+++ b/custodian/orders.go
@@ -172,18 +172,42 @@
 	case apricotwinch.Conflict:
 		// The executor already had this run or a later one; its next list of runs shows whether
 		// this one has ended.
-		r.phase = messenger.RunRunning
+		if r.phase == messenger.RunStarting {
+			r.phase = messenger.RunRunning
+		}
 		r.confirmedAt = now
 		return Calls{}, false
 	case apricotwinch.NoCapacity, apricotwinch.Invalid, apricotwinch.NoTarget, apricotwinch.Forbidden:
-		e.remove(call.Order.Run)
-		c.refuseRun(call.Order.Run, kind)
-		return Calls{}, true
+		return c.handleRefusedStart(now, e, r, kind)
+	case apricotwinch.Unreachable, apricotwinch.StaleEpoch, apricotwinch.StaleIncarnation, apricotwinch.DeadlineExceeded:
+		// The call was not carried out, and is repeated.
+	default:
+		r.maybeStarted = true
 	}
 	c.logger.Info("start not answered", "run", call.Order.Run, "executor", e.ID, "kind", string(kind), "error", err)
 	return Calls{}, false
 }
 
+// handleRefusedStart takes the refusal of a start. It says nothing of an earlier call for the run
+// that got no answer. Such a run is stopped first: an executor that has confirmed the stop no
+// longer carries the earlier call out.
+func (c *Custodian) handleRefusedStart(now time.Time, e *executor, r *run, kind apricotwinch.Kind) (Calls, bool) {
+	if !r.maybeStarted || !r.confirmedAt.IsZero() {
+		e.remove(r.order.Run)
+		c.refuseRun(r.order.Run, kind)
+		return Calls{}, true
+	}
+	c.logger.Info("refused start in doubt", "run", r.order.Run, "executor", e.ID, "kind", string(kind), "fenced", r.fenced)
+	metrics.GetOrRegisterCounter("starts.refused_in_doubt", c.registry).Inc(1)
+	r.refusal = kind
+	var calls Calls
+	if !r.fenced && r.phase == messenger.RunStarting {
+		r.phase = messenger.RunStopping
+		c.addCall(now, e, r, &calls)
+	}
+	return calls, false
+}
+
 // HandleStopAnswer takes the answer to a stop.
 func (c *Custodian) HandleStopAnswer(now time.Time, call RunCall, answer Answer, err error) {
 	e, r := c.findRun(call.Executor, call.Run)
