Keep the runs of scheduled workloads over a takeover

The new owner took it for new and started its tasks without waiting for the reports of the executors; a report that came earlier had its runs stopped as unknown and its ends dropped.

Change: all tasks of a restored workload are inherited, also those of occurrences that are added later, and a report adds the occurrences that it names. An occurrence that is added early starts nothing before it is due. So the rule that bars tasks that an earlier owner may have started holds for these too.

Without the change, the three new tests fail (a task on host-0 and on host-3; 48 runs, want 24; an adopted run stopped), and TestInvariantsUnderFaults, which now has a scheduled workload, finds the fault in its first case.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -119,12 +119,14 @@
 func newWorkload(queue, id string, spec messenger.WorkloadSpec, epoch int64, at time.Time) *workload {
 	w := &workload{id: id, queue: queue, spec: spec, epoch: epoch, acceptedAt: at, state: messenger.WorkloadQueued, unstarted: true}
 	if w.spec.Repeats <= 0 {
-		w.addOccurrence()
+		w.addOccurrence().due = true
+		w.due = 1
 	}
 	return w
 }
 
-// insert adds a workload to the tables and queues its steps that are ready.
+// insert adds a workload to the tables and queues its steps that are ready. Those of a scheduled
+// workload are queued as its occurrences are due.
 func (c *Conductor) insert(now time.Time, w *workload) {
 	c.workloads[w.id] = w
 	w.priority = c.priorityOf(w)
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -805,6 +805,9 @@
 					s.Checkpoints = rapid.Bool().Draw(t, "checkpoints")
 				}))
 		}
+		repeats := rapid.IntRange(1, 6).Draw(t, "repeats")
+		sim.submitScheduled(batchQueue, "job"+fmt.Sprint(workloads), time.Second, time.Second, repeats, tasks(2, 1000, 900*time.Millisecond))
+		workloads++
 		faults := []func(){
 			func() { sim.replaceOwner(true) },
 			func() { sim.replaceOwner(false) },
@@ -875,6 +878,56 @@
 	}
 }
 
+// TestFailoverKeepsRunsOfScheduledWorkload guards against tasks that run twice after a takeover: the
+// journal doesn't show occurrences of which no task has ended.
+func TestFailoverKeepsRunsOfScheduledWorkload(t *testing.T) {
+	sim := newSimulation(t, 1, 4)
+	sim.run(2 * time.Second)
+	sim.submitScheduled(batchQueue, "w", 0, time.Second, 4, tasks(6, 500, 7*time.Second))
+	sim.runUntil(5*time.Second, func() bool { return sim.running("w") == 24 })
+	sim.replaceOwnerBeforeReports()
+	sim.runUntil(10*time.Second, func() bool { return sim.state("w") == messenger.WorkloadCompleted })
+	sim.run(time.Second)
+	if diff := cmp.Diff(24, sim.endCount()); diff != "" {
+		t.Errorf("runs (-want +got):\n%s", diff)
+	}
+}
+
+// TestFailoverKeepsEndsOfScheduledWorkload guards against tasks that run again after they were done:
+// a takeover must not drop the ends of occurrences that the journal doesn't show.
+func TestFailoverKeepsEndsOfScheduledWorkload(t *testing.T) {
+	sim := newSimulation(t, 1, 4)
+	sim.run(2 * time.Second)
+	sim.submitScheduled(batchQueue, "w", 200*time.Millisecond, 100*time.Millisecond, 4, tasks(6, 500, time.Second))
+	sim.run(100 * time.Millisecond)
+	sim.storeOffline = true
+	sim.run(3 * time.Second)
+	sim.storeOffline = false
+	sim.replaceOwnerBeforeReports()
+	sim.runUntil(10*time.Second, func() bool { return sim.state("w") == messenger.WorkloadCompleted })
+	sim.run(time.Second)
+	if diff := cmp.Diff(24, sim.endCount()); diff != "" {
+		t.Errorf("runs (-want +got):\n%s", diff)
+	}
+}
+
+// TestAdoptedOccurrenceWaitsUntilDue checks that a run of an occurrence that is not due yet by this
+// owner's clock is adopted, and that its task is not started again before it is due.
+func TestAdoptedOccurrenceWaitsUntilDue(t *testing.T) {
+	sim := newSimulation(t, 1, 2)
+	sim.run(2 * time.Second)
+	sim.submitScheduled(batchQueue, "w", time.Second, 5*time.Second, 2, tasks(1, 500, 500*time.Millisecond))
+	early := messenger.RunRef{Task: messenger.TaskRef{Workload: "w", Occurrence: 1}, Run: 1}
+	sim.hosts[0].executor.runs[early] = &modelRun{order: messenger.StartOrder{Run: early}, remaining: time.Hour}
+	sim.replaceOwner(true)
+	sim.run(500 * time.Millisecond)
+	if diff := cmp.Diff(1, sim.running("w")); diff != "" {
+		t.Errorf("running (-want +got):\n%s", diff)
+	}
+	sim.crash(sim.hosts[0])
+	sim.runUntil(10*time.Second, func() bool { return sim.state("w") == messenger.WorkloadCompleted })
+}
+
 // TestLateStartAfterRefusedRepeat guards against a task that runs twice: an executor carries out a
 // start late whose repeat it refused.
 func TestLateStartAfterRefusedRepeat(t *testing.T) {
--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -190,8 +190,8 @@
 	e.allocated = e.allocated.Add(apricotwinch.NewResources(sign*cpu, sign*s.need.MemoryBytes(), sign*s.need.Accelerators()))
 }
 
-// Tick does periodic work: it removes executors whose leases have expired, adds occurrences that
-// are due, records interference, moves and rescues runs, and deletes workloads that ended long
+// Tick does periodic work: it removes executors whose leases have expired, queues occurrences
+// that are due, records interference, moves and rescues runs, and deletes workloads that ended long
 // ago. wall is the time of day. provenAt is the latest time at which this owner provably had no
 // successor.
 func (c *Conductor) Tick(now, wall, provenAt time.Time) {
@@ -200,7 +200,7 @@
 		c.tickHost(now, provenAt, name, h)
 	}
 	c.recordSettled(now)
-	c.addDueOccurrences(now, wall)
+	c.queueDueOccurrences(now, wall)
 	c.recordInterference(now)
 	c.moveThrottledRun(now)
 	c.rescue(now)
--- a/conductor/journal.go
+++ b/conductor/journal.go
@@ -81,6 +81,7 @@
 		}
 	}
 	w := newWorkload(record.Queue, record.Id, record.Spec, int64(record.Epoch), time.UnixMilli(int64(record.AcceptedMillis)))
+	w.inherited = true
 	if p, ok := progress[record.Id]; ok {
 		if err := w.restore(p); err != nil {
 			return err
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -50,7 +50,7 @@
 	return 0
 }
 
-// enqueue queues the steps of an occurrence whose predecessors are done.
+// enqueue queues the steps of an occurrence that is due whose predecessors are done.
 func (c *Conductor) enqueue(now time.Time, o *occurrence) {
 	for _, s := range o.steps {
 		if s.waiting > 0 && s.ready() {
@@ -62,10 +62,11 @@
 	}
 }
 
-// queueStep queues a step that has waiting tasks. They are tried on all executors.
+// queueStep queues a step that has waiting tasks, unless its occurrence is not due yet. They are
+// tried on all executors.
 func (c *Conductor) queueStep(s *step) {
 	s.blockedAt = time.Time{}
-	if s.queued || s.occurrence.workload.terminal() {
+	if s.queued || !s.occurrence.due || s.occurrence.workload.terminal() {
 		return
 	}
 	s.queued = true
@@ -73,14 +74,17 @@
 	c.steps = slices.Insert(c.steps, at, s)
 }
 
-// addDueOccurrences adds the occurrences of scheduled workloads that are due.
-func (c *Conductor) addDueOccurrences(now, wall time.Time) {
+// queueDueOccurrences queues the occurrences of scheduled workloads that are due.
+func (c *Conductor) queueDueOccurrences(now, wall time.Time) {
 	c.scheduled = slices.DeleteFunc(c.scheduled, func(w *workload) bool {
-		for !w.terminal() && len(w.occurrences) < w.occurrenceCount() && !wall.Before(w.dueAt(len(w.occurrences))) {
-			c.enqueue(now, w.addOccurrence())
+		for !w.terminal() && w.due < w.occurrenceCount() && !wall.Before(w.dueAt(w.due)) {
+			o := w.occurrence(w.due)
+			o.due = true
+			w.due++
+			c.enqueue(now, o)
 			c.markDirty(w, false)
 		}
-		return w.terminal() || len(w.occurrences) >= w.occurrenceCount()
+		return w.terminal() || w.due >= w.occurrenceCount()
 	})
 }
 
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -187,6 +187,19 @@
 	sim.undelivered = map[string][]*messenger.Orders{}
 }
 
+// replaceOwnerBeforeReports replaces the owner, and delays the reports of the hosts that have runs
+// or ends until the new owner has scheduled.
+func (sim *simulation) replaceOwnerBeforeReports() {
+	sim.replaceOwner(true)
+	for _, h := range sim.hosts {
+		h.disconnected = len(h.executor.runs)+h.executor.lastEnd > 0
+	}
+	sim.run(time.Second)
+	for _, h := range sim.hosts {
+		h.disconnected = false
+	}
+}
+
 // isolateOwner cuts the owner and some hosts off from the store and the other hosts, and replaces
 // it.
 func (sim *simulation) isolateOwner(hosts ...*modelHost) {
@@ -235,7 +248,21 @@
 // submit submits a workload and makes it durable, unless the store is offline.
 func (sim *simulation) submit(queue, id string, steps ...messenger.StepSpec) {
 	sim.t.Helper()
-	spec := messenger.WorkloadSpec{Payload: id, Steps: steps}
+	sim.submitSpec(queue, id, messenger.WorkloadSpec{Payload: id, Steps: steps})
+}
+
+// submitScheduled submits a workload of several occurrences, the first due in start, and makes it
+// durable.
+func (sim *simulation) submitScheduled(queue, id string, start, interval time.Duration, repeats int, steps ...messenger.StepSpec) {
+	sim.t.Helper()
+	sim.submitSpec(queue, id, messenger.WorkloadSpec{
+		Payload: id, Steps: steps, Repeats: repeats,
+		StartAtMillis: int(sim.now.Add(start).UnixMilli()), IntervalMillis: int(interval.Milliseconds()),
+	})
+}
+
+func (sim *simulation) submitSpec(queue, id string, spec messenger.WorkloadSpec) {
+	sim.t.Helper()
 	sim.specs[id] = spec
 	if _, err := sim.owner.Submit(sim.now, messenger.WorkloadRequest{Queue: queue, Id: id, Spec: &spec}); err != nil {
 		sim.t.Fatalf("submit %s: %v", id, err)
@@ -601,9 +628,12 @@
 		sim.t.Fatalf("%v was started after the task was done", ref)
 	}
 	spec := sim.specs[ref.Task.Workload]
+	if spec.Repeats > 0 && sim.now.UnixMilli() < int64(spec.StartAtMillis+ref.Task.Occurrence*spec.IntervalMillis) {
+		sim.t.Fatalf("%v was started before it was due", ref)
+	}
 	for _, before := range spec.Steps[ref.Task.Step].After {
 		for i := range spec.Steps[before].Tasks {
-			if !sim.doneTasks[messenger.TaskRef{Workload: ref.Task.Workload, Step: before, Index: i}] {
+			if !sim.doneTasks[messenger.TaskRef{Workload: ref.Task.Workload, Occurrence: ref.Task.Occurrence, Step: before, Index: i}] {
 				sim.t.Fatalf("%v was started before step %d was done", ref, before)
 			}
 		}
@@ -654,6 +684,15 @@
 	return n
 }
 
+// endCount returns the number of runs that have ended on all executors.
+func (sim *simulation) endCount() int {
+	n := 0
+	for _, h := range sim.hosts {
+		n += h.executor.lastEnd
+	}
+	return n
+}
+
 // hostOf returns the host that runs a task of a workload, or nil.
 func (sim *simulation) hostOf(id string) *modelHost {
 	for _, h := range sim.hosts {
--- a/conductor/workload.go
+++ b/conductor/workload.go
@@ -19,11 +19,16 @@
 	durableState string
 	endedAt      time.Time
 
+	// inherited is whether an earlier owner accepted the workload, and may have started tasks of
+	// occurrences that the journal doesn't show.
+	inherited   bool
 	occurrences []*occurrence
-	unstarted   bool
-	rank        bestEffortRank
-	priority    int
-	dirtySpec   bool
+	// due is the number of occurrences that are due.
+	due       int
+	unstarted bool
+	rank      bestEffortRank
+	priority  int
+	dirtySpec bool
 	// dirtyEnd is whether the record must be written again without the spec, as the workload has
 	// ended.
 	dirtyEnd bool
@@ -33,11 +38,12 @@
 }
 
 // occurrence is one execution of the steps of a workload; left is the number of steps that are
-// not done.
+// not done. No task of it starts before it is due.
 type occurrence struct {
 	workload *workload
 	steps    []*step
 	left     int
+	due      bool
 }
 
 // step is the state of one step of an occurrence; left is the number of tasks that are not done,
@@ -146,7 +152,7 @@
 		s := &step{occurrence: o, number: n, spec: spec, need: spec.Resources.Value(), left: spec.Tasks, waiting: spec.Tasks}
 		for i := range spec.Tasks {
 			ref := messenger.TaskRef{Workload: w.id, Occurrence: len(w.occurrences), Step: n, Index: i}
-			s.tasks = append(s.tasks, &task{step: s, ref: ref})
+			s.tasks = append(s.tasks, &task{step: s, ref: ref, inherited: w.inherited})
 		}
 		o.steps = append(o.steps, s)
 	}
@@ -155,12 +161,25 @@
 	return o
 }
 
-// task returns the task that ref identifies, or nil.
+// occurrence returns the occurrence with the given number, or nil if the workload has none. It adds
+// those that are missing.
+func (w *workload) occurrence(number int) *occurrence {
+	if number < 0 || number >= w.occurrenceCount() {
+		return nil
+	}
+	for len(w.occurrences) <= number {
+		w.addOccurrence()
+	}
+	return w.occurrences[number]
+}
+
+// task returns the task that ref identifies, or nil. It adds the task's occurrence if that is
+// missing: an earlier owner may have started it.
 func (w *workload) task(ref messenger.TaskRef) *task {
-	if ref.Occurrence < 0 || ref.Occurrence >= len(w.occurrences) {
+	o := w.occurrence(ref.Occurrence)
+	if o == nil {
 		return nil
 	}
-	o := w.occurrences[ref.Occurrence]
 	if ref.Step < 0 || ref.Step >= len(o.steps) || ref.Index < 0 || ref.Index >= len(o.steps[ref.Step].tasks) {
 		return nil
 	}
@@ -224,17 +243,15 @@
 		w.endedAt = time.UnixMilli(int64(record.EndedMillis))
 	}
 	for _, p := range record.Occurrences {
-		for len(w.occurrences) <= p.Occurrence && len(w.occurrences) < w.occurrenceCount() {
-			w.addOccurrence()
-		}
-		if p.Occurrence >= len(w.occurrences) {
+		o := w.occurrence(p.Occurrence)
+		if o == nil {
 			return apricotwinch.Errorf(apricotwinch.Invalid, "occurrences: workload %s has no occurrence %d", w.id, p.Occurrence)
 		}
 		bits, err := base64.StdEncoding.DecodeString(p.Done)
 		if err != nil {
 			return apricotwinch.Errorf(apricotwinch.Invalid, "done: of workload %s: %w", w.id, err)
 		}
-		w.occurrences[p.Occurrence].restore(bits, p.Tasks)
+		o.restore(bits, p.Tasks)
 	}
 	return nil
 }
