Answer that a job is not known only with a proof of the ownership

Callers saw canceled jobs run on after a cancel was answered with 410, and 410 for jobs that run, while the zone of the owner was cut off (UNASKED).

Cause: an owner that is cut off has authority for up to 4 s, and took a job that its successor had accepted for one that nobody knows.

Change: such an answer needs a proof, from after the request came, that there is no successor; the owner asks the store for one append, which all such requests share.

The soak finds it with real processes: TestZoneCuts cuts each zone off in turn, for 5 s, while callers still reach its entries. For this the entries and agents can bind their connections to an address (-source), so that the proxies know the zone of a caller.

Without the proof, TestUnknownWorkloadNeedsProofOfOwnership gets its answer before the takeover.

--- a/attendant/attendant.go
+++ b/attendant/attendant.go
@@ -90,6 +90,8 @@
 	// Advertise is the address that entries dial, host:port; empty for the one that the agent
 	// listens on.
 	Advertise string
+	// Source is the local IP address of connections to entries; empty for the system's choice.
+	Source string
 	// Seeds are addresses of entries to try while no owner is known, also when the store does not
 	// answer.
 	Seeds []string
@@ -134,15 +136,18 @@
 }
 
 // New returns an agent that listens on the address of its settings. Its error is of the kind
-// Invalid when it cannot listen.
+// Invalid when it cannot listen or the source is not an IP address.
 func New(settings Settings, deps Dependencies) (*Attendant, error) {
+	pool := connector.NewPool(connector.Security{}, deps.Registry)
+	pool.SetDialTimeout(dialTimeout)
+	if err := pool.SetSource(settings.Source); err != nil {
+		return nil, err
+	}
 	var config net.ListenConfig
 	listener, err := config.Listen(context.Background(), "tcp", settings.Listen)
 	if err != nil {
 		return nil, apricotwinch.Errorf(apricotwinch.Invalid, "listen: %w", err)
 	}
-	pool := connector.NewPool(connector.Security{}, deps.Registry)
-	pool.SetDialTimeout(dialTimeout)
 	now := deps.Clock.Now()
 	incarnation := uuid.NewString()
 	return &Attendant{
--- a/commander/daemons.go
+++ b/commander/daemons.go
@@ -35,11 +35,11 @@
 		return &command{
 			name:     name,
 			synopsis: synopsis,
-			usage: name + ` [-check] [-advertise HOST:PORT]
+			usage: name + ` [-check] [-advertise HOST:PORT] [-source IP]
 
 An environment variable that the platform sets names the settings file. With
 -advertise, other processes dial that address instead of the one that this
-process listens on.
+process listens on. With -source, connections to them leave from that address.
 
   apricotwinch ` + name + `
   apricotwinch ` + name + ` -check
@@ -47,6 +47,7 @@
 			setFlags: func(flags *flag.FlagSet) {
 				flags.BoolVar(&check, "check", false, "check the settings file and exit")
 				flags.StringVar(&options.Advertise, "advertise", "", "address that other processes dial, host:port")
+				flags.StringVar(&options.Source, "source", "", "local IP address of connections to other processes")
 			},
 			run: func(ctx context.Context, args []string) subcommands.ExitStatus {
 				if len(args) > 0 {
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -48,6 +48,20 @@
 // It must be called before the first Call.
 func (p *Pool) SetDialTimeout(timeout time.Duration) { p.timeout = timeout }
 
+// SetSource sets the local IP address of connections; the default is the system's choice. It must be
+// called before the first Call. It fails with kind Invalid unless ip is an IP address or empty.
+func (p *Pool) SetSource(ip string) error {
+	if ip == "" {
+		return nil
+	}
+	address := net.ParseIP(ip)
+	if address == nil {
+		return apricotwinch.Errorf(apricotwinch.Invalid, "source: %q is not an IP address", ip)
+	}
+	p.dialer.LocalAddr = &net.TCPAddr{IP: address}
+	return nil
+}
+
 // Call calls method at address and decodes the reply into result. It fails with kind Unreachable if
 // the request was not sent, with Unknown if the peer may have acted on it, and otherwise with the
 // kind of the error that the peer returned.
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -80,6 +80,9 @@
 	// Advertise is the address that peers and agents dial, host:port; if it is empty, they
 	// dial the address that the entry listens on.
 	Advertise string
+	// Source is the local IP address of connections to peers and agents; empty for the system's
+	// choice.
+	Source string
 	// Seeds are addresses, host:port, of other entries. The entry pings them while it knows
 	// no peer, such as before the store answers.
 	Seeds []string
@@ -152,8 +155,13 @@
 }
 
 // New returns an entry that listens on the address of its settings. It returns the error of
-// the listener if that address can't be used.
+// the listener if that address can't be used, and one of kind Invalid for a bad source.
 func New(settings Settings, deps Deps) (*Coordinator, error) {
+	pool := connector.NewPool(connector.Security{}, deps.Registry)
+	pool.SetDialTimeout(dialTimeout)
+	if err := pool.SetSource(settings.Source); err != nil {
+		return nil, err
+	}
 	var config net.ListenConfig
 	listener, err := config.Listen(context.Background(), "tcp", settings.Listen)
 	if err != nil {
@@ -161,8 +169,6 @@
 	}
 	address := cmp.Or(settings.Advertise, listener.Addr().String())
 	self := messenger.Member{Name: settings.Name, Address: address, Incarnation: uuid.NewString(), ProcessorMillis: settings.ProcessorMillis}
-	pool := connector.NewPool(connector.Security{}, deps.Registry)
-	pool.SetDialTimeout(dialTimeout)
 	return &Coordinator{
 		settings:     settings,
 		deps:         deps,
@@ -342,7 +348,15 @@
 // does so without authority too, as an owner may have lost that in a long outage of the store.
 // c.mu is held.
 func (c *Coordinator) renewProof(now time.Time) {
-	if c.conductor == nil || !c.appendStartedAt.IsZero() || !c.elector.ProofDue(now) && !c.conductor.AwaitsProof() {
+	if c.conductor != nil && (c.elector.ProofDue(now) || c.conductor.AwaitsProof()) {
+		c.requestProof()
+	}
+}
+
+// requestProof starts the append of renewProof, unless one is under way. c.mu is held, and this
+// entry is the owner.
+func (c *Coordinator) requestProof() {
+	if !c.appendStartedAt.IsZero() {
 		return
 	}
 	if pending, _ := c.conductor.PendingWrites(); !pending {
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -263,6 +263,11 @@
 	return d
 }
 
+// isSettled reports whether an owner without workloads has written all that it must.
+func (d *deployment) isSettled() bool {
+	return d.store.has(appender.JournalWork, "settled") && d.store.has(appender.JournalWork, "h/host")
+}
+
 func eventually(t *testing.T, what string, condition func() bool) {
 	t.Helper()
 	for deadline := time.Now().Add(testTimeout); !condition(); time.Sleep(5 * time.Millisecond) {
@@ -312,14 +317,42 @@
 	}
 }
 
+// TestUnknownWorkloadNeedsProofOfOwnership guards against an owner that answers that a workload is
+// not known, although a successor has accepted it: the caller of a cancel would take it for canceled.
+func TestUnknownWorkloadNeedsProofOfOwnership(t *testing.T) {
+	requests := []struct {
+		name string
+		send func(*coordinator.Coordinator, context.Context, messenger.WorkloadRequest) (messenger.WorkloadReply, error)
+	}{
+		{name: "show", send: (*coordinator.Coordinator).Show},
+		{name: "cancel", send: (*coordinator.Coordinator).Cancel},
+	}
+	for _, request := range requests {
+		t.Run(request.name, func(t *testing.T) {
+			d := newDeployment(t, 1)
+			taken := metrics.GetOrRegisterCounter("ownership.taken", d.registries[0])
+			eventually(t, "the owner has written all that it must", d.isSettled)
+			d.store.claim()
+			ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+			defer cancel()
+			var err error
+			eventually(t, "the workload is not known", func() bool {
+				_, err = request.send(d.entries[0], ctx, messenger.WorkloadRequest{Queue: "q", Id: "x"})
+				return apricotwinch.KindOf(err) == apricotwinch.NotFound
+			})
+			if diff := cmp.Diff(int64(2), taken.Count()); diff != "" {
+				t.Errorf("takeovers before the answer (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestIdleOwnerLearnsOfLaterEpoch guards against an owner that acts for as long as it has nothing
 // to write, although an entry that it doesn't reach has taken over.
 func TestIdleOwnerLearnsOfLaterEpoch(t *testing.T) {
 	d := newDeployment(t, 1)
 	taken := metrics.GetOrRegisterCounter("ownership.taken", d.registries[0])
-	eventually(t, "the owner has written all that it must", func() bool {
-		return d.store.has(appender.JournalWork, "settled") && d.store.has(appender.JournalWork, "h/host")
-	})
+	eventually(t, "the owner has written all that it must", d.isSettled)
 	d.store.claim()
 	eventually(t, "the ownership is lost and claimed again", func() bool { return taken.Count() == 2 })
 }
--- a/coordinator/requests.go
+++ b/coordinator/requests.go
@@ -197,32 +197,70 @@
 	return number, c.conductor.Epoch(), nil
 }
 
-func (c *Coordinator) showLocally(_ context.Context, request messenger.WorkloadRequest) (messenger.WorkloadReply, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if err := c.checkOwner(c.deps.Clock.Now()); err != nil {
+func (c *Coordinator) showLocally(ctx context.Context, request messenger.WorkloadRequest) (messenger.WorkloadReply, error) {
+	var reply messenger.WorkloadReply
+	err := c.askConductor(ctx, func(time.Time) error {
+		state, err := c.conductor.WorkloadState(request.Id)
+		reply.State = state
+		return err
+	})
+	return reply, err
+}
+
+func (c *Coordinator) cancelLocally(ctx context.Context, request messenger.WorkloadRequest) (messenger.WorkloadReply, error) {
+	var number, epoch int64
+	err := c.askConductor(ctx, func(now time.Time) error {
+		var err error
+		if number, err = c.conductor.Cancel(now, request.Id); err != nil {
+			return err
+		}
+		epoch = c.conductor.Epoch()
+		c.advance(context.WithoutCancel(ctx), now, false)
+		return nil
+	})
+	if err != nil {
 		return messenger.WorkloadReply{}, err
 	}
-	state, err := c.conductor.WorkloadState(request.Id)
-	return messenger.WorkloadReply{State: state}, err
+	return messenger.WorkloadReply{State: messenger.WorkloadCanceled}, c.awaitDurable(ctx, epoch, number, request.Id)
 }
 
-func (c *Coordinator) cancelLocally(ctx context.Context, request messenger.WorkloadRequest) (messenger.WorkloadReply, error) {
+// askConductor calls ask while this entry is the owner, and again until its error is not NotFound,
+// or it is proven that no successor existed when the request came: a successor may have accepted the
+// workload. c.mu is held during the call.
+func (c *Coordinator) askConductor(ctx context.Context, ask func(now time.Time) error) error {
+	began := c.deps.Clock.Now()
+	for {
+		changed, err := c.askConductorOnce(began, ask)
+		if changed == nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return apricotwinch.Errorf(apricotwinch.Unknown, "waiting for a proof of the ownership: %w", ctx.Err())
+		case <-changed:
+		case <-c.deps.Clock.After(ownerRetryDelay):
+		}
+	}
+}
+
+// askConductorOnce calls ask if this entry is the owner. If its answer needs a proof of the ownership
+// first, it requests one and returns a channel that is closed when something changes.
+func (c *Coordinator) askConductorOnce(began time.Time, ask func(now time.Time) error) (<-chan struct{}, error) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	now := c.deps.Clock.Now()
 	if err := c.checkOwner(now); err != nil {
-		c.mu.Unlock()
-		return messenger.WorkloadReply{}, err
+		return nil, err
 	}
-	number, err := c.conductor.Cancel(now, request.Id)
-	if err != nil {
-		c.mu.Unlock()
-		return messenger.WorkloadReply{}, err
+	err := ask(now)
+	if apricotwinch.KindOf(err) != apricotwinch.NotFound || c.elector.ProvenSince(now, began) {
+		return nil, err
 	}
-	epoch := c.conductor.Epoch()
-	c.advance(context.WithoutCancel(ctx), now, false)
-	c.mu.Unlock()
-	return messenger.WorkloadReply{State: messenger.WorkloadCanceled}, c.awaitDurable(ctx, epoch, number, request.Id)
+	if err := c.checkStore(now); err != nil {
+		return nil, err
+	}
+	c.requestProof()
+	return c.changed, nil
 }
 
 func (c *Coordinator) countLocally(_ context.Context, request messenger.WorkloadRequest) (messenger.WorkloadReply, error) {
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -435,6 +435,12 @@
 	return provenAt
 }
 
+// ProvenSince reports whether this owner provably had no successor at some time since began. If it
+// knows no other entry, only the store can prove that.
+func (e *Elector) ProvenSince(now, began time.Time) bool {
+	return !e.appendSentAt.Before(began) || len(e.peers) > 0 && !e.peersProvenAt(now).Before(began)
+}
+
 // ProofDue reports whether this owner should renew the proof that it has no successor.
 func (e *Elector) ProofDue(now time.Time) bool {
 	return e.isOwner && now.Sub(e.appendSentAt) >= e.config.ProofInterval
--- a/soaker/doc.go
+++ b/soaker/doc.go
@@ -8,6 +8,7 @@
 //   - SOAK_SEEDS is the number of seeds, and SOAK_FIRST the first one.
 //   - SOAK_SECONDS is how long faults are injected, in seconds.
 //   - SOAK_ENTRIES and SOAK_HOSTS set the size of the deployment.
+//   - SOAK_CUTS is the number of zones that TestZoneCuts cuts off.
 //   - SOAK_REGRESSIONS, if set, adds the seeds that failed in the past.
 //   - SOAK_LOGS is a directory for the logs of the seeds that fail.
 package soaker
--- a/soaker/fleet_test.go
+++ b/soaker/fleet_test.go
@@ -68,6 +68,8 @@
 type entry struct {
 	*process
 	name  string
+	ip    string
+	zone  string
 	front *interrupter.Proxy
 	peer  *interrupter.Proxy
 	store *interrupter.Proxy
@@ -79,6 +81,7 @@
 type host struct {
 	*process
 	name         string
+	ip           string
 	zone         string
 	incarnations int
 	executor     *performer.Performer
@@ -156,7 +159,7 @@
 func (f *fleet) newProcess(name, command, ip, peer, store string) *process {
 	p := &process{
 		t: f.t, name: name,
-		arguments: []string{command, "-advertise", peer},
+		arguments: []string{command, "-advertise", peer, "-source", ip},
 		settings:  f.writeSettings(name, ip, store),
 		logFile:   filepath.Join(f.directory, name+".log"),
 	}
@@ -167,14 +170,14 @@
 
 func (f *fleet) newEntry(i int) *entry {
 	name, ip := fmt.Sprint("entry-", i), fmt.Sprintf("%s.%d", f.network, 1+i)
-	e := &entry{name: name, front: f.newLink(address(ip, portFront)), peer: f.newLink(address(ip, portPeer)), store: f.newLink(f.storeAddress)}
+	e := &entry{name: name, ip: ip, zone: zones[i%len(zones)], front: f.newLink(address(ip, portFront)), peer: f.newLink(address(ip, portPeer)), store: f.newLink(f.storeAddress)}
 	e.process = f.newProcess(name, "platform-entry", ip, e.peer.Address(), e.store.Address())
 	return e
 }
 
 func (f *fleet) newHost(i int, seed uint64) *host {
 	name, ip := fmt.Sprint("host-", i), fmt.Sprintf("%s.%d", f.network, 101+i)
-	h := &host{name: name, zone: zones[i%len(zones)], peer: f.newLink(address(ip, portPeer)), store: f.newLink(f.storeAddress), heartbeats: f.newLink(address(ip, portControl))}
+	h := &host{name: name, ip: ip, zone: zones[i%len(zones)], peer: f.newLink(address(ip, portPeer)), store: f.newLink(f.storeAddress), heartbeats: f.newLink(address(ip, portControl))}
 	config := performer.Config{
 		Service: service, Zone: h.zone, Labels: []string{"a", fmt.Sprint("r1-", i/2)}, CPU: capacityCPU, MemoryMB: capacityMB,
 		HeartbeatEvery: heartbeat, StopTime: stopMillis * time.Millisecond, CheckpointEvery: 200 * time.Millisecond, MaxLease: maxLease,
@@ -238,6 +241,40 @@
 	f.store.Publish("config", data)
 }
 
+// cutZone cuts a zone off from the other zones and from the store until healZones is called.
+// Callers still reach its entries.
+func (f *fleet) cutZone(zone string) {
+	zoneOf := map[string]string{}
+	peers := map[*interrupter.Proxy]string{}
+	for _, e := range f.entries {
+		zoneOf[e.ip], peers[e.peer] = e.zone, e.zone
+		if e.zone == zone {
+			e.store.Partition()
+		}
+	}
+	for _, h := range f.hosts {
+		zoneOf[h.ip], peers[h.peer] = h.zone, h.zone
+		if h.zone == zone {
+			h.store.Partition()
+		}
+	}
+	for peer, target := range peers {
+		peer.PartitionFrom(func(ip string) bool { return (zoneOf[ip] == zone) != (target == zone) })
+	}
+}
+
+// healZones heals the links among the processes and to the store.
+func (f *fleet) healZones() {
+	for _, e := range f.entries {
+		e.peer.Heal()
+		e.store.Heal()
+	}
+	for _, h := range f.hosts {
+		h.peer.Heal()
+		h.store.Heal()
+	}
+}
+
 // evacuate takes a zone out of service, or returns it to service when out is false.
 func (f *fleet) evacuate(zone string, out bool) {
 	var value []byte
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -81,6 +81,13 @@
 // runSeed runs the soak test for one seed, with faults for the given number of seconds.
 func runSeed(t *testing.T, seed uint64, seconds int) {
 	f := newFleet(t, environmentInt(t, "SOAK_ENTRIES", 3), environmentInt(t, "SOAK_HOSTS", 5), seed)
+	soak(t, f, seed, func() []string { return injectFaults(f, seed, time.Duration(seconds)*time.Second) })
+}
+
+// soak submits workloads while inject injects faults, and checks what callers and executors
+// observed. inject returns a description of each fault.
+func soak(t *testing.T, f *fleet, seed uint64, inject func() []string) {
+	t.Helper()
 	if !f.waitReady(readyTimeout) {
 		t.Fatalf("not ready within %s\n%s", readyTimeout, f.logTails())
 	}
@@ -106,7 +113,7 @@
 			}
 		}
 	})
-	injected := injectFaults(f, seed, time.Duration(seconds)*time.Second)
+	injected := inject()
 	close(stop)
 	c.background.Wait()
 	for deadline := time.Now().Add(settleTimeout); c.pollAll() > 0 && time.Now().Before(deadline); {
--- a/standin/interrupter/interrupter.go
+++ b/standin/interrupter/interrupter.go
@@ -59,6 +59,7 @@
 	mu         sync.Mutex
 	listener   net.Listener
 	faults     [2]Faults
+	isCutOff   func(ip string) bool
 	changed    chan struct{}
 	links      map[*link]bool
 	closed     bool
@@ -78,6 +79,7 @@
 		clock:    clock,
 		listener: listener,
 		changed:  make(chan struct{}),
+		isCutOff: func(string) bool { return false },
 		links:    make(map[*link]bool),
 	}
 	p.goroutines.Add(1)
@@ -93,6 +95,20 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.faults[direction] = faults
+	p.broadcast()
+}
+
+// PartitionFrom holds both directions of the connections of some callers, open and new ones, until
+// it is called again; isCutOff reports whether the caller with an IP address is one of them.
+func (p *Proxy) PartitionFrom(isCutOff func(ip string) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.isCutOff = isCutOff
+	p.broadcast()
+}
+
+// broadcast wakes the links that wait for a change of the faults; p.mu is held.
+func (p *Proxy) broadcast() {
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
@@ -103,8 +119,9 @@
 	p.Set(ToCaller, Faults{Hold: true})
 }
 
-// Heal lifts the faults of both directions.
+// Heal lifts the faults of both directions, for all callers.
 func (p *Proxy) Heal() {
+	p.PartitionFrom(func(string) bool { return false })
 	p.Set(ToTarget, Faults{})
 	p.Set(ToCaller, Faults{})
 }
@@ -202,11 +219,14 @@
 	delete(p.links, l)
 }
 
-// currentFaults returns the faults of a direction, and a channel that is closed when they change.
-func (p *Proxy) currentFaults(direction Direction) (Faults, <-chan struct{}) {
+// currentFaults returns the faults of a direction of a caller's connections, and a channel that is
+// closed when they change.
+func (p *Proxy) currentFaults(direction Direction, callerIP string) (Faults, <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.faults[direction], p.changed
+	faults := p.faults[direction]
+	faults.Hold = faults.Hold || p.isCutOff(callerIP)
+	return faults, p.changed
 }
 
 // allow returns how many of size bytes to forward, and whether to reset the connection after them.
--- a/standin/interrupter/link.go
+++ b/standin/interrupter/link.go
@@ -17,6 +17,7 @@
 type link struct {
 	proxy     *Proxy
 	caller    net.Conn
+	callerIP  string
 	target    net.Conn
 	wasReset  chan struct{}
 	resetOnce func()
@@ -30,7 +31,8 @@
 }
 
 func newLink(proxy *Proxy, caller, target net.Conn) *link {
-	l := &link{proxy: proxy, caller: caller, target: target, wasReset: make(chan struct{})}
+	callerIP := caller.RemoteAddr().(*net.TCPAddr).IP.String()
+	l := &link{proxy: proxy, caller: caller, callerIP: callerIP, target: target, wasReset: make(chan struct{})}
 	l.resetOnce = sync.OnceFunc(func() {
 		close(l.wasReset)
 		resetConn(caller)
@@ -111,7 +113,7 @@
 // is reset meanwhile.
 func (l *link) awaitRelease(direction Direction, c chunk) bool {
 	for {
-		faults, changed := l.proxy.currentFaults(direction)
+		faults, changed := l.proxy.currentFaults(direction, l.callerIP)
 		var due <-chan time.Time
 		if !faults.Hold {
 			remaining := l.remaining(faults, c)
