Withdraw starts of runs that were stopped before their delivery

Cause: orders wait for an overloaded owner. When run 1 of a speculative task had ended as done, the stop of its copy was queued behind the copy's start, which was still sent. Withdrawn were only starts of runs that had been given up.

Change: starts of runs that were ordered to stop are withdrawn as well. A stopped run whose start never left can't start; if it did leave, its stop follows.

Measured: without the change TestStoppedStartIsWithdrawn counts 4 runs of a canceled job, want 0.

--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -1007,6 +1007,27 @@
 	sim.runUntil(5*time.Second, func() bool { return sim.state("w") == messenger.WorkloadCompleted })
 }
 
+// TestStoppedStartIsWithdrawn guards against a task that starts long after it was done or canceled: its
+// start was still to be delivered when the owner stopped the run.
+func TestStoppedStartIsWithdrawn(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.run(2 * time.Second)
+	sim.hosts[0].disconnected = true
+	sim.submit(batchQueue, "w", tasks(4, 500, 3*time.Second))
+	sim.run(time.Second)
+	if _, err := sim.owner.Cancel(sim.now, "w"); err != nil {
+		t.Fatal(err)
+	}
+	sim.run(time.Second)
+	sim.hosts[0].disconnected = false
+	sim.run(time.Second)
+	if diff := cmp.Diff(0, sim.endCount()+sim.running("w")); diff != "" {
+		t.Errorf("runs (-want +got):\n%s", diff)
+	}
+	sim.submit(batchQueue, "next", tasks(32, 500, 500*time.Millisecond))
+	sim.runUntil(2*time.Second, func() bool { return sim.state("next") == messenger.WorkloadCompleted })
+}
+
 func ExampleConductor() {
 	now := time.Unix(1000, 0)
 	owner := conductor.New(conductor.DefaultConfig(), 1, true, hclog.NewNullLogger(), metrics.NewRegistry())
--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -267,9 +267,9 @@
 }
 
 // PrepareOrders returns undelivered orders as they may be sent now, and the address of the host's
-// agent. They carry the ticket of the host's last report. Starts of runs that were given up since
-// the orders were made are removed from undelivered, as their tasks may run elsewhere by now. ok
-// is false for a host that has not reported to this owner, and for orders to another incarnation
+// agent. They carry the ticket of the host's last report. Starts of runs that were given up or
+// ordered to stop since the orders were made are removed from undelivered: their tasks may run
+// elsewhere by now, be done or be canceled. ok is false for a host that has not reported to this owner, and for orders to another incarnation
 // of its agent.
 func (c *Conductor) PrepareOrders(name string, undelivered *messenger.Orders) (orders messenger.Orders, address string, ok bool) {
 	h := c.hosts[name]
@@ -278,12 +278,12 @@
 	}
 	undelivered.Starts = slices.DeleteFunc(undelivered.Starts, func(start messenger.StartOrder) bool {
 		run := c.runs[start.Run]
-		givenUp := run == nil || run.executor.host != h || run.ordersNumber != undelivered.Number
-		if givenUp {
+		withdrawn := run == nil || run.executor.host != h || run.ordersNumber != undelivered.Number || run.stopping
+		if withdrawn {
 			c.count("orders.starts_withdrawn")
 			c.logger.Info("start withdrawn", "run", start.Run, "host", name, "order", undelivered.Number)
 		}
-		return givenUp
+		return withdrawn
 	})
 	orders = *undelivered
 	orders.TicketMillis = h.reportTicket
