Do not take an owner for replaced by what was known of its process before

No caller is known to have seen it. Cause: an entry that starts may know a peer as an earlier incarnation, from the list of members, or as gone, from a ping before the peer listened.

Change: an owner counts as replaced by a ping that came after its ownership was known, and a peer as gone only if it has not pinged since the refused ping was sent.

Measured: without the change TestOutdatedPeerIsNotReplacedOwner gets a claim in both cases. elector and coordinator pass with it.

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -354,9 +354,10 @@
 	}
 }
 
-// MarkPeerGone records that no process listens at another entry's address.
-func (e *Elector) MarkPeerGone(name string) {
-	if p := e.peers[name]; p != nil {
+// MarkPeerGone records that no process listened at another entry's address when a ping was sent, at
+// sent. A process that has pinged since then is a new one.
+func (e *Elector) MarkPeerGone(sent time.Time, name string) {
+	if p := e.peers[name]; p != nil && !p.lastPingAt.After(sent) {
 		p.gone = true
 	}
 }
@@ -546,8 +547,7 @@
 	if p == nil {
 		return now.Sub(latest(e.startedAt, e.ownerSince)) > e.config.OwnerTimeout+delay
 	}
-	replaced := p.ping.Member.Incarnation != e.owner.Incarnation && !p.ping.Owner
-	if replaced || p.gone || p.ping.Released || p.ping.Leaving && !p.ping.Owner {
+	if e.ownerReplaced(p) && !p.ping.Owner || p.gone || p.ping.Released || p.ping.Leaving && !p.ping.Owner {
 		return e.rank(now) == 0 || now.Sub(p.lastPingAt) > delay
 	}
 	since := latest(latest(p.lastPingAt, e.ownerSince), latest(e.startedAt, e.resumedAt))
@@ -610,7 +610,14 @@
 		return true
 	}
 	p := e.peers[e.owner.Name]
-	return p != nil && (p.ping.Released || p.gone || p.ping.Member.Incarnation != e.owner.Incarnation)
+	return p != nil && (p.ping.Released || p.gone || e.ownerReplaced(p))
+}
+
+// ownerReplaced reports whether the owner's process is known to have been replaced: the peer of its
+// name pinged as another incarnation after this entry had learned of the owner. An incarnation
+// from the list of members may be an earlier one than the owner.
+func (e *Elector) ownerReplaced(p *peer) bool {
+	return p.ping.Member.Incarnation != e.owner.Incarnation && p.lastPingAt.After(e.ownerSince)
 }
 
 func latest(a, b time.Time) time.Time {
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -82,7 +82,7 @@
 		}},
 		{name: "owner's process is gone", want: elector.Claim, run: func(s *fixture) elector.Action {
 			s.advance(time.Second, true, ping("entry-a", 3, asOwner))
-			s.MarkPeerGone("entry-a")
+			s.MarkPeerGone(s.now, "entry-a")
 			return s.advance(50*time.Millisecond, true)
 		}},
 		{name: "owner released", want: elector.Claim, run: func(s *fixture) elector.Action {
@@ -206,6 +206,37 @@
 	}
 }
 
+// TestOutdatedPeerIsNotReplacedOwner guards against a claim over an owner that acts, after all entries
+// restarted: what this entry knew of the owner's process was of an earlier one.
+func TestOutdatedPeerIsNotReplacedOwner(t *testing.T) {
+	earlier := messenger.Member{Name: "entry-a", Incarnation: "entry-a-0"}
+	tests := []struct {
+		name   string
+		before func(s *fixture)
+	}{
+		{name: "listed as an earlier incarnation", before: func(s *fixture) { s.AddMember(s.now, earlier) }},
+		{name: "found gone before it pinged", before: func(s *fixture) {
+			sent := s.now
+			s.now = s.now.Add(10 * time.Millisecond)
+			s.HandlePing(s.now, ping("entry-a", 2, nil))
+			s.MarkPeerGone(sent, "entry-a")
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := newFixture()
+			test.before(s)
+			s.RecordOwner(s.now, 3, member("entry-a"))
+			if diff := cmp.Diff(elector.None, s.advance(200*time.Millisecond, true)); diff != "" {
+				t.Errorf("action (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(false, s.PreviousOwnerStopped()); diff != "" {
+				t.Errorf("the owner has stopped (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestEpochNeverDecreases checks that reports of earlier epochs that arrive late change
 // nothing.
 func TestEpochNeverDecreases(t *testing.T) {
@@ -390,7 +421,7 @@
 	}
 	s = newFixture()
 	s.advance(time.Second, true, takingOver)
-	s.MarkPeerGone("entry-a")
+	s.MarkPeerGone(s.now, "entry-a")
 	if got := s.advance(2*time.Second, true); got != elector.Claim {
 		t.Errorf("after the death of the entry that takes over: got %v, want a claim", got)
 	}
