Date the proof of a peer that is gone

Cause: an owner without the store did not wait for peers whose process was gone, also long after that was found; a process that had started again could have claimed meanwhile. Measured: the case 'a peer was found gone long ago' of TestOnlyFencedAppendsExtendAuthority had authority before, and has none now.

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -125,8 +125,9 @@
 	ping       messenger.Ping
 	lastPingAt time.Time
 	listedAt   time.Time
-	// repliedTo is when this entry sent the last ping that the peer replied to. Only a reply dates
-	// the state of a peer: a partition may hold a ping of the peer up for seconds.
+	// repliedTo is when this entry sent the last ping that the peer replied to, or that its host
+	// refused as no process listened. Only that dates the state of a peer: a partition may hold a
+	// ping of the peer up for seconds.
 	repliedTo time.Time
 	// takingOverSince is when the peer first reported that it takes over the epoch of its last
 	// ping; zero if it doesn't.
@@ -359,6 +360,7 @@
 func (e *Elector) MarkPeerGone(sent time.Time, name string) {
 	if p := e.peers[name]; p != nil && !p.lastPingAt.After(sent) {
 		p.gone = true
+		p.repliedTo = latest(p.repliedTo, sent)
 	}
 }
 
@@ -421,15 +423,14 @@
 }
 
 // peersProvenAt returns the latest time at which no other entry knew of a later epoch; the zero
-// time if one does or has never replied to a ping. An entry whose process is gone is not waited
-// for.
+// time if one does or has never replied to a ping. A process that is gone knew of none.
 func (e *Elector) peersProvenAt(now time.Time) time.Time {
 	provenAt := now
 	for _, p := range e.peers {
 		if int64(p.ping.Epoch) > e.epoch {
 			return time.Time{}
 		}
-		if !p.gone && p.repliedTo.Before(provenAt) {
+		if p.repliedTo.Before(provenAt) {
 			provenAt = p.repliedTo
 		}
 	}
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -172,6 +172,8 @@
 		{name: "a peer's pings arrive", update: func(s *fixture) { s.HandlePing(s.now, peer) }},
 		{name: "a peer replies to a ping that was sent long ago", update: func(s *fixture) { s.HandlePingReply(start, s.now, peer) }},
 		{name: "the store accepts an append that was first sent long ago", update: func(s *fixture) { s.RecordAppend(start) }},
+		{name: "a peer was found gone long ago", update: func(s *fixture) { s.MarkPeerGone(start, "entry-c") }},
+		{name: "a peer is found gone", update: func(s *fixture) { s.MarkPeerGone(s.now, "entry-c") }, want: true},
 		{name: "the store accepts appends", update: func(s *fixture) { s.RecordAppend(s.now) }, want: true},
 		{name: "a peer replies to pings", update: func(s *fixture) { s.HandlePingReply(s.now, s.now, peer) }, want: true},
 	}
