Give the runs of each owner numbers of their own

The next owner found the same record and used the same numbers. The end of the earlier owner's run then released the run that this owner had just started elsewhere under the same number, and the task was started once more.

Change: runs of inherited workloads are numbered by epoch, and an end releases only a run at the executor that reports it.

TestEndOfRunOfEarlierOwner failed before (a run on host-0 and on host-2) and passes.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -33,10 +33,10 @@
 	keyInterference = "presses"
 )
 
-// inheritedRunGap is added to the highest run number known of a task that an earlier owner may
-// have started, as the earlier owner may have started runs that the journal doesn't list. No
+// runsPerEpoch is the number of runs of a task that one owner may start: the runs of each epoch have
+// numbers of their own, as earlier owners may have started runs that the journal doesn't list. No
 // owner starts a task as often as that.
-const inheritedRunGap = 1000
+const runsPerEpoch = 1000
 
 // Conductor holds the state of all workloads, hosts and runs that the owner knows, and the
 // records and orders that are still to be sent.
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -928,6 +928,30 @@
 	sim.runUntil(10*time.Second, func() bool { return sim.state("w") == messenger.WorkloadCompleted })
 }
 
+// TestEndOfRunOfEarlierOwner guards against a task that runs twice after two takeovers: the end of a
+// run of the earlier owner must not be taken for that of this owner's run at another executor.
+func TestEndOfRunOfEarlierOwner(t *testing.T) {
+	sim := newSimulation(t, 1, 4)
+	sim.run(2 * time.Second)
+	sim.submit(batchQueue, "w", tasks(1, 500, 20*time.Second))
+	for range 2 {
+		sim.runUntil(10*time.Second, func() bool { return sim.running("w") == 1 })
+		sim.hostOf("w").disconnected = true
+		sim.replaceOwner(true)
+		sim.runUntil(10*time.Second, func() bool { return sim.running("w") == 0 })
+	}
+	sim.runUntil(10*time.Second, func() bool { return sim.running("w") == 1 })
+	running := sim.hostOf("w")
+	for _, h := range sim.hosts {
+		h.disconnected = false
+	}
+	sim.run(2 * time.Second)
+	if diff := cmp.Diff(running.name, sim.hostOf("w").name); diff != "" {
+		t.Errorf("host of the run (-want +got):\n%s", diff)
+	}
+	sim.runUntil(30*time.Second, func() bool { return sim.state("w") == messenger.WorkloadCompleted })
+}
+
 // TestLateStartAfterRefusedRepeat guards against a task that runs twice: an executor carries out a
 // start late whose repeat it refused.
 func TestLateStartAfterRefusedRepeat(t *testing.T) {
--- a/conductor/ends.go
+++ b/conductor/ends.go
@@ -42,12 +42,13 @@
 		return
 	}
 	run := c.runs[end.Run]
-	if run != nil {
+	current := run != nil && run.executor == e
+	if current {
 		c.release(run)
 	}
 	t.highestRun = max(t.highestRun, end.Run.Run)
 	if c.logger.IsInfo() {
-		c.logger.Info("run ended", "run", end.Run, "executor", e.id, "how", end.How, "current", run != nil)
+		c.logger.Info("run ended", "run", end.Run, "executor", e.id, "how", end.How, "current", current)
 	}
 	c.markStarted(w)
 	switch {
--- a/conductor/gang.go
+++ b/conductor/gang.go
@@ -21,7 +21,7 @@
 	}
 	number := 0
 	for _, t := range s.tasks {
-		number = max(number, t.nextRun())
+		number = max(number, c.nextRun(t))
 	}
 	checkpoint := s.sharedCheckpoint()
 	for i, t := range s.tasks {
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -232,17 +232,17 @@
 	return cost
 }
 
-// nextRun returns the number of the next run of a task.
-func (t *task) nextRun() int {
-	if t.inherited {
-		return t.highestRun + inheritedRunGap
+// nextRun returns the number of the next run of a task. No earlier owner has used it.
+func (c *Conductor) nextRun(t *task) int {
+	if t.step.occurrence.workload.inherited {
+		return max(t.highestRun, int(c.epoch)*runsPerEpoch) + 1
 	}
 	return t.highestRun + 1
 }
 
 // startRun orders an executor to start the next run of a task.
 func (c *Conductor) startRun(now time.Time, t *task, e *executor) {
-	number := t.nextRun()
+	number := c.nextRun(t)
 	orders := c.ordersFor(e.host)
 	r := &run{
 		ref:          messenger.RunRef{Task: t.ref, Run: number},
