Keep silent peers while an owner is isolated

No caller is known to have seen it. Cause: peers that are silent for a minute are forgotten; an owner that was cut off for longer knew no peer that could contradict it, and had authority again beside its successor.

Measured: without the change TestLongIsolationGivesNoAuthority finds authority 1m31s after the claim.

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -467,9 +467,11 @@
 }
 
 // prune removes, once each prunePeriod, the peers and the reports of hosts that have been silent
-// for MemberTTL.
+// for MemberTTL. An owner without a proof from the store keeps them: one of the silent peers may be
+// its successor.
 func (e *Elector) prune(now time.Time) {
-	if now.Sub(e.prunedAt) < prunePeriod {
+	isolated := e.isOwner && now.Sub(e.appendSentAt) >= e.config.AuthorityTimeout
+	if isolated || now.Sub(e.prunedAt) < prunePeriod {
 		return
 	}
 	e.prunedAt = now
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -194,6 +194,21 @@
 	}
 }
 
+// TestLongIsolationGivesNoAuthority guards against an owner that acts again after a long partition,
+// as it has forgotten the peers that it no longer hears.
+func TestLongIsolationGivesNoAuthority(t *testing.T) {
+	s := newFixture()
+	s.RecordClaim(s.now, s.now, 4)
+	s.advance(time.Second, true, ping("entry-c", 4, nil))
+	s.AllPingTargets(s.now)
+	for range 5 {
+		s.advance(30*time.Second, false)
+		if diff := cmp.Diff(false, s.HasAuthority(s.now)); diff != "" {
+			t.Fatalf("authority %s after the claim (-want +got):\n%s", s.now.Sub(start), diff)
+		}
+	}
+}
+
 // TestUnknownOwnerCountsAsActing guards against a takeover that trusts the silence of an owner
 // that this entry does not know by name.
 func TestUnknownOwnerCountsAsActing(t *testing.T) {
