Keep the barrier of a takeover after the adoption of a run

Cause: a task that an earlier owner may have started waits until every executor has reported, but the adoption of one of its runs lifted that. When the adopted run ended, the task started again while the failed ends of earlier runs were still to be reported by other executors.

Change: only a start by this owner lifts it.

Without the change TestAdoptedRunKeepsBarrier counts 4 runs, want 3.

--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -928,6 +928,34 @@
 	sim.runUntil(10*time.Second, func() bool { return sim.state("w") == messenger.WorkloadCompleted })
 }
 
+// TestAdoptedRunKeepsBarrier guards against a run beyond the allowed attempts after a takeover: when an
+// adopted run ends, other executors may still have to report earlier ends of the task.
+func TestAdoptedRunKeepsBarrier(t *testing.T) {
+	sim := newSimulation(t, 1, 3)
+	sim.run(2 * time.Second)
+	sim.submit(batchQueue, "hopeless", tasks(1, 500, 600*time.Millisecond))
+	sim.storeOffline = true
+	for range 2 {
+		sim.runUntil(5*time.Second, func() bool { return sim.running("hopeless") == 1 })
+		sim.runUntil(5*time.Second, func() bool { return sim.running("hopeless") == 0 })
+	}
+	sim.runUntil(5*time.Second, func() bool { return sim.running("hopeless") == 1 })
+	sim.storeOffline = false
+	last := sim.hostOf("hopeless")
+	sim.replaceOwner(true)
+	for _, h := range sim.hosts {
+		h.disconnected = h != last
+	}
+	sim.run(1500 * time.Millisecond)
+	for _, h := range sim.hosts {
+		h.disconnected = false
+	}
+	sim.runUntil(5*time.Second, func() bool { return sim.state("hopeless") == messenger.WorkloadFailed })
+	if diff := cmp.Diff(3, sim.endCount()+sim.running("hopeless")); diff != "" {
+		t.Errorf("runs (-want +got):\n%s", diff)
+	}
+}
+
 // TestEndOfRunOfEarlierOwner guards against a task that runs twice after two takeovers: the end of a
 // run of the earlier owner must not be taken for that of this owner's run at another executor.
 func TestEndOfRunOfEarlierOwner(t *testing.T) {
--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -138,7 +138,6 @@
 func (c *Conductor) makeCurrent(r *run) {
 	t := r.task
 	t.current = r
-	t.inherited = false
 	t.step.waiting--
 	t.highestRun = max(t.highestRun, r.ref.Run)
 	c.track(r)
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -253,6 +253,7 @@
 		startedAt:    now,
 		resumed:      t.checkpoint != "",
 	}
+	t.inherited = false
 	c.makeCurrent(r)
 	order := r.startOrder()
 	order.Ticket, _ = t.step.validTicket(now, e)
