Take only current evidence for the end of an owner

Cause: what the peer of the owner's name had reported last counted for the owner, whichever process and epoch it was about.

Fix: states are numbered, and one that is older than the last one of the same process is ignored. A release counts for the process and the epoch that it was of; a refused connection only for the address, and for another process than the owner only if it is later than the news of the owner; another process has replaced the owner only if it replied to a ping that was sent after that news. Such a process is pinged at once.

TestOutdatedStateIsNotEndOfOwner: all 6 cases failed before ("action", "the owner has stopped"). TestReplacedOwnerIsAskedAtOnce failed before ("pinged entries"). MarkPeerGone takes the address; tests that call it pass the member in place of its name.

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -127,8 +127,11 @@
 	listedAt   time.Time
 	// stateAsOf is the time as of which the state of the peer is known: when this entry sent the
 	// last ping that the peer replied to, or that its host refused as no process listened. Pings of
-	// the peer prove nothing here, as a partition may hold them up for seconds.
-	stateAsOf time.Time
+	// the peer prove nothing here, as a partition may hold them up for seconds. repliedAsOf counts
+	// replies alone.
+	stateAsOf, repliedAsOf time.Time
+	// goneAsOf is when the last ping was sent that the peer's host refused.
+	goneAsOf time.Time
 	// takingOverSince is when the peer first reported that it takes over the epoch of its last
 	// ping; zero if it doesn't.
 	takingOverSince time.Time
@@ -160,6 +163,8 @@
 	// is none.
 	takingOverEpoch int64
 	yieldCount      int
+	// pingNumber is the number of the last state that this entry reported.
+	pingNumber int
 
 	startedAt  time.Time
 	ownerSince time.Time
@@ -227,6 +232,7 @@
 	if epoch > e.epoch {
 		e.epoch = epoch
 		e.owner = messenger.Member{}
+		e.released = false
 		e.supersededAt = now
 	}
 }
@@ -321,20 +327,27 @@
 // sent.
 func (e *Elector) HandlePingReply(sent, now time.Time, ping messenger.Ping) {
 	e.HandlePing(now, ping)
-	if p := e.peers[ping.Member.Name]; p != nil {
-		p.stateAsOf = latest(p.stateAsOf, sent)
+	p := e.peers[ping.Member.Name]
+	if p == nil || p.ping.Member != ping.Member {
+		return
 	}
+	p.repliedAsOf = latest(p.repliedAsOf, sent)
+	p.stateAsOf = latest(p.stateAsOf, sent)
 }
 
-// HandlePing records the state that another entry sent in a ping.
+// HandlePing records the state that another entry sent in a ping. A state that the same process sent
+// before one that is known is ignored.
 func (e *Elector) HandlePing(now time.Time, ping messenger.Ping) {
 	if ping.Member.Name == e.self.Name {
 		return
 	}
 	p := e.peers[ping.Member.Name]
-	if p == nil || p.ping.Member != ping.Member {
+	switch {
+	case p == nil || p.ping.Member != ping.Member:
 		p = &peer{}
 		e.setPeer(ping.Member.Name, p)
+	case ping.Number < p.ping.Number:
+		return
 	}
 	switch {
 	case !ping.TakingOver:
@@ -355,13 +368,16 @@
 	}
 }
 
-// MarkPeerGone records that no process listened at another entry's address when a ping was sent, at
-// sent. A process that has pinged since then is a new one.
-func (e *Elector) MarkPeerGone(sent time.Time, name string) {
-	if p := e.peers[name]; p != nil && !p.lastPingAt.After(sent) {
-		p.gone = true
-		p.stateAsOf = latest(p.stateAsOf, sent)
+// MarkPeerGone records that no process listened at another entry's address when a ping was sent there,
+// at sent. A process that has pinged since then, or that has another address, is a new one.
+func (e *Elector) MarkPeerGone(sent time.Time, member messenger.Member) {
+	p := e.peers[member.Name]
+	if p == nil || p.lastPingAt.After(sent) || p.ping.Member.Address != member.Address {
+		return
 	}
+	p.gone = true
+	p.goneAsOf = latest(p.goneAsOf, sent)
+	p.stateAsOf = latest(p.stateAsOf, sent)
 }
 
 // HandleHostReport records a host's report of how long the owner of epoch has not answered it.
@@ -396,12 +412,14 @@
 // configuration.
 func (e *Elector) Ping(now time.Time, view int) messenger.Ping {
 	takingOver := e.takingOverEpoch > e.epoch
+	e.pingNumber++
 	return messenger.Ping{
 		Member:      e.self,
+		Number:      e.pingNumber,
 		Epoch:       int(max(e.epoch, e.takingOverEpoch)),
 		TakingOver:  takingOver,
 		Owner:       e.isOwner,
-		Released:    e.released,
+		Released:    e.released && !takingOver,
 		StoreMillis: int(e.StoreSilence(now).Milliseconds()),
 		View:        view,
 		Leaving:     e.leaving,
@@ -458,14 +476,17 @@
 	case e.isOwner:
 		e.ownerSeenAt = now
 		return e.tickOwner(now)
-	case e.StoreSilence(now) > e.config.MaxAge:
-		return None
-	case e.isStandby(now) && e.shouldClaim(now):
+	case e.ClaimDue(now):
 		return Claim
 	}
 	return None
 }
 
+// ClaimDue reports whether this entry should claim the ownership now.
+func (e *Elector) ClaimDue(now time.Time) bool {
+	return !e.leaving && !e.isOwner && e.StoreSilence(now) <= e.config.MaxAge && e.isStandby(now) && e.shouldClaim(now)
+}
+
 // prune removes, once each prunePeriod, the peers and the reports of hosts that have been silent
 // for MemberTTL. An owner without a proof from the store keeps them: one of the silent peers may be
 // its successor.
@@ -550,7 +571,8 @@
 	if p == nil {
 		return now.Sub(latest(e.startedAt, e.ownerSince)) > e.config.OwnerTimeout+delay
 	}
-	if e.ownerReplaced(p) && !p.ping.Owner || p.gone || p.ping.Released || p.ping.Leaving && !p.ping.Owner {
+	leaving := p.ping.Member == e.owner && p.ping.Leaving && !p.ping.Owner
+	if leaving || e.ownerReleased(p) || e.ownerGone(p) || e.ownerReplaced(p) && !p.ping.Owner {
 		return e.rank(now) == 0 || now.Sub(p.lastPingAt) > delay
 	}
 	since := latest(latest(p.lastPingAt, e.ownerSince), latest(e.startedAt, e.resumedAt))
@@ -613,14 +635,28 @@
 		return true
 	}
 	p := e.peers[e.owner.Name]
-	return p != nil && (p.ping.Released || p.gone || e.ownerReplaced(p))
+	return p != nil && (e.ownerReleased(p) || e.ownerGone(p) || e.ownerReplaced(p))
+}
+
+// ownerReleased reports whether the owner, which is the peer p, released the ownership of the greatest
+// known epoch. It may have released that of an earlier epoch before it claimed again.
+func (e *Elector) ownerReleased(p *peer) bool {
+	return p.ping.Released && p.ping.Member == e.owner && int64(p.ping.Epoch) == e.epoch
+}
+
+// ownerGone reports whether the owner's process, of the peer p, is known to have ended. The peer may be
+// known as an earlier process than the owner: that one's end counts only if no process listened
+// after this entry had learned of the owner.
+func (e *Elector) ownerGone(p *peer) bool {
+	return p.gone && (p.ping.Member == e.owner || p.ping.Member.Address == e.owner.Address && p.goneAsOf.After(e.ownerSince))
 }
 
 // ownerReplaced reports whether the owner's process is known to have been replaced: the peer of its
-// name pinged as another incarnation after this entry had learned of the owner. An incarnation
-// from the list of members may be an earlier one than the owner.
+// name replied as another incarnation to a ping that was sent after this entry had learned of the
+// owner. An incarnation from the list of members, or one whose pings were held up, may be an earlier
+// one than the owner.
 func (e *Elector) ownerReplaced(p *peer) bool {
-	return p.ping.Member.Incarnation != e.owner.Incarnation && p.lastPingAt.After(e.ownerSince)
+	return p.ping.Member.Incarnation != e.owner.Incarnation && p.repliedAsOf.After(e.ownerSince)
 }
 
 func latest(a, b time.Time) time.Time {
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -82,7 +82,7 @@
 		}},
 		{name: "owner's process is gone", want: elector.Claim, run: func(s *fixture) elector.Action {
 			s.advance(time.Second, true, ping("entry-a", 3, asOwner))
-			s.MarkPeerGone(s.now, "entry-a")
+			s.MarkPeerGone(s.now, member("entry-a"))
 			return s.advance(50*time.Millisecond, true)
 		}},
 		{name: "owner released", want: elector.Claim, run: func(s *fixture) elector.Action {
@@ -172,8 +172,8 @@
 		{name: "a peer's pings arrive", update: func(s *fixture) { s.HandlePing(s.now, peer) }},
 		{name: "a peer replies to a ping that was sent long ago", update: func(s *fixture) { s.HandlePingReply(start, s.now, peer) }},
 		{name: "the store accepts an append that was first sent long ago", update: func(s *fixture) { s.RecordAppend(start) }},
-		{name: "a peer was found gone long ago", update: func(s *fixture) { s.MarkPeerGone(start, "entry-c") }},
-		{name: "a peer is found gone", update: func(s *fixture) { s.MarkPeerGone(s.now, "entry-c") }, want: true},
+		{name: "a peer was found gone long ago", update: func(s *fixture) { s.MarkPeerGone(start, member("entry-c")) }},
+		{name: "a peer is found gone", update: func(s *fixture) { s.MarkPeerGone(s.now, member("entry-c")) }, want: true},
 		{name: "the store accepts appends", update: func(s *fixture) { s.RecordAppend(s.now) }, want: true},
 		{name: "a peer replies to pings", update: func(s *fixture) { s.HandlePingReply(s.now, s.now, peer) }, want: true},
 	}
@@ -236,7 +236,7 @@
 			sent := s.now
 			s.now = s.now.Add(10 * time.Millisecond)
 			s.HandlePing(s.now, ping("entry-a", 2, nil))
-			s.MarkPeerGone(sent, "entry-a")
+			s.MarkPeerGone(sent, member("entry-a"))
 		}},
 	}
 	for _, test := range tests {
@@ -254,6 +254,72 @@
 	}
 }
 
+// TestOutdatedStateIsNotEndOfOwner guards against a claim over an owner that acts, and against a
+// successor that takes its runs for ended too early, because of what the owner's name reported
+// earlier: a partition holds pings up for seconds, and other entries report a new owner first.
+func TestOutdatedStateIsNotEndOfOwner(t *testing.T) {
+	released := func(p *messenger.Ping) { p.Released = true }
+	next := messenger.Member{Name: "entry-a", Address: "entry-a:2", Incarnation: "entry-a-2"}
+	tests := []struct {
+		name string
+		run  func(s *fixture)
+	}{
+		{name: "released an earlier epoch before it claimed again", run: func(s *fixture) {
+			s.HandlePing(s.now, ping("entry-a", 3, released))
+			s.RecordOwner(s.now, 4, member("entry-a"))
+		}},
+		{name: "released an earlier epoch, ping arrives late", run: func(s *fixture) {
+			s.HandlePing(s.now, ping("entry-a", 4, asOwner))
+			s.HandlePing(s.now, ping("entry-a", 3, released))
+		}},
+		{name: "left no owner for a moment, ping arrives late", run: func(s *fixture) {
+			s.HandlePing(s.now, ping("entry-a", 4, func(p *messenger.Ping) { p.Owner, p.Number = true, 2 }))
+			s.HandlePing(s.now, ping("entry-a", 4, func(p *messenger.Ping) { p.Released, p.Number = true, 1 }))
+		}},
+		{name: "an earlier process was gone before another entry named the owner", run: func(s *fixture) {
+			s.AddMember(s.now, messenger.Member{Name: "entry-a", Address: "entry-a:1", Incarnation: "entry-a-0"})
+			s.MarkPeerGone(s.now, member("entry-a"))
+			s.RecordOwner(s.now.Add(time.Millisecond), 4, member("entry-a"))
+		}},
+		{name: "no process listens at an earlier address", run: func(s *fixture) {
+			s.HandlePing(s.now, messenger.Ping{Member: next, Epoch: 4, Owner: true})
+			s.MarkPeerGone(s.now, member("entry-a"))
+		}},
+		{name: "ping of an earlier process arrives late", run: func(s *fixture) {
+			s.HandlePing(s.now, messenger.Ping{Member: next, Epoch: 4, Owner: true})
+			s.HandlePing(s.now.Add(time.Millisecond), ping("entry-a", 3, nil))
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := newFixture()
+			test.run(s)
+			if diff := cmp.Diff(elector.None, s.advance(100*time.Millisecond, true)); diff != "" {
+				t.Errorf("action (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(false, s.PreviousOwnerStopped()); diff != "" {
+				t.Errorf("the owner has stopped (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestReplacedOwnerIsAskedAtOnce checks that an entry asks another process of the owner's name for a
+// reply at once, and claims when that has come.
+func TestReplacedOwnerIsAskedAtOnce(t *testing.T) {
+	s := newFixture()
+	s.advance(time.Second, true, ping("entry-a", 3, asOwner))
+	s.PingTargets(s.now)
+	replacement := ping("entry-a", 0, func(p *messenger.Ping) { p.Member.Incarnation = "entry-a-2" })
+	s.HandlePing(s.now, replacement)
+	if diff := cmp.Diff([]messenger.Member{replacement.Member}, s.PingTargets(s.now)); diff != "" {
+		t.Errorf("pinged entries (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(elector.Claim, s.advance(50*time.Millisecond, true, replacement)); diff != "" {
+		t.Errorf("action (-want +got):\n%s", diff)
+	}
+}
+
 // TestEpochNeverDecreases checks that reports of earlier epochs that arrive late change
 // nothing.
 func TestEpochNeverDecreases(t *testing.T) {
@@ -438,7 +504,7 @@
 	}
 	s = newFixture()
 	s.advance(time.Second, true, takingOver)
-	s.MarkPeerGone(s.now, "entry-a")
+	s.MarkPeerGone(s.now, member("entry-a"))
 	if got := s.advance(2*time.Second, true); got != elector.Claim {
 		t.Errorf("after the death of the entry that takes over: got %v, want a claim", got)
 	}
--- a/elector/watch.go
+++ b/elector/watch.go
@@ -128,13 +128,19 @@
 	interval := e.watchInterval(now) - e.config.PingInterval/4
 	return slices.DeleteFunc(watched, func(p *peer) bool {
 		heardAt := p.pingedAt
-		if !needsReplies {
+		if !needsReplies && !e.needsReply(p) {
 			heardAt = latest(p.lastPingAt, p.pingedAt)
 		}
 		return p.ping.Member.Name == e.self.Name || now.Sub(heardAt) < interval
 	})
 }
 
+// needsReply reports whether a peer has pinged as another process of the owner, and a reply must show
+// which of the two is the later one.
+func (e *Elector) needsReply(p *peer) bool {
+	return p.ping.Member.Name == e.owner.Name && p.ping.Member.Incarnation != e.owner.Incarnation && !e.ownerReplaced(p)
+}
+
 // nextProbed returns the peer that was not pinged for longest, so that each peer is found to be
 // gone or to be back in the end. It returns nil while none is due. Each entry begins behind its
 // own name, so that entries that start together do not all probe the same peer.
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -826,6 +826,10 @@
 	// The entry.
 	Member Member `json:"member"`
 
+	// Number of the state; it increases with each one that the entry's process
+	// reports.
+	Number int `json:"number,omitempty,omitzero"`
+
 	// Whether the entry is the owner.
 	Owner bool `json:"owner"`
 
