Don't let ended entries prove that an owner has no successor

Cause: without the store, an owner acts on the replies of all other entries that know of no later epoch, and an entry that was gone or had restarted counted as one that knows of none. An entry that was cut off from the owner may have claimed, renewed leases and ended since. The owner then took leases for expired that its successor had renewed, and acted without end.

Fix: an entry claims only when it has not heard the owner for OwnerTimeout. The end of a process counts as one without a claim only if it was out of sight for less; otherwise the peers prove nothing until the store has accepted an append, which shows that there is no claim.

TestEndedPeerMayHaveClaimed: "gone after a partition" and "restarted after a partition" failed before ("authority"). While the store is down for all, an entry that is killed under the owner's eyes leaves the owner in place, as before.

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -127,9 +127,12 @@
 	listedAt   time.Time
 	// stateAsOf is the time as of which the state of the peer is known: when this entry sent the
 	// last ping that the peer replied to, or that its host refused as no process listened. Pings of
-	// the peer prove nothing here, as a partition may hold them up for seconds. repliedAsOf counts
-	// replies alone.
+	// the peer prove nothing here, as a partition may hold them up for seconds. It includes what is
+	// known of earlier processes of the peer; repliedAsOf counts replies of the last one alone.
 	stateAsOf, repliedAsOf time.Time
+	// unaccountedAt is when a process of the peer was found to have ended that may have claimed
+	// unseen; zero if there is none.
+	unaccountedAt time.Time
 	// goneAsOf is when the last ping was sent that the peer's host refused.
 	goneAsOf time.Time
 	// takingOverSince is when the peer first reported that it takes over the epoch of its last
@@ -310,7 +313,16 @@
 	}
 	p := e.peers[member.Name]
 	if p == nil || p.ping.Member.Incarnation != member.Incarnation && now.Sub(p.lastPingAt) > e.config.MaxAge {
-		e.setPeer(member.Name, &peer{ping: messenger.Ping{Member: member, StoreMillis: -1}, listedAt: now})
+		next := &peer{ping: messenger.Ping{Member: member, StoreMillis: -1}, listedAt: now}
+		next.follow(p)
+		e.setPeer(member.Name, next)
+	}
+}
+
+// follow takes over what is known of the process that p follows; earlier is nil if there was none.
+func (p *peer) follow(earlier *peer) {
+	if earlier != nil {
+		p.stateAsOf, p.unaccountedAt = earlier.stateAsOf, earlier.unaccountedAt
 	}
 }
 
@@ -331,6 +343,9 @@
 	if p == nil || p.ping.Member != ping.Member {
 		return
 	}
+	if p.repliedAsOf.IsZero() && !p.stateAsOf.IsZero() {
+		e.accountForEnd(now, p)
+	}
 	p.repliedAsOf = latest(p.repliedAsOf, sent)
 	p.stateAsOf = latest(p.stateAsOf, sent)
 }
@@ -344,7 +359,9 @@
 	p := e.peers[ping.Member.Name]
 	switch {
 	case p == nil || p.ping.Member != ping.Member:
-		p = &peer{}
+		next := &peer{}
+		next.follow(p)
+		p = next
 		e.setPeer(ping.Member.Name, p)
 	case ping.Number < p.ping.Number:
 		return
@@ -370,16 +387,26 @@
 
 // MarkPeerGone records that no process listened at another entry's address when a ping was sent there,
 // at sent. A process that has pinged since then, or that has another address, is a new one.
-func (e *Elector) MarkPeerGone(sent time.Time, member messenger.Member) {
+func (e *Elector) MarkPeerGone(sent, now time.Time, member messenger.Member) {
 	p := e.peers[member.Name]
 	if p == nil || p.lastPingAt.After(sent) || p.ping.Member.Address != member.Address {
 		return
 	}
 	p.gone = true
 	p.goneAsOf = latest(p.goneAsOf, sent)
+	e.accountForEnd(now, p)
 	p.stateAsOf = latest(p.stateAsOf, sent)
 }
 
+// accountForEnd records that a process of a peer ended between p.stateAsOf and now. An entry claims
+// only when it has not heard the owner for OwnerTimeout, so that one that was out of sight for less
+// has not claimed.
+func (e *Elector) accountForEnd(now time.Time, p *peer) {
+	if now.Sub(latest(p.stateAsOf, e.appendSentAt)) > e.config.OwnerTimeout {
+		p.unaccountedAt = now
+	}
+}
+
 // HandleHostReport records a host's report of how long the owner of epoch has not answered it.
 func (e *Elector) HandleHostReport(now time.Time, host string, epoch int64, ownerSilence time.Duration) {
 	if epoch > e.epoch {
@@ -441,11 +468,13 @@
 }
 
 // peersProvenAt returns the latest time at which no other entry knew of a later epoch; the zero
-// time if one does or has never replied to a ping. A process that is gone knew of none.
+// time if one does, has never replied to a ping, or may have claimed, unseen, before its process
+// ended. The store alone can prove then that it hasn't.
 func (e *Elector) peersProvenAt(now time.Time) time.Time {
 	provenAt := now
 	for _, p := range e.peers {
-		if int64(p.ping.Epoch) > e.epoch {
+		unaccounted := !p.unaccountedAt.IsZero() && !e.appendSentAt.After(p.unaccountedAt)
+		if unaccounted || int64(p.ping.Epoch) > e.epoch {
 			return time.Time{}
 		}
 		if p.stateAsOf.Before(provenAt) {
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -82,7 +82,7 @@
 		}},
 		{name: "owner's process is gone", want: elector.Claim, run: func(s *fixture) elector.Action {
 			s.advance(time.Second, true, ping("entry-a", 3, asOwner))
-			s.MarkPeerGone(s.now, member("entry-a"))
+			s.MarkPeerGone(s.now, s.now, member("entry-a"))
 			return s.advance(50*time.Millisecond, true)
 		}},
 		{name: "owner released", want: elector.Claim, run: func(s *fixture) elector.Action {
@@ -172,8 +172,8 @@
 		{name: "a peer's pings arrive", update: func(s *fixture) { s.HandlePing(s.now, peer) }},
 		{name: "a peer replies to a ping that was sent long ago", update: func(s *fixture) { s.HandlePingReply(start, s.now, peer) }},
 		{name: "the store accepts an append that was first sent long ago", update: func(s *fixture) { s.RecordAppend(start) }},
-		{name: "a peer was found gone long ago", update: func(s *fixture) { s.MarkPeerGone(start, member("entry-c")) }},
-		{name: "a peer is found gone", update: func(s *fixture) { s.MarkPeerGone(s.now, member("entry-c")) }, want: true},
+		{name: "a peer was found gone long ago", update: func(s *fixture) { s.MarkPeerGone(start, s.now, member("entry-c")) }},
+		{name: "a peer is found gone", update: func(s *fixture) { s.MarkPeerGone(s.now, s.now, member("entry-c")) }, want: true},
 		{name: "the store accepts appends", update: func(s *fixture) { s.RecordAppend(s.now) }, want: true},
 		{name: "a peer replies to pings", update: func(s *fixture) { s.HandlePingReply(s.now, s.now, peer) }, want: true},
 	}
@@ -236,7 +236,7 @@
 			sent := s.now
 			s.now = s.now.Add(10 * time.Millisecond)
 			s.HandlePing(s.now, ping("entry-a", 2, nil))
-			s.MarkPeerGone(sent, member("entry-a"))
+			s.MarkPeerGone(sent, s.now, member("entry-a"))
 		}},
 	}
 	for _, test := range tests {
@@ -278,12 +278,12 @@
 		}},
 		{name: "an earlier process was gone before another entry named the owner", run: func(s *fixture) {
 			s.AddMember(s.now, messenger.Member{Name: "entry-a", Address: "entry-a:1", Incarnation: "entry-a-0"})
-			s.MarkPeerGone(s.now, member("entry-a"))
+			s.MarkPeerGone(s.now, s.now, member("entry-a"))
 			s.RecordOwner(s.now.Add(time.Millisecond), 4, member("entry-a"))
 		}},
 		{name: "no process listens at an earlier address", run: func(s *fixture) {
 			s.HandlePing(s.now, messenger.Ping{Member: next, Epoch: 4, Owner: true})
-			s.MarkPeerGone(s.now, member("entry-a"))
+			s.MarkPeerGone(s.now, s.now, member("entry-a"))
 		}},
 		{name: "ping of an earlier process arrives late", run: func(s *fixture) {
 			s.HandlePing(s.now, messenger.Ping{Member: next, Epoch: 4, Owner: true})
@@ -320,6 +320,51 @@
 	}
 }
 
+// TestEndedPeerMayHaveClaimed guards against an owner without the store that acts on beside a
+// successor's runs: the entry that claimed has ended or restarted since, and knows nothing of it.
+func TestEndedPeerMayHaveClaimed(t *testing.T) {
+	const step = 100 * time.Millisecond
+	peer := ping("entry-c", 4, nil)
+	restarted := ping("entry-c", 0, func(p *messenger.Ping) { p.Member.Incarnation = "entry-c-2" })
+	tests := []struct {
+		name string
+		// unseen is how long the peer does not answer before its end is known.
+		unseen time.Duration
+		then   func(s *fixture)
+		want   bool
+	}{
+		{name: "gone after a partition", unseen: 2 * time.Second, then: func(s *fixture) { s.MarkPeerGone(s.now, s.now, peer.Member) }},
+		{name: "restarted after a partition", unseen: 2 * time.Second, then: func(s *fixture) { s.HandlePingReply(s.now, s.now, restarted) }},
+		{name: "gone while it was watched", then: func(s *fixture) { s.MarkPeerGone(s.now, s.now, peer.Member) }, want: true},
+		{name: "restarted while it was watched", then: func(s *fixture) { s.HandlePingReply(s.now, s.now, restarted) }, want: true},
+		{name: "replies again after a partition", unseen: 2 * time.Second, then: func(s *fixture) { s.HandlePingReply(s.now, s.now, peer) }, want: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := newFixture()
+			s.RecordClaim(s.now, s.now, 4)
+			for range 10 {
+				s.now = s.now.Add(step)
+				s.HandlePingReply(s.now, s.now, peer)
+			}
+			s.now = s.now.Add(test.unseen)
+			for range 50 {
+				s.now = s.now.Add(step)
+				test.then(s)
+			}
+			if diff := cmp.Diff(test.want, s.HasAuthority(s.now)); diff != "" {
+				t.Errorf("authority (-want +got):\n%s", diff)
+			}
+			s.RecordAppend(s.now)
+			s.now = s.now.Add(step)
+			test.then(s)
+			if diff := cmp.Diff(true, s.ProvenSince(s.now, s.now)); diff != "" {
+				t.Errorf("proven by the peers after an append (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestEpochNeverDecreases checks that reports of earlier epochs that arrive late change
 // nothing.
 func TestEpochNeverDecreases(t *testing.T) {
@@ -504,7 +549,7 @@
 	}
 	s = newFixture()
 	s.advance(time.Second, true, takingOver)
-	s.MarkPeerGone(s.now, member("entry-a"))
+	s.MarkPeerGone(s.now, s.now, member("entry-a"))
 	if got := s.advance(2*time.Second, true); got != elector.Claim {
 		t.Errorf("after the death of the entry that takes over: got %v, want a claim", got)
 	}
