Adopt a restarted agent only with a proof of the ownership

Cause: agents obey the greatest epoch that they have met, but a new process of an agent has met none. An owner that was cut off from the store and its peers, or thawed, renewed the leases of such an agent for up to 4 s after its successor had adopted the one before. The successor takes the runs of that host for ended 4.4 s after the last report that it got, while they run on with the lease of the earlier owner.

Fix: a report of an agent that knows no epoch waits for a proof, from after the report came, that this owner has no successor; it shares the append with all others that wait. Without a proof after 400 ms the agent is not adopted, and tries again. Agents that know an epoch don't wait.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -67,6 +67,9 @@
 	peerConfigInterval = time.Second
 	// ownerRetryDelay is the delay before a request is sent to the owner again.
 	ownerRetryDelay = 25 * time.Millisecond
+	// maxProofWait is how long the report of an agent that has restarted waits for a proof that this
+	// owner has no successor. It is less than the agent waits for the answer.
+	maxProofWait = 400 * time.Millisecond
 	// maxPeerConns bounds the connections that agents and other entries open to an entry.
 	maxPeerConns = 4096
 )
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"sync"
 	"testing"
@@ -15,6 +16,7 @@
 	"apricotwinch/appender"
 	"apricotwinch/attendant"
 	"apricotwinch/cataloger"
+	"apricotwinch/connector"
 	"apricotwinch/coordinator"
 	"apricotwinch/custodian"
 	"apricotwinch/messenger"
@@ -263,6 +265,18 @@
 	return d
 }
 
+// address returns the address of an entry, as the store lists it.
+func (d *deployment) address(t *testing.T, entry string) string {
+	t.Helper()
+	d.store.mu.Lock()
+	defer d.store.mu.Unlock()
+	var m messenger.Member
+	if err := json.Unmarshal(d.store.journals[appender.JournalMembers][entry], &m); err != nil {
+		t.Fatalf("member %s: %v", entry, err)
+	}
+	return m.Address
+}
+
 // isSettled reports whether an owner without workloads has written all that it must.
 func (d *deployment) isSettled() bool {
 	return d.store.has(appender.JournalWork, "settled") && d.store.has(appender.JournalWork, "h/host")
@@ -357,6 +371,27 @@
 	eventually(t, "the ownership is lost and claimed again", func() bool { return taken.Count() == 2 })
 }
 
+// TestRestartedAgentNeedsProofOfOwnership guards against two runs of one task: an owner that had a
+// successor renewed the leases of an agent that had obeyed the successor, and had restarted since.
+func TestRestartedAgentNeedsProofOfOwnership(t *testing.T) {
+	d := newDeployment(t, 1)
+	eventually(t, "the owner has written all that it must", d.isSettled)
+	address := d.address(t, "entry-0")
+	pool := connector.NewPool(connector.Security{}, metrics.NewRegistry())
+	defer pool.Close()
+	d.store.claim()
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	var reply messenger.ReportReply
+	report := messenger.Report{Host: "other", Address: "other:1", Incarnation: "other-2", Whole: true}
+	if err := pool.Call(ctx, address, messenger.MethodReport, report, &reply); err != nil {
+		t.Fatal(err)
+	}
+	if reply.Owner && reply.Epoch < 3 {
+		t.Errorf("the owner of epoch %d renews leases after a claim of epoch 2", reply.Epoch)
+	}
+}
+
 // TestStrongestEntryTakesOwnership checks that the entry with the most processors becomes the
 // owner, and that workloads accepted before the failover complete exactly once.
 func TestStrongestEntryTakesOwnership(t *testing.T) {
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -545,6 +545,7 @@
 // handleReport processes an agent's report. The reply names the owner; only the owner's reply
 // comes from the conductor.
 func (c *Coordinator) handleReport(ctx context.Context, r messenger.Report) (messenger.ReportReply, error) {
+	mayAdopt := r.Epoch > 0 || c.awaitProof(ctx)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.deps.Clock.Now()
@@ -553,7 +554,7 @@
 		c.endOwnership("an agent knows a later epoch")
 	}
 	reply := messenger.ReportReply{Epoch: int(c.elector.Epoch()), OwnerAddress: c.elector.Owner().Address}
-	if c.conductor != nil && c.elector.HasAuthority(now) {
+	if c.conductor != nil && c.elector.HasAuthority(now) && mayAdopt {
 		reply = c.conductor.Report(now, r)
 		reply.OwnerAddress = c.self.Address
 		c.advance(context.WithoutCancel(ctx), now, false)
@@ -564,3 +565,44 @@
 	}
 	return reply, nil
 }
+
+// awaitProof waits, at most for maxProofWait, for a proof that this owner had no successor when the
+// call began, and reports whether there is one. A report of an agent that knows no epoch needs it: the
+// agent has restarted, and may have obeyed a successor before, which would not expect this owner to
+// renew its leases. An entry that is not the owner does not wait.
+func (c *Coordinator) awaitProof(ctx context.Context) bool {
+	began := c.deps.Clock.Now()
+	for {
+		changed, proven := c.proofSince(began)
+		if proven || changed == nil {
+			return proven
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-changed:
+		case <-c.deps.Clock.After(ownerRetryDelay):
+		}
+	}
+}
+
+// proofSince reports whether it is proven that this owner had no successor at some time since began. If
+// not, it requests a proof and returns a channel that is closed when something changes; nil if there
+// is nothing to wait for.
+func (c *Coordinator) proofSince(began time.Time) (changed <-chan struct{}, proven bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.deps.Clock.Now()
+	if c.conductor == nil || !c.elector.HasAuthority(now) {
+		return nil, false
+	}
+	if c.elector.ProvenSince(now, began) {
+		return nil, true
+	}
+	if now.Sub(began) > maxProofWait {
+		metrics.GetOrRegisterCounter("report.unproven", c.deps.Registry).Inc(1)
+		return nil, false
+	}
+	c.requestProof()
+	return c.changed, false
+}
