Don't let a delayed claim depose an owner that is heard again

Callers saw a working owner deposed for a second as a partition ended: an entry that was cut off with the last answer of the store less than 1 s old had claimed, its claim was repeated until the partition ended, and the store carried it out then.

Fix: an entry that is due to claim first reads the small record of the owner, one call, and claims only if the store has answered it and the claim is still due. A claim without an answer is repeated only while it is due; when it is due again later, it is sent as it was before, since the store may have carried it out. What the store carries out late without a repeat still deposes the owner.

TestDelayedClaimSparesOwnerThatIsBack failed before ("epoch after the owner is back": -2 +3).

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -123,6 +123,8 @@
 	// producer identifies the next append to the journal of work.
 	producer appender.Producer
 	claiming bool
+	// lastClaim is the last claim that was sent.
+	lastClaim claimAttempt
 	// failedClaims counts the claims in a row that failed because another entry's claim came
 	// first.
 	failedClaims int
@@ -157,6 +159,12 @@
 	yielding bool
 }
 
+// claimAttempt is a claim and when it was first sent.
+type claimAttempt struct {
+	producer appender.Producer
+	sent     time.Time
+}
+
 // New returns an entry that listens on the address of its settings. It returns the error of
 // the listener if that address can't be used, and one of kind Invalid for a bad source.
 func New(settings Settings, deps Deps) (*Coordinator, error) {
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"sync"
 	"testing"
 	"time"
@@ -32,8 +33,10 @@
 	epoch    int64
 	next     int64
 	refuse   bool
-	// unresponsive is whether appends are neither carried out nor answered.
-	unresponsive bool
+	// unresponsive is whether appends are neither carried out nor answered; unansweredClaims counts
+	// those in a later epoch.
+	unresponsive     bool
+	unansweredClaims int
 }
 
 func newFakeStore() *fakeStore { return &fakeStore{journals: map[string]map[string][]byte{}} }
@@ -58,6 +61,13 @@
 	s.next = 1
 }
 
+// state returns the epoch and the number of claims that got no answer.
+func (s *fakeStore) state() (epoch int64, unansweredClaims int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.epoch, s.unansweredClaims
+}
+
 func (s *fakeStore) has(journal, key string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -77,6 +87,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.unresponsive {
+		if p.Epoch() > s.epoch {
+			s.unansweredClaims++
+		}
 		s.mu.Unlock()
 		<-ctx.Done()
 		s.mu.Lock()
@@ -392,6 +405,47 @@
 	}
 }
 
+// TestDelayedClaimSparesOwnerThatIsBack guards against an entry that was cut off from the owner and the
+// store, and deposes the owner, which never stopped, when its claim reaches the store at last.
+func TestDelayedClaimSparesOwnerThatIsBack(t *testing.T) {
+	d := newDeployment(t, 1)
+	eventually(t, "the owner has written all that it must", d.isSettled)
+	address := d.address(t, "entry-0")
+	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	pool := connector.NewPool(connector.Security{}, metrics.NewRegistry())
+	defer pool.Close()
+	d.store.claim()
+	ping := messenger.Ping{Member: messenger.Member{Name: "other", Address: listener.Addr().String(), Incarnation: "other-1"}, Epoch: 2, Owner: true}
+	pingAsOwner := func() {
+		t.Helper()
+		ping.Number++
+		if err := pool.Call(t.Context(), address, messenger.MethodPing, ping, new(messenger.PingReply)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	pingAsOwner()
+	d.store.setUnresponsive(true)
+	eventually(t, "the entry claims", func() bool {
+		_, claims := d.store.state()
+		return claims > 0
+	})
+	givenUp := metrics.GetOrRegisterCounter("claims.given_up", d.registries[0])
+	d.store.setUnresponsive(false)
+	eventually(t, "the claim ends", func() bool {
+		pingAsOwner()
+		epoch, _ := d.store.state()
+		return epoch > 2 || givenUp.Count() > 0
+	})
+	epoch, _ := d.store.state()
+	if diff := cmp.Diff(int64(2), epoch); diff != "" {
+		t.Errorf("epoch after the owner is back (-want +got):\n%s", diff)
+	}
+}
+
 // TestStrongestEntryTakesOwnership checks that the entry with the most processors becomes the
 // owner, and that workloads accepted before the failover complete exactly once.
 func TestStrongestEntryTakesOwnership(t *testing.T) {
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -112,7 +112,8 @@
 	return f(ctx)
 }
 
-// claim appends a claim in the next epoch to the journal of work. If the store commits it, which
+// claim appends a claim in the next epoch to the journal of work, if it is still due once the store
+// has answered. If the store commits it, which
 // fences every earlier owner, claim reads the journal and takes over the workloads.
 func (c *Coordinator) claim(ctx context.Context) {
 	defer func() {
@@ -120,19 +121,30 @@
 		c.claiming = false
 		c.mu.Unlock()
 	}()
+	if !c.readOwner(ctx) {
+		timekeeper.Sleep(ctx, c.deps.Clock, storeRetryDelay)
+		return
+	}
 	c.mu.Lock()
+	if !c.elector.ClaimDue(c.deps.Clock.Now()) {
+		c.mu.Unlock()
+		return
+	}
 	epoch := c.elector.Epoch() + 1
 	previous := c.elector.Owner()
 	ownerStopped := c.elector.PreviousOwnerStopped()
+	if c.lastClaim.producer.Epoch() != epoch {
+		// A claim that got no answer is sent again as it was: the store may have carried it out.
+		c.lastClaim = claimAttempt{producer: appender.NewProducer(producerName, epoch, rand.Int64N(maxFirstSequence)+1), sent: c.deps.Clock.Now()}
+	}
+	producer, sent := c.lastClaim.producer, c.lastClaim.sent
 	c.mu.Unlock()
 	record, err := json.Marshal(messenger.OwnerRecord{Member: c.self, Epoch: int(epoch)})
 	if err != nil {
 		c.deps.Logger.Error("owner record not encoded", "error", err)
 		return
 	}
-	producer := appender.NewProducer(producerName, epoch, rand.Int64N(maxFirstSequence)+1)
-	sent := c.deps.Clock.Now()
-	err = c.appendUntilFinal(ctx, producer, []appender.KeyedRecord{appender.NewKeyedRecord(conductor.KeyOwner, record)})
+	err = c.appendClaim(ctx, producer, []appender.KeyedRecord{appender.NewKeyedRecord(conductor.KeyOwner, record)})
 	if err != nil {
 		c.deps.Logger.Info("claim failed", "epoch", epoch, "kind", string(apricotwinch.KindOf(err)), "error", err)
 		c.handleClaimFailure(ctx, epoch, err)
@@ -162,6 +174,28 @@
 	c.publishOwner(ctx, record)
 }
 
+// readOwner reads the owner's record from the small journal and passes it to the elector. It reports
+// whether the store answered, so that a claim is not sent into a partition that would hold it up.
+func (c *Coordinator) readOwner(ctx context.Context) bool {
+	var records []appender.KeyedRecord
+	err := c.callStore(ctx, func(ctx context.Context) (err error) {
+		records, err = c.deps.Log.Newest(ctx, appender.JournalOwner)
+		return err
+	})
+	if err != nil {
+		c.deps.Logger.Info("claim not sent: the store does not answer", "kind", string(apricotwinch.KindOf(err)), "error", err)
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.deps.Clock.Now()
+	c.elector.RecordStoreAnswer(now)
+	if owner, ok := findOwner(records); ok {
+		c.elector.RecordOwner(now, int64(owner.Epoch), owner.Member)
+	}
+	return true
+}
+
 // handleClaimFailure notes that another entry's claim came first, if that is why the claim in
 // epoch failed. The new owner's pings usually name it soon. The entry reads the journal only
 // after a second failure in a row, since otherwise all entries that lost would read it at once.
@@ -224,8 +258,10 @@
 	go c.pingAll(context.Background())
 }
 
-// appendUntilFinal repeats an append until its result is final, the store refuses it or ctx is done.
-func (c *Coordinator) appendUntilFinal(ctx context.Context, producer appender.Producer, records []appender.KeyedRecord) error {
+// appendClaim repeats the append of a claim until its result is final, the store refuses it, the
+// claim is no longer due or ctx is done. A partition that delays a claim may also have caused it: when
+// the partition ends, the owner is heard again, and the claim would depose it.
+func (c *Coordinator) appendClaim(ctx context.Context, producer appender.Producer, records []appender.KeyedRecord) error {
 	for {
 		err := c.callStore(ctx, func(ctx context.Context) error {
 			return c.deps.Log.Append(ctx, appender.JournalWork, producer, records)
@@ -233,8 +269,15 @@
 		if appender.IsFinal(err) || apricotwinch.KindOf(err) == apricotwinch.LogUnavailable || ctx.Err() != nil {
 			return err
 		}
-		c.deps.Logger.Info("append retried", "epoch", producer.Epoch(), "sequence", producer.Sequence(), "error", err)
 		timekeeper.Sleep(ctx, c.deps.Clock, storeRetryDelay)
+		c.mu.Lock()
+		due := c.elector.ClaimDue(c.deps.Clock.Now())
+		c.mu.Unlock()
+		if !due {
+			metrics.GetOrRegisterCounter("claims.given_up", c.deps.Registry).Inc(1)
+			return err
+		}
+		c.deps.Logger.Info("claim sent again", "epoch", producer.Epoch(), "sequence", producer.Sequence(), "error", err)
 	}
 }
 
