Don't take a refused connection for the end of a process

Cause: two decisions took a refused connection for the end of the process: that the previous owner has stopped, and that a peer knows of no later epoch. A partition refuses connections to processes that run.

Fix: a refused connection is only a reason to claim. That an owner has stopped takes its own word or the reply of a later process of its name; that there is no later epoch takes a reply or the store.

--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -526,7 +526,7 @@
 	defer c.mu.Unlock()
 	if err != nil {
 		if name != "" && errors.Is(err, syscall.ECONNREFUSED) {
-			c.elector.MarkPeerGone(sent, c.deps.Clock.Now(), messenger.Member{Name: name, Address: address})
+			c.elector.MarkPeerGone(sent, messenger.Member{Name: name, Address: address})
 		}
 		return
 	}
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -126,9 +126,9 @@
 	lastPingAt time.Time
 	listedAt   time.Time
 	// stateAsOf is the time as of which the state of the peer is known: when this entry sent the
-	// last ping that the peer replied to, or that its host refused as no process listened. Pings of
-	// the peer prove nothing here, as a partition may hold them up for seconds. It includes what is
-	// known of earlier processes of the peer; repliedAsOf counts replies of the last one alone.
+	// last ping that the peer replied to. Pings of the peer prove nothing here, as a partition may
+	// hold them up for seconds. It includes what is known of earlier processes of the peer;
+	// repliedAsOf counts replies of the last one alone.
 	stateAsOf, repliedAsOf time.Time
 	// unaccountedAt is when a process of the peer was found to have ended that may have claimed
 	// unseen; zero if there is none.
@@ -385,22 +385,20 @@
 	}
 }
 
-// MarkPeerGone records that no process listened at another entry's address when a ping was sent there,
-// at sent. A process that has pinged since then, or that has another address, is a new one.
-func (e *Elector) MarkPeerGone(sent, now time.Time, member messenger.Member) {
+// MarkPeerGone records that a ping that was sent to another entry's address at sent was refused. The
+// process has ended, unless it has pinged since then or has another address. It is a reason to claim
+// but proves nothing, as a partition may refuse connections to a process that runs.
+func (e *Elector) MarkPeerGone(sent time.Time, member messenger.Member) {
 	p := e.peers[member.Name]
 	if p == nil || p.lastPingAt.After(sent) || p.ping.Member.Address != member.Address {
 		return
 	}
 	p.gone = true
 	p.goneAsOf = latest(p.goneAsOf, sent)
-	e.accountForEnd(now, p)
-	p.stateAsOf = latest(p.stateAsOf, sent)
 }
 
-// accountForEnd records that a process of a peer ended between p.stateAsOf and now. An entry claims
-// only when it has not heard the owner for OwnerTimeout, so that one that was out of sight for less
-// has not claimed.
+// accountForEnd records that a process of a peer ended between p.stateAsOf and now. One that was out of
+// sight for less than OwnerTimeout can't have claimed and acted before.
 func (e *Elector) accountForEnd(now time.Time, p *peer) {
 	if now.Sub(latest(p.stateAsOf, e.appendSentAt)) > e.config.OwnerTimeout {
 		p.unaccountedAt = now
@@ -654,8 +652,8 @@
 }
 
 // PreviousOwnerStopped reports whether the owner is known to have stopped acting: it released the
-// ownership, its process is gone or was replaced, or there has been no other owner. An owner that
-// this entry doesn't know by name may still act.
+// ownership, its process was replaced, or there has been no other owner. An owner that this entry
+// doesn't know by name, or that it can't connect to, may still act.
 func (e *Elector) PreviousOwnerStopped() bool {
 	if e.owner.Name == "" {
 		return e.epoch == 0
@@ -664,7 +662,7 @@
 		return true
 	}
 	p := e.peers[e.owner.Name]
-	return p != nil && (e.ownerReleased(p) || e.ownerGone(p) || e.ownerReplaced(p))
+	return p != nil && (e.ownerReleased(p) || e.ownerReplaced(p))
 }
 
 // ownerReleased reports whether the owner, which is the peer p, released the ownership of the greatest
@@ -673,9 +671,9 @@
 	return p.ping.Released && p.ping.Member == e.owner && int64(p.ping.Epoch) == e.epoch
 }
 
-// ownerGone reports whether the owner's process, of the peer p, is known to have ended. The peer may be
-// known as an earlier process than the owner: that one's end counts only if no process listened
-// after this entry had learned of the owner.
+// ownerGone reports whether connections to the owner, which is the peer p, are refused. The peer may be
+// known as an earlier process than the owner: a refusal counts then only if it is later than the
+// news of the owner.
 func (e *Elector) ownerGone(p *peer) bool {
 	return p.gone && (p.ping.Member == e.owner || p.ping.Member.Address == e.owner.Address && p.goneAsOf.After(e.ownerSince))
 }
