--- a/elector/elector.go
+++ b/elector/elector.go
@@ -126,9 +126,15 @@
 	lastPingAt time.Time
 	listedAt   time.Time
 	// stateAsOf is the time as of which the state of the peer is known: when this entry sent the
-	// last ping that the peer replied to, or that its host refused as no process listened. Pings of
-	// the peer prove nothing here, as a partition may hold them up for seconds.
-	stateAsOf time.Time
+	// last ping that the peer replied to. Pings of the peer prove nothing here, as a partition may
+	// hold them up for seconds. It includes what is known of earlier processes of the peer;
+	// repliedAsOf counts replies of the last one alone.
+	stateAsOf, repliedAsOf time.Time
+	// unaccountedAt is when a process of the peer was found to have ended that may have claimed
+	// unseen; zero if there is none.
+	unaccountedAt time.Time
+	// goneAsOf is when the last ping was sent that the peer's host refused.
+	goneAsOf time.Time
 	// takingOverSince is when the peer first reported that it takes over the epoch of its last
 	// ping; zero if it doesn't.
 	takingOverSince time.Time
@@ -160,6 +166,8 @@
 	// is none.
 	takingOverEpoch int64
 	yieldCount      int
+	// pingNumber is the number of the last state that this entry reported.
+	pingNumber int
 
 	startedAt  time.Time
 	ownerSince time.Time
@@ -227,6 +235,7 @@
 	if epoch > e.epoch {
 		e.epoch = epoch
 		e.owner = messenger.Member{}
+		e.released = false
 		e.supersededAt = now
 	}
 }
@@ -304,7 +313,16 @@
 	}
 	p := e.peers[member.Name]
 	if p == nil || p.ping.Member.Incarnation != member.Incarnation && now.Sub(p.lastPingAt) > e.config.MaxAge {
-		e.setPeer(member.Name, &peer{ping: messenger.Ping{Member: member, StoreMillis: -1}, listedAt: now})
+		next := &peer{ping: messenger.Ping{Member: member, StoreMillis: -1}, listedAt: now}
+		next.follow(p)
+		e.setPeer(member.Name, next)
+	}
+}
+
+// follow takes over what is known of the process that p follows; earlier is nil if there was none.
+func (p *peer) follow(earlier *peer) {
+	if earlier != nil {
+		p.stateAsOf, p.unaccountedAt = earlier.stateAsOf, earlier.unaccountedAt
 	}
 }
 
@@ -321,20 +339,32 @@
 // sent.
 func (e *Elector) HandlePingReply(sent, now time.Time, ping messenger.Ping) {
 	e.HandlePing(now, ping)
-	if p := e.peers[ping.Member.Name]; p != nil {
-		p.stateAsOf = latest(p.stateAsOf, sent)
+	p := e.peers[ping.Member.Name]
+	if p == nil || p.ping.Member != ping.Member {
+		return
 	}
+	if p.repliedAsOf.IsZero() && !p.stateAsOf.IsZero() {
+		e.accountForEnd(now, p)
+	}
+	p.repliedAsOf = latest(p.repliedAsOf, sent)
+	p.stateAsOf = latest(p.stateAsOf, sent)
 }
 
-// HandlePing records the state that another entry sent in a ping.
+// HandlePing records the state that another entry sent in a ping. A state that the same process sent
+// before one that is known is ignored.
 func (e *Elector) HandlePing(now time.Time, ping messenger.Ping) {
 	if ping.Member.Name == e.self.Name {
 		return
 	}
 	p := e.peers[ping.Member.Name]
-	if p == nil || p.ping.Member != ping.Member {
-		p = &peer{}
+	switch {
+	case p == nil || p.ping.Member != ping.Member:
+		next := &peer{}
+		next.follow(p)
+		p = next
 		e.setPeer(ping.Member.Name, p)
+	case ping.Number < p.ping.Number:
+		return
 	}
 	switch {
 	case !ping.TakingOver:
@@ -355,12 +385,23 @@
 	}
 }
 
-// MarkPeerGone records that no process listened at another entry's address when a ping was sent, at
-// sent. A process that has pinged since then is a new one.
-func (e *Elector) MarkPeerGone(sent time.Time, name string) {
-	if p := e.peers[name]; p != nil && !p.lastPingAt.After(sent) {
-		p.gone = true
-		p.stateAsOf = latest(p.stateAsOf, sent)
+// MarkPeerGone records that a ping that was sent to another entry's address at sent was refused. The
+// process has ended, unless it has pinged since then or has another address. It is a reason to claim
+// but proves nothing, as a partition may refuse connections to a process that runs.
+func (e *Elector) MarkPeerGone(sent time.Time, member messenger.Member) {
+	p := e.peers[member.Name]
+	if p == nil || p.lastPingAt.After(sent) || p.ping.Member.Address != member.Address {
+		return
+	}
+	p.gone = true
+	p.goneAsOf = latest(p.goneAsOf, sent)
+}
+
+// accountForEnd records that a process of a peer ended between p.stateAsOf and now. One that was out of
+// sight for less than OwnerTimeout can't have claimed and acted before.
+func (e *Elector) accountForEnd(now time.Time, p *peer) {
+	if now.Sub(latest(p.stateAsOf, e.appendSentAt)) > e.config.OwnerTimeout {
+		p.unaccountedAt = now
 	}
 }
 
@@ -396,12 +437,14 @@
 // configuration.
 func (e *Elector) Ping(now time.Time, view int) messenger.Ping {
 	takingOver := e.takingOverEpoch > e.epoch
+	e.pingNumber++
 	return messenger.Ping{
 		Member:      e.self,
+		Number:      e.pingNumber,
 		Epoch:       int(max(e.epoch, e.takingOverEpoch)),
 		TakingOver:  takingOver,
 		Owner:       e.isOwner,
-		Released:    e.released,
+		Released:    e.released && !takingOver,
 		StoreMillis: int(e.StoreSilence(now).Milliseconds()),
 		View:        view,
 		Leaving:     e.leaving,
@@ -423,11 +466,13 @@
 }
 
 // peersProvenAt returns the latest time at which no other entry knew of a later epoch; the zero
-// time if one does or has never replied to a ping. A process that is gone knew of none.
+// time if one does, has never replied to a ping, or may have claimed, unseen, before its process
+// ended. The store alone can prove then that it hasn't.
 func (e *Elector) peersProvenAt(now time.Time) time.Time {
 	provenAt := now
 	for _, p := range e.peers {
-		if int64(p.ping.Epoch) > e.epoch {
+		unaccounted := !p.unaccountedAt.IsZero() && !e.appendSentAt.After(p.unaccountedAt)
+		if unaccounted || int64(p.ping.Epoch) > e.epoch {
 			return time.Time{}
 		}
 		if p.stateAsOf.Before(provenAt) {
@@ -458,14 +503,17 @@
 	case e.isOwner:
 		e.ownerSeenAt = now
 		return e.tickOwner(now)
-	case e.StoreSilence(now) > e.config.MaxAge:
-		return None
-	case e.isStandby(now) && e.shouldClaim(now):
+	case e.ClaimDue(now):
 		return Claim
 	}
 	return None
 }
 
+// ClaimDue reports whether this entry should claim the ownership now.
+func (e *Elector) ClaimDue(now time.Time) bool {
+	return !e.leaving && !e.isOwner && e.StoreSilence(now) <= e.config.MaxAge && e.isStandby(now) && e.shouldClaim(now)
+}
+
 // prune removes, once each prunePeriod, the peers and the reports of hosts that have been silent
 // for MemberTTL. An owner without a proof from the store keeps them: one of the silent peers may be
 // its successor.
@@ -550,7 +598,8 @@
 	if p == nil {
 		return now.Sub(latest(e.startedAt, e.ownerSince)) > e.config.OwnerTimeout+delay
 	}
-	if e.ownerReplaced(p) && !p.ping.Owner || p.gone || p.ping.Released || p.ping.Leaving && !p.ping.Owner {
+	leaving := p.ping.Member == e.owner && p.ping.Leaving && !p.ping.Owner
+	if leaving || e.ownerReleased(p) || e.ownerGone(p) || e.ownerReplaced(p) && !p.ping.Owner {
 		return e.rank(now) == 0 || now.Sub(p.lastPingAt) > delay
 	}
 	since := latest(latest(p.lastPingAt, e.ownerSince), latest(e.startedAt, e.resumedAt))
@@ -603,8 +652,8 @@
 }
 
 // PreviousOwnerStopped reports whether the owner is known to have stopped acting: it released the
-// ownership, its process is gone or was replaced, or there has been no other owner. An owner that
-// this entry doesn't know by name may still act.
+// ownership, its process was replaced, or there has been no other owner. An owner that this entry
+// doesn't know by name, or that it can't connect to, may still act.
 func (e *Elector) PreviousOwnerStopped() bool {
 	if e.owner.Name == "" {
 		return e.epoch == 0
@@ -613,14 +662,28 @@
 		return true
 	}
 	p := e.peers[e.owner.Name]
-	return p != nil && (p.ping.Released || p.gone || e.ownerReplaced(p))
+	return p != nil && (e.ownerReleased(p) || e.ownerReplaced(p))
+}
+
+// ownerReleased reports whether the owner, which is the peer p, released the ownership of the greatest
+// known epoch. It may have released that of an earlier epoch before it claimed again.
+func (e *Elector) ownerReleased(p *peer) bool {
+	return p.ping.Released && p.ping.Member == e.owner && int64(p.ping.Epoch) == e.epoch
+}
+
+// ownerGone reports whether connections to the owner, which is the peer p, are refused. The peer may be
+// known as an earlier process than the owner: a refusal counts then only if it is later than the
+// news of the owner.
+func (e *Elector) ownerGone(p *peer) bool {
+	return p.gone && (p.ping.Member == e.owner || p.ping.Member.Address == e.owner.Address && p.goneAsOf.After(e.ownerSince))
 }
 
 // ownerReplaced reports whether the owner's process is known to have been replaced: the peer of its
-// name pinged as another incarnation after this entry had learned of the owner. An incarnation
-// from the list of members may be an earlier one than the owner.
+// name replied as another incarnation to a ping that was sent after this entry had learned of the
+// owner. An incarnation from the list of members, or one whose pings were held up, may be an earlier
+// one than the owner.
 func (e *Elector) ownerReplaced(p *peer) bool {
-	return p.ping.Member.Incarnation != e.owner.Incarnation && p.lastPingAt.After(e.ownerSince)
+	return p.ping.Member.Incarnation != e.owner.Incarnation && p.repliedAsOf.After(e.ownerSince)
 }
 
 func latest(a, b time.Time) time.Time {
