Keep the latest record of a host when an append is refused

Cause: an append that the store refused was put back behind the records that had been queued since. The next owner didn't know that executor, took all executors for reconciled before its agent had reported, and started its tasks elsewhere.

Evidence: TestRejectedHostRecordDoesNotHideExecutor failed before with "{2001 {0 0 0 w}} runs on host-0 and on host-1, 7.3s after the start".

The refused records now go before those queued since, so that the last record of each key is the latest one.

--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -1045,6 +1045,33 @@
 	sim.runUntil(30*time.Second, func() bool { return sim.state("w") == messenger.WorkloadCompleted })
 }
 
+// TestRejectedHostRecordDoesNotHideExecutor guards against tasks that run twice after a takeover: the
+// record of a host in an append that the store rejects, written again after a later record of the
+// host, hid an executor from the next owner.
+func TestRejectedHostRecordDoesNotHideExecutor(t *testing.T) {
+	sim := newSimulation(t, 1, 3)
+	host := sim.hosts[0]
+	host.dc = "other"
+	sim.run(2 * time.Second)
+	host.disconnected = true
+	sim.rejectAppend = func(records []appender.KeyedRecord) bool {
+		if !slices.ContainsFunc(records, func(r appender.KeyedRecord) bool { return r.Key() == "h/"+host.name }) {
+			return false
+		}
+		host.disconnected = false
+		host.agent.RequireWholeReport()
+		sim.report(host)
+		return true
+	}
+	sim.runUntil(10*time.Second, func() bool { return sim.rejectAppend == nil })
+	sim.run(time.Second)
+	sim.owner.SetOutOfService(map[string]bool{"dc": true})
+	sim.submit(batchQueue, "w", tasks(4, 2000, 10*time.Second))
+	sim.runUntil(time.Second, func() bool { return sim.running("w") == 4 })
+	sim.replaceOwnerBeforeReports()
+	sim.runUntil(30*time.Second, func() bool { return sim.state("w") == messenger.WorkloadCompleted })
+}
+
 // TestUndeliveredStartIsWithdrawn cuts hosts off before they get their orders and until the owner
 // has started the tasks elsewhere. The orders, which are sent again after the cut, may not start
 // these tasks any more.
--- a/conductor/journal.go
+++ b/conductor/journal.go
@@ -216,6 +216,7 @@
 // again, except for workloads that were new in it. These are withdrawn, as are those that were
 // submitted since.
 func (c *Conductor) RevertAppend(records []appender.KeyedRecord) {
+	var reverted []appender.KeyedRecord
 	for _, r := range records {
 		if id, ok := strings.CutPrefix(r.Key(), prefixWork); ok && len(r.Value()) > 0 {
 			if w := c.workloads[id]; w != nil {
@@ -227,13 +228,15 @@
 		}
 		id, ok := strings.CutPrefix(r.Key(), prefixProgress)
 		if !ok || len(r.Value()) == 0 {
-			c.records = append(c.records, r)
+			reverted = append(reverted, r)
 			continue
 		}
 		if w := c.workloads[id]; w != nil {
 			c.markDirty(w, true)
 		}
 	}
+	// The last record of a key counts: those queued since the append must stay behind it.
+	c.records = append(reverted, c.records...)
 	c.WithdrawUnsent()
 }
 
