--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -223,6 +223,20 @@
 	}
 }
 
+// TestRefusedConnectionIsNotStoppedOwner guards against tasks that run twice after a takeover: an owner
+// behind a partition that refuses connections acts until its authority ends.
+func TestRefusedConnectionIsNotStoppedOwner(t *testing.T) {
+	s := newFixture()
+	s.advance(time.Second, true, ping("entry-a", 3, asOwner))
+	s.MarkPeerGone(s.now, member("entry-a"))
+	if diff := cmp.Diff(elector.Claim, s.advance(50*time.Millisecond, true)); diff != "" {
+		t.Errorf("action (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(false, s.PreviousOwnerStopped()); diff != "" {
+		t.Errorf("the owner has stopped (-want +got):\n%s", diff)
+	}
+}
+
 // TestOutdatedPeerIsNotReplacedOwner guards against a claim over an owner that acts, after all entries
 // restarted: what this entry knew of the owner's process was of an earlier one.
 func TestOutdatedPeerIsNotReplacedOwner(t *testing.T) {
