--- a/custodian/custodian_test.go
+++ b/custodian/custodian_test.go
@@ -429,6 +429,29 @@
 	}
 }
 
+// TestRestartedAgentKeepsRunsOfSilentExecutor guards against tasks that run twice: runs found by a
+// restarted agent may hold a lease that the earlier agent granted, also if their executor falls
+// silent before it gets one from this agent.
+func TestRestartedAgentKeepsRunsOfSilentExecutor(t *testing.T) {
+	s := &fixture{now: start.Add(time.Minute), epoch: 1}
+	s.Custodian = custodian.New(s.now, custodian.DefaultConfig(), "host", "host:1", "i2", hclog.NewNullLogger(), metrics.NewRegistry())
+	startedAt := s.now
+	s.announce(nil)
+	found := custodian.HoldAnswer{Runs: []messenger.RunState{{Run: ref(0, 1)}}}
+	s.hold(found, nil)
+	s.hold(found, nil)
+	got := map[time.Duration]int{}
+	for s.now.Sub(startedAt) < custodian.DefaultConfig().Lease+time.Second {
+		s.now = s.now.Add(100 * time.Millisecond)
+		s.Tick(s.now)
+		got[s.now.Sub(startedAt).Truncate(time.Second)] = len(phases(s.Report(s.now, true)))
+	}
+	want := map[time.Duration]int{0: 1, time.Second: 1, 2 * time.Second: 1, 3 * time.Second: 1, 4 * time.Second: 0, 5 * time.Second: 0}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("runs by time (-want +got):\n%s", diff)
+	}
+}
+
 // TestBestEffortIsThrottledAtStart checks that best-effort work that interferes with a serving
 // task is throttled when its start is answered, not only with the next measurements.
 func TestBestEffortIsThrottledAtStart(t *testing.T) {
@@ -517,6 +540,73 @@
 	}
 }
 
+// TestStartForEarlierIncarnationIsRefused guards against tasks that run twice: the owner may start a
+// task elsewhere once it knows that an executor was restarted, while its order to start the task on
+// the earlier incarnation is still on the way.
+func TestStartForEarlierIncarnationIsRefused(t *testing.T) {
+	s := newFixture()
+	first, late := order(0, 1, 1000), order(1, 1, 1000)
+	first.Born, late.Born = 7, 7
+	calls, err := s.HandleOrders(s.now, s.orders(first))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(1, len(calls.Starts)); diff != "" {
+		t.Errorf("starts on the known incarnation (-want +got):\n%s", diff)
+	}
+	for range 3 {
+		s.hold(custodian.HoldAnswer{Answer: custodian.Answer{StartedMillis: 9, Clock: time.Millisecond}}, nil)
+	}
+	s.renew()
+	calls, err = s.HandleOrders(s.now, s.orders(late))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(0, len(calls.Starts)); diff != "" {
+		t.Errorf("starts on the next incarnation (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff([]string{string(apricotwinch.NotFound)}, refusals(s.Report(s.now, true))); diff != "" {
+		t.Errorf("refusals (-want +got):\n%s", diff)
+	}
+}
+
+// TestAnswerOfEarlierIncarnation guards against tasks that run twice: a late answer to a call for an
+// earlier incarnation of an executor must not be taken for the end of the next one, whose runs
+// would start elsewhere.
+func TestAnswerOfEarlierIncarnation(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		answer custodian.Answer
+		err    error
+	}{
+		{name: "lists", answer: custodian.Answer{StartedMillis: 7, Clock: time.Second}},
+		{name: "no process listens", err: apricotwinch.Errorf(apricotwinch.StaleIncarnation, "refused")},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newFixture()
+			calls, err := s.HandleOrders(s.now, s.orders(order(0, 1, 1000)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			earlier, _ := s.NextHold(s.now, "e")
+			sent := s.now
+			next := custodian.Answer{StartedMillis: 9, Clock: time.Millisecond}
+			s.HandleStartAnswer(s.now, calls.Starts[0], next, nil)
+			s.HandleHoldAnswer(s.now, sent, earlier, custodian.HoldAnswer{Answer: test.answer}, test.err)
+			found := custodian.HoldAnswer{Answer: next, Runs: []messenger.RunState{{Run: ref(0, 1)}}}
+			s.hold(found, nil)
+			s.hold(found, nil)
+			report := s.Report(s.now, true)
+			if diff := cmp.Diff([]messenger.ExecutorIncarnation{{Id: "e", Born: 7}}, report.Gone); diff != "" {
+				t.Errorf("gone (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(map[string]string{"0#1": messenger.RunRunning}, phases(report)); diff != "" {
+				t.Errorf("runs (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestLapseFencesRunsInDoubt checks that after a lapse of the lease, during which the owner may
 // have started a task elsewhere, a start without an answer is not repeated, and that the
 // executor is not reported or used before it has answered a greater token.
