Decode the parameters and results of remote calls once

On the large deployment the owner of the workloads was too slow for urgent work (SHORT): its processor bound it, and a message cost more than the decision on it. The JSON-RPC library decodes a request twice into values of any type, encodes its parameters again and leaves it to the handler to decode them once more; on the way out each level of a message is validated and copied anew. The 1 MB of a compressor went to the garbage collector with every other collection.

The codec now passes the library the envelope of a message alone and carries parameters and results past it, in the hooks that the library calls around each message. Frames, and the JSON in them, are as before but for the order of the members. Two compressors are kept across collections.

--- a/connector/codec.go
+++ b/connector/codec.go
@@ -4,10 +4,13 @@
 	"bufio"
 	"bytes"
 	"compress/flate"
+	"context"
 	"encoding/binary"
 	"encoding/json"
 	"io"
-	"sync"
+	"net"
+
+	"github.com/sourcegraph/jsonrpc2"
 
 	"apricotwinch"
 )
@@ -25,36 +28,119 @@
 	minCompressBytes = 512
 )
 
-// codec frames each JSON message with a four-byte length in network order and compresses messages
-// of at least minCompressBytes.
-type codec struct{}
+// codec frames the JSON messages of one connection with a four-byte length in network order and
+// compresses messages of at least minCompressBytes.
+//
+// The library decodes and encodes the parameters and the result of a message several times. The
+// codec passes it the rest of a message alone. The hooks onSend and onReceive, which the library
+// calls around each message, pass these members by.
+type codec struct {
+	// sent is the message that WriteObject writes next. The library calls onSend and WriteObject
+	// under its lock for sending.
+	sent envelope
+	// payload is the member that ReadObject took out of the last message. The library calls
+	// onReceive after ReadObject, from the same goroutine.
+	payload json.RawMessage
+}
 
-// WriteObject writes one message. It fails with kind TooLarge if the message exceeds
-// MaxMessageBytes.
-func (codec) WriteObject(stream io.Writer, obj any) error {
-	data, err := json.Marshal(obj)
+// envelope is a request or a response of JSON-RPC 2.0.
+type envelope struct {
+	Version string          `json:"jsonrpc"`
+	ID      *jsonrpc2.ID    `json:"id,omitempty"`
+	Method  string          `json:"method,omitempty"`
+	Error   *jsonrpc2.Error `json:"error,omitempty"`
+	Params  json.RawMessage `json:"params,omitempty"`
+	Result  json.RawMessage `json:"result,omitempty"`
+}
+
+// placeholder stands for the parameters or the result in what the library decodes.
+var placeholder = json.RawMessage("0")
+
+// newConn returns a JSON-RPC connection over conn, which it closes when it ends.
+func newConn(ctx context.Context, conn net.Conn, handler jsonrpc2.Handler) *jsonrpc2.Conn {
+	c := &codec{}
+	return jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(conn, c), handler,
+		jsonrpc2.SetLogger(discardLogger{}), jsonrpc2.OnSend(c.onSend), jsonrpc2.OnRecv(c.onReceive))
+}
+
+func (c *codec) onSend(request *jsonrpc2.Request, response *jsonrpc2.Response) {
+	c.sent = envelope{Version: "2.0"}
+	if response != nil {
+		c.sent.ID, c.sent.Error = &response.ID, response.Error
+		if response.Result != nil && response.Error == nil {
+			c.sent.Result = *response.Result
+		}
+		return
+	}
+	c.sent.Method = request.Method
+	if !request.Notif {
+		c.sent.ID = &request.ID
+	}
+	if request.Params != nil {
+		c.sent.Params = *request.Params
+	}
+}
+
+func (c *codec) onReceive(request *jsonrpc2.Request, response *jsonrpc2.Response) {
+	payload := c.payload
+	c.payload = nil
+	switch {
+	case payload == nil:
+	case response != nil:
+		response.Result = &payload
+	default:
+		request.Params = &payload
+	}
+}
+
+// WriteObject writes the message that onSend has seen. It fails with kind TooLarge if the message
+// exceeds MaxMessageBytes.
+func (c *codec) WriteObject(stream io.Writer, _ any) error {
+	message := c.sent
+	c.sent = envelope{}
+	frame, err := message.appendTo(make([]byte, lengthBytes))
 	if err != nil {
 		return err
 	}
-	if len(data) > MaxMessageBytes {
-		return apricotwinch.Errorf(apricotwinch.TooLarge, "message of %d bytes exceeds the limit of %d", len(data), MaxMessageBytes)
+	length := len(frame) - lengthBytes
+	if length > MaxMessageBytes {
+		return apricotwinch.Errorf(apricotwinch.TooLarge, "message of %d bytes exceeds the limit of %d", length, MaxMessageBytes)
 	}
 	flag := uint32(0)
-	if len(data) >= minCompressBytes {
-		if data, err = compress(data); err != nil {
+	if length >= minCompressBytes {
+		if frame, err = compress(frame[lengthBytes:]); err != nil {
 			return err
 		}
 		flag = compressedBit
 	}
-	frame := make([]byte, lengthBytes, lengthBytes+len(data))
-	binary.BigEndian.PutUint32(frame, uint32(len(data))|flag)
-	_, err = stream.Write(append(frame, data...))
+	binary.BigEndian.PutUint32(frame, uint32(len(frame)-lengthBytes)|flag)
+	_, err = stream.Write(frame)
 	return err
 }
 
+// appendTo appends the JSON form of a message to buf. Params and Result are valid JSON already.
+func (e envelope) appendTo(buf []byte) ([]byte, error) {
+	members := []struct {
+		name  string
+		value json.RawMessage
+	}{{`,"params":`, e.Params}, {`,"result":`, e.Result}}
+	e.Params, e.Result = nil, nil
+	header, err := json.Marshal(e)
+	if err != nil {
+		return nil, err
+	}
+	buf = append(buf, header[:len(header)-1]...)
+	for _, m := range members {
+		if m.value != nil {
+			buf = append(append(buf, m.name...), m.value...)
+		}
+	}
+	return append(buf, '}'), nil
+}
+
 // ReadObject reads one message into v. It fails with kind TooLarge if the message exceeds
 // MaxMessageBytes.
-func (codec) ReadObject(stream *bufio.Reader, v any) error {
+func (c *codec) ReadObject(stream *bufio.Reader, v any) error {
 	var frame [lengthBytes]byte
 	if _, err := io.ReadFull(stream, frame[:]); err != nil {
 		return err
@@ -75,43 +161,78 @@
 			return err
 		}
 	}
-	return json.Unmarshal(data, v)
-}
-
-// compressors pools the compressors, because each one allocates about 1 MB.
-var compressors = sync.Pool{New: func() any {
-	writer, err := flate.NewWriter(nil, flate.BestSpeed)
+	var message envelope
+	if err := json.Unmarshal(data, &message); err != nil {
+		return err
+	}
+	member := &message.Result
+	if message.Method != "" {
+		member = &message.Params
+	}
+	c.payload = *member
+	if c.payload != nil {
+		*member = placeholder
+	}
+	header, err := json.Marshal(message)
 	if err != nil {
-		panic(err)
+		return err
 	}
-	return writer
-}}
+	return json.Unmarshal(header, v)
+}
 
+// maxIdleCompressors bounds the compressors, of about 1 MB each, and the decompressors, of about
+// 40 KB each, that are kept for reuse. A sync.Pool would be emptied at each garbage collection.
+const maxIdleCompressors = 2
+
+var (
+	idleCompressors   = make(chan *flate.Writer, maxIdleCompressors)
+	idleDecompressors = make(chan io.ReadCloser, maxIdleCompressors)
+)
+
+// compress returns a frame, without its length, of the compressed form of data.
 func compress(data []byte) ([]byte, error) {
-	writer := compressors.Get().(*flate.Writer)
-	defer compressors.Put(writer)
-	var out bytes.Buffer
-	writer.Reset(&out)
+	out := bytes.NewBuffer(make([]byte, lengthBytes, lengthBytes+len(data)/2))
+	var writer *flate.Writer
+	select {
+	case writer = <-idleCompressors:
+		writer.Reset(out)
+	default:
+		var err error
+		if writer, err = flate.NewWriter(out, flate.BestSpeed); err != nil {
+			return nil, err
+		}
+	}
 	if _, err := writer.Write(data); err != nil {
 		return nil, err
 	}
 	if err := writer.Close(); err != nil {
 		return nil, err
 	}
+	select {
+	case idleCompressors <- writer:
+	default:
+	}
 	return out.Bytes(), nil
 }
 
-// decompressors pools the decompressors, because each one allocates about 40 KB.
-var decompressors = sync.Pool{New: func() any { return flate.NewReader(nil) }}
-
 // decompress decompresses a message. It fails with kind TooLarge if the result exceeds
 // MaxMessageBytes, and with kind Invalid if data is not a compressed message.
 func decompress(data []byte) ([]byte, error) {
-	reader := decompressors.Get().(io.ReadCloser)
-	defer decompressors.Put(reader)
-	if err := reader.(flate.Resetter).Reset(bytes.NewReader(data), nil); err != nil {
-		return nil, err
+	var reader io.ReadCloser
+	select {
+	case reader = <-idleDecompressors:
+		if err := reader.(flate.Resetter).Reset(bytes.NewReader(data), nil); err != nil {
+			return nil, err
+		}
+	default:
+		reader = flate.NewReader(bytes.NewReader(data))
 	}
+	defer func() {
+		select {
+		case idleDecompressors <- reader:
+		default:
+		}
+	}()
 	decompressed, err := io.ReadAll(io.LimitReader(reader, MaxMessageBytes+1))
 	if err != nil {
 		return nil, apricotwinch.Errorf(apricotwinch.Invalid, "compressed message: %w", err)
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -13,6 +13,7 @@
 
 	"apricotwinch"
 	"apricotwinch/connector"
+	"apricotwinch/messenger"
 )
 
 type message struct{ Text string }
@@ -29,7 +30,8 @@
 		t.Fatal(err)
 	}
 	table := connector.Table{
-		"echo": connector.Handle(func(_ context.Context, m message) (message, error) { return m, nil }),
+		"echo":                 connector.Handle(func(_ context.Context, m message) (message, error) { return m, nil }),
+		messenger.MethodReport: connector.Handle(func(context.Context, messenger.Report) (message, error) { return message{}, nil }),
 		"fail": connector.Handle(func(_ context.Context, m message) (message, error) {
 			return m, apricotwinch.Errorf(apricotwinch.NoCapacity, "full")
 		}),
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -140,7 +140,7 @@
 		return nil, err
 	}
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
-	rpc := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(secured, codec{}), ignoreRequests{}, jsonrpc2.SetLogger(discardLogger{}))
+	rpc := newConn(context.Background(), secured, ignoreRequests{})
 	err = authenticate(ctx, p.security.key, func(ctx context.Context, method string, params, result any) error {
 		return rpc.Call(ctx, method, params, result)
 	})
--- a/connector/server.go
+++ b/connector/server.go
@@ -114,7 +114,7 @@
 		metrics.GetOrRegisterCounter(counterTLS, s.registry).Inc(1)
 		return
 	}
-	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(secured, codec{}), s.handler(auth), jsonrpc2.SetLogger(discardLogger{}))
+	rpc := newConn(ctx, secured, s.handler(auth))
 	defer rpc.Close()
 	handshakeTimer := time.AfterFunc(handshakeTimeout, func() {
 		if !auth.authenticated() {
