Count remote calls and the time of their handlers by method

Which messages load the owner of the workloads could only be told by a profile: the metrics had the bytes of all messages together. Calls made, calls handled and the time of handlers, waits for locks included, are now counted by method.

--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -143,3 +143,26 @@
 		t.Errorf("open address with a key: %v", err)
 	}
 }
+
+// TestCallsAreCountedByMethod checks the counters from which an operator tells which messages load
+// a process.
+func TestCallsAreCountedByMethod(t *testing.T) {
+	registry := metrics.NewRegistry()
+	address := serveCounted(t, connector.Security{}, registry)
+	pool := connector.NewPool(connector.Security{}, registry)
+	defer pool.Close()
+	for _, method := range []string{"echo", "echo", "fail"} {
+		var got message
+		if err := pool.Call(context.Background(), address, method, message{}, &got); err != nil && method != "fail" {
+			t.Fatal(err)
+		}
+	}
+	got := map[string]int64{}
+	for _, name := range []string{"called.echo", "called.fail", "called.panic", "handled.echo", "handled.fail", "handled.panic"} {
+		got[name] = metrics.GetOrRegisterCounter("connector."+name, registry).Count()
+	}
+	want := map[string]int64{"called.echo": 2, "called.fail": 1, "called.panic": 0, "handled.echo": 2, "handled.fail": 1, "handled.panic": 0}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("counters (-want +got):\n%s", diff)
+	}
+}
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -70,6 +70,7 @@
 	if err != nil {
 		return apricotwinch.Errorf(apricotwinch.Unreachable, "%s at %s: %w", method, address, err)
 	}
+	metrics.GetOrRegisterCounter(counterCalled+method, p.registry).Inc(1)
 	started := time.Now()
 	stop := context.AfterFunc(ctx, func() { p.dropSilent(address, remote, started) })
 	defer stop()
--- a/connector/server.go
+++ b/connector/server.go
@@ -45,9 +45,24 @@
 	}
 }
 
+// Names of the counters of calls by method, without the method: calls that this process has made,
+// calls that it has handled, and the time that their handlers took, waits for locks included.
+const (
+	counterCalled        = "connector.called."
+	counterHandled       = "connector.handled."
+	counterHandledMicros = "connector.handled_micros."
+)
+
+// method is a method of a server with the counters of its calls.
+type method struct {
+	handler       Handler
+	handled       metrics.Counter
+	handledMicros metrics.Counter
+}
+
 // Server accepts connections and answers the calls of peers.
 type Server struct {
-	table    Table
+	methods  map[string]method
 	security Security
 	registry metrics.Registry
 	maxConns int
@@ -60,8 +75,16 @@
 // NewServer returns a server of the methods in table. It refuses connections beyond maxConns at a
 // time and counts events in registry.
 func NewServer(table Table, security Security, registry metrics.Registry, maxConns int) *Server {
+	methods := make(map[string]method, len(table))
+	for name, handler := range table {
+		methods[name] = method{
+			handler:       handler,
+			handled:       metrics.GetOrRegisterCounter(counterHandled+name, registry),
+			handledMicros: metrics.GetOrRegisterCounter(counterHandledMicros+name, registry),
+		}
+	}
 	return &Server{
-		table:    table,
+		methods:  methods,
 		security: security,
 		registry: registry,
 		maxConns: maxConns,
@@ -161,11 +184,14 @@
 }
 
 func (s *Server) call(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
-	handler, ok := s.table[req.Method]
+	m, ok := s.methods[req.Method]
 	if !ok {
 		return nil, encodeError(apricotwinch.Errorf(apricotwinch.NotFound, "unknown method %q", req.Method))
 	}
-	result, err := s.callRecovering(ctx, handler, req)
+	started := time.Now()
+	result, err := s.callRecovering(ctx, m.handler, req)
+	m.handled.Inc(1)
+	m.handledMicros.Inc(time.Since(started).Microseconds())
 	if err != nil {
 		return nil, encodeError(err)
 	}
