Evaluate an executor once for the tasks of a step

On the large deployment the owner of the workloads was too slow for urgent work (SHORT). The decisions were a large part of what its processor did: for each task of a step, all executors of the service were evaluated anew, and for each best-effort step that waits, the tasks on an executor were gone through again for what an image is expected to do there.

The tasks of a step differ only in the executor that each avoids, and a start changes one executor only. A step now evaluates the executors once, and one executor again after a start on it. What a best-effort image is expected to do on an executor is computed once a pass until a start there. The choices are the same.

--- a/conductor/place.go
+++ b/conductor/place.go
@@ -198,17 +198,31 @@
 
 // cost returns the cost of a task on an executor; the executor of lowest cost is chosen.
 func (c *Conductor) cost(now time.Time, t *task, e *executor) float64 {
+	speed := 0.0
+	if t.step.spec.Fills {
+		speed = c.expectedSpeed(t.step.spec.Image, e)
+	}
+	cost := c.stepCost(now, t.step, e, speed)
+	if t.avoid == e {
+		cost += costAvoided
+	}
+	return cost
+}
+
+// stepCost returns the cost of an executor to a task of a step that doesn't avoid it. speed is the
+// expected speed of a best-effort task there.
+func (c *Conductor) stepCost(now time.Time, s *step, e *executor, speed float64) float64 {
 	capacity := float64(e.capacity.ProcessorMillis())
 	cost := float64(e.allocated.ProcessorMillis()) / capacity
 	switch {
-	case t.step.spec.Fills:
-		cost = float64(e.bestEffort-e.bestEffortIdle)/max(1, c.expectedUnused(e)) - speedWeight*c.expectedSpeed(t.step.spec.Image, e) + e.meanSpeed
-	case t.step.spec.Lasting:
+	case s.spec.Fills:
+		cost = float64(e.bestEffort-e.bestEffortIdle)/max(1, c.expectedUnused(e)) - speedWeight*speed + e.meanSpeed
+	case s.spec.Lasting:
 		cost = capacity/capacityScale - cost
 		if e.longRunning == 0 {
 			cost += costNoLongRunning
 		}
-		if t.step.spec.Image != "" && e.runsLongRunning(t.step.spec.Image) {
+		if s.spec.Image != "" && e.runsLongRunning(s.spec.Image) {
 			cost -= savingSameImage
 		}
 	default:
@@ -217,16 +231,13 @@
 			cost += costNoLongRunning
 		}
 	}
-	if t.avoid == e {
-		cost += costAvoided
-	}
 	if e.failureStreak >= c.config.FailureStreak && now.Sub(e.failedAt) < c.config.FailureStreakTTL {
 		cost += costFailing
 	}
 	if c.monitor.Verdict(now, e.id) != monitor.Healthy {
 		cost += costUnhealthy
 	}
-	if t.step.spec.Rack != "" && t.step.spec.Rack != e.rack {
+	if s.spec.Rack != "" && s.spec.Rack != e.rack {
 		cost += costOtherRack
 	}
 	return cost
--- a/conductor/schedule.go
+++ b/conductor/schedule.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/rcrowley/go-metrics"
 )
 
 // rescanPeriod is the time after which a blocked step is tried again on all executors.
@@ -21,6 +23,25 @@
 	// unreserved holds, by service and data centre, the processors, in thousandths, that new
 	// long-running tasks may take; a service is missing until its sums are needed.
 	unreserved map[string]map[string]int64
+	// outlooks holds what best-effort images are expected to do on executors, until a start changes
+	// that.
+	outlooks map[*executor]map[string]outlook
+	// evaluated counts the evaluations of executors.
+	evaluated int64
+}
+
+// outlook is what one more task of a best-effort image is expected to do on an executor.
+type outlook struct {
+	speed float64
+	// placeable is whether it may start there: it is expected to be fast enough and to leave the
+	// serving tasks enough headroom.
+	placeable bool
+}
+
+// candidate is an executor that fits a step, with its cost to a task that doesn't avoid it.
+type candidate struct {
+	executor *executor
+	cost     float64
 }
 
 // Schedule starts waiting tasks on executors that have room for them.
@@ -36,6 +57,7 @@
 		reconciled: c.reconciled(),
 		changed:    c.takeChangedExecutors(),
 		unreserved: map[string]map[string]int64{},
+		outlooks:   map[*executor]map[string]outlook{},
 	}
 	c.steps = slices.DeleteFunc(c.steps, func(s *step) bool {
 		w := s.occurrence.workload
@@ -50,6 +72,7 @@
 		s.queued = s.waiting > 0
 		return !s.queued
 	})
+	metrics.GetOrRegisterCounter("executors.evaluated", c.registry).Inc(p.evaluated)
 }
 
 // takeChangedExecutors returns the usable executors that have changed since the last call, by
@@ -131,6 +154,7 @@
 	if s.spec.Gang {
 		return c.startGang(p.now, s, pool, p.reconciled)
 	}
+	candidates := p.candidates(s, pool)
 	reserveReached := false
 	for _, t := range s.tasks {
 		if s.waiting == 0 {
@@ -143,15 +167,13 @@
 		if keepsReserve && reserveReached {
 			continue
 		}
-		candidates := pool
-		if keepsReserve {
-			candidates = p.withoutReserve(service, s.need.ProcessorMillis(), pool)
-		}
-		e := c.chooseExecutor(p.now, t, candidates)
+		at := p.cheapest(t, candidates, keepsReserve)
 		switch {
-		case e != nil:
+		case at >= 0:
+			e := candidates[at].executor
 			c.startRun(p.now, t, e)
 			p.recordStart(service, s, e)
+			candidates = p.update(s, candidates, at)
 		case keepsReserve:
 			reserveReached = true
 		default:
@@ -161,27 +183,99 @@
 	return !reserveReached
 }
 
+// candidates returns the executors of a pool that fit a step, with their costs. Its tasks differ
+// only in the executor that each avoids, so that the costs hold for all of them.
+func (p *schedulingPass) candidates(s *step, pool []*executor) []candidate {
+	var candidates []candidate
+	for _, e := range pool {
+		if cost, ok := p.evaluate(s, e); ok {
+			candidates = append(candidates, candidate{executor: e, cost: cost})
+		}
+	}
+	return candidates
+}
+
+// update evaluates the candidate at an index anew after a start on it. A start changes no other
+// executor.
+func (p *schedulingPass) update(s *step, candidates []candidate, at int) []candidate {
+	cost, ok := p.evaluate(s, candidates[at].executor)
+	if !ok {
+		return slices.Delete(candidates, at, at+1)
+	}
+	candidates[at].cost = cost
+	return candidates
+}
+
+// evaluate returns the cost of an executor to a task of a step that doesn't avoid it, and whether
+// the task may start there.
+func (p *schedulingPass) evaluate(s *step, e *executor) (cost float64, ok bool) {
+	c := p.conductor
+	p.evaluated++
+	if !c.fits(s, e) {
+		return 0, false
+	}
+	if !s.spec.Fills {
+		return c.stepCost(p.now, s, e, 0), true
+	}
+	o := p.outlook(s.spec.Image, e)
+	if e.overTarget(p.now) || p.now.Sub(s.readyAt) < c.config.MaxPlacementWait && !o.placeable {
+		return 0, false
+	}
+	return c.stepCost(p.now, s, e, o.speed), true
+}
+
+// outlook returns what one more task of a best-effort image is expected to do on an executor.
+func (p *schedulingPass) outlook(image string, e *executor) outlook {
+	if o, ok := p.outlooks[e][image]; ok {
+		return o
+	}
+	c := p.conductor
+	o := outlook{speed: c.expectedSpeed(image, e), placeable: c.suitable(p.now, image, e)}
+	if p.outlooks[e] == nil {
+		p.outlooks[e] = map[string]outlook{}
+	}
+	p.outlooks[e][image] = o
+	return o
+}
+
+// cheapest returns the index of the candidate of lowest cost to a task, or -1 if there is none.
+// keepsReserve leaves out those in whose data centre the task would take of the reserve.
+func (p *schedulingPass) cheapest(t *task, candidates []candidate, keepsReserve bool) int {
+	best, bestCost := -1, 0.0
+	for i, n := range candidates {
+		if keepsReserve && p.unreservedIn(n.executor) < t.step.need.ProcessorMillis() {
+			continue
+		}
+		cost := n.cost
+		if t.avoid == n.executor {
+			cost += costAvoided
+		}
+		if best < 0 || cost < bestCost {
+			best, bestCost = i, cost
+		}
+	}
+	return best
+}
+
 // keepsReserve reports whether a task must leave the reserve of processors free. A long-running
 // task that ran before may use it.
 func (t *task) keepsReserve() bool {
 	return t.step.spec.Lasting && !t.step.spec.Fills && t.highestRun == 0 && !t.inherited
 }
 
-// withoutReserve returns the executors of a pool in whose data centre a long-running task that
-// needs some thousandths of a processor leaves the reserve free.
-func (p *schedulingPass) withoutReserve(service string, need int64, pool []*executor) []*executor {
-	if len(pool) == 0 {
-		return nil
-	}
-	if p.unreserved[service] == nil {
-		p.unreserved[service] = p.conductor.unreserved(p.pool(service))
+// unreservedIn returns the processors, in thousandths, that new long-running tasks may take
+// in the data centre of an executor.
+func (p *schedulingPass) unreservedIn(e *executor) int64 {
+	if p.unreserved[e.service] == nil {
+		p.unreserved[e.service] = p.conductor.unreserved(p.pool(e.service))
 	}
-	return slices.DeleteFunc(slices.Clone(pool), func(e *executor) bool { return p.unreserved[service][e.dc] < need })
+	return p.unreserved[e.service][e.dc]
 }
 
-// recordStart subtracts the processors of a task that was started from those that are not
-// reserved.
+// recordStart records what a task that was started changes on its executor: the processors that
+// are not reserved, and the outlook of best-effort tasks.
 func (p *schedulingPass) recordStart(service string, s *step, e *executor) {
+	delete(p.outlooks, e)
 	if free := p.unreserved[service]; free != nil && !s.spec.Fills {
 		free[e.dc] -= s.need.ProcessorMillis()
 	}
