Evaluate an executor once for the tasks of a gang

The same cause as for other steps: for each task of a gang, and for each rack, all executors were evaluated anew. A gang now uses the candidates of its step, too.

The case "gang" of TestPlacementEvaluatesExecutorsOnce, with executors counted in the former code, failed: "2400 executors evaluated, want at most 100".

--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -1101,35 +1101,48 @@
 // evaluated every executor anew for each task of a step.
 func TestPlacementEvaluatesExecutorsOnce(t *testing.T) {
 	const hosts, taskCount = 60, 40
-	registry := metrics.NewRegistry()
-	c := conductor.New(conductor.DefaultConfig(), 1, true, hclog.NewNullLogger(), registry)
-	c.SetCatalog(catalog())
-	for i := range hosts {
-		name := fmt.Sprint("host-", i)
-		record := messenger.ExecutorRecord{
-			Id: "executor-" + name, Born: 1, Service: service, DataCentre: "dc",
-			Capacity: messenger.FromResources(apricotwinch.NewResources(16_000, 64<<30, 0)),
-		}
-		c.Report(origin, messenger.Report{
-			Host: name, Address: name + ":1", Incarnation: "1", TicketMillis: 1, Epoch: 1, Whole: true,
-			Executors: []messenger.ExecutorState{{Executor: record, Reachable: true}},
-		})
-	}
-	spec := &messenger.WorkloadSpec{Steps: []messenger.StepSpec{tasks(taskCount, 1000, time.Second)}}
-	if _, err := c.Submit(origin, messenger.WorkloadRequest{Queue: urgentQueue, Id: "w", Spec: spec}); err != nil {
-		t.Fatal(err)
-	}
-	records, number := c.TakeWrites()
-	c.AppendCommitted(number, records)
-	c.Schedule(origin)
-	starts := 0
-	for _, orders := range c.TakeOrders() {
-		starts += len(orders.Starts)
-	}
-	if starts != taskCount {
-		t.Fatalf("%d tasks started, want %d", starts, taskCount)
+	tests := []struct {
+		name  string
+		step  messenger.StepSpec
+		limit int64
+	}{
+		{name: "tasks", step: tasks(taskCount, 1000, time.Second), limit: hosts + taskCount},
+		{name: "best-effort tasks", step: tasks(taskCount, 1000, time.Second, func(s *messenger.StepSpec) { s.Fills, s.Image = true, "batch" }), limit: hosts + taskCount},
+		{name: "gang", step: tasks(taskCount, 1000, time.Second, func(s *messenger.StepSpec) { s.Gang = true }), limit: hosts + taskCount},
 	}
-	if got, limit := metrics.GetOrRegisterCounter("executors.evaluated", registry).Count(), int64(hosts+taskCount); got > limit {
-		t.Errorf("%d executors evaluated, want at most %d: each once, and once more after a start on it", got, limit)
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			registry := metrics.NewRegistry()
+			c := conductor.New(conductor.DefaultConfig(), 1, true, hclog.NewNullLogger(), registry)
+			c.SetCatalog(catalog())
+			for i := range hosts {
+				name := fmt.Sprint("host-", i)
+				record := messenger.ExecutorRecord{
+					Id: "executor-" + name, Born: 1, Service: service, DataCentre: "dc",
+					Capacity: messenger.FromResources(apricotwinch.NewResources(16_000, 64<<30, 0)),
+				}
+				c.Report(origin, messenger.Report{
+					Host: name, Address: name + ":1", Incarnation: "1", TicketMillis: 1, Epoch: 1, Whole: true,
+					Executors: []messenger.ExecutorState{{Executor: record, Reachable: true}},
+				})
+			}
+			spec := &messenger.WorkloadSpec{Steps: []messenger.StepSpec{test.step}}
+			if _, err := c.Submit(origin, messenger.WorkloadRequest{Queue: urgentQueue, Id: "w", Spec: spec}); err != nil {
+				t.Fatal(err)
+			}
+			records, number := c.TakeWrites()
+			c.AppendCommitted(number, records)
+			c.Schedule(origin)
+			starts := 0
+			for _, orders := range c.TakeOrders() {
+				starts += len(orders.Starts)
+			}
+			if starts != taskCount {
+				t.Fatalf("%d tasks started, want %d", starts, taskCount)
+			}
+			if got := metrics.GetOrRegisterCounter("executors.evaluated", registry).Count(); got > test.limit {
+				t.Errorf("%d executors evaluated, want at most %d: each once, and once more after a start on it", got, test.limit)
+			}
+		})
 	}
 }
--- a/conductor/gang.go
+++ b/conductor/gang.go
@@ -9,13 +9,14 @@
 
 // startGang starts all tasks of a step under one run number, or none of them. It reports whether
 // the step does not wait for room.
-func (c *Conductor) startGang(now time.Time, s *step, pool []*executor, reconciled bool) bool {
+func (p *schedulingPass) startGang(s *step, pool []*executor) bool {
+	c := p.conductor
 	if slices.ContainsFunc(s.tasks, func(t *task) bool {
-		return t.current != nil || now.Before(t.notBefore) || t.inherited && !reconciled
+		return t.current != nil || p.now.Before(t.notBefore) || t.inherited && !p.reconciled
 	}) {
 		return true
 	}
-	chosen := c.chooseGang(now, s, pool)
+	chosen := p.chooseGang(s, pool)
 	if chosen == nil {
 		return false
 	}
@@ -28,23 +29,27 @@
 		t.highestRun = number - 1
 		t.inherited = false
 		t.checkpoint = checkpoint
-		c.startRun(now, t, chosen[i])
+		c.startRun(p.now, t, chosen[i])
+		delete(p.outlooks, chosen[i])
 	}
 	return true
 }
 
 // chooseGang returns an executor for each task of a step, taking the resources of the other
 // tasks into account; nil when they don't all fit.
-func (c *Conductor) chooseGang(now time.Time, s *step, pool []*executor) []*executor {
-	for _, candidates := range racksOf(s, pool) {
+func (p *schedulingPass) chooseGang(s *step, pool []*executor) []*executor {
+	for _, rack := range racksOf(s, pool) {
+		candidates := p.candidates(s, rack)
 		chosen := make([]*executor, 0, len(s.tasks))
 		for _, t := range s.tasks {
-			e := c.chooseExecutor(now, t, candidates)
-			if e == nil {
+			at := p.cheapest(t, candidates, false)
+			if at < 0 {
 				break
 			}
+			e := candidates[at].executor
 			e.allocate(s, 1)
 			chosen = append(chosen, e)
+			candidates = p.update(s, candidates, at)
 		}
 		for _, e := range chosen {
 			e.allocate(s, -1)
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -88,24 +88,6 @@
 	})
 }
 
-// chooseExecutor returns the executor of lowest cost for a task, or nil when none is suitable.
-func (c *Conductor) chooseExecutor(now time.Time, t *task, pool []*executor) *executor {
-	var best *executor
-	bestCost := 0.0
-	for _, e := range pool {
-		if !c.fits(t.step, e) {
-			continue
-		}
-		if t.step.spec.Fills && (e.overTarget(now) || now.Sub(t.step.readyAt) < c.config.MaxPlacementWait && !c.suitable(now, t.step.spec.Image, e)) {
-			continue
-		}
-		if cost := c.cost(now, t, e); best == nil || cost < bestCost {
-			best, bestCost = e, cost
-		}
-	}
-	return best
-}
-
 // overTarget reports whether a tail latency is over its target on an executor whose best-effort
 // runs are not all throttled yet. More best-effort tasks would keep it over its target.
 func (e *executor) overTarget(now time.Time) bool {
--- a/conductor/schedule.go
+++ b/conductor/schedule.go
@@ -152,7 +152,7 @@
 func (p *schedulingPass) startTasks(s *step, service string, pool []*executor) bool {
 	c := p.conductor
 	if s.spec.Gang {
-		return c.startGang(p.now, s, pool, p.reconciled)
+		return p.startGang(s, pool)
 	}
 	candidates := p.candidates(s, pool)
 	reserveReached := false
