--- a/conductor/place.go
+++ b/conductor/place.go
@@ -88,24 +88,6 @@
 	})
 }
 
-// chooseExecutor returns the executor of lowest cost for a task, or nil when none is suitable.
-func (c *Conductor) chooseExecutor(now time.Time, t *task, pool []*executor) *executor {
-	var best *executor
-	bestCost := 0.0
-	for _, e := range pool {
-		if !c.fits(t.step, e) {
-			continue
-		}
-		if t.step.spec.Fills && (e.overTarget(now) || now.Sub(t.step.readyAt) < c.config.MaxPlacementWait && !c.suitable(now, t.step.spec.Image, e)) {
-			continue
-		}
-		if cost := c.cost(now, t, e); best == nil || cost < bestCost {
-			best, bestCost = e, cost
-		}
-	}
-	return best
-}
-
 // overTarget reports whether a tail latency is over its target on an executor whose best-effort
 // runs are not all throttled yet. More best-effort tasks would keep it over its target.
 func (e *executor) overTarget(now time.Time) bool {
@@ -198,17 +180,31 @@
 
 // cost returns the cost of a task on an executor; the executor of lowest cost is chosen.
 func (c *Conductor) cost(now time.Time, t *task, e *executor) float64 {
+	speed := 0.0
+	if t.step.spec.Fills {
+		speed = c.expectedSpeed(t.step.spec.Image, e)
+	}
+	cost := c.stepCost(now, t.step, e, speed)
+	if t.avoid == e {
+		cost += costAvoided
+	}
+	return cost
+}
+
+// stepCost returns the cost of an executor to a task of a step that doesn't avoid it. speed is the
+// expected speed of a best-effort task there.
+func (c *Conductor) stepCost(now time.Time, s *step, e *executor, speed float64) float64 {
 	capacity := float64(e.capacity.ProcessorMillis())
 	cost := float64(e.allocated.ProcessorMillis()) / capacity
 	switch {
-	case t.step.spec.Fills:
-		cost = float64(e.bestEffort-e.bestEffortIdle)/max(1, c.expectedUnused(e)) - speedWeight*c.expectedSpeed(t.step.spec.Image, e) + e.meanSpeed
-	case t.step.spec.Lasting:
+	case s.spec.Fills:
+		cost = float64(e.bestEffort-e.bestEffortIdle)/max(1, c.expectedUnused(e)) - speedWeight*speed + e.meanSpeed
+	case s.spec.Lasting:
 		cost = capacity/capacityScale - cost
 		if e.longRunning == 0 {
 			cost += costNoLongRunning
 		}
-		if t.step.spec.Image != "" && e.runsLongRunning(t.step.spec.Image) {
+		if s.spec.Image != "" && e.runsLongRunning(s.spec.Image) {
 			cost -= savingSameImage
 		}
 	default:
@@ -217,16 +213,13 @@
 			cost += costNoLongRunning
 		}
 	}
-	if t.avoid == e {
-		cost += costAvoided
-	}
 	if e.failureStreak >= c.config.FailureStreak && now.Sub(e.failedAt) < c.config.FailureStreakTTL {
 		cost += costFailing
 	}
 	if c.monitor.Verdict(now, e.id) != monitor.Healthy {
 		cost += costUnhealthy
 	}
-	if t.step.spec.Rack != "" && t.step.spec.Rack != e.rack {
+	if s.spec.Rack != "" && s.spec.Rack != e.rack {
 		cost += costOtherRack
 	}
 	return cost
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -70,6 +70,7 @@
 	if err != nil {
 		return apricotwinch.Errorf(apricotwinch.Unreachable, "%s at %s: %w", method, address, err)
 	}
+	metrics.GetOrRegisterCounter(counterCalled+method, p.registry).Inc(1)
 	started := time.Now()
 	stop := context.AfterFunc(ctx, func() { p.dropSilent(address, remote, started) })
 	defer stop()
@@ -140,7 +141,7 @@
 		return nil, err
 	}
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
-	rpc := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(secured, codec{}), ignoreRequests{}, jsonrpc2.SetLogger(discardLogger{}))
+	rpc := newConn(context.Background(), secured, ignoreRequests{})
 	err = authenticate(ctx, p.security.key, func(ctx context.Context, method string, params, result any) error {
 		return rpc.Call(ctx, method, params, result)
 	})
