Keep runs that may have ended beyond the ends that an executor lists

Callers saw tasks that ran again after they were done. An executor lists its ends 500 at a time, and while the store is down none is acknowledged. Runs whose ends were beyond the 500th were in neither list. The agent took them for gone, and the owner started them anew.

Absence from a list that may be truncated is no evidence. Meanwhile the agent keeps the runs that it knows, the owner releases none of the executor's runs, and a new owner doesn't count the executor as listed. A run that waits for the executor's answer to a raised token may now stay until the lists are complete, so that raising the token again keeps that mark.

--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -1125,3 +1125,44 @@
 		})
 	}
 }
+
+// TestEndsBeyondTheList guards against tasks that run again after they were done: an executor lists a
+// limited number of ends, and while the store is down none of them is acknowledged.
+func TestEndsBeyondTheList(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		change func(*simulation)
+	}{
+		{name: "same owner and agent", change: func(*simulation) {}},
+		{name: "agent restarted", change: func(sim *simulation) { sim.restartAgent(sim.hosts[0]) }},
+		{name: "owner replaced", change: func(sim *simulation) { sim.replaceOwner(true) }},
+		{name: "both", change: func(sim *simulation) {
+			sim.restartAgent(sim.hosts[0])
+			sim.replaceOwner(true)
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			sim := newSimulation(t, 1, 1)
+			sim.run(2 * time.Second)
+			for i := range 25 {
+				sim.submit(batchQueue, fmt.Sprint("w", i), tasks(32, 500, 50*time.Millisecond))
+			}
+			sim.storeOffline = true
+			sim.runUntil(10*time.Second, func() bool { return sim.endCount() > 520 })
+			test.change(sim)
+			sim.run(1500 * time.Millisecond)
+			sim.storeOffline = false
+			sim.runUntil(20*time.Second, func() bool {
+				for i := range 25 {
+					if sim.state(fmt.Sprint("w", i)) != messenger.WorkloadCompleted {
+						return false
+					}
+				}
+				return true
+			})
+			if diff := cmp.Diff(25*32, sim.endCount()); diff != "" {
+				t.Errorf("runs (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -167,7 +167,7 @@
 		}
 		if e.incarnation == record.Born {
 			// An agent that has not seen this epoch yet may still obey the last owner.
-			e.listed = e.listed || int64(r.Epoch) >= c.epoch
+			e.listed = e.listed || int64(r.Epoch) >= c.epoch && !state.Incomplete
 			c.updateExecutor(now, e, state, c.processedOrders(r))
 		}
 	}
@@ -201,7 +201,7 @@
 		c.updateRun(now, e, &state.Runs[i])
 	}
 	for ref, run := range e.runs {
-		if !listed[ref] && run.ordersNumber <= processed {
+		if !listed[ref] && run.ordersNumber <= processed && !state.Incomplete {
 			c.logger.Info("run lost", "run", ref, "executor", e.id, "order", run.ordersNumber, "processed", processed)
 			c.count("runs.lost")
 			c.release(run)
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -28,6 +28,8 @@
 	watchQueue   = "watches"
 	// stopDuration is how long a run continues after its stop was ordered.
 	stopDuration = 300 * time.Millisecond
+	// maxListedEnds is how many ends an executor lists at a time.
+	maxListedEnds = 500
 )
 
 var origin = time.Unix(1_000_000, 0)
@@ -542,7 +544,8 @@
 		}
 		return e.Number <= call.AckedEnd
 	})
-	holding.Ends = slices.Clone(m.ends)
+	holding.Ends = slices.Clone(m.ends[:min(len(m.ends), maxListedEnds)])
+	holding.Incomplete = len(holding.Ends) == maxListedEnds
 	for ref := range m.runs {
 		state := messenger.RunState{Run: ref, Phase: messenger.RunRunning, Percent: m.runs[ref].percent(sim, ref)}
 		if sim.specs[ref.Task.Workload].Steps[ref.Task.Step].TailTargetMillis > 0 {
--- a/custodian/executor.go
+++ b/custodian/executor.go
@@ -35,12 +35,14 @@
 	StartedMillis int
 }
 
-// HoldAnswer is an executor's answer to a hold: all runs that it has and all ends of runs that
+// HoldAnswer is an executor's answer to a hold: all runs that it has and the ends of runs that
 // are not acknowledged.
 type HoldAnswer struct {
 	Answer
 	Runs []messenger.RunState
 	Ends []messenger.RunEnd
+	// Incomplete is set when there may be more runs or ends than Runs and Ends hold.
+	Incomplete bool
 }
 
 // HoldCall renews the leases of an executor and asks for its runs and ends.
@@ -113,6 +115,8 @@
 	// the owner has made durable.
 	lastEnd    int
 	durableEnd int
+	// incomplete is set when the last lists may have lacked runs or ends.
+	incomplete bool
 	// ackedEnd is the number of the last end whose acknowledgment reached the executor.
 	ackedEnd int
 	reserved apricotwinch.Resources
--- a/custodian/hold.go
+++ b/custodian/hold.go
@@ -64,6 +64,7 @@
 		c.wholeReportDue = true
 	}
 	ended := c.addEnds(e, answer.Ends)
+	e.incomplete = answer.Incomplete
 	changed := c.updateRuns(e, sent, answer.Runs)
 	c.wholeReportDue = c.wholeReportDue || changed
 	return c.updatePaces(now, e), ended || changed
@@ -105,7 +106,8 @@
 }
 
 // updateRuns takes the list of an executor's runs, as of a call that was sent at sent. It
-// reports whether a run was added or has ended.
+// reports whether a run was added or has ended. A run that isn't listed is kept while the
+// executor's lists are incomplete.
 func (c *Custodian) updateRuns(e *executor, sent time.Time, states []messenger.RunState) bool {
 	changed := false
 	listed := make(map[messenger.RunRef]bool, len(states))
@@ -124,6 +126,9 @@
 		r.fenced = false
 		r.state = state
 	}
+	if e.incomplete {
+		return changed
+	}
 	for ref, r := range e.runs {
 		if r.fenced && e.confirmed {
 			c.logger.Info("run never started", "run", ref, "executor", e.ID)
--- a/custodian/orders.go
+++ b/custodian/orders.go
@@ -294,7 +294,7 @@
 	e.token = c.nextToken(e.clock)
 	e.confirmed = false
 	for _, r := range e.runs {
-		r.fenced = r.inDoubt()
+		r.fenced = r.fenced || r.inDoubt()
 	}
 }
 
--- a/custodian/report.go
+++ b/custodian/report.go
@@ -83,6 +83,7 @@
 		SilentMillis:    int(silent.Milliseconds()),
 		RemainingMillis: int(max(0, e.drainDeadline.Sub(now)).Milliseconds()),
 		Ends:            slices.Clone(e.ends),
+		Incomplete:      e.incomplete,
 	}
 	for _, r := range e.sortedRuns() {
 		s := r.state
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -386,6 +386,10 @@
 	// The executor.
 	Executor ExecutorRecord `json:"executor"`
 
+	// Whether a run that is in neither list may have ended or still run, as the
+	// executor's lists were incomplete.
+	Incomplete bool `json:"incomplete,omitempty,omitzero"`
+
 	// Whether the executor has answered its agent recently.
 	Reachable bool `json:"reachable"`
 
