Let a proof since an agent's first report adopt it

Callers would see a host stay idle after a restart of its agent while the store is slow: an agent that knows no epoch is adopted only with a proof of the ownership.

The agent's process has started before its first report, so a proof from after that one shows as well that the process before it can't have obeyed a successor. The wait of a report now ends with any such proof, also one that an earlier report has asked for.

TestSlowStoreLetsRestartedAgentBeAdopted failed before in 3 of 3 runs ("the agent is not adopted after 10 reports").

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -125,6 +125,8 @@
 	claiming bool
 	// lastClaim is the last claim that was sent.
 	lastClaim claimAttempt
+	// firstReports holds, by host, the first report of the last agent that knew no epoch.
+	firstReports map[string]firstReport
 	// failedClaims counts the claims in a row that failed because another entry's claim came
 	// first.
 	failedClaims int
@@ -159,6 +161,12 @@
 	yielding bool
 }
 
+// firstReport is when a process of an agent first reported.
+type firstReport struct {
+	incarnation string
+	at          time.Time
+}
+
 // claimAttempt is a claim and when it was first sent.
 type claimAttempt struct {
 	producer appender.Producer
@@ -191,6 +199,7 @@
 		changed:      make(chan struct{}),
 		writerWake:   make(chan struct{}, 1),
 		senders:      map[string]*sender{},
+		firstReports: map[string]firstReport{},
 		outOfService: map[string]bool{},
 	}, nil
 }
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -37,6 +37,8 @@
 	// those in a later epoch.
 	unresponsive     bool
 	unansweredClaims int
+	// delay is how long the answers to appends take.
+	delay time.Duration
 }
 
 func newFakeStore() *fakeStore { return &fakeStore{journals: map[string]map[string][]byte{}} }
@@ -53,6 +55,12 @@
 	s.unresponsive = unresponsive
 }
 
+func (s *fakeStore) setDelay(delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = delay
+}
+
 // claim raises the epoch, as the claim of an entry that no other one reaches does.
 func (s *fakeStore) claim() {
 	s.mu.Lock()
@@ -103,6 +111,10 @@
 	}
 	s.epoch, s.next = p.Epoch(), p.Sequence()+1
 	s.put(journal, records)
+	delay := s.delay
+	s.mu.Unlock()
+	time.Sleep(delay)
+	s.mu.Lock()
 	return nil
 }
 
@@ -405,6 +417,28 @@
 	}
 }
 
+// TestSlowStoreLetsRestartedAgentBeAdopted guards against agents that no owner adopts after a restart
+// while the store is slow: each of their reports waited for a proof that is later than itself.
+func TestSlowStoreLetsRestartedAgentBeAdopted(t *testing.T) {
+	d := newDeployment(t, 1)
+	eventually(t, "the owner has written all that it must", d.isSettled)
+	address := d.address(t, "entry-0")
+	pool := connector.NewPool(connector.Security{}, metrics.NewRegistry())
+	defer pool.Close()
+	d.store.setDelay(time.Second)
+	report := messenger.Report{Host: "other", Address: "other:1", Incarnation: "other-2", Whole: true}
+	var reply messenger.ReportReply
+	for range 10 {
+		if err := pool.Call(t.Context(), address, messenger.MethodReport, report, &reply); err != nil {
+			t.Fatal(err)
+		}
+		if reply.Owner {
+			return
+		}
+	}
+	t.Error("the agent is not adopted after 10 reports")
+}
+
 // TestDelayedClaimSparesOwnerThatIsBack guards against an entry that was cut off from the owner and the
 // store, and deposes the owner, which never stopped, when its claim reaches the store at last.
 func TestDelayedClaimSparesOwnerThatIsBack(t *testing.T) {
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -113,8 +113,8 @@
 }
 
 // claim appends a claim in the next epoch to the journal of work, if it is still due once the store
-// has answered. If the store commits it, which
-// fences every earlier owner, claim reads the journal and takes over the workloads.
+// has answered. If the store commits it, which fences every earlier owner, claim reads the journal and
+// takes over the workloads.
 func (c *Coordinator) claim(ctx context.Context) {
 	defer func() {
 		c.mu.Lock()
@@ -588,7 +588,7 @@
 // handleReport processes an agent's report. The reply names the owner; only the owner's reply
 // comes from the conductor.
 func (c *Coordinator) handleReport(ctx context.Context, r messenger.Report) (messenger.ReportReply, error) {
-	mayAdopt := r.Epoch > 0 || c.awaitProof(ctx)
+	mayAdopt := r.Epoch > 0 || c.awaitProof(ctx, r)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.deps.Clock.Now()
@@ -610,13 +610,14 @@
 }
 
 // awaitProof waits, at most for maxProofWait, for a proof that this owner had no successor when the
-// call began, and reports whether there is one. A report of an agent that knows no epoch needs it: the
-// agent has restarted, and may have obeyed a successor before, which would not expect this owner to
-// renew its leases. An entry that is not the owner does not wait.
-func (c *Coordinator) awaitProof(ctx context.Context) bool {
+// process of the agent first reported, and reports whether there is one. A report of an agent that
+// knows no epoch needs it: the agent has restarted, and may have obeyed a successor before, which would
+// not expect this owner to renew its leases. An entry that is not the owner does not wait.
+func (c *Coordinator) awaitProof(ctx context.Context, r messenger.Report) bool {
 	began := c.deps.Clock.Now()
+	first := c.recordFirstReport(began, r)
 	for {
-		changed, proven := c.proofSince(began)
+		changed, proven := c.proofSince(first, began)
 		if proven || changed == nil {
 			return proven
 		}
@@ -629,17 +630,30 @@
 	}
 }
 
-// proofSince reports whether it is proven that this owner had no successor at some time since began. If
+// recordFirstReport returns when the agent's process that sent r first reported to this entry without
+// an epoch.
+func (c *Coordinator) recordFirstReport(now time.Time, r messenger.Report) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	first, ok := c.firstReports[r.Host]
+	if !ok || first.incarnation != r.Incarnation {
+		first = firstReport{incarnation: r.Incarnation, at: now}
+		c.firstReports[r.Host] = first
+	}
+	return first.at
+}
+
+// proofSince reports whether it is proven that this owner had no successor at some time since first. If
 // not, it requests a proof and returns a channel that is closed when something changes; nil if there
-// is nothing to wait for.
-func (c *Coordinator) proofSince(began time.Time) (changed <-chan struct{}, proven bool) {
+// is nothing to wait for, or a call that began at began has waited for maxProofWait.
+func (c *Coordinator) proofSince(first, began time.Time) (changed <-chan struct{}, proven bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.deps.Clock.Now()
 	if c.conductor == nil || !c.elector.HasAuthority(now) {
 		return nil, false
 	}
-	if c.elector.ProvenSince(now, began) {
+	if c.elector.ProvenSince(now, first) {
 		return nil, true
 	}
 	if now.Sub(began) > maxProofWait {
