Don't take a delayed ping for the end of an owner

An entry that took over could start tasks that an earlier owner still kept running.

Cause: a ping of the owner's name from another incarnation, or one that said that the ownership was released, counted as evidence that the owner had stopped. A partition may hold up a ping of an earlier incarnation, or one about an earlier epoch, until after the owner is known. The next owner then claims and doesn't wait for the end of the owner's authority.

Evidence: TestDelayedPingIsNotStoppedOwner failed before in both cases, with a stopped owner.

The owner now counts as replaced only as of a ping that was sent after it was known and that another incarnation replied to, and as stopped by a release only for its own epoch. A ping still lets another entry claim at once, which the store arbitrates.

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -551,7 +551,7 @@
 	if p == nil {
 		return now.Sub(latest(e.startedAt, e.ownerSince)) > e.config.OwnerTimeout+delay
 	}
-	if e.ownerReplaced(p) && !p.ping.Owner || p.gone || p.ping.Released || p.ping.Leaving && !p.ping.Owner {
+	if e.ownerReplaced(p, p.lastPingAt) && !p.ping.Owner || p.gone || e.ownerReleased(p) || p.ping.Leaving && !p.ping.Owner {
 		return e.rank(now) == 0 || now.Sub(p.lastPingAt) > delay
 	}
 	since := latest(latest(p.lastPingAt, e.ownerSince), latest(e.startedAt, e.resumedAt))
@@ -604,8 +604,8 @@
 }
 
 // PreviousOwnerStopped reports whether the owner is known to have stopped acting: it released the
-// ownership, its process was replaced, or there has been no other owner. An owner that this entry
-// doesn't know by name, or whose address refuses connections, may still act.
+// ownership, its process was replaced by one that replies, or there has been no other owner. An owner
+// that this entry doesn't know by name, or whose address refuses connections, may still act.
 func (e *Elector) PreviousOwnerStopped() bool {
 	if e.owner.Name == "" {
 		return e.epoch == 0
@@ -614,14 +614,19 @@
 		return true
 	}
 	p := e.peers[e.owner.Name]
-	return p != nil && (p.ping.Released || e.ownerReplaced(p))
+	return p != nil && (e.ownerReleased(p) || e.ownerReplaced(p, p.stateAsOf))
 }
 
-// ownerReplaced reports whether the owner's process is known to have been replaced: the peer of its
-// name pinged as another incarnation after this entry had learned of the owner. An incarnation
-// from the list of members may be an earlier one than the owner.
-func (e *Elector) ownerReplaced(p *peer) bool {
-	return p.ping.Member.Incarnation != e.owner.Incarnation && p.lastPingAt.After(e.ownerSince)
+// ownerReleased reports whether the owner, known as p, has released the epoch that it owns.
+func (e *Elector) ownerReleased(p *peer) bool {
+	return p.ping.Released && int64(p.ping.Epoch) >= e.epoch
+}
+
+// ownerReplaced reports whether the peer of the owner's name, as known at asOf, is another
+// incarnation, and this entry knew of the owner before. An incarnation from the list of members may
+// be an earlier one than the owner, and so may the sender of a ping that a partition held up.
+func (e *Elector) ownerReplaced(p *peer, asOf time.Time) bool {
+	return p.ping.Member.Incarnation != e.owner.Incarnation && asOf.After(e.ownerSince)
 }
 
 func latest(a, b time.Time) time.Time {
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -237,6 +237,53 @@
 	}
 }
 
+// TestDelayedPingIsNotStoppedOwner guards against tasks that run twice after a takeover: a ping that a
+// partition held up says nothing of what the owner does now.
+func TestDelayedPingIsNotStoppedOwner(t *testing.T) {
+	tests := []struct {
+		name string
+		ping messenger.Ping
+	}{
+		{name: "sent by an earlier incarnation", ping: ping("entry-a", 2, func(p *messenger.Ping) { p.Member.Incarnation = "entry-a-0" })},
+		{name: "sent after the release of an earlier epoch", ping: ping("entry-a", 2, func(p *messenger.Ping) { p.Released = true })},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := newFixture()
+			s.RecordOwner(s.now, 3, member("entry-a"))
+			s.now = s.now.Add(10 * time.Millisecond)
+			s.HandlePing(s.now, test.ping)
+			if diff := cmp.Diff(false, s.PreviousOwnerStopped()); diff != "" {
+				t.Errorf("the owner has stopped (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestAnsweredPingShowsReplacedOwner checks that the next owner need not wait for an owner whose process
+// has been replaced by one that answers, or that has released the ownership.
+func TestAnsweredPingShowsReplacedOwner(t *testing.T) {
+	tests := []struct {
+		name string
+		ping messenger.Ping
+	}{
+		{name: "replaced", ping: ping("entry-a", 0, func(p *messenger.Ping) { p.Member.Incarnation = "entry-a-2" })},
+		{name: "released", ping: ping("entry-a", 3, func(p *messenger.Ping) { p.Released = true })},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := newFixture()
+			s.RecordOwner(s.now, 3, member("entry-a"))
+			sent := s.now.Add(10 * time.Millisecond)
+			s.now = sent.Add(time.Millisecond)
+			s.HandlePingReply(sent, s.now, test.ping)
+			if diff := cmp.Diff(true, s.PreviousOwnerStopped()); diff != "" {
+				t.Errorf("the owner has stopped (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestOutdatedPeerIsNotReplacedOwner guards against a claim over an owner that acts, after all entries
 // restarted: what this entry knew of the owner's process was of an earlier one.
 func TestOutdatedPeerIsNotReplacedOwner(t *testing.T) {
