List two cases of TestJobsFinishExactlyOnce in KNOWN-RED.txt

Each found, once, that tasks that were done were started again while the machine was busy (load 64 on 8 cores). The cause isn't known; the log is in docs/logs.

--- a/prover/jobs_test.go
+++ b/prover/jobs_test.go
@@ -110,6 +110,9 @@
 			name += " and " + schedule[1].name
 		}
 		t.Run(name, func(t *testing.T) {
+			if name == "log loses answers" || name == "worker loses answers" {
+				knownRed(t)
+			}
 			t.Parallel()
 			// Two hosts can hold all the work, so that no task has to wait for the faulty host.
 			c := newCluster(t, options{entries: 2, hosts: 3, outageAllowance: faultDuration})
