--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -81,10 +81,12 @@
 
 	lastEnd         int
 	acknowledgedEnd int
-	pendingEnds     []pendingEnd
-	failureStreak   int
-	streakWorkload  string
-	failedAt        time.Time
+	// orderedEnd is the last end that orders have acknowledged.
+	orderedEnd     int
+	pendingEnds    []pendingEnd
+	failureStreak  int
+	streakWorkload string
+	failedAt       time.Time
 }
 
 func newHost(now time.Time, name, address string) *host {
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -58,6 +58,8 @@
 	hosts        []*modelHost
 	// undelivered holds the orders that are still to be delivered, by host.
 	undelivered map[string][]*messenger.Orders
+	// emptyOrders counts orders that start, stop and describe no run.
+	emptyOrders int
 	// provenAt is when the store was last online for the owner.
 	provenAt time.Time
 	// isolated is an earlier owner that is cut off from the store; nil if there is none.
@@ -419,6 +421,9 @@
 func (sim *simulation) deliver(owner *conductor.Conductor, undelivered map[string][]*messenger.Orders, isolated bool) {
 	for name, orders := range owner.TakeOrders() {
 		undelivered[name] = append(undelivered[name], orders)
+		if len(orders.Starts)+len(orders.Stops)+len(orders.Known) == 0 {
+			sim.emptyOrders++
+		}
 	}
 	for _, h := range sim.hosts {
 		for h.isolated == isolated && !h.disconnected && !h.agentDown && len(undelivered[h.name]) > 0 {
