--- a/elector/elector.go
+++ b/elector/elector.go
@@ -385,9 +385,9 @@
 	}
 }
 
-// MarkPeerGone records that a ping that was sent to another entry's address at sent was refused. The
-// process has ended, unless it has pinged since then or has another address. It is a reason to claim
-// but proves nothing, as a partition may refuse connections to a process that runs.
+// MarkPeerGone records that a ping that was sent to another entry's address at sent was refused. It is
+// ignored if the entry has pinged since then or has another address. A refusal is a reason to claim but
+// proves nothing, as a partition may refuse connections to a process that runs.
 func (e *Elector) MarkPeerGone(sent time.Time, member messenger.Member) {
 	p := e.peers[member.Name]
 	if p == nil || p.lastPingAt.After(sent) || p.ping.Member.Address != member.Address {
