--- a/conductor/report.go
+++ b/conductor/report.go
@@ -166,13 +166,8 @@
 			c.logger.Info("executor joined", "executor", e.id, "host", h.name, "dataCentre", e.dc, "rack", e.rack, "capacity", e.capacity.String())
 		}
 		if e.incarnation == record.Born {
-			// An agent that has not seen this epoch yet may still obey the last owner, which may renew
-			// its leases.
-			follows := int64(r.Epoch) >= c.epoch
-			e.listed = e.listed || follows && !state.Incomplete
-			if until := now.Add(c.config.Lease + c.config.Margin); follows || until.After(e.leaseEnd) {
-				e.leaseEnd = until
-			}
+			// An agent that has not seen this epoch yet may still obey the last owner.
+			e.listed = e.listed || int64(r.Epoch) >= c.epoch && !state.Incomplete
 			c.updateExecutor(now, e, state, c.processedOrders(r))
 		}
 	}
@@ -190,6 +185,11 @@
 func (c *Conductor) updateExecutor(now time.Time, e *executor, state *messenger.ExecutorState, processed int) {
 	c.changedExecutors[e] = true
 	e.capacity = state.Executor.Capacity.Value()
+	// The agent may return to an earlier owner that still acts, so that a report doesn't shorten what
+	// was inherited.
+	if until := now.Add(c.config.Lease + c.config.Margin); until.After(e.leaseEnd) {
+		e.leaseEnd = until
+	}
 	e.reachable = state.Reachable
 	if state.Draining && !e.draining {
 		c.logger.Info("executor draining", "executor", e.id, "host", e.host.name, "remainingMillis", state.RemainingMillis)
