Don't exclude the current agent of a host for a late report of an earlier one

Callers would see a host get no work from a new owner. Before an agent has got the reply of a new owner, a report of the agent process before it that arrives late took its place, and the owner then counted the current one as replaced for good: it answered all of its reports without a lease.

Only an agent that has got this owner's reply now excludes another one: those that reported before it, and the one that it replaces. An order of arrival that says nothing excludes none.

TestLateReportDoesNotExcludeAgent failed before ("the condition does not hold after 20s").

--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -1152,3 +1152,20 @@
 		})
 	}
 }
+
+// TestLateReportDoesNotExcludeAgent guards against a host that gets no work from a new owner: a report
+// of an earlier agent process that arrives between the first two of the current one must not make the
+// owner ignore the current one.
+func TestLateReportDoesNotExcludeAgent(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.run(2 * time.Second)
+	h := sim.hosts[0]
+	late := h.agent.Report(sim.now, true)
+	sim.restartAgent(h)
+	sim.run(2 * time.Second)
+	sim.replaceOwner(true)
+	sim.owner.Report(sim.now, h.agent.Report(sim.now, true))
+	sim.owner.Report(sim.now, late)
+	sim.submit(batchQueue, "w", tasks(1, 1000, time.Second))
+	sim.runUntil(20*time.Second, func() bool { return sim.state("w") == messenger.WorkloadCompleted })
+}
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -21,7 +21,9 @@
 	if h.incarnation != r.Incarnation && !c.replaceAgent(h, r) || r.TicketMillis < h.reportTicket {
 		return messenger.ReportReply{Epoch: int(c.epoch), Owner: true}
 	}
-	h.followsEpoch = h.followsEpoch || int64(r.Epoch) >= c.epoch
+	if !h.followsEpoch && int64(r.Epoch) >= c.epoch {
+		h.confirmAgent()
+	}
 	if h.address != r.Address {
 		h.address = r.Address
 		c.recordHost(h)
@@ -52,26 +54,21 @@
 
 // replaceAgent makes the sender of a report the current agent of its host, and reports whether it
 // did. A report may arrive after those of a later agent: an agent replaces one that follows
-// this owner's epoch only with a report that shows that it has got this owner's reply, and
-// those that this owner heard of earlier never replace it.
+// this owner's epoch only with a report that shows that it has got this owner's reply. Agents
+// before one that has got it never replace another.
 func (c *Conductor) replaceAgent(h *host, r messenger.Report) bool {
 	if h.replaced[r.Incarnation] {
 		return false
 	}
-	contact := slices.Index(h.contacts, r.Incarnation)
-	if h.followsEpoch && int64(r.Epoch) < c.epoch {
-		if contact < 0 {
-			h.contacts = append(h.contacts, r.Incarnation)
-		}
-		return false
+	if !slices.Contains(h.contacts, r.Incarnation) {
+		h.contacts = append(h.contacts, r.Incarnation)
 	}
-	if contact < 0 {
-		contact = len(h.contacts)
-	}
-	for _, earlier := range append(h.contacts[:contact:contact], h.incarnation) {
-		h.replaced[earlier] = true
+	if h.followsEpoch {
+		if int64(r.Epoch) < c.epoch {
+			return false
+		}
+		h.replaced[h.incarnation] = true
 	}
-	h.contacts = h.contacts[min(contact+1, len(h.contacts)):]
 	c.logger.Info("agent incarnation changed", "host", h.name, "incarnation", r.Incarnation, "before", h.incarnation)
 	h.incarnation = r.Incarnation
 	h.followsEpoch = false
@@ -88,6 +85,17 @@
 	return true
 }
 
+// confirmAgent records that the current agent follows this owner's epoch: those that reported before
+// it have been replaced.
+func (h *host) confirmAgent() {
+	h.followsEpoch = true
+	contact := slices.Index(h.contacts, h.incarnation)
+	for _, earlier := range h.contacts[:max(0, contact)] {
+		h.replaced[earlier] = true
+	}
+	h.contacts = h.contacts[contact+1:]
+}
+
 // recordEnds applies the ends of a report that lists nothing else.
 func (c *Conductor) recordEnds(now time.Time, h *host, r messenger.Report) {
 	for i := range r.Executors {
