--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -242,11 +242,6 @@
 // TakeOrders returns the pending orders by the name of the host and clears them.
 func (c *Conductor) TakeOrders() map[string]*messenger.Orders {
 	orders := c.orders
-	for name, o := range orders {
-		if h := c.hosts[name]; h != nil {
-			o.Seen = h.newAcknowledgments()
-		}
-	}
 	c.orders = map[string]*messenger.Orders{}
 	return orders
 }
--- a/conductor/ends.go
+++ b/conductor/ends.go
@@ -26,7 +26,7 @@
 	e.pendingEnds = append(e.pendingEnds, pendingEnd{number: end.Number, write: c.sequence + 1})
 	if len(c.dirty) == 0 && len(c.records) == 0 {
 		e.pendingEnds[len(e.pendingEnds)-1].write = c.sequence
-		c.acknowledge(e)
+		c.acknowledge(e.host, e)
 	}
 }
 
@@ -125,28 +125,15 @@
 	c.endWorkload(now, w, messenger.WorkloadCompleted)
 }
 
-// acknowledge advances the last end of an executor that is durable. The agent learns of it with the
-// next orders or the reply to its next report, whichever comes first.
-func (c *Conductor) acknowledge(e *executor) {
+// acknowledge orders the acknowledgment of the ends of an executor that have become durable.
+func (c *Conductor) acknowledge(h *host, e *executor) {
+	before := e.acknowledgedEnd
 	for len(e.pendingEnds) > 0 && e.pendingEnds[0].write <= c.durable {
 		e.acknowledgedEnd = e.pendingEnds[0].number
 		e.pendingEnds = e.pendingEnds[1:]
 	}
-}
-
-// newAcknowledgments returns the durable ends of a host's executors that no earlier orders have
-// acknowledged.
-func (h *host) newAcknowledgments() []messenger.DurableEnds {
-	var seen []messenger.DurableEnds
-	for _, e := range h.executorsByID() {
-		if e.acknowledgedEnd > e.orderedEnd {
-			e.orderedEnd = e.acknowledgedEnd
-			seen = append(seen, e.durableEnds())
-		}
+	if e.acknowledgedEnd > before {
+		orders := c.ordersFor(h)
+		orders.Seen = append(orders.Seen, messenger.DurableEnds{Executor: e.id, Born: e.incarnation, Through: e.acknowledgedEnd})
 	}
-	return seen
-}
-
-func (e *executor) durableEnds() messenger.DurableEnds {
-	return messenger.DurableEnds{Executor: e.id, Born: e.incarnation, Through: e.acknowledgedEnd}
 }
--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -81,12 +81,10 @@
 
 	lastEnd         int
 	acknowledgedEnd int
-	// orderedEnd is the last end that orders have acknowledged.
-	orderedEnd     int
-	pendingEnds    []pendingEnd
-	failureStreak  int
-	streakWorkload string
-	failedAt       time.Time
+	pendingEnds     []pendingEnd
+	failureStreak   int
+	streakWorkload  string
+	failedAt        time.Time
 }
 
 func newHost(now time.Time, name, address string) *host {
--- a/conductor/journal.go
+++ b/conductor/journal.go
@@ -269,7 +269,7 @@
 	}
 	for _, h := range c.hosts {
 		for _, e := range h.executors {
-			c.acknowledge(e)
+			c.acknowledge(h, e)
 		}
 	}
 }
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -44,7 +44,7 @@
 			c.observe(now, e)
 			reply.Presses = append(reply.Presses, c.interferenceUpdates(e)...)
 		}
-		reply.Seen = append(reply.Seen, e.durableEnds())
+		reply.Seen = append(reply.Seen, messenger.DurableEnds{Executor: e.id, Born: e.incarnation, Through: e.acknowledgedEnd})
 		if !e.reachable && e.leaseEnd.After(now) {
 			reply.Executors = append(reply.Executors, e.record)
 		}
