--- a/elector/elector.go
+++ b/elector/elector.go
@@ -398,7 +398,8 @@
 }
 
 // accountForEnd records that a process of a peer ended between p.stateAsOf and now. One that was out of
-// sight for less than OwnerTimeout can't have claimed and acted before.
+// sight for less than OwnerTimeout counts as one that has not claimed. That is not proven: an entry
+// whose pings the owner refuses claims earlier.
 func (e *Elector) accountForEnd(now time.Time, p *peer) {
 	if now.Sub(latest(p.stateAsOf, e.appendSentAt)) > e.config.OwnerTimeout {
 		p.unaccountedAt = now
