Grant a silent executor no later lease

Cause: the agent waits for the end of the last lease that a silent executor may have received, and each hold that it tried moved that end on, answered or not, as the owner went on renewing the lease.

A call that is carried out late grants no more than what is waited for.

--- a/custodian/custodian_test.go
+++ b/custodian/custodian_test.go
@@ -681,3 +681,27 @@
 		}
 	}
 }
+
+// TestSilentExecutorGetsNoLaterLease guards against tasks that never run again: holds that an executor
+// leaves without an answer may not move the end of its lease on, while the owner renews it.
+func TestSilentExecutorGetsNoLaterLease(t *testing.T) {
+	unanswered := apricotwinch.Errorf(apricotwinch.Unknown, "no answer")
+	s := newFixture()
+	calls, _ := s.HandleOrders(s.now, s.orders(order(0, 1, 1000)))
+	s.HandleStartAnswer(s.now, calls.Starts[0], custodian.Answer{Clock: s.clock()}, nil)
+	s.hold(custodian.HoldAnswer{Runs: []messenger.RunState{{Run: ref(0, 1)}}}, nil)
+	config := custodian.DefaultConfig()
+	silentFrom, lastGrant := s.now, time.Duration(0)
+	for s.now.Before(silentFrom.Add(config.SilenceTimeout + config.Lease + config.Margin + 100*time.Millisecond)) {
+		s.now = s.now.Add(100 * time.Millisecond)
+		lastGrant = max(lastGrant, s.hold(custodian.HoldAnswer{}, unanswered).Deadline)
+		s.Tick(s.now)
+		running := s.clock() <= lastGrant
+		if report := s.renew(); running && len(phases(report)) == 0 {
+			t.Fatalf("the run is given up %s after the executor fell silent, while its lease may last", s.now.Sub(silentFrom))
+		}
+	}
+	if diff := cmp.Diff(map[string]string{}, phases(s.Report(s.now, true))); diff != "" {
+		t.Errorf("runs %s after the executor fell silent (-want +got):\n%s", s.now.Sub(silentFrom), diff)
+	}
+}
--- a/custodian/executor.go
+++ b/custodian/executor.go
@@ -101,7 +101,10 @@
 	clock         time.Duration
 	clockAt       time.Time
 	lastContactAt time.Time
-	announcedAt   time.Time
+	// unansweredSince is when the first hold since the last answer was sent that failed; zero if none
+	// has.
+	unansweredSince time.Time
+	announcedAt     time.Time
 	// reportedAt is when a report first listed the executor. The owner's answers to this and later
 	// reports renew its leases until leaseUntil. The last lease that the executor may have
 	// received from this agent ends at grantedUntil.
--- a/custodian/hold.go
+++ b/custodian/hold.go
@@ -23,9 +23,8 @@
 		// anew, and would forget its own ends.
 		call.AckedEnd = e.durableEnd
 	}
-	if e.confirmed && e.leaseUntil.After(now) {
-		call.Deadline = e.deadline(e.leaseUntil)
-		e.grantedUntil = e.leaseUntil
+	if until := c.grant(now, e); e.confirmed && until.After(now) {
+		call.Deadline = e.deadline(until)
 	}
 	if e.confirmed && e.durableEnd >= e.lastEnd {
 		call.Wait = c.config.HoldWait
@@ -33,6 +32,16 @@
 	return call, true
 }
 
+// grant returns the end of the lease that the next call to an executor carries. A call without an answer
+// may have renewed the lease, so that a silent executor is granted no later end than before: its runs
+// would never count as ended.
+func (c *Custodian) grant(now time.Time, e *executor) time.Time {
+	if e.confirmed && (e.unansweredSince.IsZero() || now.Sub(e.unansweredSince) < c.config.SilenceTimeout) {
+		e.grantedUntil = e.leaseUntil
+	}
+	return e.grantedUntil
+}
+
 // HandleHoldAnswer takes the answer to a hold that was sent at sent. It returns the calls to make,
 // and reports whether a report to the owner is due at once.
 func (c *Custodian) HandleHoldAnswer(now, sent time.Time, call HoldCall, answer HoldAnswer, err error) (Calls, bool) {
@@ -42,6 +51,9 @@
 		return Calls{}, false
 	}
 	if err != nil {
+		if e.unansweredSince.IsZero() {
+			e.unansweredSince = sent
+		}
 		changed := c.handleHoldError(now, e, answer.Answer, err)
 		c.wholeReportDue = c.wholeReportDue || changed
 		return Calls{}, changed
@@ -52,6 +64,7 @@
 		return Calls{}, true
 	}
 	e.lastContactAt = now
+	e.unansweredSince = time.Time{}
 	e.ackedEnd = max(e.ackedEnd, call.AckedEnd)
 	e.updateClock(now, answer.Clock)
 	if !e.confirmed {
--- a/custodian/orders.go
+++ b/custodian/orders.go
@@ -117,9 +117,8 @@
 		calls.Stops = append(calls.Stops, RunCall{Executor: e.ID, Born: e.StartedMillis, Address: e.Address, Token: e.token, Run: r.order.Run})
 		return
 	}
-	e.grantedUntil = e.leaseUntil
 	calls.Starts = append(calls.Starts, StartCall{
-		Executor: e.ID, Born: e.StartedMillis, Address: e.Address, Token: e.token, Deadline: e.deadline(e.leaseUntil), Order: r.order,
+		Executor: e.ID, Born: e.StartedMillis, Address: e.Address, Token: e.token, Deadline: e.deadline(c.grant(now, e)), Order: r.order,
 	})
 }
 
