Evaluate executors only for tasks that may start

Cause: since executors are evaluated once a step, a step's candidates are computed before its tasks are looked at. After a takeover all inherited tasks wait until every host has reported. Until then each report made the new owner evaluate every executor for every waiting step, and such a step is never blocked. The reports that would have ended the wait queued behind that work, agents and standbys took the owner for silent, and each next owner began anew.

Fix: the candidates of a step are computed for the first task that may start.

TestInheritedTasksAreNotEvaluated failed before: 35,400 evaluations for 59 reports and 20 waiting steps of 60 executors, 0 now.

--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -1270,15 +1270,7 @@
 			c := conductor.New(conductor.DefaultConfig(), 1, true, hclog.NewNullLogger(), registry)
 			c.SetCatalog(catalog())
 			for i := range hosts {
-				name := fmt.Sprint("host-", i)
-				record := messenger.ExecutorRecord{
-					Id: "executor-" + name, Born: 1, Service: service, DataCentre: "dc",
-					Capacity: messenger.FromResources(apricotwinch.NewResources(16_000, 64<<30, 0)),
-				}
-				c.Report(origin, messenger.Report{
-					Host: name, Address: name + ":1", Incarnation: "1", TicketMillis: 1, Epoch: 1, Whole: true,
-					Executors: []messenger.ExecutorState{{Executor: record, Reachable: true}},
-				})
+				reportIdleHost(c, i, 1)
 			}
 			spec := &messenger.WorkloadSpec{Steps: []messenger.StepSpec{test.step}}
 			if _, err := c.Submit(origin, messenger.WorkloadRequest{Queue: urgentQueue, Id: "w", Spec: spec}); err != nil {
@@ -1301,6 +1293,57 @@
 	}
 }
 
+// reportIdleHost passes an owner the report of a host with one executor and no runs.
+func reportIdleHost(c *conductor.Conductor, number, epoch int) {
+	name := fmt.Sprint("host-", number)
+	record := messenger.ExecutorRecord{
+		Id: "executor-" + name, Born: 1, Service: service, DataCentre: "dc",
+		Capacity: messenger.FromResources(apricotwinch.NewResources(16_000, 64<<30, 0)),
+	}
+	c.Report(origin, messenger.Report{
+		Host: name, Address: name + ":1", Incarnation: "1", TicketMillis: 1, Epoch: epoch, Whole: true,
+		Executors: []messenger.ExecutorState{{Executor: record, Reachable: true}},
+	})
+}
+
+// TestInheritedTasksAreNotEvaluated guards against an owner that never catches up after a takeover: each
+// report made it evaluate all executors for tasks that had to wait for the reports of other hosts.
+func TestInheritedTasksAreNotEvaluated(t *testing.T) {
+	const hosts, workloads = 60, 20
+	first := conductor.New(conductor.DefaultConfig(), 1, true, hclog.NewNullLogger(), metrics.NewRegistry())
+	first.SetCatalog(catalog())
+	for i := range hosts {
+		reportIdleHost(first, i, 1)
+	}
+	for i := range workloads {
+		spec := &messenger.WorkloadSpec{Steps: []messenger.StepSpec{tasks(10, 1000, time.Second)}}
+		if _, err := first.Submit(origin, messenger.WorkloadRequest{Queue: urgentQueue, Id: fmt.Sprint("w", i), Spec: spec}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	journal, _ := first.TakeWrites()
+
+	registry := metrics.NewRegistry()
+	next := conductor.New(conductor.DefaultConfig(), 2, true, hclog.NewNullLogger(), registry)
+	next.SetCatalog(catalog())
+	if errs := next.Restore(origin, journal); len(errs) > 0 {
+		t.Fatal(errs)
+	}
+	evaluated := metrics.GetOrRegisterCounter("executors.evaluated", registry)
+	for i := range hosts - 1 {
+		reportIdleHost(next, i, 2)
+		next.Schedule(origin)
+	}
+	if diff := cmp.Diff(int64(0), evaluated.Count()); diff != "" {
+		t.Errorf("executors evaluated before the last host has reported (-want +got):\n%s", diff)
+	}
+	reportIdleHost(next, hosts-1, 2)
+	next.Schedule(origin)
+	if evaluated.Count() == 0 {
+		t.Error("no executor was evaluated after the last host had reported")
+	}
+}
+
 // TestEndsBeyondTheList guards against tasks that run again after they were done: an executor lists a
 // limited number of ends, and while the store is down none of them is acknowledged.
 func TestEndsBeyondTheList(t *testing.T) {
--- a/conductor/schedule.go
+++ b/conductor/schedule.go
@@ -154,8 +154,8 @@
 	if s.spec.Gang {
 		return p.startGang(s, pool)
 	}
-	candidates := p.candidates(s, pool)
-	reserveReached := false
+	var candidates []candidate
+	evaluated, reserveReached := false, false
 	for _, t := range s.tasks {
 		if s.waiting == 0 {
 			return true
@@ -167,6 +167,9 @@
 		if keepsReserve && reserveReached {
 			continue
 		}
+		if !evaluated {
+			candidates, evaluated = p.candidates(s, pool), true
+		}
 		at := p.cheapest(t, candidates, keepsReserve)
 		switch {
 		case at >= 0:
