Back off claims after silent owners were replaced

Cause: a new owner of a large fleet is busy with the reports of all hosts. One that doesn't answer for 0.7 s is replaced, which makes all hosts report anew to the next one: the election feeds the overload that it answers.

Fix: the silence after which an entry claims doubles with each silent owner that was replaced within 15 s, up to 2.8 s. Owners that are known to have stepped down, or whose connections are refused, are replaced as before.

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -21,8 +21,12 @@
 
 // Config holds the time limits and thresholds of an Elector.
 type Config struct {
-	// OwnerTimeout is how long an owner must be silent before another entry claims.
-	OwnerTimeout time.Duration
+	// OwnerTimeout is how long an owner must be silent before another entry claims. It doubles with
+	// each silent owner that was replaced within TakeoverWindow, up to MaxOwnerTimeout: a new owner
+	// may be too busy to answer.
+	OwnerTimeout, MaxOwnerTimeout time.Duration
+	// TakeoverWindow is how long the replacement of a silent owner counts.
+	TakeoverWindow time.Duration
 	// RankDelay is added to the wait before a claim for each entry that claims before this one, so
 	// that claims do not collide.
 	RankDelay time.Duration
@@ -80,6 +84,8 @@
 func DefaultConfig() Config {
 	return Config{
 		OwnerTimeout:       700 * time.Millisecond,
+		MaxOwnerTimeout:    2800 * time.Millisecond,
+		TakeoverWindow:     15 * time.Second,
 		RankDelay:          150 * time.Millisecond,
 		MaxAge:             time.Second,
 		MaxTakeoverPingAge: 500 * time.Millisecond,
@@ -179,6 +185,9 @@
 	activeAt, resumedAt time.Time
 	// ownerSeenAt is when an entry, this one included, was last known to own the workloads.
 	ownerSeenAt time.Time
+	// replacements holds when this entry learned that an owner had been replaced that was not known to
+	// have stepped down or to be gone.
+	replacements []time.Time
 	// supersededAt is when this entry learned of a later epoch without its owner.
 	supersededAt    time.Time
 	storeAnsweredAt time.Time
@@ -220,6 +229,7 @@
 	if e.owner != owner {
 		e.ownerSince = now
 	}
+	e.recordReplacement(now, epoch)
 	e.epoch = epoch
 	e.owner = owner
 	if owner != e.self {
@@ -231,13 +241,14 @@
 // RecordLaterEpoch records that a later epoch than this entry's exists. The entry stops owning the
 // workloads.
 func (e *Elector) RecordLaterEpoch(now time.Time, epoch int64) {
-	e.isOwner = false
 	if epoch > e.epoch {
+		e.recordReplacement(now, epoch)
 		e.epoch = epoch
 		e.owner = messenger.Member{}
 		e.released = false
 		e.supersededAt = now
 	}
+	e.isOwner = false
 }
 
 // RecordTakeover records that the store accepted this entry's claim of epoch. The entry reads the
@@ -255,6 +266,7 @@
 // RecordClaim records that the store accepted this entry's claim of epoch, which was sent at
 // sent.
 func (e *Elector) RecordClaim(sent, now time.Time, epoch int64) {
+	e.recordReplacement(now, epoch)
 	e.epoch = epoch
 	e.owner = e.self
 	e.isOwner = true
@@ -264,6 +276,36 @@
 	e.RecordStoreAnswer(now)
 }
 
+// recordReplacement counts the replacement of the owner of the greatest known epoch by that of a later
+// one, unless the owner is known to have stepped down or to be gone.
+func (e *Elector) recordReplacement(now time.Time, epoch int64) {
+	if e.epoch == 0 || epoch <= e.epoch || e.ownerEnded() {
+		return
+	}
+	e.replacements = slices.DeleteFunc(e.replacements, func(at time.Time) bool { return now.Sub(at) > e.config.TakeoverWindow })
+	e.replacements = append(e.replacements, now)
+}
+
+// ownerEnded reports whether the owner is known to have stepped down or seems to be gone.
+func (e *Elector) ownerEnded() bool {
+	if e.owner.Name == e.self.Name {
+		return !e.isOwner
+	}
+	p := e.peers[e.owner.Name]
+	return p != nil && (e.ownerLeaving(p) || e.ownerReleased(p) || e.ownerGone(p) || e.ownerReplaced(p))
+}
+
+// claimTimeout returns how long the owner must be silent before another entry claims.
+func (e *Elector) claimTimeout(now time.Time) time.Duration {
+	recent := 0
+	for _, at := range e.replacements {
+		if now.Sub(at) <= e.config.TakeoverWindow {
+			recent++
+		}
+	}
+	return apricotwinch.ExponentialBackoff(e.config.OwnerTimeout, e.config.MaxOwnerTimeout, recent)
+}
+
 // RecordAppend records that the store accepted an append in the epoch of this owner, which was
 // first sent at sent. It proves that no entry had claimed a later epoch by then; other answers of
 // the store prove nothing, as the store does not check the epoch for them.
@@ -588,7 +630,7 @@
 		wait := delay + e.config.RankDelay
 		if !e.supersededAt.IsZero() {
 			// Another entry has claimed, and is reading the journal before it acts.
-			wait += e.config.OwnerTimeout
+			wait += e.claimTimeout(now)
 		}
 		return now.Sub(latest(latest(e.startedAt, e.ownerSince), e.supersededAt)) > wait
 	}
@@ -599,12 +641,11 @@
 	if p == nil {
 		return now.Sub(latest(e.startedAt, e.ownerSince)) > e.config.OwnerTimeout+delay
 	}
-	leaving := p.ping.Member == e.owner && p.ping.Leaving && !p.ping.Owner
-	if leaving || e.ownerReleased(p) || e.ownerGone(p) || e.ownerReplaced(p) && !p.ping.Owner {
+	if e.ownerLeaving(p) || e.ownerReleased(p) || e.ownerGone(p) || e.ownerReplaced(p) && !p.ping.Owner {
 		return e.rank(now) == 0 || now.Sub(p.lastPingAt) > delay
 	}
 	since := latest(latest(p.lastPingAt, e.ownerSince), latest(e.startedAt, e.resumedAt))
-	return now.Sub(since) > e.config.OwnerTimeout+delay && !e.hostsReachOwner(now)
+	return now.Sub(since) > e.claimTimeout(now)+delay && !e.hostsReachOwner(now)
 }
 
 // isPeerTakingOver reports whether another entry is taking over the greatest known epoch.
@@ -666,6 +707,11 @@
 	return p != nil && (e.ownerReleased(p) || e.ownerReplaced(p))
 }
 
+// ownerLeaving reports whether the owner, which is the peer p, shuts down and has stopped acting.
+func (e *Elector) ownerLeaving(p *peer) bool {
+	return p.ping.Member == e.owner && p.ping.Leaving && !p.ping.Owner
+}
+
 // ownerReleased reports whether the owner, which is the peer p, released the ownership of the greatest
 // known epoch. It may have released that of an earlier epoch before it claimed again.
 func (e *Elector) ownerReleased(p *peer) bool {
--- a/elector/watch_test.go
+++ b/elector/watch_test.go
@@ -25,7 +25,9 @@
 	member messenger.Member
 	dead   bool
 	// frozen entries neither act nor answer; their processes are not gone.
-	frozen       bool
+	frozen bool
+	// busyUntil is until when an entry that took over neither acts nor answers.
+	busyUntil    time.Time
 	sent, served int
 }
 
@@ -40,6 +42,8 @@
 	claims  int
 	// isolated is the entry whose connections to others are refused, in both directions.
 	isolated string
+	// takeoverWork is for how long an entry that takes over is busy.
+	takeoverWork time.Duration
 }
 
 // newSimulatedFleet returns a fleet of n entries, each third one strong, that know each other.
@@ -70,7 +74,7 @@
 func (f *simulatedFleet) run(d time.Duration) {
 	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(lookPeriod) {
 		for _, e := range f.entries {
-			if !e.dead && !e.frozen {
+			if !e.dead && !e.frozen && !f.now.Before(e.busyUntil) {
 				f.step(e)
 			}
 		}
@@ -105,6 +109,7 @@
 	f.epoch = e.Epoch() + 1
 	e.RecordClaim(f.now, f.now, f.epoch)
 	f.ping(e, e.AllPingTargets(f.now))
+	e.busyUntil = f.now.Add(f.takeoverWork)
 }
 
 func (f *simulatedFleet) ping(e *simulatedEntry, targets []messenger.Member) {
@@ -114,7 +119,7 @@
 		switch {
 		case peer.dead, e.member.Name == f.isolated, m.Name == f.isolated:
 			e.MarkPeerGone(f.now, m)
-		case !peer.frozen:
+		case !peer.frozen && !f.now.Before(peer.busyUntil):
 			peer.served++
 			request := e.Ping(f.now, 0)
 			peer.HandlePing(f.now, request)
@@ -295,3 +300,21 @@
 		t.Errorf("%d claims during the cut, want at most 2", got)
 	}
 }
+
+// TestBusyOwnersAreNotReplacedInTurn guards against an ownership that never settles: each new owner is
+// replaced while it works through the reports of a large fleet, and the next one begins anew.
+func TestBusyOwnersAreNotReplacedInTurn(t *testing.T) {
+	f := newSimulatedFleet(t, 55, elector.DefaultConfig())
+	f.awaitOwner(2 * time.Second)
+	f.run(10 * time.Second)
+	claims := f.claims
+	f.takeoverWork = 1800 * time.Millisecond
+	f.owner().frozen = true
+	f.run(20 * time.Second)
+	if got := f.claims - claims; got > 3 {
+		t.Errorf("%d claims after the owner froze, want at most 3", got)
+	}
+	if f.owner() == nil {
+		t.Error("no owner 20 s after the owner froze")
+	}
+}
