Log what a takeover and long-running tasks wait for

After a takeover a long-running task stayed down for more than 9 s, and the owner's log did not show why: neither which executor held the barrier for inherited tasks, nor why a run was freed, nor what its task waited for.

The owner now logs, once a second until every executor of the last owner is listed or idle, how many are not, by reason, and the first of them; then how long that took. For a long-running task it logs why it lost its run, what it waits for once it has waited for 2 s, and how long it had none. Nothing is logged for each report; waits are kept in order of time, so that a tick looks at due ones only.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -63,10 +63,14 @@
 	sortedExecutors []*executor
 	// changedExecutors holds the executors that reported or lost a run since the last pass over the
 	// waiting steps.
-	changedExecutors       map[*executor]bool
-	allReconciled          bool
-	runs                   map[messenger.RunRef]*run
-	steps                  []*step
+	changedExecutors map[*executor]bool
+	allReconciled    bool
+	reconciliation   reconciliation
+	runs             map[messenger.RunRef]*run
+	steps            []*step
+	// waits holds the waits of long-running tasks, ended ones too, that were not logged yet, in order of
+	// their beginning.
+	waits                  []*wait
 	appraiser              *appraiser.Appraiser
 	monitor                *monitor.Monitor
 	interferenceRecordedAt time.Time
--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -54,6 +54,9 @@
 	// listed is whether an agent that has accepted this owner's epoch has listed the executor in
 	// a report, or no earlier owner used it.
 	listed bool
+	// incomplete is whether the last report that listed the executor didn't list all its runs and
+	// ends.
+	incomplete bool
 	// leaseEnd is when the runs of the executor have provably ended if no further report lists
 	// it.
 	leaseEnd  time.Time
@@ -125,10 +128,10 @@
 }
 
 // removeExecutor removes an incarnation of an executor that is gone and releases its runs.
-func (c *Conductor) removeExecutor(e *executor, reason string) {
+func (c *Conductor) removeExecutor(now time.Time, e *executor, reason string) {
 	c.logger.Info("executor gone", "executor", e.id, "host", e.host.name, "runs", len(e.runs), "reason", reason)
 	for _, run := range e.runs {
-		c.release(run)
+		c.release(now, run, reason)
 		c.count("runs.lost")
 	}
 	delete(c.changedExecutors, e)
@@ -141,9 +144,10 @@
 }
 
 // makeCurrent makes a run the current one of its task and adds it to its executor.
-func (c *Conductor) makeCurrent(r *run) {
+func (c *Conductor) makeCurrent(now time.Time, r *run) {
 	t := r.task
 	t.current = r
+	c.endWait(now, r)
 	t.step.waiting--
 	t.highestRun = max(t.highestRun, r.ref.Run)
 	c.track(r)
@@ -158,8 +162,8 @@
 }
 
 // release removes a run that has ended; its task waits again if that was its current run and it
-// is not done.
-func (c *Conductor) release(r *run) {
+// is not done. reason is why the run has ended, for the log.
+func (c *Conductor) release(now time.Time, r *run, reason string) {
 	if c.runs[r.ref] != r {
 		return
 	}
@@ -178,6 +182,7 @@
 	if !r.task.done {
 		r.task.step.waiting++
 		c.queueStep(r.task.step)
+		c.logFreed(now, r, reason)
 	}
 }
 
@@ -204,6 +209,8 @@
 	for name, h := range c.hosts {
 		c.tickHost(now, provenAt, name, h)
 	}
+	c.logReconciliation(now)
+	c.logWaits(now)
 	c.recordSettled(now)
 	c.queueDueOccurrences(now, wall)
 	c.recordInterference(now)
@@ -223,7 +230,7 @@
 		switch {
 		case !now.After(e.leaseEnd):
 		case provenAt.After(e.leaseEnd):
-			c.removeExecutor(e, "its leases have expired")
+			c.removeExecutor(now, e, "its leases have expired")
 		default:
 			// A successor may have renewed the leases before they expired.
 			e.reachable = false
--- a/conductor/journal.go
+++ b/conductor/journal.go
@@ -60,6 +60,7 @@
 			e.durable = true
 			e.leaseEnd = c.inheritedLeaseEnd(now)
 			h.executors[e.id] = e
+			c.reconciliation.inherited++
 		}
 		c.hosts[name] = h
 		return nil
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -58,6 +58,7 @@
 				s.readyAt = now
 			}
 			c.queueStep(s)
+			c.beginWaits(now, s)
 		}
 	}
 }
@@ -247,7 +248,7 @@
 		resumed:      t.checkpoint != "",
 	}
 	t.inherited = false
-	c.makeCurrent(r)
+	c.makeCurrent(now, r)
 	order := r.startOrder()
 	order.Ticket, _ = t.step.validTicket(now, e)
 	orders.Starts = append(orders.Starts, order)
--- /dev/null
+++ b/conductor/recovery.go
@@ -0,0 +1,203 @@
+package conductor
+
+import (
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// Periods and bounds of what is logged about a takeover and about long-running tasks without a run.
+const (
+	// reconciliationLogPeriod is the time between two lines about the executors that a new owner
+	// waits for.
+	reconciliationLogPeriod = time.Second
+	// hostSilence is the age of its last report from which on a host counts as silent in these lines.
+	hostSilence = time.Second
+	// longWait is how long a long-running task waits before the reason is logged.
+	longWait = 2 * time.Second
+	// maxWaitLines bounds the waits that are logged at one tick.
+	maxWaitLines = 16
+)
+
+// Reasons for which an executor that the last owner used is not listed.
+const (
+	hostSilent         = "host silent"
+	epochNotFollowed   = "epoch not followed"
+	executorUnreported = "executor not reported"
+	listIncomplete     = "list incomplete"
+)
+
+// waitReady is the reason for the wait of a task whose step has become ready.
+const waitReady = "ready"
+
+// reconciliation is the progress of a takeover, for the log.
+type reconciliation struct {
+	// inherited is the number of executors that the last owner used.
+	inherited int
+	loggedAt  time.Time
+	completed bool
+}
+
+// wait is a time in which a long-running task has no run.
+type wait struct {
+	task  *task
+	since time.Time
+	// reason is why the task has no run.
+	reason string
+}
+
+// unlistedReason returns why an executor that the last owner used is not listed.
+func (e *executor) unlistedReason(now time.Time) string {
+	switch {
+	case !e.host.reported || now.Sub(e.host.lastReportAt) > hostSilence:
+		return hostSilent
+	case !e.host.followsEpoch:
+		return epochNotFollowed
+	case e.incomplete:
+		return listIncomplete
+	}
+	return executorUnreported
+}
+
+// logReconciliation logs, once, that every executor that the last owner used is listed or idle, and
+// until then which ones are not.
+func (c *Conductor) logReconciliation(now time.Time) {
+	if c.reconciliation.completed {
+		return
+	}
+	took := now.Sub(c.startedAt)
+	if c.reconciled() {
+		c.reconciliation.completed = true
+		metrics.GetOrRegisterTimer("executors.reconciled", c.registry).Update(took)
+		c.logger.Info("executors reconciled", "epoch", c.epoch, "tookMillis", took.Milliseconds(), "inherited", c.reconciliation.inherited)
+		return
+	}
+	if now.Sub(c.reconciliation.loggedAt) < reconciliationLogPeriod {
+		return
+	}
+	c.reconciliation.loggedAt = now
+	counts := map[string]int{}
+	var first *executor
+	unlisted := 0
+	for _, e := range c.allExecutors() {
+		if e.listed {
+			continue
+		}
+		unlisted++
+		counts[e.unlistedReason(now)]++
+		if first == nil {
+			first = e
+		}
+	}
+	c.logger.Info("executors not listed", "epoch", c.epoch, "elapsedMillis", took.Milliseconds(), "executors", unlisted,
+		"hostSilent", counts[hostSilent], "epochNotFollowed", counts[epochNotFollowed],
+		"unreported", counts[executorUnreported], "incomplete", counts[listIncomplete],
+		"executor", first.id, "host", first.host.name, "reason", first.unlistedReason(now),
+		"reportAgeMillis", now.Sub(first.host.lastReportAt).Milliseconds(), "leaseMillis", first.leaseEnd.Sub(now).Milliseconds())
+}
+
+// beginWait records that a long-running task has no run, unless that is recorded already.
+func (c *Conductor) beginWait(now time.Time, t *task, reason string) {
+	if !t.step.spec.Lasting || t.done || t.current != nil || t.wait != nil {
+		return
+	}
+	t.wait = &wait{task: t, since: now, reason: reason}
+	c.waits = append(c.waits, t.wait)
+}
+
+// beginWaits records that the long-running tasks of a step that is ready have no run.
+func (c *Conductor) beginWaits(now time.Time, s *step) {
+	if !s.spec.Lasting || !s.occurrence.due {
+		return
+	}
+	reason := waitReady
+	if s.occurrence.workload.inherited && now.Equal(c.startedAt) {
+		reason = "takeover"
+	}
+	for _, t := range s.tasks {
+		c.beginWait(now, t, reason)
+	}
+}
+
+// logFreed logs that a long-running task has lost its run r, and begins its wait.
+func (c *Conductor) logFreed(now time.Time, r *run, reason string) {
+	if !r.task.step.spec.Lasting || r.task.step.occurrence.workload.terminal() {
+		return
+	}
+	c.beginWait(now, r.task, reason)
+	c.count("long_running.freed")
+	c.logger.Info("long-running task freed", "run", r.ref, "executor", r.executor.id, "host", r.executor.host.name, "reason", reason,
+		"runMillis", now.Sub(r.startedAt).Milliseconds())
+}
+
+// endWait records that a long-running task has the run r, and logs how long it had none if it may have
+// run before.
+func (c *Conductor) endWait(now time.Time, r *run) {
+	w := r.task.wait
+	if w == nil {
+		return
+	}
+	r.task.wait = nil
+	if w.reason == waitReady || r.ordersNumber == 0 {
+		return // It is the first run, or was found in a report and may have run all the time.
+	}
+	metrics.GetOrRegisterTimer("long_running.away", c.registry).Update(now.Sub(w.since))
+	c.logger.Info("long-running task restarted", "run", r.ref, "executor", r.executor.id, "awayMillis", now.Sub(w.since).Milliseconds(), "reason", w.reason)
+}
+
+// logWaits logs the waits that have become longer than longWait, each once.
+func (c *Conductor) logWaits(now time.Time) {
+	for lines := 0; len(c.waits) > 0 && lines < maxWaitLines; c.waits = c.waits[1:] {
+		w := c.waits[0]
+		if now.Sub(w.since) <= longWait {
+			return
+		}
+		if w.task.wait != w || w.task.done || w.task.step.occurrence.workload.terminal() {
+			continue
+		}
+		lines++
+		c.count("long_running.long_waits")
+		c.logger.Info("long-running task waits", "task", w.task.ref, "waitMillis", now.Sub(w.since).Milliseconds(), "since", w.reason,
+			"for", c.waitsFor(now, w.task), "blockedMillis", w.task.step.blockedMillis(now))
+	}
+}
+
+// blockedMillis returns for how many milliseconds the step has been blocked; 0 if it is not.
+func (s *step) blockedMillis(now time.Time) int64 {
+	if s.blockedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(s.blockedAt).Milliseconds()
+}
+
+// waitsFor returns what a task without a run waits for.
+func (c *Conductor) waitsFor(now time.Time, t *task) string {
+	q, ok := c.queue(t.step.occurrence.workload)
+	switch {
+	case !ok:
+		return "queue not configured"
+	case t.step.occurrence.workload.durableState == "":
+		return "workload not durable"
+	case t.inherited && !c.reconciled():
+		return "executors not listed"
+	case now.Before(t.notBefore):
+		return "backoff"
+	}
+	p := &schedulingPass{conductor: c, now: now, unreserved: map[string]map[string]int64{}, outlooks: map[*executor]map[string]outlook{}}
+	pool := p.pool(q.Service)
+	if len(pool) == 0 {
+		return "no usable executor"
+	}
+	candidates := p.candidates(t.step, pool)
+	switch {
+	case len(candidates) == 0:
+		return "no room"
+	case t.keepsReserve() && p.cheapest(t, candidates, true) < 0:
+		return "reserve"
+	case q.Advised:
+		return "advice"
+	case t.step.spec.Gang:
+		return "gang"
+	}
+	return "next pass"
+}
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -134,7 +134,7 @@
 			continue
 		}
 		t := run.task
-		c.release(run)
+		c.release(now, run, "refused")
 		t.avoid = run.executor
 		t.notBefore = now.Add(c.config.Backoff)
 		switch refusal.Kind {
@@ -150,7 +150,7 @@
 func (c *Conductor) updateExecutors(now time.Time, h *host, r messenger.Report) {
 	for _, gone := range r.Gone {
 		if e := h.executors[gone.Id]; e != nil && e.incarnation == gone.Born {
-			c.removeExecutor(e, "reported gone by its agent")
+			c.removeExecutor(now, e, "reported gone by its agent")
 		}
 	}
 	for _, e := range h.executors {
@@ -161,7 +161,7 @@
 		record := state.Executor
 		e := h.executors[record.Id]
 		if e != nil && e.incarnation < record.Born {
-			c.removeExecutor(e, "reborn")
+			c.removeExecutor(now, e, "reborn")
 			e = nil
 		}
 		if e == nil {
@@ -192,6 +192,7 @@
 
 func (c *Conductor) updateExecutor(now time.Time, e *executor, state *messenger.ExecutorState, processed int) {
 	c.changedExecutors[e] = true
+	e.incomplete = state.Incomplete
 	e.capacity = state.Executor.Capacity.Value()
 	// The agent may return to an earlier owner that still acts, so that a report doesn't shorten what
 	// was inherited.
@@ -216,7 +217,7 @@
 		if !listed[ref] && run.ordersNumber <= processed && !state.Incomplete {
 			c.logger.Info("run lost", "run", ref, "executor", e.id, "order", run.ordersNumber, "processed", processed)
 			c.count("runs.lost")
-			c.release(run)
+			c.release(now, run, "lost")
 		}
 	}
 	c.observeProgress(now, e, time.Duration(state.SilentMillis)*time.Millisecond)
@@ -289,7 +290,7 @@
 		c.track(run)
 		return run
 	}
-	c.makeCurrent(run)
+	c.makeCurrent(now, run)
 	c.logger.Info("run adopted", "run", state.Run, "executor", e.id, "phase", state.Phase)
 	c.count("runs.adopted")
 	return run
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -49,6 +49,8 @@
 	now    time.Time
 	random *rand.Rand
 
+	// logger is that of the owners.
+	logger       hclog.Logger
 	owner        *conductor.Conductor
 	epoch        int64
 	store        map[string][]byte
@@ -166,6 +168,7 @@
 		t:            t,
 		now:          origin,
 		random:       rand.New(rand.NewPCG(seed, seed)),
+		logger:       hclog.NewNullLogger(),
 		store:        map[string][]byte{},
 		undelivered:  map[string][]*messenger.Orders{},
 		doneTasks:    map[messenger.TaskRef]bool{},
@@ -194,7 +197,7 @@
 // earlier one is known to have stopped.
 func (sim *simulation) replaceOwner(clean bool) {
 	sim.epoch++
-	sim.owner = conductor.New(conductor.DefaultConfig(), sim.epoch, clean, hclog.NewNullLogger(), metrics.NewRegistry())
+	sim.owner = conductor.New(conductor.DefaultConfig(), sim.epoch, clean, sim.logger, metrics.NewRegistry())
 	sim.owner.SetCatalog(catalog())
 	if errs := sim.owner.Restore(sim.now, records(sim.store)); len(errs) > 0 {
 		sim.t.Fatalf("restore: %v", errs)
--- a/conductor/workload.go
+++ b/conductor/workload.go
@@ -87,6 +87,8 @@
 	// inherited is whether an earlier owner may have started the task, and this one has not. Such a
 	// task waits until every executor has listed its runs and ends.
 	inherited bool
+	// wait is since when and why a long-running task has no run; nil for any other task.
+	wait *wait
 }
 
 // run is one run of a task that has not ended.
