Log and measure reports that the owner applies late or not at all

An owner that is behind applied reports that were seconds old, and one without a proof or without authority dropped them whole. Neither showed in its log; only reports without a proof were counted.

The timer report.wait holds the time from a report's arrival at the handler to its application, and report.age how much longer it was under way than the fastest report of the same agent, by the agent's clock in the report, so that it includes what passes before the handler runs. A line at most once a second names reports that took over 0.6 s and reports that were ignored, by reason.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -127,6 +127,9 @@
 	lastClaim claimAttempt
 	// firstReports holds, by host, the first report of the last agent that knew no epoch.
 	firstReports map[string]firstReport
+	// reportWait and reportAge measure the reports of agents that this owner applies.
+	reportWait, reportAge metrics.Timer
+	reportLog             reportLog
 	// failedClaims counts the claims in a row that failed because another entry's claim came
 	// first.
 	failedClaims int
@@ -200,6 +203,9 @@
 		writerWake:   make(chan struct{}, 1),
 		senders:      map[string]*sender{},
 		firstReports: map[string]firstReport{},
+		reportWait:   metrics.GetOrRegisterTimer("report.wait", deps.Registry),
+		reportAge:    metrics.GetOrRegisterTimer("report.age", deps.Registry),
+		reportLog:    reportLog{clocks: map[string]agentClock{}},
 		outOfService: map[string]bool{},
 	}, nil
 }
@@ -361,6 +367,7 @@
 	}
 	c.advance(ctx, now, true)
 	c.renewProof(now)
+	c.logReports(now)
 }
 
 // renewProof appends the owner's record again, or whatever is to be written, when a new proof is
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -215,7 +215,9 @@
 	executor   *fakeExecutor
 	entries    []*coordinator.Coordinator
 	registries []metrics.Registry
-	stop       []context.CancelFunc
+	// logs holds the log lines of the entries, in JSON.
+	logs *logBuffer
+	stop []context.CancelFunc
 }
 
 func newDeployment(t *testing.T, entries int) *deployment {
@@ -229,6 +231,7 @@
 	t.Helper()
 	d := &deployment{
 		store: newFakeStore(),
+		logs:  &logBuffer{},
 		executor: &fakeExecutor{
 			began: time.Now(), takes: 50 * time.Millisecond,
 			running: map[messenger.RunRef]time.Time{}, starts: map[messenger.TaskRef]int{},
@@ -251,7 +254,8 @@
 		d.registries = append(d.registries, metrics.NewRegistry())
 		settings := coordinator.Settings{Name: fmt.Sprint("entry-", i), Listen: "127.0.0.1:0", ProcessorMillis: size}
 		entry, err := coordinator.New(settings, coordinator.Deps{
-			Log: d.store.log(), Clock: clock, Wall: time.Now, Logger: hclog.NewNullLogger(), Registry: d.registries[i],
+			Log: d.store.log(), Clock: clock, Wall: time.Now, Registry: d.registries[i],
+			Logger: hclog.New(&hclog.LoggerOptions{Output: d.logs, JSONFormat: true}),
 		})
 		if err != nil {
 			t.Fatal(err)
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -588,6 +588,7 @@
 // handleReport processes an agent's report. The reply names the owner; only the owner's reply
 // comes from the conductor.
 func (c *Coordinator) handleReport(ctx context.Context, r messenger.Report) (messenger.ReportReply, error) {
+	received := c.deps.Clock.Now()
 	mayAdopt := r.Epoch > 0 || c.awaitProof(ctx, r)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -597,10 +598,15 @@
 		c.endOwnership("an agent knows a later epoch")
 	}
 	reply := messenger.ReportReply{Epoch: int(c.elector.Epoch()), OwnerAddress: c.elector.Owner().Address}
-	if c.conductor != nil && c.elector.HasAuthority(now) && mayAdopt {
+	switch authority := c.elector.HasAuthority(now); {
+	case c.conductor == nil:
+	case authority && mayAdopt:
+		c.recordApplied(now, received, r)
 		reply = c.conductor.Report(now, r)
 		reply.OwnerAddress = c.self.Address
 		c.advance(context.WithoutCancel(ctx), now, false)
+	default:
+		c.recordIgnored(r, authority)
 	}
 	reply.LookoutMillis = int(c.elector.ReportInterval().Milliseconds())
 	if r.AsksMembers {
@@ -657,7 +663,6 @@
 		return nil, true
 	}
 	if now.Sub(began) > maxProofWait {
-		metrics.GetOrRegisterCounter("report.unproven", c.deps.Registry).Inc(1)
 		return nil, false
 	}
 	c.requestProof()
