Wake reports that wait for a proof only when there is one

When many agents restart at once, each report without an epoch waits for a proof that the owner has no successor. All of them looked for it at every change and each 25 ms, under the owner's lock, and so kept the owner from the work that they waited for.

A report now looks once, as it arrives, and is woken when an append or the replies of all peers prove the ownership as of its time. The tick and the end of an append request the next proof while a report waits. What counts as a proof is as before.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -127,6 +127,8 @@
 	lastClaim claimAttempt
 	// firstReports holds, by host, the first report of the last agent that knew no epoch.
 	firstReports map[string]firstReport
+	// proofWaits holds the calls that wait for a proof that this owner has no successor.
+	proofWaits map[*proofWait]struct{}
 	// reportWait and reportAge measure the reports of agents that this owner applies.
 	reportWait, reportAge metrics.Timer
 	reportLog             reportLog
@@ -164,12 +166,6 @@
 	yielding bool
 }
 
-// firstReport is when a process of an agent first reported.
-type firstReport struct {
-	incarnation string
-	at          time.Time
-}
-
 // claimAttempt is a claim and when it was first sent.
 type claimAttempt struct {
 	producer appender.Producer
@@ -203,6 +199,7 @@
 		writerWake:   make(chan struct{}, 1),
 		senders:      map[string]*sender{},
 		firstReports: map[string]firstReport{},
+		proofWaits:   map[*proofWait]struct{}{},
 		reportWait:   metrics.GetOrRegisterTimer("report.wait", deps.Registry),
 		reportAge:    metrics.GetOrRegisterTimer("report.age", deps.Registry),
 		reportLog:    reportLog{clocks: map[string]agentClock{}},
@@ -307,6 +304,7 @@
 		s.close()
 	}
 	c.senders = map[string]*sender{}
+	c.endProofWaits()
 	c.broadcast()
 }
 
@@ -371,11 +369,11 @@
 }
 
 // renewProof appends the owner's record again, or whatever is to be written, when a new proof is
-// due that this owner has no successor: the store accepts an append only if there is none. It
-// does so without authority too, as an owner may have lost that in a long outage of the store.
-// c.mu is held.
+// due, or awaited, that this owner has no successor: the store accepts an append only if there is
+// none. It does so without authority too, as an owner may have lost that in a long outage of the
+// store. c.mu is held.
 func (c *Coordinator) renewProof(now time.Time) {
-	if c.conductor != nil && (c.elector.ProofDue(now) || c.conductor.AwaitsProof()) {
+	if c.conductor != nil && (c.elector.ProofDue(now) || c.conductor.AwaitsProof() || len(c.proofWaits) > 0) {
 		c.requestProof()
 	}
 }
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -352,6 +352,7 @@
 	defer c.mu.Unlock()
 	if c.conductor == owner {
 		c.elector.RecordAppend(firstSent)
+		c.releaseProven(c.deps.Clock.Now())
 	}
 }
 
@@ -395,6 +396,7 @@
 		c.elector.RecordStoreAnswer(now)
 		owner.AppendCommitted(number, records)
 		c.broadcast()
+		c.requestAwaitedProof()
 		c.advance(ctx, now, false)
 		return true
 	case apricotwinch.KindOf(err) == apricotwinch.StaleEpoch:
@@ -538,6 +540,7 @@
 	if reply.Owner != nil {
 		c.elector.RecordOwner(now, int64(reply.Owner.Epoch), reply.Owner.Member)
 	}
+	c.releaseProven(now)
 }
 
 // applyPeerConfig puts the configuration of a peer in force if its version is later; encoded is
@@ -589,7 +592,10 @@
 // comes from the conductor.
 func (c *Coordinator) handleReport(ctx context.Context, r messenger.Report) (messenger.ReportReply, error) {
 	received := c.deps.Clock.Now()
-	mayAdopt := r.Epoch > 0 || c.awaitProof(ctx, r)
+	var first time.Time
+	if r.Epoch == 0 {
+		first = c.awaitProof(ctx, received, r)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.deps.Clock.Now()
@@ -600,7 +606,7 @@
 	reply := messenger.ReportReply{Epoch: int(c.elector.Epoch()), OwnerAddress: c.elector.Owner().Address}
 	switch authority := c.elector.HasAuthority(now); {
 	case c.conductor == nil:
-	case authority && mayAdopt:
+	case authority && (r.Epoch > 0 || c.elector.ProvenSince(now, first)):
 		c.recordApplied(now, received, r)
 		reply = c.conductor.Report(now, r)
 		reply.OwnerAddress = c.self.Address
@@ -614,57 +620,3 @@
 	}
 	return reply, nil
 }
-
-// awaitProof waits, at most for maxProofWait, for a proof that this owner had no successor when the
-// process of the agent first reported, and reports whether there is one. A report of an agent that
-// knows no epoch needs it: the agent has restarted, and may have obeyed a successor before, which would
-// not expect this owner to renew its leases. An entry that is not the owner does not wait.
-func (c *Coordinator) awaitProof(ctx context.Context, r messenger.Report) bool {
-	began := c.deps.Clock.Now()
-	first := c.recordFirstReport(began, r)
-	for {
-		changed, proven := c.proofSince(first, began)
-		if proven || changed == nil {
-			return proven
-		}
-		select {
-		case <-ctx.Done():
-			return false
-		case <-changed:
-		case <-c.deps.Clock.After(ownerRetryDelay):
-		}
-	}
-}
-
-// recordFirstReport returns when the agent's process that sent r first reported to this entry without
-// an epoch.
-func (c *Coordinator) recordFirstReport(now time.Time, r messenger.Report) time.Time {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	first, ok := c.firstReports[r.Host]
-	if !ok || first.incarnation != r.Incarnation {
-		first = firstReport{incarnation: r.Incarnation, at: now}
-		c.firstReports[r.Host] = first
-	}
-	return first.at
-}
-
-// proofSince reports whether it is proven that this owner had no successor at some time since first. If
-// not, it requests a proof and returns a channel that is closed when something changes; nil if there
-// is nothing to wait for, or a call that began at began has waited for maxProofWait.
-func (c *Coordinator) proofSince(first, began time.Time) (changed <-chan struct{}, proven bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := c.deps.Clock.Now()
-	if c.conductor == nil || !c.elector.HasAuthority(now) {
-		return nil, false
-	}
-	if c.elector.ProvenSince(now, first) {
-		return nil, true
-	}
-	if now.Sub(began) > maxProofWait {
-		return nil, false
-	}
-	c.requestProof()
-	return c.changed, false
-}
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -531,10 +531,18 @@
 	return provenAt
 }
 
-// ProvenSince reports whether this owner provably had no successor at some time since began. If it
-// knows no other entry, only the store can prove that.
+// ProvenThrough returns the latest time at which this owner provably had no successor. If it knows no
+// other entry, only the store can prove that.
+func (e *Elector) ProvenThrough(now time.Time) time.Time {
+	if len(e.peers) == 0 {
+		return e.appendSentAt
+	}
+	return e.ProvenAt(now)
+}
+
+// ProvenSince reports whether this owner provably had no successor at some time since began.
 func (e *Elector) ProvenSince(now, began time.Time) bool {
-	return !e.appendSentAt.Before(began) || len(e.peers) > 0 && !e.peersProvenAt(now).Before(began)
+	return !e.ProvenThrough(now).Before(began)
 }
 
 // ProofDue reports whether this owner should renew the proof that it has no successor.
