Apply the reports that wait in one batch with one pass

Cause: each report was followed by a scheduling pass under the lock that all messages take. The pass costs the more, the more steps wait, so that an owner that fell behind took longer for each report, and with it for each end, start and lease. Reports whose agents had given up the answer were applied too.

Fix: handlers put reports into an inbox; one goroutine applies all that wait, replies to them, as leases must not wait for decisions, and makes one pass. Then it waits as long as the batch took, at most 50 ms, so that passes leave half of the processor to messages and a batch grows with the load. A report with a later one of the same process behind it, which contains all that it says, is dropped and counted. An owner that isn't busy applies a report at once. Leases are granted as before: in answer to a report of that agent, from the time at which it was sent, and the owner counts from when it applies it. The proof that an agent without an epoch needs is awaited before it is queued.

Evidence: TestWaitingReportsShareOnePass: 60 reports that wait in 60 batches when the inbox gives one at a time, as the handlers did; now at most 3.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -115,6 +115,7 @@
 	self     messenger.Member
 	pool     *connector.Pool
 	listener net.Listener
+	reports  *reportQueue
 
 	mu      sync.Mutex
 	elector *elector.Elector
@@ -193,6 +194,7 @@
 		self:         self,
 		pool:         pool,
 		listener:     listener,
+		reports:      newReportQueue(),
 		startedAt:    deps.Clock.Now(),
 		elector:      elector.New(deps.Clock.Now(), elector.DefaultConfig(), self),
 		changed:      make(chan struct{}),
@@ -220,6 +222,7 @@
 	group.Go(func() error { c.tickLoop(groupCtx); return nil })
 	group.Go(func() error { c.pingLoop(groupCtx); return nil })
 	group.Go(func() error { c.writeLoop(groupCtx); return nil })
+	group.Go(func() error { c.reportLoop(groupCtx); return nil })
 	c.deps.Logger.Info("entry started", "entry", c.self.Name, "incarnation", c.self.Incarnation, "address", c.self.Address)
 	select {
 	case <-ctx.Done():
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -587,36 +587,3 @@
 		messenger.MethodCountWaiting:   connector.Handle(c.countLocally),
 	}
 }
-
-// handleReport processes an agent's report. The reply names the owner; only the owner's reply
-// comes from the conductor.
-func (c *Coordinator) handleReport(ctx context.Context, r messenger.Report) (messenger.ReportReply, error) {
-	received := c.deps.Clock.Now()
-	var first time.Time
-	if r.Epoch == 0 {
-		first = c.awaitProof(ctx, received, r)
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := c.deps.Clock.Now()
-	c.elector.HandleHostReport(now, r.Host, int64(r.Epoch), time.Duration(r.OwnerSilentMillis)*time.Millisecond)
-	if c.conductor != nil && !c.elector.IsOwner() {
-		c.endOwnership("an agent knows a later epoch")
-	}
-	reply := messenger.ReportReply{Epoch: int(c.elector.Epoch()), OwnerAddress: c.elector.Owner().Address}
-	switch authority := c.elector.HasAuthority(now); {
-	case c.conductor == nil:
-	case authority && (r.Epoch > 0 || c.elector.ProvenSince(now, first)):
-		c.recordApplied(now, received, r)
-		reply = c.conductor.Report(now, r)
-		reply.OwnerAddress = c.self.Address
-		c.advance(context.WithoutCancel(ctx), now, false)
-	default:
-		c.recordIgnored(r, authority)
-	}
-	reply.LookoutMillis = int(c.elector.ReportInterval().Milliseconds())
-	if r.AsksMembers {
-		reply.Members = c.elector.Standbys(now)
-	}
-	return reply, nil
-}
--- a/coordinator/proof.go
+++ b/coordinator/proof.go
@@ -23,29 +23,26 @@
 }
 
 // awaitProof waits, at most for maxProofWait, for a proof that this owner had no successor when the
-// process of the agent first reported, and returns when that was. A report of an agent that knows no
-// epoch needs the proof: the agent has restarted, and may have obeyed a successor before, which would
+// process of the agent first reported, and reports whether there is one. A report of an agent that
+// knows no epoch needs it: the agent has restarted, and may have obeyed a successor before, which would
 // not expect this owner to renew its leases. An entry that is not the owner does not wait.
-func (c *Coordinator) awaitProof(ctx context.Context, received time.Time, r messenger.Report) time.Time {
+func (c *Coordinator) awaitProof(ctx context.Context, received time.Time, r messenger.Report) bool {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	first := c.recordFirstReport(received, r)
-	wait := c.beginProofWait(first)
-	c.mu.Unlock()
-	if wait == nil {
-		return first
-	}
-	timeout := c.deps.Clock.NewTimer(maxProofWait)
-	defer timeout.Stop()
-	select {
-	case <-wait.proven:
-		return first
-	case <-timeout.Chan():
-	case <-ctx.Done():
+	if wait := c.beginProofWait(first); wait != nil {
+		c.mu.Unlock()
+		timeout := c.deps.Clock.NewTimer(maxProofWait)
+		select {
+		case <-wait.proven:
+		case <-timeout.Chan():
+		case <-ctx.Done():
+		}
+		timeout.Stop()
+		c.mu.Lock()
+		delete(c.proofWaits, wait)
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.proofWaits, wait)
-	return first
+	return c.conductor != nil && c.elector.ProvenSince(c.deps.Clock.Now(), first)
 }
 
 // recordFirstReport returns when the agent's process that sent r, which was received at received, first
--- /dev/null
+++ b/coordinator/reports_test.go
@@ -0,0 +1,96 @@
+package coordinator_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
+
+	"apricotwinch/appender"
+	"apricotwinch/cataloger"
+	"apricotwinch/connector"
+	"apricotwinch/coordinator"
+	"apricotwinch/messenger"
+	"apricotwinch/timekeeper"
+)
+
+// heldOwner is an owner whose ticks, and all that waits for them, stop while hold is locked.
+type heldOwner struct {
+	hold     sync.RWMutex
+	ticks    atomic.Int64
+	registry metrics.Registry
+	address  string
+}
+
+func newHeldOwner(t *testing.T) *heldOwner {
+	t.Helper()
+	owner := &heldOwner{registry: metrics.NewRegistry()}
+	store := newFakeStore()
+	entry, err := coordinator.New(coordinator.Settings{Name: "entry-0", Listen: "127.0.0.1:0"}, coordinator.Deps{
+		Log: store.log(), Clock: timekeeper.New(), Logger: hclog.NewNullLogger(), Registry: owner.registry,
+		Wall: func() time.Time {
+			owner.ticks.Add(1)
+			owner.hold.RLock()
+			defer owner.hold.RUnlock()
+			return time.Now()
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	entry.SetCatalog(cataloger.New(1, 1<<20, []cataloger.Queue{{Name: "q", Host: "h", Prefix: "/", Service: "s", MaxAttempts: 3}}))
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	t.Cleanup(func() { cancel(); running.Wait() })
+	running.Go(func() { entry.Run(ctx) })
+	running.Go(func() {
+		for ctx.Err() == nil {
+			entry.RecordStoreAnswer()
+			timekeeper.Sleep(ctx, timekeeper.New(), 50*time.Millisecond)
+		}
+	})
+	eventually(t, "the entry is the owner", func() bool { return store.has(appender.JournalWork, "settled") })
+	d := &deployment{store: store}
+	owner.address = d.address(t, "entry-0")
+	return owner
+}
+
+func (o *heldOwner) count(name string) int64 {
+	return metrics.GetOrRegisterCounter(name, o.registry).Count()
+}
+
+// TestWaitingReportsShareOnePass guards against an overload that feeds itself: as an owner fell behind,
+// each report that waited cost it a scheduling pass over all the work that waited.
+func TestWaitingReportsShareOnePass(t *testing.T) {
+	const reports, maxBatches = 60, 3
+	owner := newHeldOwner(t)
+	pool := connector.NewPool(connector.Security{}, metrics.NewRegistry())
+	defer pool.Close()
+	owner.hold.Lock()
+	ticks := owner.ticks.Load()
+	eventually(t, "a tick is held", func() bool { return owner.ticks.Load() > ticks })
+	received, batches := owner.count("report.received"), owner.count("report.batches")
+	var calls sync.WaitGroup
+	for i := range reports {
+		calls.Go(func() {
+			var reply messenger.ReportReply
+			report := messenger.Report{Host: fmt.Sprint("host-", i), Address: "host:1", Incarnation: "1", TicketMillis: 1, Epoch: 1, Whole: true}
+			if err := pool.Call(t.Context(), owner.address, messenger.MethodReport, report, &reply); err != nil {
+				t.Error(err)
+			} else if !reply.Owner || !reply.Lease {
+				t.Errorf("reply %+v renews no lease", reply)
+			}
+		})
+	}
+	eventually(t, "all reports wait", func() bool { return owner.count("report.received")-received == reports })
+	owner.hold.Unlock()
+	calls.Wait()
+	if got := owner.count("report.batches") - batches; got > maxBatches {
+		t.Errorf("%d reports were applied in %d batches, want at most %d", reports, got, maxBatches)
+	}
+}
