Wait longer for an owner that is late

Cause: an agent gave up the answer to a report after 0.6 s, closed the connection, forgot the owner and asked four other entries at a time each 30 ms. The answer that came later renewed no lease; the report was sent again. An owner that was late by more than 0.6 s renewed no lease at all, for as long as it was late, and its runs ended and were started again. A failed short report to a standby also made the next report to the owner a whole one.

Fix: custodian.Reporter doubles the timeout with each answer that doesn't come, up to 1.8 s, and keeps it while answers are late. An owner that can be reached is given up after 2.4 s without an answer; one that can't be reached after 0.6 s, as before. There is one report to an owner under way at a time, and short reports don't wait for it, so that standbys hear of its silence and tell of a successor as before. The rounds of a search double from 30 to 120 ms. Leases still last from the time at which the report was sent; nothing is granted that wasn't before.

Evidence: TestLateAnswersOfOwnerCount failed before: with an owner that answers after 1 s, an agent accepted no answer in 20 s.

--- a/attendant/attendant.go
+++ b/attendant/attendant.go
@@ -44,8 +44,8 @@
 	standbysPeriod = time.Second
 	// searchedAtOnce is how many entries of the store's list are asked for the owner at once.
 	searchedAtOnce = 4
-	// peerTimeout bounds a call to an entry.
-	peerTimeout = 600 * time.Millisecond
+	// shortReportTimeout bounds a short report.
+	shortReportTimeout = 600 * time.Millisecond
 	// dialTimeout bounds the dial of an entry.
 	dialTimeout = 400 * time.Millisecond
 	// executorTimeout bounds a hold, beyond the wait that the executor is asked for.
@@ -54,9 +54,12 @@
 	// and one without an answer is repeated and takes effect once.
 	orderTimeout = 300 * time.Millisecond
 	// holdPause is the time between two holds while ends are not durable yet, or after a failed
-	// hold. It also bounds the wait between two rounds of reports while no owner is
-	// known.
+	// hold.
 	holdPause = 30 * time.Millisecond
+	// searchPeriod is the time between the first two rounds of short reports while no owner is known;
+	// it doubles up to maxSearchPeriod.
+	searchPeriod    = 30 * time.Millisecond
+	maxSearchPeriod = 120 * time.Millisecond
 	// membersRetryPeriod is the time between the first reads of the members from the store while
 	// no owner is known; it doubles up to maxMembersRetryPeriod.
 	membersRetryPeriod    = 500 * time.Millisecond
@@ -120,12 +123,16 @@
 	holdLoops map[string]bool
 	// members holds the entries that the store lists, by name, and standbys those that take short
 	// reports, as an entry last named them.
-	members      map[string]messenger.Member
-	standbys     []messenger.Member
-	owner        string
-	ownerSeenAt  time.Time
-	shortReports map[string]shortReport
-	standbysAt   time.Time
+	members  map[string]messenger.Member
+	standbys []messenger.Member
+	owner    string
+	reporter custodian.Reporter
+	// reportingTo is the owner that has yet to answer a report, or empty; reportPending is whether
+	// another report is due after the answer.
+	reportingTo   string
+	reportPending bool
+	shortReports  map[string]shortReport
+	standbysAt    time.Time
 }
 
 // shortReport is the last short report to an entry, and the interval that the entry asks for
@@ -332,20 +339,19 @@
 	return messenger.OrdersReply{Accepted: true}, nil
 }
 
-// reportLoop reports the state of the executors to the owner, at once after a change.
+// reportLoop reports the state of the executors to the owner, at once after a change. Short reports
+// don't wait for the owner's answer.
 func (a *Attendant) reportLoop(ctx context.Context) {
+	searches := 0
 	for ctx.Err() == nil {
-		a.mu.Lock()
-		owner := a.owner
-		a.mu.Unlock()
-		if owner != "" {
-			a.sendReport(ctx, owner, true)
-		}
-		a.sendShortReports(ctx)
 		wait := reportPeriod
-		if owner == "" {
-			wait = holdPause
+		if a.startReport(ctx) {
+			searches = 0
+		} else {
+			wait = apricotwinch.ExponentialBackoff(searchPeriod, maxSearchPeriod, searches)
+			searches++
 		}
+		a.sendShortReports(ctx)
 		timekeeper.Sleep(ctx, a.deps.Clock, minReportInterval)
 		select {
 		case <-ctx.Done():
@@ -356,6 +362,38 @@
 	}
 }
 
+// startReport starts a report to the owner, or makes it due after the answer to the last one. It
+// reports whether an owner is known.
+func (a *Attendant) startReport(ctx context.Context) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.owner == "" {
+		return false
+	}
+	if a.reportingTo == a.owner {
+		a.reportPending = true
+		return true
+	}
+	a.reportingTo = a.owner
+	go a.reportTo(ctx, a.owner)
+	return true
+}
+
+// reportTo sends a report to an owner, and makes the next one go out if it became due meanwhile.
+func (a *Attendant) reportTo(ctx context.Context, owner string) {
+	a.sendReport(ctx, owner, true)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.reportingTo != owner {
+		return
+	}
+	a.reportingTo = ""
+	if a.reportPending {
+		a.reportPending = false
+		a.triggerReport()
+	}
+}
+
 // sendShortReports reports to the standbys that the host is up and how long the owner has not
 // answered it, and to some other entries while no owner is known.
 func (a *Attendant) sendShortReports(ctx context.Context) {
@@ -365,7 +403,7 @@
 	for _, m := range append(a.searchedMembers(now), a.standbys...) {
 		last := a.shortReports[m.Address]
 		period := shortReportPeriod
-		if a.owner != "" && now.Sub(a.ownerSeenAt) < shortReportPeriod {
+		if a.owner != "" && now.Sub(a.reporter.AnsweredAt()) < shortReportPeriod {
 			period = max(period, last.period)
 		}
 		if m.Address == a.owner || now.Sub(last.sentAt) < period {
@@ -397,38 +435,36 @@
 
 // sendReport sends a report and applies the answer.
 func (a *Attendant) sendReport(ctx context.Context, address string, full bool) {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
 	a.mu.Lock()
 	sent := a.deps.Clock.Now()
 	report := a.custodian.Report(sent, false)
+	timeout := shortReportTimeout
 	if full {
 		report = a.custodian.NextReport(sent)
+		timeout = a.reporter.AnswerTimeout()
 	}
 	report.AsksMembers = sent.Sub(a.standbysAt) > standbysPeriod
 	a.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	var reply messenger.ReportReply
 	err := a.pool.Call(ctx, address, messenger.MethodReport, report, &reply)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.deps.Clock.Now()
 	if err != nil {
-		a.custodian.RequireWholeReport()
-		metrics.GetOrRegisterCounter("report.failed."+string(apricotwinch.KindOf(err)), a.deps.Registry).Inc(1)
-		if full && a.owner == address && now.Sub(a.ownerSeenAt) > peerTimeout {
-			a.setOwner("", a.custodian.Epoch(), "the owner does not answer")
-		}
+		a.handleReportFailure(now, address, full, apricotwinch.KindOf(err))
 		return
 	}
 	a.custodian.HandleReportAnswer(now, sent, reply)
 	a.setStandbys(now, address, reply)
 	switch {
 	case reply.Owner && reply.Epoch >= a.custodian.Epoch():
-		a.ownerSeenAt = now
 		if a.owner != address {
 			a.setOwner(address, reply.Epoch, "the entry reports that it is the owner")
 			a.triggerReport()
 		}
+		a.reporter.HandleAnswer(now, sent)
 	case !reply.Owner && reply.OwnerAddress == address && a.owner == address:
 		// The owner may not act at present. It will continue, or another entry takes over.
 	case !reply.Owner && reply.OwnerAddress != "" && reply.Epoch >= a.custodian.Epoch() && reply.OwnerAddress != a.owner:
@@ -441,12 +477,25 @@
 	}
 }
 
+// handleReportFailure makes the next report list everything again, and forgets an owner that is gone.
+// The caller holds a.mu.
+func (a *Attendant) handleReportFailure(now time.Time, address string, full bool, kind apricotwinch.Kind) {
+	metrics.GetOrRegisterCounter("report.failed."+string(kind), a.deps.Registry).Inc(1)
+	if !full {
+		return
+	}
+	a.custodian.RequireWholeReport()
+	if a.owner == address && a.reporter.HandleFailure(now, kind) {
+		a.setOwner("", a.custodian.Epoch(), "the owner does not answer")
+	}
+}
+
 // setOwner changes the address that reports are sent to. The caller holds a.mu.
 func (a *Attendant) setOwner(address string, epoch int, reason string) {
 	a.deps.Logger.Info("owner", "address", address, "epoch", epoch, "before", a.owner, "reason", reason)
 	a.owner = address
 	a.custodian.RequireWholeReport()
-	a.ownerSeenAt = a.deps.Clock.Now()
+	a.reporter.HandleOwner(a.deps.Clock.Now())
 }
 
 // setStandbys records the entries that take short reports, and the interval that an entry asks
