Fail one report, not the entry, when a bug panics

Since reports are applied in batches, a panic while one is applied ended the process: the server recovers from panics of handlers alone. Now it fails the one report with kind Internal, as before, and the others of the batch get their replies.

Evidence: TestPanicFailsOneReport ended the test's process before.

--- a/coordinator/reports.go
+++ b/coordinator/reports.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -89,20 +90,32 @@
 // must not wait for it.
 func (c *Coordinator) applyReports(ctx context.Context, batch []*conductor.WaitingReport) {
 	metrics.GetOrRegisterCounter("report.batches", c.deps.Registry).Inc(1)
-	replies := make([]messenger.ReportReply, len(batch))
+	results := make([]reportResult, len(batch))
 	c.mu.Lock()
 	for i, r := range batch {
-		replies[i] = c.applyReport(c.deps.Clock.Now(), r)
+		results[i] = c.applyRecovering(r)
 	}
 	c.mu.Unlock()
 	for i, r := range batch {
-		r.Reply(replies[i], nil)
+		r.Reply(results[i].reply, results[i].err)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.advance(ctx, c.deps.Clock.Now(), false)
 }
 
+// applyRecovering applies a report. A panic, which would end the process with all that it serves, fails
+// the one report with kind Internal instead. c.mu is held.
+func (c *Coordinator) applyRecovering(r *conductor.WaitingReport) (result reportResult) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			metrics.GetOrRegisterCounter("report.panics", c.deps.Registry).Inc(1)
+			result.err = apricotwinch.Errorf(apricotwinch.Internal, "report of %s: panic: %v\n%s", r.Report.Host, cause, debug.Stack())
+		}
+	}()
+	return reportResult{reply: c.applyReport(c.deps.Clock.Now(), r)}
+}
+
 // applyReport applies a report and returns the reply. The reply names the owner; only the owner's
 // reply comes from the conductor. c.mu is held.
 func (c *Coordinator) applyReport(now time.Time, w *conductor.WaitingReport) messenger.ReportReply {
--- a/coordinator/reports_test.go
+++ b/coordinator/reports_test.go
@@ -1,16 +1,20 @@
 package coordinator_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/hashicorp/go-hclog"
 	"github.com/rcrowley/go-metrics"
 
+	"apricotwinch"
 	"apricotwinch/appender"
 	"apricotwinch/cataloger"
 	"apricotwinch/connector"
@@ -27,12 +31,25 @@
 	address  string
 }
 
-func newHeldOwner(t *testing.T) *heldOwner {
+// panickingLog is a log that panics once, at the first line about a host.
+type panickingLog struct {
+	host     string
+	panicked atomic.Bool
+}
+
+func (l *panickingLog) Write(line []byte) (int, error) {
+	if bytes.Contains(line, []byte(l.host)) && l.panicked.CompareAndSwap(false, true) {
+		panic("line about " + l.host)
+	}
+	return len(line), nil
+}
+
+func newHeldOwner(t *testing.T, log io.Writer) *heldOwner {
 	t.Helper()
 	owner := &heldOwner{registry: metrics.NewRegistry()}
 	store := newFakeStore()
 	entry, err := coordinator.New(coordinator.Settings{Name: "entry-0", Listen: "127.0.0.1:0"}, coordinator.Deps{
-		Log: store.log(), Clock: timekeeper.New(), Logger: hclog.NewNullLogger(), Registry: owner.registry,
+		Log: store.log(), Clock: timekeeper.New(), Logger: hclog.New(&hclog.LoggerOptions{Output: log}), Registry: owner.registry,
 		Wall: func() time.Time {
 			owner.ticks.Add(1)
 			owner.hold.RLock()
@@ -68,7 +85,7 @@
 // each report that waited cost it a scheduling pass over all the work that waited.
 func TestWaitingReportsShareOnePass(t *testing.T) {
 	const reports, maxBatches = 60, 3
-	owner := newHeldOwner(t)
+	owner := newHeldOwner(t, io.Discard)
 	pool := connector.NewPool(connector.Security{}, metrics.NewRegistry())
 	defer pool.Close()
 	owner.hold.Lock()
@@ -94,3 +111,20 @@
 		t.Errorf("%d reports were applied in %d batches, want at most %d", reports, got, maxBatches)
 	}
 }
+
+// TestPanicFailsOneReport guards against an owner whose process ends by a bug that one report meets.
+func TestPanicFailsOneReport(t *testing.T) {
+	owner := newHeldOwner(t, &panickingLog{host: "odd-host"})
+	pool := connector.NewPool(connector.Security{}, metrics.NewRegistry())
+	defer pool.Close()
+	for _, test := range []struct {
+		host string
+		want apricotwinch.Kind
+	}{{host: "odd-host", want: apricotwinch.Internal}, {host: "host", want: ""}} {
+		report := messenger.Report{Host: test.host, Address: "host:1", Incarnation: "1", TicketMillis: 1, Epoch: 1, Whole: true}
+		err := pool.Call(t.Context(), owner.address, messenger.MethodReport, report, new(messenger.ReportReply))
+		if diff := cmp.Diff(test.want, apricotwinch.KindOf(err)); diff != "" {
+			t.Errorf("kind for %s (-want +got):\n%s", test.host, diff)
+		}
+	}
+}
