Count only silent owners as replaced in silence

Callers would see a takeover of 1.4 to 2.9 s in place of 0.7 s after the owner was killed, stepped down or yielded in the last 15 s and the next one freezes.

Cause: the back-off of claims counts each replacement that this entry has not seen a reason for. Most entries learn of the next owner by its first ping, before they notice that connections to the last one are refused, and some lose or reorder the ping by which an owner steps down.

Fix: a replacement counts only if this entry had not heard the owner for OwnerTimeout less one PingInterval. A standby claims from a silent owner no earlier than that; the kill of an owner is answered within PingInterval.

Evidence: TestKilledOwnerIsNotCountedAsSilent failed before (no claim a second after the next owner fell silent).

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -280,9 +280,9 @@
 }
 
 // recordReplacement counts the replacement of the owner of the greatest known epoch by that of a later
-// one, unless the owner is known to have stepped down or to be gone.
+// one, if the owner was silent before and is not known to have stepped down or to be gone.
 func (e *Elector) recordReplacement(now time.Time, epoch int64) {
-	if e.epoch == 0 || epoch <= e.epoch || e.ownerEnded() {
+	if e.epoch == 0 || epoch <= e.epoch || e.ownerEnded() || e.heardOwner(now) {
 		return
 	}
 	if e.isOwner {
@@ -301,6 +301,13 @@
 	return p != nil && (e.ownerLeaving(p) || e.ownerReleased(p) || e.ownerGone(p) || e.ownerReplaced(p))
 }
 
+// heardOwner reports whether the owner was heard so recently that no standby can have taken it for
+// silent: two standbys hear it up to PingInterval apart.
+func (e *Elector) heardOwner(now time.Time) bool {
+	p := e.peers[e.owner.Name]
+	return p != nil && now.Sub(p.lastPingAt) < e.config.OwnerTimeout-e.config.PingInterval
+}
+
 // claimTimeout returns how long the owner must be silent before another entry claims.
 func (e *Elector) claimTimeout(now time.Time) time.Duration {
 	recent := 0
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -689,3 +689,17 @@
 		})
 	}
 }
+
+// TestKilledOwnerIsNotCountedAsSilent guards against a slow takeover after the kill of an owner: entries
+// that learned of its successor before they noticed the kill took it for a silent owner that was replaced.
+func TestKilledOwnerIsNotCountedAsSilent(t *testing.T) {
+	s := newFixture()
+	s.advance(time.Second, true, ping("entry-a", 1, asOwner), ping("entry-c", 1, nil))
+	s.now = s.now.Add(250 * time.Millisecond)
+	s.HandlePing(s.now, ping("entry-c", 2, asOwner))
+	s.MarkPeerGone(s.now, member("entry-a"))
+	s.advance(3*time.Second, true, ping("entry-c", 2, asOwner))
+	if diff := cmp.Diff(elector.Claim, s.advance(time.Second, true)); diff != "" {
+		t.Errorf("action a second after the next owner fell silent (-want +got):\n%s", diff)
+	}
+}
