Look for tickets only for tasks that may start

Callers of a large deployment would see an owner that doesn't catch up after a takeover while steps of queues with advice wait.

Fix: such a step is passed over until one of its tasks may start.

Evidence: TestInheritedTasksGetNoAdvice failed before (advice requested before the last host has reported).

--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -1447,3 +1447,38 @@
 	sim.submit(batchQueue, "w", tasks(1, 1000, time.Second))
 	sim.runUntil(20*time.Second, func() bool { return sim.state("w") == messenger.WorkloadCompleted })
 }
+
+// TestInheritedTasksGetNoAdvice guards against an owner that never catches up after a takeover: each report
+// made it look at all executors for steps that need tickets, and ask for advice that can't be used yet.
+func TestInheritedTasksGetNoAdvice(t *testing.T) {
+	const hosts = 3
+	queues := cataloger.New(2, 1<<20, []cataloger.Queue{{Name: batchQueue, Service: service, MaxAttempts: 3, Advised: true, TicketLife: time.Minute}})
+	first := conductor.New(conductor.DefaultConfig(), 1, true, hclog.NewNullLogger(), metrics.NewRegistry())
+	first.SetCatalog(queues)
+	for i := range hosts {
+		reportIdleHost(first, i, 1)
+	}
+	spec := &messenger.WorkloadSpec{Steps: []messenger.StepSpec{tasks(2, 1000, time.Second)}}
+	if _, err := first.Submit(origin, messenger.WorkloadRequest{Queue: batchQueue, Id: "w", Spec: spec}); err != nil {
+		t.Fatal(err)
+	}
+	journal, _ := first.TakeWrites()
+
+	next := conductor.New(conductor.DefaultConfig(), 2, true, hclog.NewNullLogger(), metrics.NewRegistry())
+	next.SetCatalog(queues)
+	if errs := next.Restore(origin, journal); len(errs) > 0 {
+		t.Fatal(errs)
+	}
+	for i := range hosts - 1 {
+		reportIdleHost(next, i, 2)
+		next.Schedule(origin)
+	}
+	if request, ok := next.TakeAdviceRequest(); ok {
+		t.Errorf("advice requested before the last host has reported: %+v", request)
+	}
+	reportIdleHost(next, hosts-1, 2)
+	next.Schedule(origin)
+	if _, ok := next.TakeAdviceRequest(); !ok {
+		t.Error("no advice requested after the last host has reported")
+	}
+}
--- a/conductor/schedule.go
+++ b/conductor/schedule.go
@@ -132,7 +132,9 @@
 	blocked := !s.blockedAt.IsZero() && p.now.Sub(s.blockedAt) < rescanPeriod
 	switch {
 	case q.Advised:
-		p.startTasks(s, q.Service, c.allowedExecutors(p.now, s, q, p.pool(q.Service)))
+		if slices.ContainsFunc(s.tasks, p.mayStart) {
+			p.startTasks(s, q.Service, c.allowedExecutors(p.now, s, q, p.pool(q.Service)))
+		}
 	case blocked && s.spec.Gang:
 		if len(p.changed[q.Service]) > 0 {
 			p.startTasks(s, q.Service, p.pool(q.Service))
@@ -160,7 +162,7 @@
 		if s.waiting == 0 {
 			return true
 		}
-		if t.done || t.current != nil || p.now.Before(t.notBefore) || t.inherited && !p.reconciled {
+		if !p.mayStart(t) {
 			continue
 		}
 		keepsReserve := t.keepsReserve()
@@ -186,6 +188,11 @@
 	return !reserveReached
 }
 
+// mayStart reports whether a task waits for nothing but an executor.
+func (p *schedulingPass) mayStart(t *task) bool {
+	return !t.done && t.current == nil && !p.now.Before(t.notBefore) && (!t.inherited || p.reconciled)
+}
+
 // candidates returns the executors of a pool that fit a step, with their costs. Its tasks differ
 // only in the executor that each avoids, so that the costs hold for all of them.
 func (p *schedulingPass) candidates(s *step, pool []*executor) []candidate {
