Try a blocked gang only if a changed executor admits its tasks

Callers of a large deployment would see an owner that falls behind while gangs wait for room.

Cause: after each report, all waiting gangs were tried on all executors, twice for those that want one rack, as an executor had changed.

Fix: a blocked gang is tried only if one of the executors that changed admits a task of it.

While changed executors have room for single tasks but not for the gang the cost is as before.

--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -1482,3 +1482,42 @@
 		t.Error("no advice requested after the last host has reported")
 	}
 }
+
+// TestBlockedGangsAreNotEvaluated guards against an owner that falls behind while gangs wait for room:
+// each report made it evaluate all executors for all of them.
+func TestBlockedGangsAreNotEvaluated(t *testing.T) {
+	const hosts, gangs = 60, 20
+	registry := metrics.NewRegistry()
+	c := conductor.New(conductor.DefaultConfig(), 1, true, hclog.NewNullLogger(), registry)
+	c.SetCatalog(catalog())
+	for i := range hosts {
+		reportIdleHost(c, i, 1)
+	}
+	submit := func(id string, step messenger.StepSpec) {
+		if _, err := c.Submit(origin, messenger.WorkloadRequest{Queue: batchQueue, Id: id, Spec: &messenger.WorkloadSpec{Steps: []messenger.StepSpec{step}}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	commit := func() {
+		records, number := c.TakeWrites()
+		c.AppendCommitted(number, records)
+		c.Schedule(origin)
+	}
+	submit("full", tasks(hosts, 16_000, time.Hour))
+	commit()
+	for i := range gangs {
+		submit(fmt.Sprint("gang", i), tasks(2, 1000, time.Second, func(s *messenger.StepSpec) { s.Gang = true }))
+	}
+	commit()
+	evaluated := metrics.GetOrRegisterCounter("executors.evaluated", registry)
+	before := evaluated.Count()
+	const reports = 10
+	for i := range reports {
+		c.Report(origin, messenger.Report{Host: fmt.Sprint("host-", i), Address: "host:1", Incarnation: "1", TicketMillis: 2, Epoch: 1, EndsOnly: true,
+			Executors: []messenger.ExecutorState{{Executor: messenger.ExecutorRecord{Id: fmt.Sprint("executor-host-", i), Born: 1}}}})
+		c.Schedule(origin)
+	}
+	if got, limit := evaluated.Count()-before, int64(gangs*reports); got > limit {
+		t.Errorf("%d evaluations for %d reports and %d gangs, want at most one for each report and gang", got, reports, gangs)
+	}
+}
--- a/conductor/schedule.go
+++ b/conductor/schedule.go
@@ -136,7 +136,7 @@
 			p.startTasks(s, q.Service, c.allowedExecutors(p.now, s, q, p.pool(q.Service)))
 		}
 	case blocked && s.spec.Gang:
-		if len(p.changed[q.Service]) > 0 {
+		if slices.ContainsFunc(p.changed[q.Service], func(e *executor) bool { return p.admits(s, e) }) {
 			p.startTasks(s, q.Service, p.pool(q.Service))
 		}
 	case blocked:
@@ -193,6 +193,12 @@
 	return !t.done && t.current == nil && !p.now.Before(t.notBefore) && (!t.inherited || p.reconciled)
 }
 
+// admits reports whether a task of a step may start on an executor.
+func (p *schedulingPass) admits(s *step, e *executor) bool {
+	_, ok := p.evaluate(s, e)
+	return ok
+}
+
 // candidates returns the executors of a pool that fit a step, with their costs. Its tasks differ
 // only in the executor that each avoids, so that the costs hold for all of them.
 func (p *schedulingPass) candidates(s *step, pool []*executor) []candidate {
