Don't let a deposed owner count its own replacement

Callers would see a weak entry own the workloads, and then a second change of the owner for a stronger one: a deposed owner waited twice as long as the others before it claimed, as only it counted its replacement.

Evidence: TestIsolatedEntryDoesNotTakeOwnershipAgainAndAgain failed since only silent owners count (3 claims, want at most 2): the weakest entry claimed before the deposed one.

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -281,23 +281,23 @@
 }
 
 // recordReplacement counts the replacement of the owner of the greatest known epoch by that of a later
-// one, if the owner was silent before and is not known to have stepped down or to be gone.
+// one, if it was another entry that was silent and is not known to have stepped down or to be gone.
 func (e *Elector) recordReplacement(now time.Time, epoch int64) {
-	if e.epoch == 0 || epoch <= e.epoch || e.ownerEnded() || e.heardOwner(now) {
+	if epoch <= e.epoch {
 		return
 	}
 	if e.isOwner {
 		e.deposedAt = now
 	}
+	if e.epoch == 0 || e.owner.Name == e.self.Name || e.ownerEnded() || e.heardOwner(now) {
+		return
+	}
 	e.replacements = slices.DeleteFunc(e.replacements, func(at time.Time) bool { return now.Sub(at) > e.config.TakeoverWindow })
 	e.replacements = append(e.replacements, now)
 }
 
 // ownerEnded reports whether the owner is known to have stepped down or seems to be gone.
 func (e *Elector) ownerEnded() bool {
-	if e.owner.Name == e.self.Name {
-		return !e.isOwner
-	}
 	p := e.peers[e.owner.Name]
 	return p != nil && (e.ownerLeaving(p) || e.ownerReleased(p) || e.ownerGone(p) || e.ownerReplaced(p))
 }
