Test that ends of a restarted agent need a proof of the ownership

An agent without an epoch may list ends that a successor of this owner has applied already. Applying them without a proof looks harmless, as an end is a fact, but it frees a task or makes the next step ready, and this owner would start what the successor has started. Making the end durable needs an append, which is the proof, so that nothing would be gained either.

The test passes on the current code (10 of 10 with the race detector). It fails if ends are applied without a proof: "the owner of epoch 1 has applied the report: owner true, ends 1".

--- a/coordinator/proof_test.go
+++ b/coordinator/proof_test.go
@@ -97,3 +97,32 @@
 	}
 	return record.Member.Name
 }
+
+// TestEndsOfRestartedAgentNeedProof guards against a task that runs twice: an owner that had a successor
+// would start a task again whose end a restarted agent lists, although the successor has started it.
+func TestEndsOfRestartedAgentNeedProof(t *testing.T) {
+	d := newDeployment(t, 1)
+	eventually(t, "the owner has written all that it must", d.isSettled)
+	d.executor.mu.Lock()
+	d.executor.takes = time.Hour
+	d.executor.mu.Unlock()
+	if _, err := d.entries[0].Submit(t.Context(), newRequest("w")); err != nil {
+		t.Fatal(err)
+	}
+	address := d.address(t, "entry-0")
+	pool := connector.NewPool(connector.Security{}, metrics.NewRegistry())
+	defer pool.Close()
+	d.store.claim()
+	report := messenger.Report{Host: "other", Address: "other:1", Incarnation: "other-2", Whole: true, Executors: []messenger.ExecutorState{{
+		Executor: messenger.ExecutorRecord{Id: "f", Born: 1, Service: "s", Address: "a", DataCentre: "dc"},
+		Ends:     []messenger.RunEnd{{Number: 1, Run: messenger.RunRef{Task: messenger.TaskRef{Workload: "w"}, Run: 1}, How: messenger.EndFailed}},
+	}}}
+	var reply messenger.ReportReply
+	if err := pool.Call(t.Context(), address, messenger.MethodReport, report, &reply); err != nil {
+		t.Fatal(err)
+	}
+	ended := metrics.GetOrRegisterCounter("runs.ended.failed", d.registries[0]).Count()
+	if reply.Epoch < 3 && (reply.Owner || ended > 0) {
+		t.Errorf("the owner of epoch %d has applied the report: owner %t, ends %d", reply.Epoch, reply.Owner, ended)
+	}
+}
