Wait for an unknown claimer as before claims backed off

Callers would see a takeover that takes 1.6 s in place of 0.9: the entry that replaces a silent owner dies before it acts. Others know it by its epoch alone, and the back-off counted the silent owner before it.

Fix: the back-off holds for owners that are known.

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -643,7 +643,7 @@
 		wait := delay + e.config.RankDelay
 		if !e.supersededAt.IsZero() {
 			// Another entry has claimed, and is reading the journal before it acts.
-			wait += e.claimTimeout(now)
+			wait += e.config.OwnerTimeout
 		}
 		return now.Sub(latest(latest(e.startedAt, e.ownerSince), e.supersededAt)) > wait
 	}
--- a/elector/watch_test.go
+++ b/elector/watch_test.go
@@ -45,6 +45,8 @@
 	isolated string
 	// takeoverWork is for how long an entry that takes over is busy.
 	takeoverWork time.Duration
+	// dyingTakeover is how the next entry that claims ends before it acts: killed or frozen.
+	dyingTakeover string
 }
 
 // newSimulatedFleet returns a fleet of n entries, each third one strong, that know each other.
@@ -108,6 +110,13 @@
 		return
 	}
 	f.epoch = e.Epoch() + 1
+	if f.dyingTakeover != "" {
+		e.RecordTakeover(f.epoch)
+		f.ping(e, e.AllPingTargets(f.now))
+		e.dead, e.frozen = f.dyingTakeover == "killed", f.dyingTakeover == "frozen"
+		f.dyingTakeover = ""
+		return
+	}
 	e.RecordClaim(f.now, f.now, f.epoch)
 	f.ping(e, e.AllPingTargets(f.now))
 	e.busyUntil = f.now.Add(f.takeoverWork)
@@ -344,3 +353,24 @@
 		})
 	}
 }
+
+// TestClaimerThatDiesIsReplacedSoon guards against a takeover that takes twice as long as before: the entry
+// that replaces a silent owner dies before it acts.
+func TestClaimerThatDiesIsReplacedSoon(t *testing.T) {
+	for _, entries := range []int{4, 55} {
+		for _, how := range []string{"killed", "frozen"} {
+			t.Run(fmt.Sprint(entries, " entries, ", how), func(t *testing.T) {
+				f := newSimulatedFleet(t, entries, elector.DefaultConfig())
+				f.awaitOwner(2 * time.Second)
+				f.run(10 * time.Second)
+				f.owner().frozen = true
+				for f.dyingTakeover = how; f.dyingTakeover != ""; {
+					f.run(lookPeriod)
+				}
+				if took := f.awaitOwner(5 * time.Second); took > time.Second {
+					t.Errorf("next owner after %s, want at most 1s", took)
+				}
+			})
+		}
+	}
+}
