Let incomplete lists of an executor hold only what they may hide

Callers would see tasks that stay down after a takeover. A task that an earlier owner accepted waits until every executor was listed. An executor whose lists were incomplete, as it has more ends than it lists or a row that can't be read, counted as not listed, while its reports renewed its lease, so that it was never idle either: while ends can't be acknowledged, or as long as an unreadable run lasts, no inherited task of the whole fleet started.

Ends that aren't listed don't matter to a long-running task, which starts again after an end of any kind: it waits only until all runs are listed. And an unreadable row hides no run once the agent has got one complete list of the runs: from then on it alone starts runs at the executor, and it reports all of them. Short tasks still wait for all ends; the owner acknowledges those that it gets, so that the next ones are listed.

TestUnreadableRunUnknownToAgentHoldsTask holds the case in which waiting is right. TestIncompleteLists now tells missing runs from missing ends.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -63,8 +63,11 @@
 	sortedExecutors []*executor
 	// changedExecutors holds the executors that reported or lost a run since the last pass over the
 	// waiting steps.
-	changedExecutors       map[*executor]bool
-	allReconciled          bool
+	changedExecutors map[*executor]bool
+	// reconciled is whether every executor that the last owner used is listed or provably idle, and
+	// runsReconciled is the same for the lists of their runs alone.
+	reconciled             bool
+	runsReconciled         bool
 	runs                   map[messenger.RunRef]*run
 	steps                  []*step
 	appraiser              *appraiser.Appraiser
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -1342,6 +1342,68 @@
 	}
 }
 
+// TestMissingEndsDoNotHoldLongRunningTask guards against a long-running task that stays down after a
+// takeover: an executor has more ends than it lists, none of which can be acknowledged.
+func TestMissingEndsDoNotHoldLongRunningTask(t *testing.T) {
+	sim := newSimulation(t, 1, 3)
+	sim.run(2 * time.Second)
+	sim.submit(watchQueue, "watch", tasks(1, 1000, time.Hour, longRunning))
+	sim.runUntil(time.Second, func() bool { return sim.running("watch") == 1 })
+	host := sim.hosts[0]
+	if sim.hostOf("watch") == host {
+		host = sim.hosts[1]
+	}
+	for i := range 25 {
+		sim.submit(batchQueue, fmt.Sprint("w", i), tasks(32, 500, 50*time.Millisecond, func(s *messenger.StepSpec) { s.Label = "r1-" + host.name }))
+	}
+	sim.storeOffline = true
+	sim.runUntil(20*time.Second, func() bool { return len(host.executor.ends) > maxListedEnds })
+	sim.replaceOwner(true)
+	sim.run(time.Second)
+	sim.crash(sim.hostOf("watch"))
+	sim.runUntil(6*time.Second, func() bool { return sim.running("watch") == 1 })
+}
+
+// TestUnreadableRunDoesNotHoldTasks guards against tasks that wait for ever after a takeover: an
+// executor lists a run that can't be read, and its agent knows that run.
+func TestUnreadableRunDoesNotHoldTasks(t *testing.T) {
+	sim := newSimulation(t, 1, 3)
+	sim.run(2 * time.Second)
+	sim.submit(watchQueue, "watch", tasks(1, 1000, time.Hour, longRunning))
+	sim.run(time.Second)
+	host := sim.hostOf("watch")
+	host.executor.unreadable = map[messenger.RunRef]bool{host.executor.refs()[0]: true}
+	sim.replaceOwner(true)
+	sim.submit(batchQueue, "later", tasks(1, 1000, time.Second))
+	sim.replaceOwner(true)
+	sim.runUntil(6*time.Second, func() bool { return sim.state("later") == messenger.WorkloadCompleted })
+	if diff := cmp.Diff(host, sim.hostOf("watch"), cmp.Comparer(func(a, b *modelHost) bool { return a == b })); diff != "" {
+		t.Errorf("host of the long-running task (-want +got):\n%s", diff)
+	}
+}
+
+// TestUnreadableRunUnknownToAgentHoldsTask guards against a task that runs twice after a takeover: an
+// executor lists its run in a row that can't be read, and its agent has restarted since the start.
+func TestUnreadableRunUnknownToAgentHoldsTask(t *testing.T) {
+	sim := newSimulation(t, 1, 3)
+	sim.run(2 * time.Second)
+	sim.submit(watchQueue, "watch", tasks(1, 1000, time.Hour, longRunning))
+	sim.submit(batchQueue, "short", tasks(1, 1000, 30*time.Second))
+	sim.run(time.Second)
+	for _, h := range sim.hosts {
+		h.executor.unreadable = map[messenger.RunRef]bool{}
+		for _, ref := range h.executor.refs() {
+			h.executor.unreadable[ref] = true
+		}
+		sim.restartAgent(h)
+	}
+	sim.replaceOwner(true)
+	sim.run(15 * time.Second)
+	if diff := cmp.Diff([]int{1, 1}, []int{sim.running("watch"), sim.running("short")}); diff != "" {
+		t.Errorf("running (-want +got):\n%s", diff)
+	}
+}
+
 // TestDelayedReportOfEarlierAgent guards against tasks that run twice after the restart of an agent
 // behind a partition: a report that the partition held up comes after those of the next agent, and
 // says nothing of the runs that were started since.
--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -51,9 +51,11 @@
 	rack        string
 	// durable is whether the record of the executor is durable; no task starts on it before.
 	durable bool
-	// listed is whether an agent that has accepted this owner's epoch has listed the executor in
-	// a report, or no earlier owner used it.
-	listed bool
+	// listed is whether an agent that has accepted this owner's epoch has listed the executor with
+	// all its runs and ends in a report, or no earlier owner used it. runsListed is the same for its
+	// runs alone.
+	listed     bool
+	runsListed bool
 	// leaseEnd is when the runs of the executor have provably ended if no further report lists
 	// it.
 	leaseEnd  time.Time
@@ -240,21 +242,31 @@
 // successor when their leases expired.
 func (c *Conductor) AwaitsProof() bool { return c.awaitsProof }
 
-// reconciled reports whether every executor that the last owner used has been listed in a report
-// or is provably idle. It stays true, since executors that join later are listed when they join.
-func (c *Conductor) reconciled() bool {
-	if c.allReconciled {
-		return true
+// updateReconciled updates whether every executor that the last owner used is listed or provably
+// idle. Both stay true, since executors that join later are listed when they join.
+func (c *Conductor) updateReconciled() {
+	if c.reconciled {
+		return
 	}
+	c.reconciled, c.runsReconciled = true, true
 	for _, h := range c.hosts {
 		for _, e := range h.executors {
-			if !e.listed {
-				return false
-			}
+			c.reconciled = c.reconciled && e.listed
+			c.runsReconciled = c.runsReconciled && e.runsListed
 		}
 	}
-	c.allReconciled = true
-	return true
+}
+
+// awaitsExecutors reports whether an executor that the last owner used may still run the task, or
+// have an end of it that matters.
+func (c *Conductor) awaitsExecutors(t *task) bool {
+	if !t.inherited {
+		return false
+	}
+	if t.restartsAlways() {
+		return !c.runsReconciled
+	}
+	return !c.reconciled
 }
 
 // allExecutors returns the executors of all hosts in order of their ids.
--- a/conductor/gang.go
+++ b/conductor/gang.go
@@ -12,7 +12,7 @@
 func (p *schedulingPass) startGang(s *step, pool []*executor) bool {
 	c := p.conductor
 	if slices.ContainsFunc(s.tasks, func(t *task) bool {
-		return t.current != nil || p.now.Before(t.notBefore) || t.inherited && !p.reconciled
+		return t.current != nil || p.now.Before(t.notBefore) || c.awaitsExecutors(t)
 	}) {
 		return true
 	}
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -166,7 +166,7 @@
 		}
 		if e == nil {
 			e = newExecutor(h, record)
-			e.listed = true
+			e.listed, e.runsListed = true, true
 			h.executors[e.id] = e
 			h.sorted = nil
 			c.sortedExecutors = nil
@@ -175,7 +175,9 @@
 		}
 		if e.incarnation == record.Born {
 			// An agent that has not seen this epoch yet may still obey the last owner.
-			e.listed = e.listed || int64(r.Epoch) >= c.epoch && !state.Incomplete
+			follows := int64(r.Epoch) >= c.epoch
+			e.listed = e.listed || follows && !state.Incomplete
+			e.runsListed = e.runsListed || follows && (state.RunsListed || !state.Incomplete)
 			c.updateExecutor(now, e, state, c.processedOrders(r))
 		}
 	}
--- a/conductor/schedule.go
+++ b/conductor/schedule.go
@@ -14,9 +14,8 @@
 // later passes try it only on executors that have changed since the last pass, as the cost of
 // a pass after each report would otherwise grow with the executors times the steps that wait.
 type schedulingPass struct {
-	conductor  *Conductor
-	now        time.Time
-	reconciled bool
+	conductor *Conductor
+	now       time.Time
 	// changed holds the usable executors that have changed since the last pass, and all holds
 	// all usable ones, by service; all is nil until it is needed.
 	changed, all map[string][]*executor
@@ -51,10 +50,10 @@
 		return
 	}
 	c.rankSteps(now)
+	c.updateReconciled()
 	p := &schedulingPass{
 		conductor:  c,
 		now:        now,
-		reconciled: c.reconciled(),
 		changed:    c.takeChangedExecutors(),
 		unreserved: map[string]map[string]int64{},
 		outlooks:   map[*executor]map[string]outlook{},
@@ -160,7 +159,7 @@
 		if s.waiting == 0 {
 			return true
 		}
-		if t.done || t.current != nil || p.now.Before(t.notBefore) || t.inherited && !p.reconciled {
+		if t.done || t.current != nil || p.now.Before(t.notBefore) || c.awaitsExecutors(t) {
 			continue
 		}
 		keepsReserve := t.keepsReserve()
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -136,6 +136,8 @@
 	lapsesAtEnd map[int]int
 	// clockLag is the share of its rate that the executor's clock lacks, 0 to 0.02.
 	clockLag float64
+	// unreadable holds the runs that the executor lists in a row that can't be read.
+	unreadable map[messenger.RunRef]bool
 	// mute is whether the executor answers no call and carries none out.
 	mute bool
 	// slowdown is the share of its speed that the executor lacks, 0 to 1; 1 for stalled.
@@ -599,8 +601,12 @@
 		return e.Number <= call.AckedEnd
 	})
 	holding.Ends = slices.Clone(m.ends[:min(len(m.ends), maxListedEnds)])
-	holding.Incomplete = len(holding.Ends) == maxListedEnds
+	holding.EndsIncomplete = len(holding.Ends) == maxListedEnds
 	for ref := range m.runs {
+		if m.unreadable[ref] {
+			holding.RunsIncomplete = true
+			continue
+		}
 		state := messenger.RunState{Run: ref, Phase: messenger.RunRunning, Percent: m.runs[ref].percent(sim, ref)}
 		if sim.specs[ref.Task.Workload].Steps[ref.Task.Step].TailTargetMillis > 0 {
 			state.Figure = m.tailMillis
--- a/conductor/workload.go
+++ b/conductor/workload.go
@@ -85,7 +85,7 @@
 	// rescues counts how often the task was rescued from a stalled or slow executor.
 	rescues int
 	// inherited is whether an earlier owner may have started the task, and this one has not. Such a
-	// task waits until every executor has listed its runs and ends.
+	// task waits for the lists of executors; see awaitsExecutors.
 	inherited bool
 }
 
@@ -272,6 +272,10 @@
 	}
 }
 
+// restartsAlways reports whether a task starts again after an end of any kind, so that ends that
+// aren't listed yet don't matter.
+func (t *task) restartsAlways() bool { return t.step.spec.Lasting && !t.step.spec.Gang }
+
 // markDone marks a task as done. A task without a current run no longer waits.
 func (t *task) markDone() {
 	if t.done {
--- a/custodian/executor.go
+++ b/custodian/executor.go
@@ -41,8 +41,10 @@
 	Answer
 	Runs []messenger.RunState
 	Ends []messenger.RunEnd
-	// Incomplete is set when there may be more runs or ends than Runs and Ends hold.
-	Incomplete bool
+	// RunsIncomplete and EndsIncomplete are set when there may be more runs than Runs, or more ends
+	// than Ends, holds.
+	RunsIncomplete bool
+	EndsIncomplete bool
 }
 
 // HoldCall renews the leases of an executor and asks for its runs and ends.
@@ -115,8 +117,12 @@
 	// the owner has made durable.
 	lastEnd    int
 	durableEnd int
-	// incomplete is set when the last lists may have lacked runs or ends.
-	incomplete bool
+	// runsIncomplete and endsIncomplete are set when the last lists may have lacked runs or ends.
+	runsIncomplete bool
+	endsIncomplete bool
+	// runsKnown is set when the runs were once listed completely. As only this agent starts runs at
+	// the executor from then on, runs holds all that may still run.
+	runsKnown bool
 	// ackedEnd is the number of the last end whose acknowledgment reached the executor.
 	ackedEnd int
 	reserved apricotwinch.Resources
--- a/custodian/hold.go
+++ b/custodian/hold.go
@@ -64,7 +64,8 @@
 		c.wholeReportDue = true
 	}
 	ended := c.addEnds(e, answer.Ends)
-	e.incomplete = answer.Incomplete
+	e.runsIncomplete, e.endsIncomplete = answer.RunsIncomplete, answer.EndsIncomplete
+	e.runsKnown = e.runsKnown || e.confirmed && !answer.RunsIncomplete
 	changed := c.updateRuns(e, sent, answer.Runs)
 	c.wholeReportDue = c.wholeReportDue || changed
 	return c.updatePaces(now, e), ended || changed
@@ -126,7 +127,7 @@
 		r.fenced = false
 		r.state = state
 	}
-	if e.incomplete {
+	if e.runsIncomplete || e.endsIncomplete {
 		return changed
 	}
 	for ref, r := range e.runs {
--- a/custodian/report.go
+++ b/custodian/report.go
@@ -83,7 +83,8 @@
 		SilentMillis:    int(silent.Milliseconds()),
 		RemainingMillis: int(max(0, e.drainDeadline.Sub(now)).Milliseconds()),
 		Ends:            slices.Clone(e.ends),
-		Incomplete:      e.incomplete,
+		Incomplete:      e.endsIncomplete || !e.runsKnown,
+		RunsListed:      e.runsKnown,
 	}
 	for _, r := range e.sortedRuns() {
 		s := r.state
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -399,6 +399,10 @@
 	// Runs at the executor.
 	Runs []RunState `json:"runs,omitempty,omitzero"`
 
+	// Whether all runs that may still run are listed, so that only ends may be
+	// missing.
+	RunsListed bool `json:"runsListed,omitempty,omitzero"`
+
 	// Time since it last answered, in milliseconds.
 	SilentMillis int `json:"silentMillis,omitempty,omitzero"`
 }
