Record where long-running tasks may run

A task that an earlier owner accepted waited until every executor of the fleet was listed or provably idle, as starts aren't written.

The record is durable before a start on any other executor; the start is held meanwhile, which takes one append. The first start doesn't wait: a task without the record may run anywhere, and keeps the barrier for the fleet. That is also how journals of the version before are read; their tasks get a record once all runs are listed.

The proof stays as strict. An owner that was replaced can't append, so that it can't start the task where its successor doesn't expect it. A run that is found elsewhere, as a start was carried out late, is added to the record, and an id stands for all incarnations of an executor.

While the store is away, a long-running task that must move to another executor now waits until the store is back. Short tasks keep the barrier for the fleet.

Evidence: TestSilentHostDoesNotHoldLongRunningTask failed before ("the condition does not hold after 1s"). With the hold removed, TestIsolatedOwnerDoesNotMoveLongRunningTask fails ("runs on host-1 and on host-2"); with a task without the record taken for free, TestJournalWithoutPlacementsKeepsBarrier does. The simulations with faults and with delays now have long-running tasks, too. 600 checks of the first hold.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -92,6 +92,8 @@
 	dirty   []*workload
 	records []appender.KeyedRecord
 	orders  map[string]*messenger.Orders
+	// heldStarts holds the starts that wait for the placements of their tasks.
+	heldStarts []heldStart
 }
 
 // New returns a conductor for the owner with the given epoch. clean is whether the last owner is
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -809,6 +809,7 @@
 		repeats := rapid.IntRange(1, 6).Draw(t, "repeats")
 		sim.submitScheduled(batchQueue, "job"+fmt.Sprint(workloads), time.Second, time.Second, repeats, tasks(2, 1000, 900*time.Millisecond))
 		workloads++
+		sim.submit(watchQueue, "watch", tasks(2, 1000, time.Hour, longRunning))
 		faults := []func(){
 			func() { sim.replaceOwner(true) },
 			func() { sim.replaceOwner(false) },
@@ -839,7 +840,7 @@
 					return false
 				}
 			}
-			return true
+			return sim.running("watch") == 2
 		})
 	})
 }
@@ -858,6 +859,7 @@
 				h.executor.clockLag = 0.02 * float64(r.IntN(2))
 			}
 			faults := sim.delayFaults()
+			sim.submit(watchQueue, "watch", tasks(3, 1000, time.Hour, longRunning))
 			for i := range 12 {
 				d := time.Duration(200+r.IntN(3000)) * time.Millisecond
 				switch id := fmt.Sprint("job", i); r.IntN(4) {
@@ -890,7 +892,7 @@
 						return false
 					}
 				}
-				return true
+				return sim.running("watch") == 3
 			})
 		})
 	}
@@ -1343,25 +1345,32 @@
 }
 
 // TestMissingEndsDoNotHoldLongRunningTask guards against a long-running task that stays down after a
-// takeover: an executor has more ends than it lists, none of which can be acknowledged.
+// takeover: an executor has more ends than it lists, and the owner doesn't get to acknowledge them.
 func TestMissingEndsDoNotHoldLongRunningTask(t *testing.T) {
-	sim := newSimulation(t, 1, 3)
-	sim.run(2 * time.Second)
-	sim.submit(watchQueue, "watch", tasks(1, 1000, time.Hour, longRunning))
-	sim.runUntil(time.Second, func() bool { return sim.running("watch") == 1 })
-	host := sim.hosts[0]
-	if sim.hostOf("watch") == host {
-		host = sim.hosts[1]
-	}
-	for i := range 25 {
-		sim.submit(batchQueue, fmt.Sprint("w", i), tasks(32, 500, 50*time.Millisecond, func(s *messenger.StepSpec) { s.Label = "r1-" + host.name }))
+	for _, placed := range []bool{true, false} {
+		t.Run(fmt.Sprintf("placement recorded %t", placed), func(t *testing.T) {
+			sim := newSimulation(t, 1, 3)
+			sim.run(2 * time.Second)
+			sim.submit(watchQueue, "watch", tasks(1, 1000, time.Hour, longRunning))
+			sim.runUntil(time.Second, func() bool { return sim.running("watch") == 1 })
+			host := sim.hosts[0]
+			if sim.hostOf("watch") == host {
+				host = sim.hosts[1]
+			}
+			for i := range 25 {
+				sim.submit(batchQueue, fmt.Sprint("w", i), tasks(32, 500, 50*time.Millisecond, func(s *messenger.StepSpec) { s.Label = "r1-" + host.name }))
+			}
+			host.executor.keepsEnds = true
+			sim.runUntil(20*time.Second, func() bool { return len(host.executor.ends) > maxListedEnds })
+			if !placed {
+				sim.dropPlacements()
+			}
+			sim.replaceOwner(true)
+			sim.run(time.Second)
+			sim.crash(sim.hostOf("watch"))
+			sim.runUntil(6*time.Second, func() bool { return sim.running("watch") == 1 })
+		})
 	}
-	sim.storeOffline = true
-	sim.runUntil(20*time.Second, func() bool { return len(host.executor.ends) > maxListedEnds })
-	sim.replaceOwner(true)
-	sim.run(time.Second)
-	sim.crash(sim.hostOf("watch"))
-	sim.runUntil(6*time.Second, func() bool { return sim.running("watch") == 1 })
 }
 
 // TestUnreadableRunDoesNotHoldTasks guards against tasks that wait for ever after a takeover: an
@@ -1404,6 +1413,169 @@
 	}
 }
 
+// TestSilentHostDoesNotHoldLongRunningTask guards against a long-running task that stays down after a
+// takeover: a host that never ran it is lost together with the owner.
+func TestSilentHostDoesNotHoldLongRunningTask(t *testing.T) {
+	for _, clean := range []bool{true, false} {
+		t.Run(fmt.Sprintf("clean %t", clean), func(t *testing.T) {
+			sim := newSimulation(t, 1, 4)
+			sim.run(2 * time.Second)
+			sim.submit(watchQueue, "watch", tasks(1, 1000, time.Hour, longRunning))
+			sim.runUntil(time.Second, func() bool { return sim.running("watch") == 1 })
+			for range 3 {
+				sim.run(time.Second)
+				running := sim.hostOf("watch")
+				lost := sim.hosts[slices.IndexFunc(sim.hosts, func(h *modelHost) bool { return h != running })]
+				lost.agentDown = true
+				sim.crash(running)
+				sim.replaceOwner(clean)
+				sim.runUntil(time.Second, func() bool { return sim.running("watch") == 1 })
+				sim.clearFaults()
+			}
+		})
+	}
+}
+
+// TestJournalWithoutPlacementsKeepsBarrier guards against a long-running task that runs twice after an
+// upgrade: the version before did not record where tasks may run.
+func TestJournalWithoutPlacementsKeepsBarrier(t *testing.T) {
+	sim := newSimulation(t, 1, 4)
+	sim.run(2 * time.Second)
+	sim.submit(watchQueue, "watch", tasks(2, 1000, time.Hour, longRunning, func(s *messenger.StepSpec) { s.MaxPerExecutor = 1 }))
+	sim.runUntil(time.Second, func() bool { return sim.running("watch") == 2 })
+	sim.dropPlacements()
+	sim.isolateOwner(sim.hostOf("watch"))
+	sim.run(12 * time.Second)
+	sim.clearFaults()
+	sim.runUntil(10*time.Second, func() bool { return sim.running("watch") == 2 })
+}
+
+// TestAdoptedTasksArePlaced guards against a long-running task that stays down after the second takeover
+// since an upgrade: the first owner of the new version must record where the tasks that it adopts run.
+func TestAdoptedTasksArePlaced(t *testing.T) {
+	sim := newSimulation(t, 1, 4)
+	sim.run(2 * time.Second)
+	sim.submit(watchQueue, "watch", tasks(1, 1000, time.Hour, longRunning))
+	sim.runUntil(time.Second, func() bool { return sim.running("watch") == 1 })
+	sim.dropPlacements()
+	sim.replaceOwner(true)
+	sim.run(2 * time.Second)
+	running := sim.hostOf("watch")
+	sim.hosts[slices.IndexFunc(sim.hosts, func(h *modelHost) bool { return h != running })].agentDown = true
+	sim.crash(running)
+	sim.replaceOwner(false)
+	sim.runUntil(time.Second, func() bool { return sim.running("watch") == 1 })
+}
+
+// TestIsolatedOwnerDoesNotMoveLongRunningTask guards against a long-running task that runs twice: an
+// owner that is cut off from the store starts it where its successor doesn't expect it.
+func TestIsolatedOwnerDoesNotMoveLongRunningTask(t *testing.T) {
+	sim := newSimulation(t, 1, 4)
+	sim.run(2 * time.Second)
+	sim.submit(watchQueue, "watch", tasks(1, 1000, time.Hour, longRunning))
+	sim.runUntil(time.Second, func() bool { return sim.running("watch") == 1 })
+	first := sim.hostOf("watch")
+	second := sim.hosts[slices.IndexFunc(sim.hosts, func(h *modelHost) bool { return h != first })]
+	sim.isolateOwner(first, second)
+	sim.crash(first)
+	sim.run(1500 * time.Millisecond)
+	first.isolated = false
+	sim.run(12 * time.Second)
+	if diff := cmp.Diff(1, sim.running("watch")); diff != "" {
+		t.Errorf("running (-want +got):\n%s", diff)
+	}
+}
+
+// TestLateStartHoldsLongRunningTask guards against a long-running task that runs twice after a takeover: a
+// start that is carried out late runs it where its placement doesn't say.
+func TestLateStartHoldsLongRunningTask(t *testing.T) {
+	tests := []struct {
+		name string
+		// restart is whether the start reaches the next incarnation of the executor; else it reaches
+		// another executor.
+		restart bool
+	}{
+		{name: "next incarnation", restart: true},
+		{name: "another executor", restart: false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			sim := newSimulation(t, 1, 4)
+			sim.run(2 * time.Second)
+			sim.submit(watchQueue, "watch", tasks(1, 1000, time.Hour, longRunning))
+			sim.run(time.Second)
+			first := sim.hostOf("watch")
+			ref := first.executor.refs()[0]
+			late := sim.hosts[slices.IndexFunc(sim.hosts, func(h *modelHost) bool { return h != first })]
+			if test.restart {
+				late = first
+			}
+			sim.owner.SetOutOfService(map[string]bool{"dc": true})
+			sim.crash(first)
+			// The model of an executor takes a lease by the clock of its last incarnation.
+			sim.restartAgent(first)
+			late.executor.runs[ref] = &modelRun{order: messenger.StartOrder{Run: ref}, remaining: time.Hour}
+			late.executor.deadline = late.executor.clock(sim.now) + time.Second
+			sim.announce(late)
+			sim.run(900 * time.Millisecond)
+			late.disconnected = true
+			sim.replaceOwner(true)
+			sim.run(12 * time.Second)
+			if diff := cmp.Diff(1, sim.running("watch")); diff != "" {
+				t.Errorf("running (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestHeldStart checks that a long-running task that moves while the store is away starts once the store
+// is back, unless it was canceled meanwhile or its executor is gone.
+func TestHeldStart(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*simulation)
+		want   int
+	}{
+		{name: "nothing else happens", change: func(*simulation) {}, want: 1},
+		{name: "canceled", change: func(sim *simulation) {
+			if _, err := sim.owner.Cancel(sim.now, "watch"); err != nil {
+				t.Fatal(err)
+			}
+		}, want: 0},
+		{name: "all executors reborn", change: func(sim *simulation) {
+			for _, h := range sim.hosts {
+				sim.crash(h)
+			}
+		}, want: 1},
+		{name: "all agents restart", change: func(sim *simulation) {
+			for _, h := range sim.hosts {
+				sim.restartAgent(h)
+			}
+		}, want: 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			sim := newSimulation(t, 1, 3)
+			sim.run(2 * time.Second)
+			sim.submit(watchQueue, "watch", tasks(1, 1000, time.Hour, longRunning))
+			sim.run(time.Second)
+			sim.storeOffline = true
+			sim.crash(sim.hostOf("watch"))
+			sim.run(time.Second)
+			test.change(sim)
+			sim.run(2 * time.Second)
+			if diff := cmp.Diff(0, sim.running("watch")); diff != "" {
+				t.Errorf("running while the store is away (-want +got):\n%s", diff)
+			}
+			sim.storeOffline = false
+			sim.run(time.Second)
+			if diff := cmp.Diff(test.want, sim.running("watch")); diff != "" {
+				t.Errorf("running (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestDelayedReportOfEarlierAgent guards against tasks that run twice after the restart of an agent
 // behind a partition: a report that the partition held up comes after those of the next agent, and
 // says nothing of the runs that were started since.
--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -242,33 +242,6 @@
 // successor when their leases expired.
 func (c *Conductor) AwaitsProof() bool { return c.awaitsProof }
 
-// updateReconciled updates whether every executor that the last owner used is listed or provably
-// idle. Both stay true, since executors that join later are listed when they join.
-func (c *Conductor) updateReconciled() {
-	if c.reconciled {
-		return
-	}
-	c.reconciled, c.runsReconciled = true, true
-	for _, h := range c.hosts {
-		for _, e := range h.executors {
-			c.reconciled = c.reconciled && e.listed
-			c.runsReconciled = c.runsReconciled && e.runsListed
-		}
-	}
-}
-
-// awaitsExecutors reports whether an executor that the last owner used may still run the task, or
-// have an end of it that matters.
-func (c *Conductor) awaitsExecutors(t *task) bool {
-	if !t.inherited {
-		return false
-	}
-	if t.restartsAlways() {
-		return !c.runsReconciled
-	}
-	return !c.reconciled
-}
-
 // allExecutors returns the executors of all hosts in order of their ids.
 func (c *Conductor) allExecutors() []*executor {
 	if c.sortedExecutors == nil {
--- a/conductor/journal.go
+++ b/conductor/journal.go
@@ -267,6 +267,7 @@
 			w.durableState = messenger.WorkloadQueued
 		}
 	}
+	c.sendHeldStarts()
 	for _, h := range c.hosts {
 		for _, e := range h.executors {
 			c.acknowledge(h, e)
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -236,12 +236,12 @@
 // startRun orders an executor to start the next run of a task.
 func (c *Conductor) startRun(now time.Time, t *task, e *executor) {
 	number := c.nextRun(t)
-	orders := c.ordersFor(e.host)
+	write := c.place(t, e)
 	r := &run{
 		ref:          messenger.RunRef{Task: t.ref, Run: number},
 		task:         t,
 		executor:     e,
-		ordersNumber: orders.Number,
+		ordersNumber: heldOrders,
 		phase:        messenger.RunStarting,
 		startedAt:    now,
 		resumed:      t.checkpoint != "",
@@ -250,7 +250,11 @@
 	c.makeCurrent(r)
 	order := r.startOrder()
 	order.Ticket, _ = t.step.validTicket(now, e)
-	orders.Starts = append(orders.Starts, order)
+	if write > c.durable {
+		c.heldStarts = append(c.heldStarts, heldStart{run: r, order: order, write: write})
+	} else {
+		c.sendStart(r, order)
+	}
 	c.count("runs.ordered")
 	if c.logger.IsInfo() {
 		c.logger.Info("run ordered", "run", r.ref, "executor", e.id, "host", e.host.name, "order", r.ordersNumber,
@@ -264,6 +268,10 @@
 		return
 	}
 	r.stopping = true
+	if r.ordersNumber == heldOrders {
+		c.release(r)
+		return
+	}
 	c.orderStop(r)
 }
 
--- /dev/null
+++ b/conductor/placement.go
@@ -0,0 +1,195 @@
+package conductor
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"apricotwinch/messenger"
+)
+
+// placement holds the ids, in order, of the executors on which a task may run. It is durable before
+// the task starts on any other executor, except for the first one: a task without a durable
+// placement may run anywhere. An id stands for all incarnations, as a start may reach a later one.
+type placement struct {
+	executors []string
+	// write is the number of the append that must be durable before the task starts there; 0 for
+	// none.
+	write int64
+}
+
+// heldStart is a start that is sent once the placement of its task is durable.
+type heldStart struct {
+	run   *run
+	order messenger.StartOrder
+	write int64
+}
+
+// heldOrders is the number of orders of a run whose start is held. The agent hasn't processed it.
+const heldOrders = math.MaxInt
+
+// restartsAlways reports whether a task starts again after an end of any kind, so that ends that
+// aren't listed yet don't matter. Only such tasks have a placement.
+func (t *task) restartsAlways() bool { return t.step.spec.Lasting && !t.step.spec.Gang }
+
+// place adds an executor to the placement of a task that is about to start there. It returns the
+// number of the append that must be durable first.
+func (c *Conductor) place(t *task, e *executor) int64 {
+	if !t.restartsAlways() {
+		return 0
+	}
+	if t.placement != nil && t.placement.contains(e) {
+		return t.placement.write
+	}
+	next := &placement{executors: []string{e.id}}
+	w := t.step.occurrence.workload
+	switch {
+	case t.placement != nil:
+		next.write = c.sequence + 1
+		for _, id := range t.placement.executors {
+			next.addRunning(t, c.executorsWithID(id))
+		}
+	case w.inherited:
+		next.addRunning(t, c.allExecutors())
+	}
+	c.markDirty(w, t.placement != nil)
+	t.placement = next
+	return next.write
+}
+
+// addRunning adds the executors that run a task.
+func (p *placement) addRunning(t *task, executors []*executor) {
+	for _, e := range executors {
+		for _, r := range e.runs {
+			if r.task == t {
+				p.add(e)
+			}
+		}
+	}
+}
+
+// placeFound adds an executor to the placement of a task of which a run was found there.
+func (c *Conductor) placeFound(t *task, e *executor) {
+	if t.placement == nil || t.placement.contains(e) {
+		return
+	}
+	t.placement.add(e)
+	t.placement.write = c.sequence + 1
+	c.markDirty(t.step.occurrence.workload, true)
+}
+
+func (p *placement) contains(e *executor) bool { return slices.Contains(p.executors, e.id) }
+
+func (p *placement) add(e *executor) {
+	if at, found := slices.BinarySearch(p.executors, e.id); !found {
+		p.executors = slices.Insert(slices.Clone(p.executors), at, e.id)
+	}
+}
+
+// sendStart orders an executor to start a run.
+func (c *Conductor) sendStart(r *run, order messenger.StartOrder) {
+	orders := c.ordersFor(r.executor.host)
+	r.ordersNumber = orders.Number
+	orders.Starts = append(orders.Starts, order)
+}
+
+// sendHeldStarts sends the starts whose placement has become durable.
+func (c *Conductor) sendHeldStarts() {
+	c.heldStarts = slices.DeleteFunc(c.heldStarts, func(s heldStart) bool {
+		switch {
+		case c.runs[s.run.ref] != s.run:
+			return true
+		case s.write > c.durable:
+			return false
+		}
+		c.sendStart(s.run, s.order)
+		return true
+	})
+}
+
+// awaitsExecutors reports whether an executor that the last owner used may still run the task, or
+// have an end of it that matters.
+func (c *Conductor) awaitsExecutors(t *task) bool {
+	switch {
+	case !t.inherited:
+		return false
+	case !t.restartsAlways():
+		return !c.reconciled
+	case t.placement == nil:
+		return !c.runsReconciled
+	}
+	return slices.ContainsFunc(t.placement.executors, c.mayHideRuns)
+}
+
+// mayHideRuns reports whether an executor may have runs that this owner doesn't know. An executor
+// that is gone from the journal had ended.
+func (c *Conductor) mayHideRuns(id string) bool {
+	return slices.ContainsFunc(c.executorsWithID(id), func(e *executor) bool { return !e.runsListed })
+}
+
+// executorsWithID returns the executors with an id, which hosts may share.
+func (c *Conductor) executorsWithID(id string) []*executor {
+	all := c.allExecutors()
+	first, _ := slices.BinarySearchFunc(all, id, func(e *executor, id string) int { return cmp.Compare(e.id, id) })
+	end := first
+	for end < len(all) && all[end].id == id {
+		end++
+	}
+	return all[first:end]
+}
+
+// updateReconciled updates whether every executor that the last owner used is listed or provably
+// idle. Both stay true, since executors that join later are listed when they join.
+func (c *Conductor) updateReconciled() {
+	if c.reconciled {
+		return
+	}
+	listed, runsListed := true, true
+	for _, h := range c.hosts {
+		for _, e := range h.executors {
+			listed, runsListed = listed && e.listed, runsListed && e.runsListed
+		}
+		if !listed && !runsListed {
+			return
+		}
+	}
+	if runsListed && !c.runsReconciled {
+		c.runsReconciled = true
+		c.placeAdopted()
+	}
+	c.reconciled = listed
+}
+
+// placeAdopted places the tasks that were adopted without a durable placement, now that all their
+// runs are known.
+func (c *Conductor) placeAdopted() {
+	adopted := map[*task]*placement{}
+	var tasks []*task
+	for _, e := range c.allExecutors() {
+		for _, r := range e.runs {
+			t := r.task
+			if !t.inherited || !t.restartsAlways() || t.placement != nil {
+				continue
+			}
+			if adopted[t] == nil {
+				adopted[t] = &placement{}
+				tasks = append(tasks, t)
+			}
+			adopted[t].add(e)
+		}
+	}
+	slices.SortFunc(tasks, compareTasks)
+	for _, t := range tasks {
+		t.placement = adopted[t]
+		c.markDirty(t.step.occurrence.workload, false)
+	}
+}
+
+func compareTasks(a, b *task) int {
+	return cmp.Or(
+		cmp.Compare(a.ref.Workload, b.ref.Workload),
+		cmp.Compare(a.ref.Occurrence, b.ref.Occurrence),
+		cmp.Compare(a.ref.Step, b.ref.Step),
+		cmp.Compare(a.ref.Index, b.ref.Index),
+	)
+}
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -79,7 +79,9 @@
 	for _, e := range h.executors {
 		e.sentInterference = map[appraiser.Pair]float64{}
 		for _, run := range e.runs {
-			run.ordersNumber = 0
+			if run.ordersNumber != heldOrders {
+				run.ordersNumber = 0
+			}
 		}
 	}
 	return true
@@ -284,6 +286,7 @@
 		}
 		return nil
 	}
+	c.placeFound(t, e)
 	if w.terminal() || t.done || t.current != nil {
 		c.logger.Info("orphaned run", "run", state.Run, "executor", e.id, "state", w.state, "done", t.done)
 		c.count("runs.stray")
--- a/conductor/schedule.go
+++ b/conductor/schedule.go
@@ -45,12 +45,12 @@
 
 // Schedule starts waiting tasks on executors that have room for them.
 func (c *Conductor) Schedule(now time.Time) {
+	c.updateReconciled()
 	if len(c.steps) == 0 {
 		clear(c.changedExecutors)
 		return
 	}
 	c.rankSteps(now)
-	c.updateReconciled()
 	p := &schedulingPass{
 		conductor:  c,
 		now:        now,
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -138,6 +139,8 @@
 	clockLag float64
 	// unreadable holds the runs that the executor lists in a row that can't be read.
 	unreadable map[messenger.RunRef]bool
+	// keepsEnds is whether no acknowledgment of ends reaches the executor.
+	keepsEnds bool
 	// mute is whether the executor answers no call and carries none out.
 	mute bool
 	// slowdown is the share of its speed that the executor lacks, 0 to 1; 1 for stalled.
@@ -220,6 +223,31 @@
 	}
 }
 
+// dropPlacements removes from the store on which executors tasks may run, as if the version before had
+// written it.
+func (sim *simulation) dropPlacements() {
+	sim.t.Helper()
+	for key, value := range sim.store {
+		var record messenger.ProgressRecord
+		if !strings.HasPrefix(key, "p/") {
+			continue
+		}
+		if err := json.Unmarshal(value, &record); err != nil {
+			sim.t.Fatalf("record %s: %v", key, err)
+		}
+		for _, o := range record.Occurrences {
+			for i := range o.Tasks {
+				o.Tasks[i].Executors = nil
+			}
+		}
+		data, err := json.Marshal(record)
+		if err != nil {
+			sim.t.Fatalf("record %s: %v", key, err)
+		}
+		sim.store[key] = data
+	}
+}
+
 // isolateOwner cuts the owner and some hosts off from the store and the other hosts, and replaces
 // it.
 func (sim *simulation) isolateOwner(hosts ...*modelHost) {
@@ -594,6 +622,9 @@
 	if err != nil {
 		return holding, err
 	}
+	if m.keepsEnds {
+		call.AckedEnd = 0
+	}
 	m.ends = slices.DeleteFunc(m.ends, func(e messenger.RunEnd) bool {
 		if e.Number <= call.AckedEnd && e.How == messenger.EndDone && m.lapsesAtEnd[e.Number] == m.lapses {
 			sim.acknowledged[e.Run.Task] = true
--- a/conductor/workload.go
+++ b/conductor/workload.go
@@ -87,6 +87,8 @@
 	// inherited is whether an earlier owner may have started the task, and this one has not. Such a
 	// task waits for the lists of executors; see awaitsExecutors.
 	inherited bool
+	// placement is where the task may run; nil for anywhere.
+	placement *placement
 }
 
 // run is one run of a task that has not ended.
@@ -97,7 +99,7 @@
 	task     *task
 	executor *executor
 	// ordersNumber is the number of the orders that started the run; 0 for a run that was found
-	// in a report.
+	// in a report, heldOrders for one whose start is held.
 	ordersNumber int
 	phase        string
 	stopping     bool
@@ -224,8 +226,8 @@
 			case t.done:
 				bits[i/8] |= 1 << (i % 8)
 				hasProgress = true
-			case len(t.failed) > 0 || t.checkpoint != "":
-				p.Tasks = append(p.Tasks, messenger.TaskProgress{Task: i, FailedRuns: t.failed, Run: t.highestRun, Checkpoint: t.checkpoint})
+			case len(t.failed) > 0 || t.checkpoint != "" || t.placement != nil:
+				p.Tasks = append(p.Tasks, t.progress(i))
 			}
 		}
 		if hasProgress || len(p.Tasks) > 0 {
@@ -236,6 +238,15 @@
 	return record
 }
 
+// progress returns the durable progress of a task that has the given number in its occurrence.
+func (t *task) progress(number int) messenger.TaskProgress {
+	p := messenger.TaskProgress{Task: number, FailedRuns: t.failed, Run: t.highestRun, Checkpoint: t.checkpoint}
+	if t.placement != nil {
+		p.Executors = t.placement.executors
+	}
+	return p
+}
+
 // restore applies a progress record to the workload.
 func (w *workload) restore(record messenger.ProgressRecord) error {
 	w.state = record.State
@@ -269,13 +280,12 @@
 		}
 		t := all[p.Task]
 		t.failed, t.highestRun, t.checkpoint = p.FailedRuns, p.Run, p.Checkpoint
+		if len(p.Executors) > 0 {
+			t.placement = &placement{executors: p.Executors}
+		}
 	}
 }
 
-// restartsAlways reports whether a task starts again after an end of any kind, so that ends that
-// aren't listed yet don't matter.
-func (t *task) restartsAlways() bool { return t.step.spec.Lasting && !t.step.spec.Gang }
-
 // markDone marks a task as done. A task without a current run no longer waits.
 func (t *task) markDone() {
 	if t.done {
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -740,7 +740,7 @@
 	// Number of the occurrence, from 0.
 	Occurrence int `json:"occurrence"`
 
-	// Tasks that are not done and have a failed run or a checkpoint.
+	// Tasks that are not done and have a failed run, a checkpoint or executors.
 	Tasks []TaskProgress `json:"tasks,omitempty,omitzero"`
 }
 
@@ -1383,6 +1383,9 @@
 	// Latest checkpoint.
 	Checkpoint string `json:"checkpoint,omitempty,omitzero"`
 
+	// Ids of all executors on which the task may run; none if it may run on any.
+	Executors []string `json:"executors,omitempty,omitzero"`
+
 	// Numbers of the runs that count as failed.
 	FailedRuns []int `json:"failedRuns,omitempty,omitzero"`
 
