--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -64,10 +64,13 @@
 	// changedExecutors holds the executors that reported or lost a run since the last pass over the
 	// waiting steps.
 	changedExecutors map[*executor]bool
-	allReconciled    bool
-	reconciliation   reconciliation
-	runs             map[messenger.RunRef]*run
-	steps            []*step
+	// reconciled is whether every executor that the last owner used is listed or provably idle, and
+	// runsReconciled is the same for the lists of their runs alone.
+	reconciled     bool
+	runsReconciled bool
+	reconciliation reconciliation
+	runs           map[messenger.RunRef]*run
+	steps          []*step
 	// waits holds the waits of long-running tasks, ended ones too, that were not logged yet, in order of
 	// their beginning.
 	waits                  []*wait
@@ -93,6 +96,8 @@
 	dirty   []*workload
 	records []appender.KeyedRecord
 	orders  map[string]*messenger.Orders
+	// heldStarts holds the starts that wait for the placements of their tasks.
+	heldStarts []heldStart
 }
 
 // New returns a conductor for the owner with the given epoch. clean is whether the last owner is
@@ -233,7 +238,7 @@
 	c.ended = append(c.ended, w)
 	for _, o := range w.occurrences {
 		for _, t := range o.tasks() {
-			c.stopRuns(t)
+			c.stopRuns(now, t)
 		}
 	}
 	c.markDirty(w, true)
--- a/conductor/ends.go
+++ b/conductor/ends.go
@@ -105,7 +105,7 @@
 // finishTask marks a task as done. It queues the steps that become ready, and completes the
 // workload after its last task.
 func (c *Conductor) finishTask(now time.Time, t *task) {
-	c.stopRuns(t)
+	c.stopRuns(now, t)
 	t.markDone()
 	w := t.step.occurrence.workload
 	c.markDirty(w, false)
--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -51,9 +51,11 @@
 	rack        string
 	// durable is whether the record of the executor is durable; no task starts on it before.
 	durable bool
-	// listed is whether an agent that has accepted this owner's epoch has listed the executor in
-	// a report, or no earlier owner used it.
-	listed bool
+	// listed is whether an agent that has accepted this owner's epoch has listed the executor with
+	// all its runs and ends in a report, or no earlier owner used it. runsListed is the same for its
+	// runs alone.
+	listed     bool
+	runsListed bool
 	// incomplete is whether the last report that listed the executor didn't list all its runs and
 	// ends.
 	incomplete bool
@@ -247,23 +249,6 @@
 // successor when their leases expired.
 func (c *Conductor) AwaitsProof() bool { return c.awaitsProof }
 
-// reconciled reports whether every executor that the last owner used has been listed in a report
-// or is provably idle. It stays true, since executors that join later are listed when they join.
-func (c *Conductor) reconciled() bool {
-	if c.allReconciled {
-		return true
-	}
-	for _, h := range c.hosts {
-		for _, e := range h.executors {
-			if !e.listed {
-				return false
-			}
-		}
-	}
-	c.allReconciled = true
-	return true
-}
-
 // allExecutors returns the executors of all hosts in order of their ids.
 func (c *Conductor) allExecutors() []*executor {
 	if c.sortedExecutors == nil {
--- a/conductor/move.go
+++ b/conductor/move.go
@@ -47,7 +47,7 @@
 		c.count("runs.moved")
 		c.logger.Info("run moved", "run", r.ref, "executor", r.executor.id, "pace", r.pace, "slowMillis", now.Sub(r.throttledSince).Milliseconds())
 		r.task.avoid = r.executor
-		c.stopRun(r)
+		c.stopRun(now, r)
 		return
 	}
 }
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -237,12 +237,12 @@
 // startRun orders an executor to start the next run of a task.
 func (c *Conductor) startRun(now time.Time, t *task, e *executor) {
 	number := c.nextRun(t)
-	orders := c.ordersFor(e.host)
+	write := c.place(t, e)
 	r := &run{
 		ref:          messenger.RunRef{Task: t.ref, Run: number},
 		task:         t,
 		executor:     e,
-		ordersNumber: orders.Number,
+		ordersNumber: heldOrders,
 		phase:        messenger.RunStarting,
 		startedAt:    now,
 		resumed:      t.checkpoint != "",
@@ -251,7 +251,11 @@
 	c.makeCurrent(now, r)
 	order := r.startOrder()
 	order.Ticket, _ = t.step.validTicket(now, e)
-	orders.Starts = append(orders.Starts, order)
+	if write > c.durable {
+		c.heldStarts = append(c.heldStarts, heldStart{run: r, order: order, write: write})
+	} else {
+		c.sendStart(r, order)
+	}
 	c.count("runs.ordered")
 	if c.logger.IsInfo() {
 		c.logger.Info("run ordered", "run", r.ref, "executor", e.id, "host", e.host.name, "order", r.ordersNumber,
@@ -260,21 +264,25 @@
 }
 
 // stopRun orders a run to stop, unless that was ordered before.
-func (c *Conductor) stopRun(r *run) {
+func (c *Conductor) stopRun(now time.Time, r *run) {
 	if r.stopping {
 		return
 	}
 	r.stopping = true
+	if r.ordersNumber == heldOrders {
+		c.release(now, r, "stopped")
+		return
+	}
 	c.orderStop(r)
 }
 
 // stopRuns stops the runs of a task.
-func (c *Conductor) stopRuns(t *task) {
+func (c *Conductor) stopRuns(now time.Time, t *task) {
 	if t.current != nil {
-		c.stopRun(t.current)
+		c.stopRun(now, t.current)
 	}
 	if t.originalRun != nil {
-		c.stopRun(t.originalRun)
+		c.stopRun(now, t.originalRun)
 	}
 }
 
--- a/conductor/progress.go
+++ b/conductor/progress.go
@@ -78,7 +78,7 @@
 		if r.task.step.spec.Speculative {
 			c.startCopy(r)
 		} else {
-			c.stopRun(r)
+			c.stopRun(now, r)
 		}
 	}
 }
--- a/conductor/recovery.go
+++ b/conductor/recovery.go
@@ -66,7 +66,8 @@
 		return
 	}
 	took := now.Sub(c.startedAt)
-	if c.reconciled() {
+	c.updateReconciled()
+	if c.reconciled {
 		c.reconciliation.completed = true
 		metrics.GetOrRegisterTimer("executors.reconciled", c.registry).Update(took)
 		c.logger.Info("executors reconciled", "epoch", c.epoch, "tookMillis", took.Milliseconds(), "inherited", c.reconciliation.inherited)
@@ -178,7 +179,7 @@
 		return "queue not configured"
 	case t.step.occurrence.workload.durableState == "":
 		return "workload not durable"
-	case t.inherited && !c.reconciled():
+	case c.awaitsExecutors(t):
 		return "executors not listed"
 	case now.Before(t.notBefore):
 		return "backoff"
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -79,7 +79,9 @@
 	for _, e := range h.executors {
 		e.sentInterference = map[appraiser.Pair]float64{}
 		for _, run := range e.runs {
-			run.ordersNumber = 0
+			if run.ordersNumber != heldOrders {
+				run.ordersNumber = 0
+			}
 		}
 	}
 	return true
@@ -166,7 +168,7 @@
 		}
 		if e == nil {
 			e = newExecutor(h, record)
-			e.listed = true
+			e.listed, e.runsListed = true, true
 			h.executors[e.id] = e
 			h.sorted = nil
 			c.sortedExecutors = nil
@@ -175,7 +177,9 @@
 		}
 		if e.incarnation == record.Born {
 			// An agent that has not seen this epoch yet may still obey the last owner.
-			e.listed = e.listed || int64(r.Epoch) >= c.epoch && !state.Incomplete
+			follows := int64(r.Epoch) >= c.epoch
+			e.listed = e.listed || follows && !state.Incomplete
+			e.runsListed = e.runsListed || follows && (state.RunsListed || !state.Incomplete)
 			c.updateExecutor(now, e, state, c.processedOrders(r))
 		}
 	}
@@ -251,7 +255,7 @@
 	}
 	if state.Phase != messenger.RunStopping && (run.orphaned || run.task.done || run.task.step.occurrence.workload.terminal()) {
 		run.stopping = false
-		c.stopRun(run)
+		c.stopRun(now, run)
 	}
 }
 
@@ -283,6 +287,7 @@
 		}
 		return nil
 	}
+	c.placeFound(t, e)
 	if w.terminal() || t.done || t.current != nil {
 		c.logger.Info("orphaned run", "run", state.Run, "executor", e.id, "state", w.state, "done", t.done)
 		c.count("runs.stray")
--- a/conductor/schedule.go
+++ b/conductor/schedule.go
@@ -14,9 +14,8 @@
 // later passes try it only on executors that have changed since the last pass, as the cost of
 // a pass after each report would otherwise grow with the executors times the steps that wait.
 type schedulingPass struct {
-	conductor  *Conductor
-	now        time.Time
-	reconciled bool
+	conductor *Conductor
+	now       time.Time
 	// changed holds the usable executors that have changed since the last pass, and all holds
 	// all usable ones, by service; all is nil until it is needed.
 	changed, all map[string][]*executor
@@ -46,6 +45,7 @@
 
 // Schedule starts waiting tasks on executors that have room for them.
 func (c *Conductor) Schedule(now time.Time) {
+	c.updateReconciled()
 	if len(c.steps) == 0 {
 		clear(c.changedExecutors)
 		return
@@ -54,7 +54,6 @@
 	p := &schedulingPass{
 		conductor:  c,
 		now:        now,
-		reconciled: c.reconciled(),
 		changed:    c.takeChangedExecutors(),
 		unreserved: map[string]map[string]int64{},
 		outlooks:   map[*executor]map[string]outlook{},
@@ -190,7 +189,7 @@
 
 // mayStart reports whether a task waits for nothing but an executor.
 func (p *schedulingPass) mayStart(t *task) bool {
-	return !t.done && t.current == nil && !p.now.Before(t.notBefore) && (!t.inherited || p.reconciled)
+	return !t.done && t.current == nil && !p.now.Before(t.notBefore) && !p.conductor.awaitsExecutors(t)
 }
 
 // admits reports whether a task of a step may start on an executor.
--- a/conductor/workload.go
+++ b/conductor/workload.go
@@ -85,10 +85,12 @@
 	// rescues counts how often the task was rescued from a stalled or slow executor.
 	rescues int
 	// inherited is whether an earlier owner may have started the task, and this one has not. Such a
-	// task waits until every executor has listed its runs and ends.
+	// task waits for the lists of executors; see awaitsExecutors.
 	inherited bool
 	// wait is since when and why a long-running task has no run; nil for any other task.
 	wait *wait
+	// placement is where the task may run; nil for anywhere.
+	placement *placement
 }
 
 // run is one run of a task that has not ended.
@@ -99,7 +101,7 @@
 	task     *task
 	executor *executor
 	// ordersNumber is the number of the orders that started the run; 0 for a run that was found
-	// in a report.
+	// in a report, heldOrders for one whose start is held.
 	ordersNumber int
 	phase        string
 	stopping     bool
@@ -226,8 +228,8 @@
 			case t.done:
 				bits[i/8] |= 1 << (i % 8)
 				hasProgress = true
-			case len(t.failed) > 0 || t.checkpoint != "":
-				p.Tasks = append(p.Tasks, messenger.TaskProgress{Task: i, FailedRuns: t.failed, Run: t.highestRun, Checkpoint: t.checkpoint})
+			case len(t.failed) > 0 || t.checkpoint != "" || t.placement != nil:
+				p.Tasks = append(p.Tasks, t.progress(i))
 			}
 		}
 		if hasProgress || len(p.Tasks) > 0 {
@@ -238,6 +240,15 @@
 	return record
 }
 
+// progress returns the durable progress of a task that has the given number in its occurrence.
+func (t *task) progress(number int) messenger.TaskProgress {
+	p := messenger.TaskProgress{Task: number, FailedRuns: t.failed, Run: t.highestRun, Checkpoint: t.checkpoint}
+	if t.placement != nil {
+		p.Executors = t.placement.executors
+	}
+	return p
+}
+
 // restore applies a progress record to the workload.
 func (w *workload) restore(record messenger.ProgressRecord) error {
 	w.state = record.State
@@ -271,6 +282,9 @@
 		}
 		t := all[p.Task]
 		t.failed, t.highestRun, t.checkpoint = p.FailedRuns, p.Run, p.Checkpoint
+		if len(p.Executors) > 0 {
+			t.placement = &placement{executors: p.Executors}
+		}
 	}
 }
 
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -399,6 +399,10 @@
 	// Runs at the executor.
 	Runs []RunState `json:"runs,omitempty,omitzero"`
 
+	// Whether all runs that may still run are listed, so that only ends may be
+	// missing.
+	RunsListed bool `json:"runsListed,omitempty,omitzero"`
+
 	// Time since it last answered, in milliseconds.
 	SilentMillis int `json:"silentMillis,omitempty,omitzero"`
 }
@@ -736,7 +740,7 @@
 	// Number of the occurrence, from 0.
 	Occurrence int `json:"occurrence"`
 
-	// Tasks that are not done and have a failed run or a checkpoint.
+	// Tasks that are not done and have a failed run, a checkpoint or executors.
 	Tasks []TaskProgress `json:"tasks,omitempty,omitzero"`
 }
 
@@ -1379,6 +1383,9 @@
 	// Latest checkpoint.
 	Checkpoint string `json:"checkpoint,omitempty,omitzero"`
 
+	// Ids of all executors on which the task may run; none if it may run on any.
+	Executors []string `json:"executors,omitempty,omitzero"`
+
 	// Numbers of the runs that count as failed.
 	FailedRuns []int `json:"failedRuns,omitempty,omitzero"`
 
