Trust placements only after an owner that records them

Callers would see a long-running task that runs twice while a deployment is upgraded: an owner of the version before, which records no placement, moves the task between two owners that do, and the second trusts the outdated record. A start that was held for the store could also go out in a data centre that had been taken out of service meanwhile.

Fix: an owner writes, in its first append, that it records placements, and the next one trusts them only if that is of the epoch before its own. Otherwise it drops them, in the same append, and the barrier for the fleet holds. A held start goes out only if its executor may still get tasks.

Evidence: TestOwnerOfVersionBeforeMovesLongRunningTask ("runs on host-0 and on host-1") and TestHeldStartAfterEvacuation failed without it.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -27,6 +27,7 @@
 	// KeyOwner is the key of the OwnerRecord.
 	KeyOwner        = "owner"
 	keySettled      = "settled"
+	keyPlacements   = "placements"
 	prefixHost      = "h/"
 	prefixWork      = "w/"
 	prefixProgress  = "p/"
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"os"
 	"slices"
 	"strings"
@@ -1529,6 +1530,50 @@
 	}
 }
 
+// TestOwnerOfVersionBeforeMovesLongRunningTask guards against a long-running task that runs twice while a
+// deployment is upgraded: an owner that doesn't record where tasks may run moves it between two that do.
+func TestOwnerOfVersionBeforeMovesLongRunningTask(t *testing.T) {
+	sim := newSimulation(t, 1, 4)
+	sim.run(2 * time.Second)
+	sim.submit(watchQueue, "watch", tasks(1, 1000, time.Hour, longRunning))
+	sim.run(2 * time.Second)
+	written := map[string][]byte{}
+	for _, key := range []string{"p/watch", "placements"} {
+		written[key] = slices.Clone(sim.store[key])
+	}
+	sim.replaceOwner(true)
+	sim.run(time.Second)
+	sim.crash(sim.hostOf("watch"))
+	sim.runUntil(time.Second, func() bool { return sim.running("watch") == 1 })
+	sim.run(time.Second)
+	maps.Copy(sim.store, written)
+	sim.hostOf("watch").disconnected = true
+	sim.replaceOwner(true)
+	sim.run(12 * time.Second)
+	if diff := cmp.Diff(1, sim.running("watch")); diff != "" {
+		t.Errorf("running (-want +got):\n%s", diff)
+	}
+}
+
+// TestHeldStartAfterEvacuation guards against a start in a data centre that is out of service: it waited
+// for the store until after the data centre had been taken out.
+func TestHeldStartAfterEvacuation(t *testing.T) {
+	sim := newSimulation(t, 1, 3)
+	sim.run(2 * time.Second)
+	sim.submit(watchQueue, "watch", tasks(1, 1000, time.Hour, longRunning))
+	sim.run(time.Second)
+	sim.storeOffline = true
+	sim.crash(sim.hostOf("watch"))
+	sim.run(time.Second)
+	sim.owner.SetOutOfService(map[string]bool{"dc": true})
+	sim.run(3 * time.Second)
+	sim.storeOffline = false
+	sim.run(time.Second)
+	if diff := cmp.Diff(0, sim.running("watch")); diff != "" {
+		t.Errorf("running (-want +got):\n%s", diff)
+	}
+}
+
 // TestLateStartHoldsLongRunningTask guards against a long-running task that runs twice after a takeover: a
 // start that is carried out late runs it where its placement doesn't say.
 func TestLateStartHoldsLongRunningTask(t *testing.T) {
--- a/conductor/journal.go
+++ b/conductor/journal.go
@@ -44,6 +44,9 @@
 			errs = append(errs, err)
 		}
 	}
+	if err := c.restorePlacements(records); err != nil {
+		errs = append(errs, err)
+	}
 	slices.SortFunc(c.steps, compareSteps)
 	return errs
 }
@@ -268,7 +271,6 @@
 			w.durableState = messenger.WorkloadQueued
 		}
 	}
-	c.sendHeldStarts()
 	for _, h := range c.hosts {
 		for _, e := range h.executors {
 			c.acknowledge(h, e)
--- a/conductor/placement.go
+++ b/conductor/placement.go
@@ -2,9 +2,14 @@
 
 import (
 	"cmp"
+	"encoding/json"
+	"maps"
 	"math"
 	"slices"
+	"time"
 
+	"apricotwinch"
+	"apricotwinch/appender"
 	"apricotwinch/messenger"
 )
 
@@ -32,6 +37,50 @@
 // aren't listed yet don't matter. Only such tasks have a placement.
 func (t *task) restartsAlways() bool { return t.step.spec.Lasting && !t.step.spec.Gang }
 
+// restorePlacements drops the placements of inherited tasks unless the last owner recorded them, too: an
+// owner that doesn't may have moved a task since its placement was written. It queues the record that
+// this owner does, in one append with the progress of the tasks whose placements are dropped.
+func (c *Conductor) restorePlacements(records []appender.KeyedRecord) error {
+	recorded, err := placementsEpoch(records)
+	if c.epoch > 1 && recorded != c.epoch-1 {
+		for _, id := range slices.Sorted(maps.Keys(c.workloads)) {
+			if w := c.workloads[id]; w.dropPlacements() {
+				c.markDirty(w, false)
+			}
+		}
+	}
+	c.records = append(c.records, encode(keyPlacements, messenger.PlacementsRecord{Epoch: int(c.epoch)}))
+	return err
+}
+
+// placementsEpoch returns the epoch of the last owner that recorded placements; 0 if there is none. The
+// error is Invalid for a record that can't be decoded.
+func placementsEpoch(records []appender.KeyedRecord) (int64, error) {
+	for _, r := range records {
+		if r.Key() != keyPlacements {
+			continue
+		}
+		var record messenger.PlacementsRecord
+		if err := json.Unmarshal(r.Value(), &record); err != nil {
+			return 0, apricotwinch.Errorf(apricotwinch.Invalid, "record %s: %w", r.Key(), err)
+		}
+		return int64(record.Epoch), nil
+	}
+	return 0, nil
+}
+
+// dropPlacements removes the placements of the tasks of a workload and reports whether there were any.
+func (w *workload) dropPlacements() bool {
+	dropped := false
+	for _, o := range w.occurrences {
+		for _, t := range o.tasks() {
+			dropped = dropped || t.placement != nil
+			t.placement = nil
+		}
+	}
+	return dropped
+}
+
 // place adds an executor to the placement of a task that is about to start there. It returns the
 // number of the append that must be durable first.
 func (c *Conductor) place(t *task, e *executor) int64 {
@@ -93,14 +142,18 @@
 	orders.Starts = append(orders.Starts, order)
 }
 
-// sendHeldStarts sends the starts whose placement has become durable.
-func (c *Conductor) sendHeldStarts() {
+// sendHeldStarts sends the starts whose placement has become durable. The task of one whose executor
+// may get no more tasks waits again.
+func (c *Conductor) sendHeldStarts(now time.Time) {
 	c.heldStarts = slices.DeleteFunc(c.heldStarts, func(s heldStart) bool {
 		switch {
 		case c.runs[s.run.ref] != s.run:
 			return true
 		case s.write > c.durable:
 			return false
+		case !c.usable(s.run.executor):
+			c.release(now, s.run, "executor not usable")
+			return true
 		}
 		c.sendStart(s.run, s.order)
 		return true
--- a/conductor/schedule.go
+++ b/conductor/schedule.go
@@ -46,6 +46,7 @@
 // Schedule starts waiting tasks on executors that have room for them.
 func (c *Conductor) Schedule(now time.Time) {
 	c.updateReconciled()
+	c.sendHeldStarts(now)
 	if len(c.steps) == 0 {
 		clear(c.changedExecutors)
 		return
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -871,6 +871,12 @@
 	Ping Ping `json:"ping"`
 }
 
+// The record that the owner of an epoch records on which executors tasks may run.
+type PlacementsRecord struct {
+	// The epoch.
+	Epoch int `json:"epoch"`
+}
+
 // The record of a workload's progress.
 type ProgressRecord struct {
 	// Unix time of the workload's end, in milliseconds.
