Back off from an owner that can't accept requests

A request that the owner can't accept was sent to it again each 25 ms for up to 1.3 s, by each entry that had one. An owner that is overloaded or without authority was sent 50 calls for each request, and each takes its lock.

The delay now doubles from 25 to 200 ms. An entry that learns of another owner sends its waiting requests there at once, so that a takeover costs them no more time than before; one that waits for an owner to get its authority back waits up to 200 ms longer.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -65,8 +65,10 @@
 	peerConfigDelay = 500 * time.Millisecond
 	// peerConfigInterval is the least time between two such requests.
 	peerConfigInterval = time.Second
-	// ownerRetryDelay is the delay before a request is sent to the owner again.
-	ownerRetryDelay = 25 * time.Millisecond
+	// ownerRetryDelay is the delay before a request is sent to the owner again; it doubles with each
+	// retry, up to maxOwnerRetryDelay. A request goes to a new owner at once.
+	ownerRetryDelay    = 25 * time.Millisecond
+	maxOwnerRetryDelay = 200 * time.Millisecond
 	// maxProofWait is how long the report of an agent that has restarted waits for a proof that this
 	// owner has no successor. It is less than the agent waits for the answer.
 	maxProofWait = 400 * time.Millisecond
@@ -317,6 +319,16 @@
 	c.changed = make(chan struct{})
 }
 
+// broadcastNewOwner calls update, and wakes the goroutines that wait on c.changed if another owner is
+// known then; c.mu is held.
+func (c *Coordinator) broadcastNewOwner(update func()) {
+	before := c.elector.Owner()
+	update()
+	if owner := c.elector.Owner(); owner.Name != "" && owner != before {
+		c.broadcast()
+	}
+}
+
 // wakeWriter makes writeLoop look for something to write.
 func (c *Coordinator) wakeWriter() {
 	select {
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -533,13 +533,15 @@
 		return
 	}
 	now := c.deps.Clock.Now()
-	c.elector.HandlePingReply(sent, now, reply.Ping)
-	for _, m := range reply.Members {
-		c.elector.AddMember(now, m)
-	}
-	if reply.Owner != nil {
-		c.elector.RecordOwner(now, int64(reply.Owner.Epoch), reply.Owner.Member)
-	}
+	c.broadcastNewOwner(func() {
+		c.elector.HandlePingReply(sent, now, reply.Ping)
+		for _, m := range reply.Members {
+			c.elector.AddMember(now, m)
+		}
+		if reply.Owner != nil {
+			c.elector.RecordOwner(now, int64(reply.Owner.Epoch), reply.Owner.Member)
+		}
+	})
 	c.releaseProven(now)
 }
 
@@ -562,7 +564,7 @@
 func (c *Coordinator) handlePing(_ context.Context, ping messenger.Ping) (messenger.PingReply, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.elector.HandlePing(c.deps.Clock.Now(), ping)
+	c.broadcastNewOwner(func() { c.elector.HandlePing(c.deps.Clock.Now(), ping) })
 	reply := messenger.PingReply{Ping: c.currentPing()}
 	if ping.AsksMembers {
 		reply.Members = c.elector.Peers()
--- a/coordinator/requests.go
+++ b/coordinator/requests.go
@@ -48,7 +48,7 @@
 func (c *Coordinator) askOwner(ctx context.Context, method string, request messenger.WorkloadRequest, local handler) (messenger.WorkloadReply, error) {
 	maybeAccepted := false
 	began := c.deps.Clock.Now()
-	for {
+	for retries := 0; ; retries++ {
 		reply, err := c.askOwnerOnce(ctx, method, request, local)
 		kind := apricotwinch.KindOf(err)
 		switch kind {
@@ -72,7 +72,7 @@
 		case <-ctx.Done():
 			return reply, c.giveUpError(maybeAccepted, request.Id, err)
 		case <-changed:
-		case <-c.deps.Clock.After(ownerRetryDelay):
+		case <-c.deps.Clock.After(apricotwinch.ExponentialBackoff(ownerRetryDelay, maxOwnerRetryDelay, retries)):
 		}
 	}
 }
