--- a/conductor/place.go
+++ b/conductor/place.go
@@ -256,11 +256,6 @@
 	} else {
 		c.sendStart(r, order)
 	}
-	c.count("runs.ordered")
-	if c.logger.IsInfo() {
-		c.logger.Info("run ordered", "run", r.ref, "executor", e.id, "host", e.host.name, "order", r.ordersNumber,
-			"committed", e.allocated.String(), "filling", e.bestEffort, "resumed", t.checkpoint != "")
-	}
 }
 
 // stopRun orders a run to stop, unless that was ordered before.
--- a/conductor/placement.go
+++ b/conductor/placement.go
@@ -137,9 +137,15 @@
 
 // sendStart orders an executor to start a run.
 func (c *Conductor) sendStart(r *run, order messenger.StartOrder) {
-	orders := c.ordersFor(r.executor.host)
+	e := r.executor
+	orders := c.ordersFor(e.host)
 	r.ordersNumber = orders.Number
 	orders.Starts = append(orders.Starts, order)
+	c.count("runs.ordered")
+	if c.logger.IsInfo() {
+		c.logger.Info("run ordered", "run", r.ref, "executor", e.id, "host", e.host.name, "order", r.ordersNumber,
+			"committed", e.allocated.String(), "filling", e.bestEffort, "resumed", r.resumed)
+	}
 }
 
 // sendHeldStarts sends the starts whose placement has become durable. The task of one whose executor
