Keep the runs of a reborn executor while its host is resumed

A start may reach the next incarnation of an executor under the same id. When the host was suspended and its first report listed that incarnation, the owner removed the one before, which freed its tasks, and skipped the new one, as no lease may be granted before the record of the resumption is durable. With it, the ends that it listed were skipped: a task that was done there was started elsewhere at once, and the end was acknowledged by the next report.

While the leases of a host may not be renewed, a report changes nothing for an id of which it lists another incarnation than the owner knows. The next report, one append later, takes the one's end and the other's runs and ends together.

The simulation also checks that no end as done is acknowledged whose task was started again after it.

--- a/conductor/agents_test.go
+++ b/conductor/agents_test.go
@@ -158,3 +158,25 @@
 	h.deaf = false
 	sim.runUntil(10*time.Second, func() bool { return sim.state("w") == messenger.WorkloadCompleted })
 }
+
+// TestRebornExecutorOfSuspendedHostKeepsEnd guards against a task that runs again after it was done: its start
+// reached the next incarnation of an executor, whose first report comes when its host is being resumed.
+func TestRebornExecutorOfSuspendedHostKeepsEnd(t *testing.T) {
+	// The start must be the first call that reaches the next incarnation.
+	for ticks := range 3 {
+		sim := newSimulation(t, 1, 4)
+		sim.run(2*time.Second + time.Duration(ticks)*tickInterval)
+		h := sim.hosts[0]
+		sim.crash(h)
+		sim.submit(batchQueue, "short", tasks(1, 1000, 200*time.Millisecond))
+		sim.runUntil(time.Second, func() bool { return len(h.executor.runs) == 1 })
+		h.agentDown = true
+		sim.run(1500 * time.Millisecond)
+		sim.restartAgent(h)
+		sim.runUntil(2*time.Second, func() bool { return sim.state("short") == messenger.WorkloadCompleted })
+		sim.run(2 * time.Second)
+		if diff := cmp.Diff(1, sim.endCount()); diff != "" {
+			t.Errorf("runs that have ended, crash at tick %d (-want +got):\n%s", ticks, diff)
+		}
+	}
+}
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -158,6 +158,9 @@
 
 func (c *Conductor) updateExecutors(now time.Time, h *host, r messenger.Report) {
 	h.listedAt = now
+	if !c.mayRenew(h) {
+		r.Gone, r.Executors = c.withoutReborn(h, r)
+	}
 	for _, gone := range r.Gone {
 		if e := h.executors[gone.Id]; e != nil && e.incarnation == gone.Born {
 			c.removeExecutor(now, e, "reported gone by its agent")
@@ -196,6 +199,25 @@
 	}
 }
 
+// withoutReborn returns what a report says of executors that are gone and of those that are there, without those
+// of which the host has another incarnation than this owner knows. An incarnation that may not join yet,
+// as its leases may not be renewed, may list the end of a run that was started on the one before.
+func (c *Conductor) withoutReborn(h *host, r messenger.Report) ([]messenger.ExecutorIncarnation, []messenger.ExecutorState) {
+	reborn := map[string]bool{}
+	for i := range r.Executors {
+		record := &r.Executors[i].Executor
+		if e := h.executors[record.Id]; e != nil && e.incarnation != record.Born {
+			reborn[record.Id] = true
+		}
+	}
+	if len(reborn) == 0 {
+		return r.Gone, r.Executors
+	}
+	gone := slices.DeleteFunc(slices.Clone(r.Gone), func(g messenger.ExecutorIncarnation) bool { return reborn[g.Id] })
+	states := slices.DeleteFunc(slices.Clone(r.Executors), func(s messenger.ExecutorState) bool { return reborn[s.Executor.Id] })
+	return gone, states
+}
+
 // processedOrders returns the number of the last orders of this owner that an agent has
 // processed.
 func (c *Conductor) processedOrders(r messenger.Report) int {
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -71,7 +71,9 @@
 	// which the executor got the acknowledgment that the end is durable.
 	doneTasks    map[messenger.TaskRef]bool
 	acknowledged map[messenger.TaskRef]bool
-	specs        map[string]messenger.WorkloadSpec
+	// restartedAs holds, by task, the number of the last run that started after an end as done.
+	restartedAs map[messenger.TaskRef]int
+	specs       map[string]messenger.WorkloadSpec
 	// lostShare is the share of calls to executors whose answer is lost, 0 to 1.
 	lostShare float64
 	// lateShare is the share of starts and stops that get no answer and are carried out seconds
@@ -182,6 +184,7 @@
 		undelivered:  map[string][]*messenger.Orders{},
 		doneTasks:    map[messenger.TaskRef]bool{},
 		acknowledged: map[messenger.TaskRef]bool{},
+		restartedAs:  map[messenger.TaskRef]int{},
 		specs:        map[string]messenger.WorkloadSpec{},
 
 		ticketExpiries: map[string]time.Time{},
@@ -648,6 +651,9 @@
 	m.ends = slices.DeleteFunc(m.ends, func(e messenger.RunEnd) bool {
 		if e.Number <= call.AckedEnd && e.How == messenger.EndDone && m.lapsesAtEnd[e.Number] == m.lapses {
 			sim.acknowledged[e.Run.Task] = true
+			if spec := sim.specs[e.Run.Task.Workload].Steps[e.Run.Task.Step]; sim.restartedAs[e.Run.Task] > e.Run.Run && !spec.Speculative {
+				sim.t.Fatalf("the end of %v as done is acknowledged, and the task was started again", e.Run)
+			}
 		}
 		return e.Number <= call.AckedEnd
 	})
@@ -738,6 +744,9 @@
 // depends on are done.
 func (sim *simulation) checkStart(ref messenger.RunRef) {
 	sim.t.Helper()
+	if sim.doneTasks[ref.Task] {
+		sim.restartedAs[ref.Task] = ref.Run
+	}
 	if sim.acknowledged[ref.Task] && !sim.specs[ref.Task.Workload].Steps[ref.Task.Step].Lasting {
 		sim.t.Fatalf("%v was started after the task was done", ref)
 	}
