Give the wait for rows that can't be read an end, and don't acknowledge past them

An executor that answers and keeps listing a row that can't be read was never listed by a new owner, so that inherited tasks waited for good: an unreadable last end is never acknowledged and never leaves the list. And a later end's acknowledgment passed over an unreadable one before it: the list then counted as complete, the task was started again, and if the end was one as done, it had been taken note of.

The agent now says what such a row may be, and bounds the wait with the lease that it grants anyway. Once it has seen both lists whole, a row of ends can only be that of a run that it knows and that is neither listed nor ended in a readable row; without such a run the row is settled at once. Otherwise ends from the row on are neither passed on nor acknowledged, and no lease of that executor is renewed. If the rows can be read in time, nothing is lost; when the lease has ended, nothing runs there and no end from before counts, starts without an answer are fenced, and the lists count as whole. The agent outlives owners, so owners that change every 2 s don't lengthen the wait. Rows keep their place in HoldAnswer.Ends, and one out of order counts as unreadable.

An executor that started less than 22 s ago may hold a longer lease, from a call for an earlier incarnation under its id: there the wait lasts up to 10.2 s from the agent's first answer.

--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -31,6 +31,8 @@
 	stopDuration = 300 * time.Millisecond
 	// maxListedEnds is how many ends an executor lists at a time.
 	maxListedEnds = 500
+	// maxLease is the longest lease of an executor.
+	maxLease = 10 * time.Second
 )
 
 var origin = time.Unix(1_000_000, 0)
@@ -145,8 +147,10 @@
 	lapsesAtEnd map[int]int
 	// clockLag is the share of its rate that the executor's clock lacks, 0 to 0.02.
 	clockLag float64
-	// unreadable holds the runs that the executor lists in a row that can't be read.
-	unreadable map[messenger.RunRef]bool
+	// unreadable holds the runs that the executor lists in a row that can't be read, also once they have
+	// ended. otherWriter is whether both its lists hold such a row of another writer.
+	unreadable  map[messenger.RunRef]bool
+	otherWriter bool
 	// keepsEnds is whether no acknowledgment of ends reaches the executor.
 	keepsEnds bool
 	// mute is whether the executor answers no call and carries none out.
@@ -600,7 +604,7 @@
 		return answer, apricotwinch.Errorf(apricotwinch.StaleEpoch, "fence")
 	}
 	m.token = token
-	m.deadline = max(m.deadline, deadline)
+	m.deadline = max(m.deadline, min(deadline, answer.Clock+maxLease))
 	return answer, nil
 }
 
@@ -658,7 +662,16 @@
 		return e.Number <= call.AckedEnd
 	})
 	holding.Ends = slices.Clone(m.ends[:min(len(m.ends), maxListedEnds)])
+	for i, end := range holding.Ends {
+		if m.unreadable[end.Run] {
+			holding.Ends[i] = messenger.RunEnd{}
+		}
+	}
 	holding.EndsIncomplete = len(holding.Ends) == maxListedEnds
+	if m.otherWriter {
+		holding.Ends = append(holding.Ends, messenger.RunEnd{})
+		holding.RunsIncomplete = true
+	}
 	for ref := range m.runs {
 		if m.unreadable[ref] {
 			holding.RunsIncomplete = true
--- a/custodian/custodian.go
+++ b/custodian/custodian.go
@@ -23,6 +23,10 @@
 type Config struct {
 	// Lease is how long runs may continue after the last report whose answer renewed their lease.
 	Lease time.Duration
+	// MaxLease bounds any lease: an executor shortens a longer one. MaxCallDelay is how much later than it
+	// was made an executor may carry out a call without an answer.
+	MaxLease     time.Duration
+	MaxCallDelay time.Duration
 	// Margin is the time from the end of the last lease that an executor may have received until its
 	// runs count as ended.
 	Margin time.Duration
@@ -55,6 +59,8 @@
 func DefaultConfig() Config {
 	return Config{
 		Lease:               apricotwinch.ExecutorLease,
+		MaxLease:            10 * time.Second,
+		MaxCallDelay:        12 * time.Second,
 		Margin:              200 * time.Millisecond,
 		RetryDelay:          350 * time.Millisecond,
 		SilenceTimeout:      time.Second,
--- a/custodian/executor.go
+++ b/custodian/executor.go
@@ -40,6 +40,8 @@
 type HoldAnswer struct {
 	Answer
 	Runs []messenger.RunState
+	// Ends holds the ends in the order in which they were listed, the zero value for a row that can't
+	// be read.
 	Ends []messenger.RunEnd
 	// RunsIncomplete and EndsIncomplete are set when there may be more runs than Runs, or more ends
 	// than Ends, holds.
@@ -126,6 +128,10 @@
 	// runsKnown is set when the runs were once listed completely. As only this agent starts runs at
 	// the executor from then on, runs holds all that may still run.
 	runsKnown bool
+	doubt     doubt
+	// strayLeaseEnd is when all leases have ended that the executor may have received before it was
+	// confirmed; zero if it hasn't been.
+	strayLeaseEnd time.Time
 	// ackedEnd is the number of the last end whose acknowledgment reached the executor.
 	ackedEnd int
 	reserved apricotwinch.Resources
--- a/custodian/hold.go
+++ b/custodian/hold.go
@@ -18,15 +18,16 @@
 		return HoldCall{}, false
 	}
 	call := HoldCall{Executor: e.ID, Born: e.StartedMillis, Address: e.Address, Token: e.token}
-	if e.durableEnd > e.ackedEnd {
+	if through := min(e.durableEnd, e.doubt.ackLimit()); through > e.ackedEnd {
 		// Acknowledge an end once only: another incarnation under the same id numbers its ends
 		// anew, and would forget its own ends.
-		call.AckedEnd = e.durableEnd
+		call.AckedEnd = through
 	}
 	if until := c.grant(now, e); e.confirmed && until.After(now) {
 		call.Deadline = e.deadline(until)
 	}
-	if e.confirmed && e.durableEnd >= e.lastEnd {
+	// An executor may not wait while it lists an end.
+	if e.confirmed && e.durableEnd >= e.lastEnd && !e.doubt.unreadable {
 		call.Wait = c.config.HoldWait
 	}
 	return call, true
@@ -34,9 +35,9 @@
 
 // grant returns the end of the lease that the next call to an executor carries. A call without an answer
 // may have renewed the lease, so that a silent executor is granted no later end than before: its runs
-// would never count as ended.
+// would never count as ended. Nor is one whose lists are in doubt.
 func (c *Custodian) grant(now time.Time, e *executor) time.Time {
-	if e.confirmed && (e.unansweredSince.IsZero() || now.Sub(e.unansweredSince) < c.config.SilenceTimeout) {
+	if e.confirmed && !e.doubt.present() && (e.unansweredSince.IsZero() || now.Sub(e.unansweredSince) < c.config.SilenceTimeout) {
 		e.grantedUntil = e.leaseUntil
 	}
 	return e.grantedUntil
@@ -74,12 +75,19 @@
 			return Calls{}, false
 		}
 		e.confirmed = call.Token == e.token
+		if e.confirmed && e.strayLeaseEnd.IsZero() {
+			e.strayLeaseEnd = c.strayLeaseEnd(now, e)
+		}
 		c.wholeReportDue = true
 	}
-	ended := c.addEnds(e, answer.Ends)
-	e.runsIncomplete, e.endsIncomplete = answer.RunsIncomplete, answer.EndsIncomplete
+	inDoubt := e.doubt.present()
+	lapsed := c.lapsedBefore(sent, e) && c.endDoubt(e)
+	e.runsIncomplete = answer.RunsIncomplete
 	e.runsKnown = e.runsKnown || e.confirmed && !answer.RunsIncomplete
-	changed := c.updateRuns(e, sent, answer.Runs)
+	ended := c.addEnds(e, e.settleEnds(answer, lapsed))
+	changed := c.updateRuns(e, sent, answer.Runs, lapsed)
+	c.updateDoubt(now, sent, e)
+	changed = changed || inDoubt != e.doubt.present()
 	c.wholeReportDue = c.wholeReportDue || changed
 	return c.updatePaces(now, e), ended || changed
 }
@@ -104,7 +112,7 @@
 func (c *Custodian) addEnds(e *executor, ends []messenger.RunEnd) bool {
 	changed := false
 	for _, end := range ends {
-		if end.Number <= e.lastEnd {
+		if isUnreadable(end) || end.Number <= e.lastEnd {
 			continue
 		}
 		e.lastEnd = end.Number
@@ -122,7 +130,8 @@
 // updateRuns takes the list of an executor's runs, as of a call that was sent at sent. It
 // reports whether a run was added or has ended. A run that isn't listed is kept while the list of runs is
 // incomplete, and one whose start was refused in doubt also while the list of ends is: it may have ended.
-func (c *Custodian) updateRuns(e *executor, sent time.Time, states []messenger.RunState) bool {
+// lapsed is whether the leases had expired before the call, so that no run can be behind a row that can't be read.
+func (c *Custodian) updateRuns(e *executor, sent time.Time, states []messenger.RunState, lapsed bool) bool {
 	changed := false
 	listed := make(map[messenger.RunRef]bool, len(states))
 	for _, state := range states {
@@ -140,7 +149,7 @@
 		r.fenced = false
 		r.state = state
 	}
-	if e.runsIncomplete {
+	if e.runsIncomplete && !lapsed {
 		return changed
 	}
 	for ref, r := range e.runs {
@@ -167,6 +176,9 @@
 // reports the refusal of its start if there was one.
 func (c *Custodian) removeUnlisted(e *executor, r *run) {
 	e.remove(r.order.Run)
+	if e.endsIncomplete {
+		e.doubt.addMissing(r.order.Run)
+	}
 	if r.refusal != "" {
 		c.refuseRun(r.order.Run, r.refusal)
 	}
--- a/custodian/orders.go
+++ b/custodian/orders.go
@@ -201,6 +201,9 @@
 // longer carries the earlier call out.
 func (c *Custodian) handleRefusedStart(now time.Time, e *executor, r *run, kind apricotwinch.Kind) (Calls, bool) {
 	if !r.maybeStarted || !r.confirmedAt.IsZero() {
+		if r.confirmedAt.IsZero() {
+			e.doubt.forget(r.order.Run)
+		}
 		e.remove(r.order.Run)
 		c.refuseRun(r.order.Run, kind)
 		return Calls{}, true
@@ -251,9 +254,7 @@
 			for ref := range e.runs {
 				e.remove(ref)
 			}
-			// What was not listed has lapsed, too, and an end from before the lapse no longer counts.
-			e.endsIncomplete = false
-			e.runsKnown = e.runsKnown || e.confirmed
+			e.lapse(now)
 			changed = true
 		}
 		for _, r := range e.sortedRuns() {
--- a/custodian/report.go
+++ b/custodian/report.go
@@ -79,7 +79,7 @@
 			Labels:     e.Labels,
 		},
 		Draining:        e.Draining,
-		Reachable:       silent < c.config.SilenceTimeout,
+		Reachable:       silent < c.config.SilenceTimeout && !e.doubt.present(),
 		SilentMillis:    int(silent.Milliseconds()),
 		RemainingMillis: int(max(0, e.drainDeadline.Sub(now)).Milliseconds()),
 		Ends:            slices.Clone(e.ends),
