--- a/conductor/incomplete_test.go
+++ b/conductor/incomplete_test.go
@@ -15,7 +15,7 @@
 	sim.t.Helper()
 	const jobs, tasksPerJob = 17, 32
 	for i := range jobs {
-		sim.submit(batchQueue, fmt.Sprint("filler", i), tasks(tasksPerJob, 100, 50*time.Millisecond, on(h)))
+		sim.submit(batchQueue, fmt.Sprint("filler", i, h.name), tasks(tasksPerJob, 100, 50*time.Millisecond, on(h)))
 	}
 	h.executor.keepsEnds = true
 	sim.runUntil(30*time.Second, func() bool { return len(h.executor.ends) == jobs*tasksPerJob })
