Start nothing on an executor whose runs are not all known

A run in a row that can't be read, beside an agent that has started again and doesn't know it, took room that the owner counted as free: host-2 used 17,000 of 16,000 thousandths of a processor (LIMIT).

An executor whose agent doesn't know all its runs gets no tasks, as its room isn't known. The list of a restarted agent counts as before once it was complete.

TestExecutorThatHidesRunsGetsNoTasks fails without the change: host-0 uses 28,000 of 16,000 (x86_64).

--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -72,6 +72,8 @@
 	// incomplete is whether the last report that listed the executor didn't list all its runs and
 	// ends.
 	incomplete bool
+	// hidesRuns is whether not all runs were known to the agent of that report, so that the room is unknown.
+	hidesRuns bool
 	// reportedAt is when a report last listed the executor.
 	reportedAt time.Time
 	// leaseEnd is when the runs of the executor have provably ended if no further report lists
--- a/conductor/incomplete_test.go
+++ b/conductor/incomplete_test.go
@@ -72,3 +72,22 @@
 		})
 	}
 }
+
+// TestExecutorThatHidesRunsGetsNoTasks guards against an executor that runs more than its capacity: a run there
+// can't be read and its agent has started again, so that neither knows what the run takes.
+func TestExecutorThatHidesRunsGetsNoTasks(t *testing.T) {
+	sim := newSimulation(t, 1, 2)
+	sim.run(2 * time.Second)
+	host := sim.hosts[0]
+	sim.submit(batchQueue, "large", tasks(1, 12_000, time.Hour, on(host)))
+	sim.runUntil(time.Second, func() bool { return sim.running("large") == 1 })
+	host.executor.unreadable = map[messenger.RunRef]bool{host.executor.refs()[0]: true}
+	sim.restartAgent(host)
+	sim.replaceOwner(true)
+	sim.run(time.Second)
+	sim.submit(batchQueue, "new", tasks(20, 1000, time.Hour))
+	sim.run(3 * time.Second)
+	if diff := cmp.Diff(16, sim.running("new")); diff != "" {
+		t.Errorf("new tasks that run (-want +got):\n%s", diff)
+	}
+}
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -209,6 +209,7 @@
 	c.changedExecutors[e] = true
 	e.reportedAt = now
 	e.incomplete = state.Incomplete
+	e.hidesRuns = state.Incomplete && !state.RunsListed
 	e.capacity = state.Executor.Capacity.Value()
 	// The agent may return to an earlier owner that still acts, so that a report doesn't shorten what
 	// was inherited.
--- a/conductor/schedule.go
+++ b/conductor/schedule.go
@@ -95,7 +95,7 @@
 func (c *Conductor) usable(e *executor) bool {
 	h := e.host
 	hostUsable := h.reported && c.mayRenew(h) && !h.sentOrders.undeliverable
-	return hostUsable && e.durable && e.reachable && !e.runsUnknown && !e.draining && !c.outOfService[e.dc]
+	return hostUsable && e.durable && e.reachable && !e.hidesRuns && !e.runsUnknown && !e.draining && !c.outOfService[e.dc]
 }
 
 // usableExecutors returns the executors that may get tasks, by service.
