Tell what accepted work waits for that is not long-running

Cause: only long-running tasks without a run had a line and gauges by what they wait for.

Change: a step with waiting tasks of which no run has been started for 2 s gets a line "step waits", again each 5 s, at most eight a second, those without one first. It names the first waiting task, what it waits for, how many tasks wait and run, which executors refuse the step and why, which get no tasks at all and why, and the first executor whose list is awaited. Gauges ordinary.waiting.REASON count the waiting tasks each second, with "no room" split by the condition that refuses; ordinary.long_waiting and ordinary.long_waits count steps; executors.left_out.REASON counts executors. One record per step; at most 32 steps are evaluated and 10,000 tasks checked at a look.

--- a/conductor/bench_test.go
+++ b/conductor/bench_test.go
@@ -174,3 +174,27 @@
 		return c, reports, now
 	})
 }
+
+// BenchmarkLogStepWaits measures 10 s of ticks of an owner of 240 hosts while 3000 steps of 20 tasks wait that
+// fit nowhere.
+func BenchmarkLogStepWaits(b *testing.B) {
+	const waiting, waitingTasks = 3000, 20
+	for _, bestEffort := range []bool{false, true} {
+		b.Run(fmt.Sprint("bestEffort=", bestEffort), func(b *testing.B) {
+			benchTicks(b, 10*time.Second, func() (*conductor.Conductor, []messenger.Report, time.Time) {
+				c, reports, now := newBenchFleet(b, 240)
+				step := tasks(waitingTasks, 2000, time.Hour)
+				step.Fills, step.Image, step.MaxPerExecutor = bestEffort, "batch", 1
+				for i := range waiting {
+					id := fmt.Sprintf("%016x", 1<<20+i)
+					if _, err := c.Submit(now, messenger.WorkloadRequest{Queue: batchQueue, Id: id, Spec: &messenger.WorkloadSpec{Steps: []messenger.StepSpec{step}}}); err != nil {
+						b.Fatal(err)
+					}
+				}
+				records, number := c.TakeWrites()
+				c.AppendCommitted(number, records)
+				return c, reports, now
+			})
+		})
+	}
+}
--- a/conductor/confirmation.go
+++ b/conductor/confirmation.go
@@ -149,7 +149,14 @@
 		c.setGauge(name, 0)
 	}
 	for _, reason := range waitReasons {
-		c.setGauge(waitGauge(reason), 0)
+		c.setGauge(waitGauge(gaugeWaiting, reason), 0)
+	}
+	for _, reason := range stepWaitReasons() {
+		c.setGauge(waitGauge(gaugeStepsWaiting, reason), 0)
+	}
+	c.setGauge(gaugeLongStepWaits, 0)
+	for _, x := range exclusions {
+		c.setGauge(waitGauge(gaugeLeftOut, x.reason), 0)
 	}
 }
 
--- a/conductor/progress.go
+++ b/conductor/progress.go
@@ -88,7 +88,7 @@
 			"percent", r.percent, "copy", r.task.step.spec.Speculative)
 		r.task.avoid = r.executor
 		if r.task.step.spec.Speculative {
-			c.startCopy(r)
+			c.startCopy(now, r)
 		} else {
 			c.stopRun(now, r)
 		}
@@ -163,7 +163,7 @@
 
 // startCopy queues a task for a speculative copy while its run continues; the first of the two
 // to end counts.
-func (c *Conductor) startCopy(r *run) {
+func (c *Conductor) startCopy(now time.Time, r *run) {
 	t := r.task
 	if t.originalRun != nil {
 		return
@@ -172,4 +172,7 @@
 	t.current = nil
 	t.step.waiting++
 	c.queueStep(t.step)
+	if t.step.waiting == 1 {
+		t.step.beginWait(now, waitCopy)
+	}
 }
--- a/conductor/recovery.go
+++ b/conductor/recovery.go
@@ -23,8 +23,17 @@
 	listIncomplete     = "list incomplete"
 )
 
-// waitReady is the reason for the wait of a task whose step has become ready.
-const waitReady = "ready"
+// Reasons for the wait of a task that has lost no run.
+const (
+	// waitReady is that the step has become ready.
+	waitReady = "ready"
+	// waitTakeover is that this owner has taken over.
+	waitTakeover = "takeover"
+	// waitStarted is that a run of another task of the step has been started, and waitCopy that the task is
+	// to get a speculative copy.
+	waitStarted = "run started"
+	waitCopy    = "copy"
+)
 
 // reconciliation is the progress of a takeover, for the log.
 type reconciliation struct {
@@ -90,27 +99,40 @@
 	if !t.step.spec.Lasting || t.done || t.current != nil || t.wait != nil {
 		return
 	}
-	t.wait = &wait{task: t, since: now, reason: reason}
+	t.wait = &wait{waitState: waitState{since: now, reason: reason}, task: t}
 	c.waits = append(c.waits, t.wait)
 }
 
-// beginWaits records that the long-running tasks of a step that is ready have no run.
+// beginWaits records that the tasks of a step that is ready have no run.
 func (c *Conductor) beginWaits(now time.Time, s *step) {
-	if !s.spec.Lasting || !s.occurrence.due {
+	if !s.occurrence.due {
 		return
 	}
 	reason := waitReady
 	if s.occurrence.workload.inherited && now.Equal(c.startedAt) {
-		reason = "takeover"
+		reason = waitTakeover
+	}
+	if !s.spec.Lasting {
+		if s.wait == nil {
+			s.beginWait(now, reason)
+		}
+		return
 	}
 	for _, t := range s.tasks {
 		c.beginWait(now, t, reason)
 	}
 }
 
-// logFreed logs that a long-running task has lost its run r, and begins its wait.
+// logFreed begins the wait of a task that has lost its run r, and logs that if the task is long-running.
 func (c *Conductor) logFreed(now time.Time, r *run, reason string) {
-	if !r.task.step.spec.Lasting || r.task.step.occurrence.workload.terminal() {
+	s := r.task.step
+	if s.occurrence.workload.terminal() {
+		return
+	}
+	if !s.spec.Lasting {
+		if s.waiting == 1 {
+			s.beginWait(now, reason)
+		}
 		return
 	}
 	c.beginWait(now, r.task, reason)
@@ -119,15 +141,16 @@
 		"runMillis", now.Sub(r.startedAt).Milliseconds())
 }
 
-// endWait records that a long-running task has the run r, and logs how long it had none if it may have
-// run before.
+// endWait records that a task has the run r. If the task is long-running and may have run before, it logs
+// how long it had none.
 func (c *Conductor) endWait(now time.Time, r *run) {
+	c.restartStepWait(now, r.task.step)
 	w := r.task.wait
 	if w == nil {
 		return
 	}
 	r.task.wait = nil
-	c.countLongWait(now, w)
+	c.countLongWait(now, &w.waitState, "long_running.long_waits")
 	if w.reason == waitReady || r.ordersNumber == 0 {
 		return // It is the first run, or was found in a report and may have run all the time.
 	}
--- /dev/null
+++ b/conductor/stepwaits.go
@@ -0,0 +1,361 @@
+package conductor
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// gaugeStepsWaiting is the prefix of the names of the gauges of tasks that are not long-running by what
+	// they wait for.
+	gaugeStepsWaiting = "ordinary.waiting."
+	// gaugeLongStepWaits is the name of the gauge of the steps of such tasks that wait for long.
+	gaugeLongStepWaits = "ordinary.long_waiting"
+	// gaugeLeftOut is the prefix of the names of the gauges of executors that get no tasks, by the reason.
+	gaugeLeftOut = "executors.left_out."
+)
+
+// maxCheckedTasks bounds the waiting tasks of which one look checks each whether it waits for lists of
+// executors. Of a step beyond that, all tasks count as its first one.
+const maxCheckedTasks = 10_000
+
+// What a task waits for that is not long-running, besides waitReasons.
+const (
+	waitLabel        = "label"
+	waitUnused       = "unused processors"
+	waitMaxRuns      = "max per executor"
+	waitTailLatency  = "tail latency over target"
+	waitOutlook      = "outlook"
+	waitGangRuns     = "runs of the gang"
+	waitAdviceDenied = "advice denied"
+)
+
+// condition is why an executor gets no task of a step.
+type condition struct {
+	reason  string
+	applies func(*schedulingPass, *step, *executor) bool
+}
+
+// refusals lists why usable executors refuse tasks, in the order in which that is checked. What a step waits
+// for is the last of those that apply to an executor: it meets all that is checked before.
+var refusals = []condition{
+	{waitLabel, func(_ *schedulingPass, s *step, e *executor) bool {
+		return s.spec.Label != "" && !e.labels[s.spec.Label]
+	}},
+	{waitNoRoom, func(_ *schedulingPass, s *step, e *executor) bool {
+		need := s.need
+		if s.spec.Fills {
+			need = need.WithoutProcessors()
+		}
+		return !e.allocated.Add(need).Fits(e.capacity)
+	}},
+	{waitUnused, func(p *schedulingPass, s *step, e *executor) bool {
+		c := p.conductor
+		return s.spec.Fills && float64(e.bestEffort-e.bestEffortIdle+s.need.ProcessorMillis()) > c.config.BestEffortRatio*c.expectedUnused(e)
+	}},
+	{waitMaxRuns, func(_ *schedulingPass, s *step, e *executor) bool {
+		return s.spec.MaxPerExecutor > 0 && e.countTasks(s) >= s.spec.MaxPerExecutor
+	}},
+	{waitTailLatency, func(p *schedulingPass, s *step, e *executor) bool { return s.spec.Fills && e.overTarget(p.now) }},
+	{waitOutlook, func(*schedulingPass, *step, *executor) bool { return true }},
+}
+
+// refusal returns the index in refusals of why an executor refuses a task of a step; -1 if it doesn't.
+func (p *schedulingPass) refusal(s *step, e *executor) int {
+	if p.hasRoom(s, e) {
+		return -1
+	}
+	return p.firstCondition(refusals, s, e)
+}
+
+// exclusions lists why executors are not usable, in the order in which that is checked.
+var exclusions = []condition{
+	{"host not reported", func(_ *schedulingPass, _ *step, e *executor) bool { return !e.host.reported }},
+	{"leases withheld", func(_ *schedulingPass, _ *step, e *executor) bool { return e.host.withheld }},
+	{"host suspended", func(p *schedulingPass, _ *step, e *executor) bool { return !p.conductor.mayRenew(e.host) }},
+	{"orders undeliverable", func(_ *schedulingPass, _ *step, e *executor) bool { return e.host.sentOrders.undeliverable }},
+	{"not durable", func(_ *schedulingPass, _ *step, e *executor) bool { return !e.durable }},
+	{"unreachable", func(_ *schedulingPass, _ *step, e *executor) bool { return !e.reachable }},
+	{"runs unknown", func(_ *schedulingPass, _ *step, e *executor) bool { return e.runsUnknown }},
+	{"draining", func(_ *schedulingPass, _ *step, e *executor) bool { return e.draining }},
+	{"out of service", func(*schedulingPass, *step, *executor) bool { return true }},
+}
+
+// firstCondition returns the index of the first condition that applies; the last one always does.
+func (p *schedulingPass) firstCondition(conditions []condition, s *step, e *executor) int {
+	return slices.IndexFunc(conditions, func(n condition) bool { return n.applies(p, s, e) })
+}
+
+// countsText returns the counts that are not 0, each after the reason of the condition with its index.
+func countsText(conditions []condition, counts []int) string {
+	var parts []string
+	for at, n := range counts {
+		if n > 0 {
+			parts = append(parts, fmt.Sprint(conditions[at].reason, " ", n))
+		}
+	}
+	return strings.Join(parts, ", ")
+}
+
+// stepWaitReasons returns all that a task may wait for that is not long-running.
+func stepWaitReasons() []string {
+	reasons := []string{waitNoQueue, waitNotDurable, waitUnlisted, waitBackoff, waitNoExecutor}
+	for _, r := range refusals {
+		reasons = append(reasons, r.reason)
+	}
+	return append(reasons, waitAdvice, waitAdviceDenied, waitGang, waitGangRuns, waitNextPass, waitNotEvaluated)
+}
+
+// stepWait is a time in which a step that is not long-running has waiting tasks and starts none of them. The
+// awaits of its state is what those of its tasks wait for that may be tried on executors.
+type stepWait struct {
+	waitState
+	step *step
+	// first is the first task that waits, firstAwaits what it waits for, and firstUnlisted the first one that
+	// waits for lists of executors.
+	first, firstUnlisted *task
+	firstAwaits          string
+	// unlisted and backoff are the numbers of the tasks that wait for lists of executors and for the end of
+	// their backoff, and others that of those that wait for awaits.
+	unlisted, backoff, others int
+}
+
+// beginWait records that a step has waiting tasks.
+func (s *step) beginWait(now time.Time, reason string) {
+	s.wait = &stepWait{waitState: waitState{since: now, reason: reason}, step: s}
+}
+
+// restartStepWait records that one of the waiting tasks of a step gets a run.
+func (c *Conductor) restartStepWait(now time.Time, s *step) {
+	if s.wait == nil {
+		return
+	}
+	c.countLongStepWait(now, s.wait)
+	if s.waiting == 1 {
+		s.wait = nil
+		return
+	}
+	s.beginWait(now, waitStarted)
+}
+
+func (c *Conductor) countLongStepWait(now time.Time, w *stepWait) {
+	c.countLongWait(now, &w.waitState, "ordinary.long_waits")
+}
+
+// stepWaits returns the waits of the steps that wait, in the order in which the steps are scheduled.
+func (c *Conductor) stepWaits() []*stepWait {
+	var waits []*stepWait
+	for _, s := range c.steps {
+		if s.wait != nil && s.waiting > 0 && !s.occurrence.workload.terminal() {
+			waits = append(waits, s.wait)
+		}
+	}
+	return waits
+}
+
+// checkStepWaits does the part of checkWaits for steps that are not long-running.
+func (c *Conductor) checkStepWaits(now time.Time, p *schedulingPass) {
+	waits := c.stepWaits()
+	lines := dueLines(now, waits)
+	e := &waitEvaluation{pass: p, rooms: map[*step]room{}}
+	for _, w := range lines {
+		e.updateStep(w)
+	}
+	counts := map[string]int{}
+	long := int64(0)
+	for _, w := range byEvaluation(waits) {
+		if !w.checkedAt.Equal(now) {
+			e.updateStep(w)
+		}
+		w.addTo(counts)
+		c.countLongStepWait(now, w)
+		if w.counted {
+			long++
+		}
+	}
+	for _, reason := range stepWaitReasons() {
+		c.setGauge(waitGauge(gaugeStepsWaiting, reason), int64(counts[reason]))
+	}
+	c.setGauge(gaugeLongStepWaits, long)
+	leftOut := p.countLeftOut()
+	for at, x := range exclusions {
+		sum := 0
+		for _, counts := range leftOut {
+			sum += counts[at]
+		}
+		c.setGauge(waitGauge(gaugeLeftOut, x.reason), int64(sum))
+	}
+	for _, w := range lines {
+		c.logStepWait(e, w, leftOut)
+	}
+}
+
+// countLeftOut returns, by service, the numbers of executors that are not usable by the index in exclusions.
+func (p *schedulingPass) countLeftOut() map[string][]int {
+	leftOut := map[string][]int{}
+	for _, e := range p.conductor.allExecutors() {
+		if p.conductor.usable(e) {
+			continue
+		}
+		if leftOut[e.service] == nil {
+			leftOut[e.service] = make([]int, len(exclusions))
+		}
+		leftOut[e.service][p.firstCondition(exclusions, nil, e)]++
+	}
+	return leftOut
+}
+
+// updateStep finds out what the tasks of a step wait for.
+func (e *waitEvaluation) updateStep(w *stepWait) {
+	now := e.pass.now
+	w.checkedAt = now
+	e.countTasks(w)
+	s := w.step
+	c := e.pass.conductor
+	_, configured := c.queue(s.occurrence.workload)
+	whole := ""
+	switch {
+	case !configured:
+		whole = waitNoQueue
+	case s.occurrence.workload.durableState == "":
+		whole = waitNotDurable
+	case s.spec.Gang && s.waiting < len(s.tasks):
+		whole = waitGangRuns
+	case s.spec.Gang && w.unlisted > 0:
+		whole = waitUnlisted
+	case s.spec.Gang && w.backoff > 0:
+		whole = waitBackoff
+	}
+	if whole != "" {
+		if whole == waitUnlisted {
+			w.first = w.firstUnlisted
+		}
+		w.unlisted, w.backoff, w.others = 0, 0, s.waiting
+		w.awaits, w.firstAwaits, w.evaluatedAt = whole, whole, time.Time{}
+		return
+	}
+	if w.others > 0 {
+		reason, ok := e.evaluateStep(s)
+		w.set(now, reason, ok)
+	}
+	if w.firstAwaits == "" {
+		w.firstAwaits = w.awaits
+	}
+}
+
+// countTasks counts the waiting tasks of a step by what keeps them from being tried on executors.
+func (e *waitEvaluation) countTasks(w *stepWait) {
+	c, now := e.pass.conductor, e.pass.now
+	w.first, w.firstUnlisted, w.firstAwaits = nil, nil, ""
+	w.unlisted, w.backoff, w.others = 0, 0, 0
+	for _, t := range w.step.tasks {
+		if t.done || t.current != nil {
+			continue
+		}
+		count, reason := &w.others, ""
+		switch {
+		case c.awaitsExecutors(t):
+			count, reason = &w.unlisted, waitUnlisted
+		case now.Before(t.notBefore):
+			count, reason = &w.backoff, waitBackoff
+		}
+		if w.first == nil {
+			w.first, w.firstAwaits = t, reason
+		}
+		if w.firstUnlisted == nil && reason == waitUnlisted {
+			w.firstUnlisted = t
+		}
+		e.checkedTasks++
+		if e.checkedTasks >= maxCheckedTasks {
+			*count += w.step.waiting - w.unlisted - w.backoff - w.others
+			return
+		}
+		*count++
+	}
+}
+
+// evaluateStep returns what the tasks of a step of a configured queue that may be tried on executors wait
+// for. ok is false if maxEvaluatedSteps other steps have been evaluated.
+func (e *waitEvaluation) evaluateStep(s *step) (reason string, ok bool) {
+	p := e.pass
+	q, _ := p.conductor.queue(s.occurrence.workload)
+	pool := p.pool(q.Service)
+	if len(pool) == 0 {
+		return waitNoExecutor, true
+	}
+	r, ok := e.room(s, pool)
+	switch {
+	case !ok:
+		return "", false
+	case !r.any:
+		return r.lastRefusal(), true
+	case q.Advised:
+		return p.awaitsAdvice(s, pool), true
+	case s.spec.Gang && p.chooseGang(s, pool) == nil:
+		return waitGang, true
+	}
+	return waitNextPass, true
+}
+
+// lastRefusal returns the last of the reasons in refusals for which an executor refuses.
+func (r room) lastRefusal() string {
+	reason := waitNoRoom
+	for at, n := range r.refused {
+		if n > 0 {
+			reason = refusals[at].reason
+		}
+	}
+	return reason
+}
+
+// awaitsAdvice returns what a step of an advised queue waits for that has room on an executor.
+func (p *schedulingPass) awaitsAdvice(s *step, pool []*executor) string {
+	reason := waitAdviceDenied
+	for _, e := range pool {
+		if s.advice.denied[e.id] || p.refusal(s, e) >= 0 {
+			continue
+		}
+		reason = waitAdvice
+		if _, valid := s.validTicket(p.now, e); valid {
+			return waitNextPass
+		}
+	}
+	return reason
+}
+
+// addTo adds the waiting tasks of a step to counts by what they wait for.
+func (w *stepWait) addTo(counts map[string]int) {
+	counts[waitUnlisted] += w.unlisted
+	counts[waitBackoff] += w.backoff
+	if w.others > 0 {
+		counts[w.awaits] += w.others
+	}
+}
+
+// logStepWait logs the wait of a step, and the first executor that its first task waits for, if any.
+func (c *Conductor) logStepWait(e *waitEvaluation, w *stepWait, leftOut map[string][]int) {
+	now, s := e.pass.now, w.step
+	w.loggedAt = now
+	job := s.occurrence.workload
+	usable, refused, excluded := 0, "", ""
+	if q, ok := c.queue(job); ok {
+		usable, excluded = len(e.pass.pool(q.Service)), countsText(exclusions, leftOut[q.Service])
+	}
+	if r := e.rooms[s]; !r.any {
+		refused = countsText(refusals, r.refused)
+	}
+	running := s.left - s.waiting
+	waited, age, blocked := now.Sub(w.since).Milliseconds(), now.Sub(job.acceptedAt).Milliseconds(), s.blockedMillis(now)
+	first, unlisted := c.unlistedExecutors(w.first)
+	if w.firstAwaits != waitUnlisted || first == nil {
+		c.logger.Info("step waits", "task", w.first.ref, "tasks", s.waiting, "running", running, "waitMillis", waited, "since", w.reason,
+			"ageMillis", age, "for", w.firstAwaits, "unlistedTasks", w.unlisted, "backoffTasks", w.backoff, "blockedMillis", blocked, "usable", usable, "refused", refused, "leftOut", excluded)
+		return
+	}
+	c.logger.Info("step waits", "task", w.first.ref, "tasks", s.waiting, "running", running, "waitMillis", waited, "since", w.reason,
+		"ageMillis", age, "for", w.firstAwaits, "unlistedTasks", w.unlisted, "backoffTasks", w.backoff, "blockedMillis", blocked, "usable", usable, "refused", refused, "leftOut", excluded,
+		"unlisted", unlisted, "executor", first.id, "host", first.host.name, "reason", first.unlistedReason(now),
+		"reportAgeMillis", now.Sub(first.host.lastReportAt).Milliseconds(), "leaseMillis", first.leaseEnd.Sub(now).Milliseconds())
+}
--- a/conductor/waits.go
+++ b/conductor/waits.go
@@ -7,12 +7,13 @@
 	"time"
 )
 
-// Periods and bounds of what is logged and measured of long-running tasks without a run.
+// Periods and bounds of what is logged and measured of tasks without a run. The bounds hold for long-running
+// tasks and for the steps of others each.
 const (
 	// waitCheckPeriod is the time between two looks at all waits.
 	waitCheckPeriod = time.Second
-	// longWait is how long a long-running task waits before the reason is logged, and waitLogPeriod the
-	// time until it is logged again.
+	// longWait is how long a wait lasts before the reason is logged, and waitLogPeriod the time until it
+	// is logged again.
 	longWait      = 2 * time.Second
 	waitLogPeriod = 5 * time.Second
 	// maxWaitLines bounds the waits that are logged at one look.
@@ -45,13 +46,12 @@
 	waitNotEvaluated,
 }
 
-// wait is a time in which a long-running task has no run.
-type wait struct {
-	task  *task
+// waitState is the part of a wait that those of long-running tasks and of steps share.
+type waitState struct {
 	since time.Time
-	// reason is why the task has no run.
+	// reason is why there is no run.
 	reason string
-	// awaits is what the task waits for, as of checkedAt. evaluatedAt is when that was found by an
+	// awaits is what a task waits for, as of checkedAt. evaluatedAt is when that was found by an
 	// evaluation of the executors; zero if it wasn't.
 	awaits                 string
 	checkedAt, evaluatedAt time.Time
@@ -60,77 +60,110 @@
 	loggedAt time.Time
 }
 
-// ended reports whether a wait has ended.
-func (w *wait) ended() bool {
-	return w.task.wait != w || w.task.done || w.task.step.occurrence.workload.terminal()
-}
+func (w *waitState) state() *waitState { return w }
 
 // lineDueAt returns when the next line about a wait is due.
-func (w *wait) lineDueAt() time.Time {
+func (w *waitState) lineDueAt() time.Time {
 	if w.loggedAt.IsZero() {
 		return w.since.Add(longWait)
 	}
 	return w.loggedAt.Add(waitLogPeriod)
 }
 
+// set sets what is waited for. Beyond maxEvaluatedSteps, that is where ok is false, it keeps what the last
+// evaluation found.
+func (w *waitState) set(now time.Time, reason string, ok bool) {
+	if ok {
+		w.awaits, w.evaluatedAt = reason, now
+	} else if w.evaluatedAt.IsZero() {
+		w.awaits = waitNotEvaluated
+	}
+}
+
+// wait is a time in which a long-running task has no run.
+type wait struct {
+	waitState
+	task *task
+}
+
+// ended reports whether a wait has ended.
+func (w *wait) ended() bool {
+	return w.task.wait != w || w.task.done || w.task.step.occurrence.workload.terminal()
+}
+
 func compareWaits(a, b *wait) int {
 	return cmp.Or(a.since.Compare(b.since), compareTasks(a.task, b.task))
 }
 
-// checkWaits finds out, once each waitCheckPeriod, what the long-running tasks without a run wait for,
-// counts them by that, and logs those that have waited for long.
+// checkWaits finds out, once each waitCheckPeriod, what the tasks without a run wait for, counts them by
+// that, and logs those that have waited for long.
 func (c *Conductor) checkWaits(now time.Time) {
 	if now.Sub(c.waitsCheckedAt) < waitCheckPeriod {
 		return
 	}
 	c.waitsCheckedAt = now
+	p := c.newPass(now)
+	c.checkLongRunningWaits(now, p)
+	c.checkStepWaits(now, p)
+}
+
+// checkLongRunningWaits does the part of checkWaits for long-running tasks.
+func (c *Conductor) checkLongRunningWaits(now time.Time, p *schedulingPass) {
 	c.waits = slices.DeleteFunc(c.waits, (*wait).ended)
 	slices.SortFunc(c.waits, compareWaits)
-	lines := c.dueLines(now)
-	e := &waitEvaluation{pass: c.newPass(now), rooms: map[*step]room{}}
+	lines := dueLines(now, c.waits)
+	e := &waitEvaluation{pass: p, rooms: map[*step]room{}}
 	for _, w := range lines {
 		e.update(w)
 	}
-	byEvaluation := slices.Clone(c.waits)
-	slices.SortStableFunc(byEvaluation, func(a, b *wait) int { return a.evaluatedAt.Compare(b.evaluatedAt) })
 	counts := map[string]int64{}
-	for _, w := range byEvaluation {
+	for _, w := range byEvaluation(c.waits) {
 		if !w.checkedAt.Equal(now) {
 			e.update(w)
 		}
 		counts[w.awaits]++
-		c.countLongWait(now, w)
+		c.countLongWait(now, &w.waitState, "long_running.long_waits")
 	}
 	for _, reason := range waitReasons {
-		c.setGauge(waitGauge(reason), counts[reason])
+		c.setGauge(waitGauge(gaugeWaiting, reason), counts[reason])
 	}
 	for _, w := range lines {
 		c.logWait(now, w)
 	}
 }
 
-// waitGauge returns the name of the gauge of the tasks that wait for something.
-func waitGauge(reason string) string { return gaugeWaiting + strings.ReplaceAll(reason, " ", "_") }
+// waitGauge returns the name of the gauge, among those with a prefix, of the tasks that wait for something.
+func waitGauge(prefix, reason string) string { return prefix + strings.ReplaceAll(reason, " ", "_") }
 
-// dueLines returns the waits that are logged now, those whose lines have been due for longest first.
-func (c *Conductor) dueLines(now time.Time) []*wait {
-	var due []*wait
-	for _, w := range c.waits {
-		if !now.Before(w.lineDueAt()) {
+// dueLines returns the waits that are logged now: first those that have not been, of these and of the others
+// those whose lines have been due for longest.
+func dueLines[W interface{ state() *waitState }](now time.Time, waits []W) []W {
+	var due []W
+	for _, w := range waits {
+		if !now.Before(w.state().lineDueAt()) {
 			due = append(due, w)
 		}
 	}
-	slices.SortStableFunc(due, func(a, b *wait) int { return a.lineDueAt().Compare(b.lineDueAt()) })
+	slices.SortStableFunc(due, func(a, b W) int {
+		return cmp.Or(a.state().loggedAt.Compare(b.state().loggedAt), a.state().since.Compare(b.state().since))
+	})
 	return due[:min(len(due), maxWaitLines)]
 }
 
-// countLongWait counts a wait, once, that has lasted for longWait.
-func (c *Conductor) countLongWait(now time.Time, w *wait) {
+// byEvaluation returns waits sorted by the time of their last evaluation.
+func byEvaluation[W interface{ state() *waitState }](waits []W) []W {
+	sorted := slices.Clone(waits)
+	slices.SortStableFunc(sorted, func(a, b W) int { return a.state().evaluatedAt.Compare(b.state().evaluatedAt) })
+	return sorted
+}
+
+// countLongWait counts a wait, once, that has lasted for longWait, in the counter with the given name.
+func (c *Conductor) countLongWait(now time.Time, w *waitState, counter string) {
 	if w.counted || now.Sub(w.since) < longWait {
 		return
 	}
 	w.counted = true
-	c.count("long_running.long_waits")
+	c.count(counter)
 }
 
 // logWait logs a wait, and the first executor that it waits for, if any.
@@ -173,10 +206,17 @@
 type waitEvaluation struct {
 	pass  *schedulingPass
 	rooms map[*step]room
+	// checkedTasks counts the tasks that were checked by maxCheckedTasks.
+	checkedTasks int
 }
 
 // room is whether an executor has room for a task of a step, and whether one does outside the reserve.
-type room struct{ any, unreserved bool }
+// refused holds, for a step without any room, the number of executors by the index in refusals of what
+// refused.
+type room struct {
+	any, unreserved bool
+	refused         []int
+}
 
 // update sets what a task waits for. Beyond maxEvaluatedSteps it keeps what the last evaluation found.
 func (e *waitEvaluation) update(w *wait) {
@@ -186,11 +226,8 @@
 		w.awaits, w.evaluatedAt = reason, time.Time{}
 		return
 	}
-	if reason, ok := e.evaluate(w.task); ok {
-		w.awaits, w.evaluatedAt = reason, now
-	} else if w.evaluatedAt.IsZero() {
-		w.awaits = waitNotEvaluated
-	}
+	reason, ok := e.evaluate(w.task)
+	w.set(now, reason, ok)
 }
 
 // waitsForNoExecutor returns what a task waits for before it is tried on executors; empty for nothing.
@@ -218,15 +255,10 @@
 	if len(pool) == 0 {
 		return waitNoExecutor, true
 	}
-	r, known := e.rooms[t.step]
-	if !known {
-		if len(e.rooms) == maxEvaluatedSteps {
-			return "", false
-		}
-		r = p.roomFor(t.step, pool)
-		e.rooms[t.step] = r
-	}
+	r, ok := e.room(t.step, pool)
 	switch {
+	case !ok:
+		return "", false
 	case !r.any:
 		return waitNoRoom, true
 	case t.keepsReserve() && !r.unreserved:
@@ -239,15 +271,30 @@
 	return waitNextPass, true
 }
 
+// room returns the room that the executors of a pool have for a task of a step. ok is false if
+// maxEvaluatedSteps other steps have been evaluated.
+func (e *waitEvaluation) room(s *step, pool []*executor) (r room, ok bool) {
+	r, known := e.rooms[s]
+	if !known {
+		if len(e.rooms) == maxEvaluatedSteps {
+			return room{}, false
+		}
+		r = e.pass.roomFor(s, pool)
+		e.rooms[s] = r
+	}
+	return r, true
+}
+
 // roomFor returns the room that the executors of a pool have for a task of a step.
 func (p *schedulingPass) roomFor(s *step, pool []*executor) room {
-	var r room
+	r := room{refused: make([]int, len(refusals))}
 	for _, e := range pool {
-		if !p.hasRoom(s, e) {
+		if at := p.refusal(s, e); at >= 0 {
+			r.refused[at]++
 			continue
 		}
 		r.any = true
-		if p.unreservedIn(e) >= s.need.ProcessorMillis() {
+		if !s.spec.Lasting || p.unreservedIn(e) >= s.need.ProcessorMillis() {
 			r.unreserved = true
 			break
 		}
--- a/conductor/workload.go
+++ b/conductor/workload.go
@@ -61,7 +61,9 @@
 	readyAt time.Time
 	// blockedAt is when a task of the step last fitted on none of all executors; zero if one did.
 	blockedAt time.Time
-	advice    advice
+	// wait is since when and why a step that is not long-running has started none of its waiting tasks.
+	wait   *stepWait
+	advice advice
 }
 
 // task is the state of one task of a step.
