Show few steps that wait among many, and who is not listed, in metrics

Lines about long-running tasks without room didn't say who refuses them. The tasks of which an earlier run goes on while a copy waits didn't count as running.

Change: waits for different things take turns in the lines. Gauges executors.unlisted.REASON count the executors that keep a takeover from being reconciled. "long-running task waits" names who refuses and who is left out, as "step waits" does.

--- a/conductor/confirmation.go
+++ b/conductor/confirmation.go
@@ -155,9 +155,8 @@
 		c.setGauge(waitGauge(gaugeStepsWaiting, reason), 0)
 	}
 	c.setGauge(gaugeLongStepWaits, 0)
-	for _, x := range exclusions {
-		c.setGauge(waitGauge(gaugeLeftOut, x.reason), 0)
-	}
+	c.setLeftOut(nil)
+	c.setUnlisted(nil)
 }
 
 func (c *Conductor) setGauge(name string, value int64) {
--- a/conductor/recovery.go
+++ b/conductor/recovery.go
@@ -23,6 +23,12 @@
 	listIncomplete     = "list incomplete"
 )
 
+// unlistedReasons lists the reasons for which an executor is not listed.
+var unlistedReasons = []string{hostSilent, epochNotFollowed, executorUnreported, listIncomplete}
+
+// gaugeUnlisted is the prefix of the names of the gauges of executors that are not listed, by the reason.
+const gaugeUnlisted = "executors.unlisted."
+
 // Reasons for the wait of a task that has lost no run.
 const (
 	// waitReady is that the step has become ready.
@@ -66,6 +72,7 @@
 	c.updateReconciled()
 	if c.reconciled {
 		c.reconciliation.completed = true
+		c.setUnlisted(nil)
 		metrics.GetOrRegisterTimer("executors.reconciled", c.registry).Update(took)
 		c.logger.Info("executors reconciled", "epoch", c.epoch, "tookMillis", took.Milliseconds(), "inherited", c.reconciliation.inherited)
 		return
@@ -87,6 +94,7 @@
 			first = e
 		}
 	}
+	c.setUnlisted(counts)
 	c.logger.Info("executors not listed", "epoch", c.epoch, "elapsedMillis", took.Milliseconds(), "executors", unlisted,
 		"hostSilent", counts[hostSilent], "epochNotFollowed", counts[epochNotFollowed],
 		"unreported", counts[executorUnreported], "incomplete", counts[listIncomplete],
@@ -94,6 +102,13 @@
 		"reportAgeMillis", now.Sub(first.host.lastReportAt).Milliseconds(), "leaseMillis", first.leaseEnd.Sub(now).Milliseconds())
 }
 
+// setUnlisted sets the gauges of the executors that are not listed to counts by their reason.
+func (c *Conductor) setUnlisted(counts map[string]int) {
+	for _, reason := range unlistedReasons {
+		c.setGauge(waitGauge(gaugeUnlisted, reason), int64(counts[reason]))
+	}
+}
+
 // beginWait records that a long-running task has no run, unless that is recorded already.
 func (c *Conductor) beginWait(now time.Time, t *task, reason string) {
 	if !t.step.spec.Lasting || t.done || t.current != nil || t.wait != nil {
--- a/conductor/stepwaits.go
+++ b/conductor/stepwaits.go
@@ -13,7 +13,7 @@
 	gaugeStepsWaiting = "ordinary.waiting."
 	// gaugeLongStepWaits is the name of the gauge of the steps of such tasks that wait for long.
 	gaugeLongStepWaits = "ordinary.long_waiting"
-	// gaugeLeftOut is the prefix of the names of the gauges of executors that get no tasks, by the reason.
+	// gaugeLeftOut is the prefix of the names of the gauges of executors that are not usable, by the reason.
 	gaugeLeftOut = "executors.left_out."
 )
 
@@ -122,6 +122,8 @@
 	unlisted, backoff, others int
 }
 
+func (w *stepWait) sample() string { return w.firstAwaits }
+
 // beginWait records that a step has waiting tasks.
 func (s *step) beginWait(now time.Time, reason string) {
 	s.wait = &stepWait{waitState: waitState{since: now, reason: reason}, step: s}
@@ -156,10 +158,9 @@
 }
 
 // checkStepWaits does the part of checkWaits for steps that are not long-running.
-func (c *Conductor) checkStepWaits(now time.Time, p *schedulingPass) {
+func (c *Conductor) checkStepWaits(now time.Time, e *waitEvaluation) {
 	waits := c.stepWaits()
 	lines := dueLines(now, waits)
-	e := &waitEvaluation{pass: p, rooms: map[*step]room{}}
 	for _, w := range lines {
 		e.updateStep(w)
 	}
@@ -179,16 +180,8 @@
 		c.setGauge(waitGauge(gaugeStepsWaiting, reason), int64(counts[reason]))
 	}
 	c.setGauge(gaugeLongStepWaits, long)
-	leftOut := p.countLeftOut()
-	for at, x := range exclusions {
-		sum := 0
-		for _, counts := range leftOut {
-			sum += counts[at]
-		}
-		c.setGauge(waitGauge(gaugeLeftOut, x.reason), int64(sum))
-	}
 	for _, w := range lines {
-		c.logStepWait(e, w, leftOut)
+		c.logStepWait(e, w)
 	}
 }
 
@@ -207,6 +200,30 @@
 	return leftOut
 }
 
+// setLeftOut sets the gauges of the executors that are not usable to counts by service.
+func (c *Conductor) setLeftOut(leftOut map[string][]int) {
+	for at, x := range exclusions {
+		sum := 0
+		for _, counts := range leftOut {
+			sum += counts[at]
+		}
+		c.setGauge(waitGauge(gaugeLeftOut, x.reason), int64(sum))
+	}
+}
+
+// describePool returns how many executors are usable for a step, how many refuse it and why if all do, and
+// how many are not usable and why.
+func (e *waitEvaluation) describePool(s *step) (usable int, refused, leftOut string) {
+	q, ok := e.pass.conductor.queue(s.occurrence.workload)
+	if !ok {
+		return 0, "", ""
+	}
+	if r := e.rooms[s]; !r.any {
+		refused = countsText(refusals, r.refused)
+	}
+	return len(e.pass.pool(q.Service)), refused, countsText(exclusions, e.leftOut[q.Service])
+}
+
 // updateStep finds out what the tasks of a step wait for.
 func (e *waitEvaluation) updateStep(w *stepWait) {
 	now := e.pass.now
@@ -248,8 +265,9 @@
 // countTasks counts the waiting tasks of a step by what keeps them from being tried on executors.
 func (e *waitEvaluation) countTasks(w *stepWait) {
 	c, now := e.pass.conductor, e.pass.now
-	w.first, w.firstUnlisted, w.firstAwaits = nil, nil, ""
+	w.first, w.firstUnlisted, w.firstAwaits = w.step.tasks[0], nil, ""
 	w.unlisted, w.backoff, w.others = 0, 0, 0
+	found := false
 	for _, t := range w.step.tasks {
 		if t.done || t.current != nil {
 			continue
@@ -261,8 +279,8 @@
 		case now.Before(t.notBefore):
 			count, reason = &w.backoff, waitBackoff
 		}
-		if w.first == nil {
-			w.first, w.firstAwaits = t, reason
+		if !found {
+			w.first, w.firstAwaits, found = t, reason, true
 		}
 		if w.firstUnlisted == nil && reason == waitUnlisted {
 			w.firstUnlisted = t
@@ -292,11 +310,14 @@
 	case !r.any:
 		return r.lastRefusal(), true
 	case q.Advised:
-		return p.awaitsAdvice(s, pool), true
-	case s.spec.Gang && p.chooseGang(s, pool) == nil:
-		return waitGang, true
+		reason = p.awaitsAdvice(s, pool)
+	default:
+		reason = waitNextPass
+	}
+	if reason == waitNextPass && s.spec.Gang && p.chooseGang(s, pool) == nil {
+		reason = waitGang
 	}
-	return waitNextPass, true
+	return reason, true
 }
 
 // lastRefusal returns the last of the reasons in refusals for which an executor refuses.
@@ -335,27 +356,33 @@
 }
 
 // logStepWait logs the wait of a step, and the first executor that its first task waits for, if any.
-func (c *Conductor) logStepWait(e *waitEvaluation, w *stepWait, leftOut map[string][]int) {
+func (c *Conductor) logStepWait(e *waitEvaluation, w *stepWait) {
 	now, s := e.pass.now, w.step
 	w.loggedAt = now
 	job := s.occurrence.workload
-	usable, refused, excluded := 0, "", ""
-	if q, ok := c.queue(job); ok {
-		usable, excluded = len(e.pass.pool(q.Service)), countsText(exclusions, leftOut[q.Service])
-	}
-	if r := e.rooms[s]; !r.any {
-		refused = countsText(refusals, r.refused)
-	}
-	running := s.left - s.waiting
 	waited, age, blocked := now.Sub(w.since).Milliseconds(), now.Sub(job.acceptedAt).Milliseconds(), s.blockedMillis(now)
+	usable, refused, leftOut := e.describePool(s)
 	first, unlisted := c.unlistedExecutors(w.first)
 	if w.firstAwaits != waitUnlisted || first == nil {
-		c.logger.Info("step waits", "task", w.first.ref, "tasks", s.waiting, "running", running, "waitMillis", waited, "since", w.reason,
-			"ageMillis", age, "for", w.firstAwaits, "unlistedTasks", w.unlisted, "backoffTasks", w.backoff, "blockedMillis", blocked, "usable", usable, "refused", refused, "leftOut", excluded)
+		c.logger.Info("step waits", "task", w.first.ref, "tasks", s.waiting, "running", s.countRunning(), "waitMillis", waited, "since", w.reason, "ageMillis", age,
+			"for", w.firstAwaits, "unlistedTasks", w.unlisted, "backoffTasks", w.backoff, "blockedMillis", blocked,
+			"usable", usable, "refused", refused, "leftOut", leftOut)
 		return
 	}
-	c.logger.Info("step waits", "task", w.first.ref, "tasks", s.waiting, "running", running, "waitMillis", waited, "since", w.reason,
-		"ageMillis", age, "for", w.firstAwaits, "unlistedTasks", w.unlisted, "backoffTasks", w.backoff, "blockedMillis", blocked, "usable", usable, "refused", refused, "leftOut", excluded,
+	c.logger.Info("step waits", "task", w.first.ref, "tasks", s.waiting, "running", s.countRunning(), "waitMillis", waited, "since", w.reason, "ageMillis", age,
+		"for", w.firstAwaits, "unlistedTasks", w.unlisted, "backoffTasks", w.backoff, "blockedMillis", blocked,
+		"usable", usable, "refused", refused, "leftOut", leftOut,
 		"unlisted", unlisted, "executor", first.id, "host", first.host.name, "reason", first.unlistedReason(now),
 		"reportAgeMillis", now.Sub(first.host.lastReportAt).Milliseconds(), "leaseMillis", first.leaseEnd.Sub(now).Milliseconds())
 }
+
+// countRunning returns the number of tasks of a step that have a run.
+func (s *step) countRunning() int {
+	n := 0
+	for _, t := range s.tasks {
+		if t.current != nil || t.originalRun != nil {
+			n++
+		}
+	}
+	return n
+}
--- a/conductor/stepwaits_test.go
+++ b/conductor/stepwaits_test.go
@@ -6,9 +6,11 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/hashicorp/go-hclog"
 	"github.com/rcrowley/go-metrics"
 
 	"apricotwinch/cataloger"
+	"apricotwinch/conductor"
 	"apricotwinch/messenger"
 )
 
@@ -90,6 +92,18 @@
 			},
 			want: map[string]int64{"queue_not_configured": 3},
 		},
+		{
+			name: "successor whose catalog lacks the queue",
+			prepare: func(o *loggedOwner) {
+				spec := &messenger.WorkloadSpec{Steps: []messenger.StepSpec{tasks(2, 1000, time.Hour)}}
+				if _, err := o.Submit(o.now, messenger.WorkloadRequest{Queue: "other", Id: "w", Spec: spec}); err != nil {
+					o.t.Fatal(err)
+				}
+				o.flush()
+				o.replace()
+			},
+			want: map[string]int64{"queue_not_configured": 2},
+		},
 		{
 			name: "workload not durable",
 			prepare: func(o *loggedOwner) {
@@ -239,6 +253,14 @@
 			},
 			want: map[string]int64{"label": 64, "not_evaluated": 16},
 		},
+		{
+			name: "more tasks than are checked at a time",
+			prepare: func(o *loggedOwner) {
+				o.submit("v", 15_000, needsLabel)
+				o.submit("w", 15_000, needsLabel)
+			},
+			want: map[string]int64{"label": 30_000},
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -314,6 +336,47 @@
 				"tasks=1 running=0 since=ready waitMillis=7025 ageMillis=7025 for=no usable executor usable=0 refused= leftOut=draining 1",
 			},
 		},
+		{
+			name: "queue removed from the catalog",
+			prepare: func(o *loggedOwner) messenger.Report {
+				o.submit("w", 1)
+				o.SetCatalog(cataloger.New(2, 1<<20, nil))
+				return o.newReport()
+			},
+			want: []string{
+				"tasks=1 running=0 since=ready waitMillis=2025 ageMillis=2025 for=queue not configured usable=0 refused= leftOut=",
+				"tasks=1 running=0 since=ready waitMillis=7025 ageMillis=7025 for=queue not configured usable=0 refused= leftOut=",
+			},
+		},
+		{
+			name: "store that takes no appends",
+			prepare: func(o *loggedOwner) messenger.Report {
+				spec := &messenger.WorkloadSpec{Steps: []messenger.StepSpec{tasks(1, 1000, time.Hour)}}
+				if _, err := o.Submit(o.now, messenger.WorkloadRequest{Queue: batchQueue, Id: "w", Spec: spec}); err != nil {
+					o.t.Fatal(err)
+				}
+				return o.newReport()
+			},
+			want: []string{
+				"tasks=1 running=0 since=ready waitMillis=2025 ageMillis=2025 for=workload not durable usable=1 refused= leftOut=",
+				"tasks=1 running=0 since=ready waitMillis=7025 ageMillis=7025 for=workload not durable usable=1 refused= leftOut=",
+			},
+		},
+		{
+			name: "scheduled workload that is due after 4 s",
+			prepare: func(o *loggedOwner) messenger.Report {
+				spec := &messenger.WorkloadSpec{
+					Steps: []messenger.StepSpec{tasks(1, 1000, time.Hour, needsLabel)}, Repeats: 2, IntervalMillis: 3_600_000,
+					StartAtMillis: int(o.now.Add(4 * time.Second).UnixMilli()),
+				}
+				if _, err := o.Submit(o.now, messenger.WorkloadRequest{Queue: batchQueue, Id: "w", Spec: spec}); err != nil {
+					o.t.Fatal(err)
+				}
+				o.flush()
+				return o.newReport()
+			},
+			want: []string{"tasks=1 running=0 since=ready waitMillis=2025 ageMillis=6025 for=label usable=1 refused=label 1 leftOut="},
+		},
 		{
 			name: "workload ended",
 			prepare: func(o *loggedOwner) messenger.Report {
@@ -391,16 +454,53 @@
 	}
 }
 
-// TestLongStepWaitNamesUnlistedExecutor guards against accepted work that one silent executor holds after a
-// takeover, and whose log shows neither that nor which executor.
+// TestLinesOfOneStepAmongMany guards against a step whose line is missing among those of many that wait for
+// something else, as after a takeover.
+func TestLinesOfOneStepAmongMany(t *testing.T) {
+	o := newLoggedOwner(t, 1)
+	for i := range 200 {
+		o.submit(fmt.Sprintf("v%03d", i), 1, needsLabel)
+	}
+	spec := &messenger.WorkloadSpec{Steps: []messenger.StepSpec{tasks(1, 1000, time.Hour)}}
+	if _, err := o.Submit(o.now, messenger.WorkloadRequest{Queue: "other", Id: "w", Spec: spec}); err != nil {
+		t.Fatal(err)
+	}
+	o.run(3*time.Second, func() *messenger.Report { return nil })
+	got := map[string]int{}
+	for _, line := range o.logs.lines(t, "step waits", "for") {
+		got[line]++
+	}
+	if diff := cmp.Diff(map[string]int{"for=label": 7, "for=queue not configured": 1}, got); diff != "" {
+		t.Errorf("lines of the first 3 s (-want +got):\n%s", diff)
+	}
+}
+
+// TestLongStepWaitNamesUnlistedExecutor guards against accepted work that one silent executor, or one whose
+// lists stay incomplete, holds after a takeover, and whose log shows neither that nor which executor.
 func TestLongStepWaitNamesUnlistedExecutor(t *testing.T) {
+	silent := []string{
+		"host silent waitMillis=2010 leaseMillis=6390 reportAgeMillis=2010",
+		"host silent waitMillis=7010 leaseMillis=1390 reportAgeMillis=7010",
+	}
 	for _, test := range []struct {
 		name string
 		step func(*messenger.StepSpec)
+		// incomplete is whether the executor lists not all its runs and ends, instead of being silent.
+		incomplete bool
+		// lines are those of 14 s.
+		lines []string
 	}{
-		{name: "ordinary", step: func(*messenger.StepSpec) {}},
-		{name: "best-effort", step: bestEffort},
-		{name: "gang", step: gang},
+		{name: "ordinary", step: func(*messenger.StepSpec) {}, lines: silent},
+		{name: "best-effort", step: bestEffort, lines: silent},
+		{name: "gang", step: gang, lines: silent},
+		{
+			name: "incomplete list", step: func(*messenger.StepSpec) {}, incomplete: true,
+			lines: []string{
+				"list incomplete waitMillis=2010 leaseMillis=6390 reportAgeMillis=10",
+				"list incomplete waitMillis=7010 leaseMillis=4390 reportAgeMillis=10",
+				"list incomplete waitMillis=12010 leaseMillis=4390 reportAgeMillis=10",
+			},
+		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			sim, logs := newLoggedSimulation(t, 3)
@@ -412,10 +512,15 @@
 			h := sim.hostOf("w")
 			h.disconnected = true
 			sim.replaceOwner(true)
-			sim.run(4 * time.Second)
-			want := []string{
-				"for=executors not listed tasks=1 since=takeover unlisted=1 executor=executor-" + h.name + " host=" + h.name +
-					" reason=host silent waitMillis=2010 leaseMillis=6390 reportAgeMillis=2010",
+			for range 140 {
+				if test.incomplete {
+					sim.owner.Report(sim.now, incompleteReport(sim, h))
+				}
+				sim.run(100 * time.Millisecond)
+			}
+			var want []string
+			for _, line := range test.lines {
+				want = append(want, "for=executors not listed tasks=1 since=takeover unlisted=1 executor=executor-"+h.name+" host="+h.name+" reason="+line)
 			}
 			got := logs.lines(t, "step waits", "for", "tasks", "since", "unlisted", "executor", "host", "reason", "waitMillis", "leaseMillis", "reportAgeMillis")
 			if diff := cmp.Diff(want, got); diff != "" {
@@ -424,3 +529,158 @@
 		})
 	}
 }
+
+// incompleteReport returns a report of a host whose executor lists neither runs nor ends.
+func incompleteReport(sim *simulation, h *modelHost) messenger.Report {
+	executor := messenger.ExecutorRecord{Id: "executor-" + h.name, Born: h.executor.incarnation, Service: service, Address: h.name + ":2"}
+	return messenger.Report{
+		Host: h.name, Address: h.name + ":1", Incarnation: fmt.Sprint(h.incarnation), Epoch: int(sim.epoch), Whole: true,
+		TicketMillis: int(sim.now.Sub(origin).Milliseconds()),
+		Executors:    []messenger.ExecutorState{{Executor: executor, Reachable: true, Incomplete: true}},
+	}
+}
+
+// TestWaitOfCopyIsLogged guards against a speculative copy that is not started, and whose log doesn't show
+// for what it waits.
+func TestWaitOfCopyIsLogged(t *testing.T) {
+	const reportPeriod = 100 * time.Millisecond
+	logs := &logBuffer{}
+	logger := hclog.New(&hclog.LoggerOptions{Output: logs, JSONFormat: true})
+	c := conductor.New(conductor.DefaultConfig(), 1, true, logger, metrics.NewRegistry())
+	c.SetCatalog(catalog())
+	reports := []messenger.Report{newIdleReport(0, 1), newIdleReport(1, 1)}
+	for _, r := range reports {
+		c.Report(origin, r)
+	}
+	step := tasks(2, 8_000, time.Second, func(s *messenger.StepSpec) { s.Speculative = true })
+	if _, err := c.Submit(origin, messenger.WorkloadRequest{Queue: urgentQueue, Id: "w", Spec: &messenger.WorkloadSpec{Steps: []messenger.StepSpec{step}}}); err != nil {
+		t.Fatal(err)
+	}
+	records, number := c.TakeWrites()
+	c.AppendCommitted(number, records)
+	c.Schedule(origin)
+	records, number = c.TakeWrites()
+	c.AppendCommitted(number, records)
+	c.Schedule(origin)
+	orders := c.TakeOrders()
+	for i := range reports {
+		r := &reports[i]
+		r.Epoch = 1
+		if o := orders[r.Host]; o != nil {
+			r.Orders = o.Number
+			for _, start := range o.Starts {
+				r.Executors[0].Runs = append(r.Executors[0].Runs, messenger.RunState{Run: start.Run, Phase: messenger.RunRunning, Pace: 100})
+			}
+		}
+	}
+	// No pass starts the copies.
+	for now := origin; now.Before(origin.Add(5 * time.Second)); {
+		now = now.Add(reportPeriod)
+		for _, r := range reports {
+			r.TicketMillis = int(now.Sub(origin).Milliseconds())
+			c.Report(now, r)
+		}
+		c.Tick(now, now, now)
+	}
+	want := []string{"tasks=2 running=2 since=copy for=next pass"}
+	if diff := cmp.Diff(want, logs.lines(t, "step waits", "tasks", "running", "since", "for")); diff != "" {
+		t.Errorf("lines (-want +got):\n%s", diff)
+	}
+}
+
+// TestUnusableExecutorsAreCounted guards against room that the owner may not use and whose amount, by the
+// reason, no metric shows.
+func TestUnusableExecutorsAreCounted(t *testing.T) {
+	tests := []struct {
+		name    string
+		prepare func(*loggedOwner)
+		want    map[string]int64
+	}{
+		{name: "usable", prepare: func(*loggedOwner) {}, want: map[string]int64{}},
+		{
+			name: "draining",
+			prepare: func(o *loggedOwner) {
+				r := o.newReport()
+				r.Executors[0].Draining = true
+				o.report(r)
+			},
+			want: map[string]int64{"draining": 1},
+		},
+		{
+			name: "unreachable",
+			prepare: func(o *loggedOwner) {
+				r := o.newReport()
+				r.Executors[0].Reachable = false
+				o.report(r)
+			},
+			want: map[string]int64{"unreachable": 1},
+		},
+		{
+			name:    "out of service",
+			prepare: func(o *loggedOwner) { o.SetOutOfService(map[string]bool{"dc": true}) },
+			want:    map[string]int64{"out_of_service": 1},
+		},
+		{
+			name: "runs unknown",
+			prepare: func(o *loggedOwner) {
+				r := o.newReport()
+				ref := messenger.RunRef{Task: messenger.TaskRef{Workload: "other"}, Run: 1}
+				r.Executors[0].Runs = []messenger.RunState{{Run: ref, Phase: messenger.RunRunning, Pace: 100}}
+				o.report(r)
+			},
+			want: map[string]int64{"runs_unknown": 1},
+		},
+		{name: "successor without reports", prepare: func(o *loggedOwner) { o.replace() }, want: map[string]int64{"host_not_reported": 1}},
+	}
+	names := []string{
+		"host_not_reported", "leases_withheld", "host_suspended", "orders_undeliverable", "not_durable", "unreachable", "runs_unknown",
+		"draining", "out_of_service",
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			o := newLoggedOwner(t, 1)
+			silent := func() *messenger.Report { return nil }
+			o.run(time.Second, silent)
+			test.prepare(o)
+			o.run(25*time.Millisecond, silent)
+			if diff := cmp.Diff(test.want, o.gaugesAbove0("executors.left_out.", names)); diff != "" {
+				t.Errorf("executors that get no tasks (-want +got):\n%s", diff)
+			}
+			o.ClearGauges()
+			if diff := cmp.Diff(map[string]int64{}, o.gaugesAbove0("executors.left_out.", names)); diff != "" {
+				t.Errorf("gauges of an owner that has stopped (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestUnlistedExecutorsAreCounted guards against executors that hold the work of earlier owners and whose
+// number, by the reason, no metric shows.
+func TestUnlistedExecutorsAreCounted(t *testing.T) {
+	o := newLoggedOwner(t, 1)
+	silent := func() *messenger.Report { return nil }
+	names := []string{"host_silent", "epoch_not_followed", "executor_not_reported", "list_incomplete"}
+	check := func(what string, want map[string]int64) {
+		t.Helper()
+		if diff := cmp.Diff(want, o.gaugesAbove0("executors.unlisted.", names)); diff != "" {
+			t.Errorf("%s: executors that are not listed (-want +got):\n%s", what, diff)
+		}
+	}
+	o.run(time.Second, silent)
+	check("first owner", map[string]int64{})
+	o.replace()
+	o.run(time.Second, silent)
+	check("silent", map[string]int64{"host_silent": 1})
+	r := o.newReport()
+	r.Epoch = 2
+	r.Executors[0].Incomplete = true
+	o.report(r)
+	o.run(time.Second, silent)
+	check("incomplete list", map[string]int64{"list_incomplete": 1})
+	o.ClearGauges()
+	check("owner that has stopped", map[string]int64{})
+	r.Executors[0].Incomplete = false
+	o.report(r)
+	o.run(time.Second, silent)
+	check("listed", map[string]int64{})
+}
--- a/conductor/waits.go
+++ b/conductor/waits.go
@@ -60,6 +60,13 @@
 	loggedAt time.Time
 }
 
+// waiter is a wait of a long-running task or of a step.
+type waiter interface {
+	state() *waitState
+	// sample returns what the wait, or the first task of the step, was last found to wait for.
+	sample() string
+}
+
 func (w *waitState) state() *waitState { return w }
 
 // lineDueAt returns when the next line about a wait is due.
@@ -86,6 +93,8 @@
 	task *task
 }
 
+func (w *wait) sample() string { return w.awaits }
+
 // ended reports whether a wait has ended.
 func (w *wait) ended() bool {
 	return w.task.wait != w || w.task.done || w.task.step.occurrence.workload.terminal()
@@ -103,16 +112,17 @@
 	}
 	c.waitsCheckedAt = now
 	p := c.newPass(now)
-	c.checkLongRunningWaits(now, p)
-	c.checkStepWaits(now, p)
+	leftOut := p.countLeftOut()
+	c.setLeftOut(leftOut)
+	c.checkLongRunningWaits(now, newWaitEvaluation(p, leftOut))
+	c.checkStepWaits(now, newWaitEvaluation(p, leftOut))
 }
 
 // checkLongRunningWaits does the part of checkWaits for long-running tasks.
-func (c *Conductor) checkLongRunningWaits(now time.Time, p *schedulingPass) {
+func (c *Conductor) checkLongRunningWaits(now time.Time, e *waitEvaluation) {
 	c.waits = slices.DeleteFunc(c.waits, (*wait).ended)
 	slices.SortFunc(c.waits, compareWaits)
 	lines := dueLines(now, c.waits)
-	e := &waitEvaluation{pass: p, rooms: map[*step]room{}}
 	for _, w := range lines {
 		e.update(w)
 	}
@@ -128,16 +138,17 @@
 		c.setGauge(waitGauge(gaugeWaiting, reason), counts[reason])
 	}
 	for _, w := range lines {
-		c.logWait(now, w)
+		c.logWait(e, w)
 	}
 }
 
 // waitGauge returns the name of the gauge, among those with a prefix, of the tasks that wait for something.
 func waitGauge(prefix, reason string) string { return prefix + strings.ReplaceAll(reason, " ", "_") }
 
-// dueLines returns the waits that are logged now: first those that have not been, of these and of the others
-// those whose lines have been due for longest.
-func dueLines[W interface{ state() *waitState }](now time.Time, waits []W) []W {
+// dueLines returns the waits that are logged now. Those that wait for different things take turns; of those
+// that wait for the same, first come those that have not been logged, and then those whose lines have been
+// due for longest.
+func dueLines[W waiter](now time.Time, waits []W) []W {
 	var due []W
 	for _, w := range waits {
 		if !now.Before(w.state().lineDueAt()) {
@@ -147,11 +158,21 @@
 	slices.SortStableFunc(due, func(a, b W) int {
 		return cmp.Or(a.state().loggedAt.Compare(b.state().loggedAt), a.state().since.Compare(b.state().since))
 	})
-	return due[:min(len(due), maxWaitLines)]
+	// The first maxWaitLines of each reason are enough, in turns.
+	var turns [maxWaitLines][]W
+	found := map[string]int{}
+	for _, w := range due {
+		if at := found[w.sample()]; at < maxWaitLines {
+			turns[at] = append(turns[at], w)
+			found[w.sample()]++
+		}
+	}
+	lines := slices.Concat(turns[:]...)
+	return lines[:min(len(lines), maxWaitLines)]
 }
 
 // byEvaluation returns waits sorted by the time of their last evaluation.
-func byEvaluation[W interface{ state() *waitState }](waits []W) []W {
+func byEvaluation[W waiter](waits []W) []W {
 	sorted := slices.Clone(waits)
 	slices.SortStableFunc(sorted, func(a, b W) int { return a.state().evaluatedAt.Compare(b.state().evaluatedAt) })
 	return sorted
@@ -167,15 +188,19 @@
 }
 
 // logWait logs a wait, and the first executor that it waits for, if any.
-func (c *Conductor) logWait(now time.Time, w *wait) {
+func (c *Conductor) logWait(e *waitEvaluation, w *wait) {
+	now, s := e.pass.now, w.task.step
 	w.loggedAt = now
-	waited, blocked := now.Sub(w.since).Milliseconds(), w.task.step.blockedMillis(now)
+	waited, blocked := now.Sub(w.since).Milliseconds(), s.blockedMillis(now)
+	usable, refused, leftOut := e.describePool(s)
 	first, unlisted := c.unlistedExecutors(w.task)
 	if w.awaits != waitUnlisted || first == nil {
-		c.logger.Info("long-running task waits", "task", w.task.ref, "waitMillis", waited, "since", w.reason, "for", w.awaits, "blockedMillis", blocked)
+		c.logger.Info("long-running task waits", "task", w.task.ref, "waitMillis", waited, "since", w.reason, "for", w.awaits, "blockedMillis", blocked,
+			"usable", usable, "refused", refused, "leftOut", leftOut)
 		return
 	}
 	c.logger.Info("long-running task waits", "task", w.task.ref, "waitMillis", waited, "since", w.reason, "for", w.awaits, "blockedMillis", blocked,
+		"usable", usable, "refused", refused, "leftOut", leftOut,
 		"unlisted", unlisted, "executor", first.id, "host", first.host.name, "reason", first.unlistedReason(now),
 		"reportAgeMillis", now.Sub(first.host.lastReportAt).Milliseconds(), "leaseMillis", first.leaseEnd.Sub(now).Milliseconds())
 }
@@ -204,12 +229,18 @@
 // waitEvaluation finds out what tasks wait for at one time. All of them share one pass, and the tasks of
 // a step its room.
 type waitEvaluation struct {
-	pass  *schedulingPass
-	rooms map[*step]room
-	// checkedTasks counts the tasks that were checked by maxCheckedTasks.
+	pass *schedulingPass
+	// leftOut holds, by service, the numbers of executors that are not usable by the index in exclusions.
+	leftOut map[string][]int
+	rooms   map[*step]room
+	// checkedTasks is the number of the tasks that were checked, up to maxCheckedTasks.
 	checkedTasks int
 }
 
+func newWaitEvaluation(p *schedulingPass, leftOut map[string][]int) *waitEvaluation {
+	return &waitEvaluation{pass: p, leftOut: leftOut, rooms: map[*step]room{}}
+}
+
 // room is whether an executor has room for a task of a step, and whether one does outside the reserve.
 // refused holds, for a step without any room, the number of executors by the index in refusals of what
 // refused.
--- a/conductor/waits_test.go
+++ b/conductor/waits_test.go
@@ -26,11 +26,11 @@
 	sim.submit(watchQueue, "w", tasks(1, 1000, time.Hour, longRunning, needsLabel))
 	sim.run(14 * time.Second)
 	want := []string{
-		"for=no room since=ready waitMillis=2010 executor=<nil>",
-		"for=no room since=ready waitMillis=7010 executor=<nil>",
-		"for=no room since=ready waitMillis=12010 executor=<nil>",
+		"for=no room since=ready waitMillis=2010 usable=2 refused=label 2 leftOut= executor=<nil>",
+		"for=no room since=ready waitMillis=7010 usable=2 refused=label 2 leftOut= executor=<nil>",
+		"for=no room since=ready waitMillis=12010 usable=2 refused=label 2 leftOut= executor=<nil>",
 	}
-	if diff := cmp.Diff(want, logs.lines(t, "long-running task waits", "for", "since", "waitMillis", "executor")); diff != "" {
+	if diff := cmp.Diff(want, logs.lines(t, "long-running task waits", "for", "since", "waitMillis", "usable", "refused", "leftOut", "executor")); diff != "" {
 		t.Errorf("lines (-want +got):\n%s", diff)
 	}
 	logs.Reset()
