Say why an executor refuses where that is decided

Cause: the reasons in "step waits" and in the gauges of executors that are left out were found by copies of the conditions of fits, evaluate and usable, which a change of either would leave behind.

Change: misfit, refusal and exclusion return the reason, and fits, evaluate and usable ask them; the tables of reasons hold only names and their order. Room is checked before the number of runs of the step, which costs more.

Result: go test ./conductor . passes without a change to a test.

--- a/conductor/place.go
+++ b/conductor/place.go
@@ -110,21 +110,26 @@
 
 // fits reports whether an executor has room for one more task of a step and meets the step's
 // constraints.
-func (c *Conductor) fits(s *step, e *executor) bool {
+func (c *Conductor) fits(s *step, e *executor) bool { return c.misfit(s, e) == "" }
+
+// misfit returns the reason, one of refusals, for which an executor has no room for one more task of a step
+// or doesn't meet the step's constraints; empty if it fits.
+func (c *Conductor) misfit(s *step, e *executor) string {
 	need := s.need
-	if s.spec.Label != "" && !e.labels[s.spec.Label] {
-		return false
-	}
-	if s.spec.MaxPerExecutor > 0 && e.countTasks(s) >= s.spec.MaxPerExecutor {
-		return false
-	}
 	if s.spec.Fills {
-		if float64(e.bestEffort-e.bestEffortIdle+need.ProcessorMillis()) > c.config.BestEffortRatio*c.expectedUnused(e) {
-			return false
-		}
 		need = need.WithoutProcessors()
 	}
-	return e.allocated.Add(need).Fits(e.capacity)
+	switch {
+	case s.spec.Label != "" && !e.labels[s.spec.Label]:
+		return waitLabel
+	case s.spec.Fills && float64(e.bestEffort-e.bestEffortIdle+s.need.ProcessorMillis()) > c.config.BestEffortRatio*c.expectedUnused(e):
+		return waitUnused
+	case !e.allocated.Add(need).Fits(e.capacity):
+		return waitNoRoom
+	case s.spec.MaxPerExecutor > 0 && e.countTasks(s) >= s.spec.MaxPerExecutor:
+		return waitMaxRuns
+	}
+	return ""
 }
 
 // countTasks returns the number of runs of a step on the executor.
--- a/conductor/schedule.go
+++ b/conductor/schedule.go
@@ -92,10 +92,32 @@
 }
 
 // usable reports whether an executor may get tasks.
-func (c *Conductor) usable(e *executor) bool {
+func (c *Conductor) usable(e *executor) bool { return c.exclusion(e) == "" }
+
+// exclusion returns the reason, one of exclusions, for which an executor may get no tasks; empty if it may.
+func (c *Conductor) exclusion(e *executor) string {
 	h := e.host
-	hostUsable := h.reported && c.mayRenew(h) && !h.sentOrders.undeliverable
-	return hostUsable && e.durable && e.reachable && !e.runsUnknown && !e.draining && !c.outOfService[e.dc]
+	switch {
+	case !h.reported:
+		return hostUnreported
+	case h.withheld:
+		return leasesWithheld
+	case !c.mayRenew(h):
+		return hostSuspended
+	case h.sentOrders.undeliverable:
+		return ordersUndeliverable
+	case !e.durable:
+		return executorNotDurable
+	case !e.reachable:
+		return executorUnreachable
+	case e.runsUnknown:
+		return executorRunsUnknown
+	case e.draining:
+		return executorDraining
+	case c.outOfService[e.dc]:
+		return dataCentreOut
+	}
+	return ""
 }
 
 // usableExecutors returns the executors that may get tasks, by service.
@@ -227,19 +249,31 @@
 // evaluate returns the cost of an executor to a task of a step that doesn't avoid it, and whether
 // the task may start there.
 func (p *schedulingPass) evaluate(s *step, e *executor) (cost float64, ok bool) {
-	c := p.conductor
 	p.evaluated++
-	if !c.fits(s, e) {
+	if p.refusal(s, e) != "" {
 		return 0, false
 	}
-	if !s.spec.Fills {
-		return c.stepCost(p.now, s, e, 0), true
+	speed := 0.0
+	if s.spec.Fills {
+		speed = p.outlook(s.spec.Image, e).speed
 	}
-	o := p.outlook(s.spec.Image, e)
-	if e.overTarget(p.now) || p.now.Sub(s.readyAt) < c.config.MaxPlacementWait && !o.placeable {
-		return 0, false
+	return p.conductor.stepCost(p.now, s, e, speed), true
+}
+
+// refusal returns the reason, one of refusals, for which a task of a step may not start on an executor;
+// empty if it may.
+func (p *schedulingPass) refusal(s *step, e *executor) string {
+	c := p.conductor
+	if reason := c.misfit(s, e); reason != "" || !s.spec.Fills {
+		return reason
+	}
+	switch {
+	case e.overTarget(p.now):
+		return waitTailLatency
+	case p.now.Sub(s.readyAt) < c.config.MaxPlacementWait && !p.outlook(s.spec.Image, e).placeable:
+		return waitOutlook
 	}
-	return c.stepCost(p.now, s, e, o.speed), true
+	return ""
 }
 
 // outlook returns what one more task of a best-effort image is expected to do on an executor.
--- a/conductor/stepwaits.go
+++ b/conductor/stepwaits.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"strings"
 	"time"
 )
@@ -32,68 +31,35 @@
 	waitAdviceDenied = "advice denied"
 )
 
-// condition is why an executor gets no task of a step.
-type condition struct {
-	reason  string
-	applies func(*schedulingPass, *step, *executor) bool
-}
-
-// refusals lists why usable executors refuse tasks, in the order in which that is checked. What a step waits
-// for is the last of those that apply to an executor: it meets all that is checked before.
-var refusals = []condition{
-	{waitLabel, func(_ *schedulingPass, s *step, e *executor) bool {
-		return s.spec.Label != "" && !e.labels[s.spec.Label]
-	}},
-	{waitNoRoom, func(_ *schedulingPass, s *step, e *executor) bool {
-		need := s.need
-		if s.spec.Fills {
-			need = need.WithoutProcessors()
-		}
-		return !e.allocated.Add(need).Fits(e.capacity)
-	}},
-	{waitUnused, func(p *schedulingPass, s *step, e *executor) bool {
-		c := p.conductor
-		return s.spec.Fills && float64(e.bestEffort-e.bestEffortIdle+s.need.ProcessorMillis()) > c.config.BestEffortRatio*c.expectedUnused(e)
-	}},
-	{waitMaxRuns, func(_ *schedulingPass, s *step, e *executor) bool {
-		return s.spec.MaxPerExecutor > 0 && e.countTasks(s) >= s.spec.MaxPerExecutor
-	}},
-	{waitTailLatency, func(p *schedulingPass, s *step, e *executor) bool { return s.spec.Fills && e.overTarget(p.now) }},
-	{waitOutlook, func(*schedulingPass, *step, *executor) bool { return true }},
-}
-
-// refusal returns the index in refusals of why an executor refuses a task of a step; -1 if it doesn't.
-func (p *schedulingPass) refusal(s *step, e *executor) int {
-	if p.hasRoom(s, e) {
-		return -1
-	}
-	return p.firstCondition(refusals, s, e)
-}
+// refusals lists why a usable executor refuses a task, in the order in which that is checked. What a step
+// waits for is the last of those that any executor gives: that one meets all that is checked before.
+var refusals = []string{waitLabel, waitUnused, waitNoRoom, waitMaxRuns, waitTailLatency, waitOutlook}
 
-// exclusions lists why executors are not usable, in the order in which that is checked.
-var exclusions = []condition{
-	{"host not reported", func(_ *schedulingPass, _ *step, e *executor) bool { return !e.host.reported }},
-	{"leases withheld", func(_ *schedulingPass, _ *step, e *executor) bool { return e.host.withheld }},
-	{"host suspended", func(p *schedulingPass, _ *step, e *executor) bool { return !p.conductor.mayRenew(e.host) }},
-	{"orders undeliverable", func(_ *schedulingPass, _ *step, e *executor) bool { return e.host.sentOrders.undeliverable }},
-	{"not durable", func(_ *schedulingPass, _ *step, e *executor) bool { return !e.durable }},
-	{"unreachable", func(_ *schedulingPass, _ *step, e *executor) bool { return !e.reachable }},
-	{"runs unknown", func(_ *schedulingPass, _ *step, e *executor) bool { return e.runsUnknown }},
-	{"draining", func(_ *schedulingPass, _ *step, e *executor) bool { return e.draining }},
-	{"out of service", func(*schedulingPass, *step, *executor) bool { return true }},
-}
+// Reasons for which an executor is not usable.
+const (
+	hostUnreported      = "host not reported"
+	leasesWithheld      = "leases withheld"
+	hostSuspended       = "host suspended"
+	ordersUndeliverable = "orders undeliverable"
+	executorNotDurable  = "not durable"
+	executorUnreachable = "unreachable"
+	executorRunsUnknown = "runs unknown"
+	executorDraining    = "draining"
+	dataCentreOut       = "out of service"
+)
 
-// firstCondition returns the index of the first condition that applies; the last one always does.
-func (p *schedulingPass) firstCondition(conditions []condition, s *step, e *executor) int {
-	return slices.IndexFunc(conditions, func(n condition) bool { return n.applies(p, s, e) })
+// exclusions lists why an executor is not usable, in the order in which that is checked.
+var exclusions = []string{
+	hostUnreported, leasesWithheld, hostSuspended, ordersUndeliverable, executorNotDurable, executorUnreachable, executorRunsUnknown,
+	executorDraining, dataCentreOut,
 }
 
-// countsText returns the counts that are not 0, each after the reason of the condition with its index.
-func countsText(conditions []condition, counts []int) string {
+// countsText returns the counts that are not 0, each after its reason.
+func countsText(reasons []string, counts map[string]int) string {
 	var parts []string
-	for at, n := range counts {
-		if n > 0 {
-			parts = append(parts, fmt.Sprint(conditions[at].reason, " ", n))
+	for _, reason := range reasons {
+		if n := counts[reason]; n > 0 {
+			parts = append(parts, fmt.Sprint(reason, " ", n))
 		}
 	}
 	return strings.Join(parts, ", ")
@@ -102,9 +68,7 @@
 // stepWaitReasons returns all that a task may wait for that is not long-running.
 func stepWaitReasons() []string {
 	reasons := []string{waitNoQueue, waitNotDurable, waitUnlisted, waitBackoff, waitNoExecutor}
-	for _, r := range refusals {
-		reasons = append(reasons, r.reason)
-	}
+	reasons = append(reasons, refusals...)
 	return append(reasons, waitAdvice, waitAdviceDenied, waitGang, waitGangRuns, waitNextPass, waitNotEvaluated)
 }
 
@@ -185,29 +149,30 @@
 	}
 }
 
-// countLeftOut returns, by service, the numbers of executors that are not usable by the index in exclusions.
-func (p *schedulingPass) countLeftOut() map[string][]int {
-	leftOut := map[string][]int{}
-	for _, e := range p.conductor.allExecutors() {
-		if p.conductor.usable(e) {
+// countLeftOut returns, by service, the numbers of executors that are not usable by the reason.
+func (c *Conductor) countLeftOut() map[string]map[string]int {
+	leftOut := map[string]map[string]int{}
+	for _, e := range c.allExecutors() {
+		reason := c.exclusion(e)
+		if reason == "" {
 			continue
 		}
 		if leftOut[e.service] == nil {
-			leftOut[e.service] = make([]int, len(exclusions))
+			leftOut[e.service] = map[string]int{}
 		}
-		leftOut[e.service][p.firstCondition(exclusions, nil, e)]++
+		leftOut[e.service][reason]++
 	}
 	return leftOut
 }
 
 // setLeftOut sets the gauges of the executors that are not usable to counts by service.
-func (c *Conductor) setLeftOut(leftOut map[string][]int) {
-	for at, x := range exclusions {
+func (c *Conductor) setLeftOut(leftOut map[string]map[string]int) {
+	for _, reason := range exclusions {
 		sum := 0
 		for _, counts := range leftOut {
-			sum += counts[at]
+			sum += counts[reason]
 		}
-		c.setGauge(waitGauge(gaugeLeftOut, x.reason), int64(sum))
+		c.setGauge(waitGauge(gaugeLeftOut, reason), int64(sum))
 	}
 }
 
@@ -320,22 +285,22 @@
 	return reason, true
 }
 
-// lastRefusal returns the last of the reasons in refusals for which an executor refuses.
+// lastRefusal returns the last of refusals that an executor gives.
 func (r room) lastRefusal() string {
-	reason := waitNoRoom
-	for at, n := range r.refused {
-		if n > 0 {
-			reason = refusals[at].reason
+	last := waitNoRoom
+	for _, reason := range refusals {
+		if r.refused[reason] > 0 {
+			last = reason
 		}
 	}
-	return reason
+	return last
 }
 
 // awaitsAdvice returns what a step of an advised queue waits for that has room on an executor.
 func (p *schedulingPass) awaitsAdvice(s *step, pool []*executor) string {
 	reason := waitAdviceDenied
 	for _, e := range pool {
-		if s.advice.denied[e.id] || p.refusal(s, e) >= 0 {
+		if s.advice.denied[e.id] || p.refusal(s, e) != "" {
 			continue
 		}
 		reason = waitAdvice
--- a/conductor/waits.go
+++ b/conductor/waits.go
@@ -112,7 +112,7 @@
 	}
 	c.waitsCheckedAt = now
 	p := c.newPass(now)
-	leftOut := p.countLeftOut()
+	leftOut := c.countLeftOut()
 	c.setLeftOut(leftOut)
 	c.checkLongRunningWaits(now, newWaitEvaluation(p, leftOut))
 	c.checkStepWaits(now, newWaitEvaluation(p, leftOut))
@@ -230,23 +230,22 @@
 // a step its room.
 type waitEvaluation struct {
 	pass *schedulingPass
-	// leftOut holds, by service, the numbers of executors that are not usable by the index in exclusions.
-	leftOut map[string][]int
+	// leftOut holds, by service, the numbers of executors that are not usable by the reason.
+	leftOut map[string]map[string]int
 	rooms   map[*step]room
 	// checkedTasks is the number of the tasks that were checked, up to maxCheckedTasks.
 	checkedTasks int
 }
 
-func newWaitEvaluation(p *schedulingPass, leftOut map[string][]int) *waitEvaluation {
+func newWaitEvaluation(p *schedulingPass, leftOut map[string]map[string]int) *waitEvaluation {
 	return &waitEvaluation{pass: p, leftOut: leftOut, rooms: map[*step]room{}}
 }
 
 // room is whether an executor has room for a task of a step, and whether one does outside the reserve.
-// refused holds, for a step without any room, the number of executors by the index in refusals of what
-// refused.
+// refused holds, for a step without any room, the number of executors by the reason, one of refusals.
 type room struct {
 	any, unreserved bool
-	refused         []int
+	refused         map[string]int
 }
 
 // update sets what a task waits for. Beyond maxEvaluatedSteps it keeps what the last evaluation found.
@@ -318,10 +317,10 @@
 
 // roomFor returns the room that the executors of a pool have for a task of a step.
 func (p *schedulingPass) roomFor(s *step, pool []*executor) room {
-	r := room{refused: make([]int, len(refusals))}
+	r := room{refused: map[string]int{}}
 	for _, e := range pool {
-		if at := p.refusal(s, e); at >= 0 {
-			r.refused[at]++
+		if reason := p.refusal(s, e); reason != "" {
+			r.refused[reason]++
 			continue
 		}
 		r.any = true
@@ -333,15 +332,6 @@
 	return r
 }
 
-// hasRoom reports whether a task of a step may start on an executor.
-func (p *schedulingPass) hasRoom(s *step, e *executor) bool {
-	if s.spec.Fills {
-		return p.admits(s, e)
-	}
-	// Most full executors are found at less cost than by fits, which may count runs.
-	return e.allocated.Add(s.need).Fits(e.capacity) && p.conductor.fits(s, e)
-}
-
 // newPass returns a pass at a time that starts nothing and knows no changed executors.
 func (c *Conductor) newPass(now time.Time) *schedulingPass {
 	return &schedulingPass{conductor: c, now: now, unreserved: map[string]map[string]int64{}, outlooks: map[*executor]map[string]outlook{}}
