Wait where a version before may have started a long-running task

An owner of the version before doesn't read messenger.Placement. To it, a task that this version placed has no placement: it starts the task anywhere once all runs are listed, and records that afterwards. If it is replaced before that is durable, an owner of this version kept the stale placement, as the version before, too, records that it writes placements, and didn't wait for the executor on which the task runs: it ran twice.

Those in the old format, which only versions before write, count as before.

TestOwnerOfVersionBeforeStartsLongRunningTask fails without the change: watch runs on host-0 and on host-1.

--- a/conductor/claim.go
+++ b/conductor/claim.go
@@ -23,9 +23,12 @@
 
 // restoreClaims returns the last owner's record of placements with the epoch up to which it holds. An owner
 // that wrote no such record wrote nothing, and if its claim says so, it did nothing else than what the
-// record says. The first append of this owner deletes the records of earlier claims. The error is Invalid
-// for claims that can't be decoded, of which only the epoch is known.
-func (c *Conductor) restoreClaims(records []appender.KeyedRecord, last messenger.PlacementsRecord) (messenger.PlacementsRecord, error) {
+// record says. allHeld is whether that owner and those since, by their claims, hold all starts until the
+// placements are durable. The first append of this owner deletes the records of earlier claims. The error is
+// Invalid for claims that can't be decoded, of which only the epoch is known.
+func (c *Conductor) restoreClaims(
+	records []appender.KeyedRecord, last messenger.PlacementsRecord,
+) (restored messenger.PlacementsRecord, allHeld bool, err error) {
 	var errs []error
 	claims := map[string]messenger.OwnerClaimRecord{}
 	for _, r := range records {
@@ -41,6 +44,7 @@
 			c.deleteRecord(r.Key())
 		}
 	}
+	allHeld = claims[claimKey(int64(last.Epoch))].Complete
 	for last.Epoch > 0 && int64(last.Epoch) < c.epoch-1 {
 		claim, ok := claims[claimKey(int64(last.Epoch)+1)]
 		if !ok {
@@ -48,6 +52,7 @@
 		}
 		last.Epoch++
 		last.Complete = last.Complete && claim.Complete
+		allHeld = allHeld && claim.Complete
 	}
-	return last, errors.Join(errs...)
+	return last, allHeld, errors.Join(errs...)
 }
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -1640,6 +1640,31 @@
 	}
 }
 
+// TestOwnerOfVersionBeforeStartsLongRunningTask guards against a long-running task that runs twice while a
+// deployment goes back to the version before and forth again: that version doesn't read where this one recorded
+// that the task may run, and starts it elsewhere before it records that.
+func TestOwnerOfVersionBeforeStartsLongRunningTask(t *testing.T) {
+	sim := newSimulation(t, 1, 4)
+	sim.run(2 * time.Second)
+	sim.submit(watchQueue, "watch", tasks(1, 1000, time.Hour, longRunning))
+	sim.run(2 * time.Second)
+	written := slices.Clone(sim.store["p/watch"])
+	sim.replaceOwner(true)
+	sim.run(time.Second)
+	sim.crash(sim.hostOf("watch"))
+	sim.runUntil(time.Second, func() bool { return sim.running("watch") == 1 })
+	sim.run(time.Second)
+	sim.store["p/watch"] = written
+	rewrite(sim, "claim/2", func(record *messenger.OwnerClaimRecord) { record.Complete = false })
+	rewrite(sim, "placements", func(record *messenger.PlacementsRecord) { record.Complete = false })
+	sim.hostOf("watch").disconnected = true
+	sim.replaceOwner(true)
+	sim.run(12 * time.Second)
+	if diff := cmp.Diff(1, sim.running("watch")); diff != "" {
+		t.Errorf("running (-want +got):\n%s", diff)
+	}
+}
+
 // TestHeldStartAfterEvacuation guards against a start in a data centre that is out of service: it waited
 // for the store until after the data centre had been taken out.
 func TestHeldStartAfterEvacuation(t *testing.T) {
--- a/conductor/journal.go
+++ b/conductor/journal.go
@@ -48,11 +48,11 @@
 	if err != nil {
 		errs = append(errs, err)
 	}
-	last, err = c.restoreClaims(records, last)
+	last, allHeld, err := c.restoreClaims(records, last)
 	if err != nil {
 		errs = append(errs, err)
 	}
-	c.restorePlacements(last)
+	c.restorePlacements(last, allHeld)
 	c.restoreSuspensions(now, last)
 	slices.SortFunc(c.steps, compareSteps)
 	return errs
--- a/conductor/placement.go
+++ b/conductor/placement.go
@@ -21,6 +21,8 @@
 	// write is the number of the append that must be durable before the task starts there; 0 for
 	// none.
 	write int64
+	// early is whether a version before messenger.Placement recorded it.
+	early bool
 }
 
 // heldStart is a start that is sent once the placement of its task, or those of its gang, are durable.
@@ -38,15 +40,18 @@
 
 // restorePlacements drops the placements of inherited tasks unless the last owner recorded them, too: an
 // owner that doesn't may have moved a task since its placement was written. Owners of versions before
-// recorded no placements but those of tasks that always restart, and none before a first start. It queues
-// the record of what this owner's journal says, in one append with the progress of the tasks whose
+// recorded no placements but those of tasks that always restart, and none before a first start. They don't
+// read what this version recorded, so that it only counts if allHeld is set: no owner of theirs came since. It
+// queues the record of what this owner's journal says, in one append with the progress of the tasks whose
 // placements are dropped.
-func (c *Conductor) restorePlacements(last messenger.PlacementsRecord) {
+func (c *Conductor) restorePlacements(last messenger.PlacementsRecord, allHeld bool) {
 	recorded := c.epoch == 1 || int64(last.Epoch) == c.epoch-1
 	c.placementsComplete = c.epoch == 1 || recorded && last.Complete
 	for _, id := range slices.Sorted(maps.Keys(c.workloads)) {
 		w := c.workloads[id]
-		if w.dropPlacements(func(t *task) bool { return !recorded || !c.placementsComplete && !t.restartsAlways() }) {
+		if w.dropPlacements(func(t *task) bool {
+			return !recorded || !c.placementsComplete && !(t.restartsAlways() && (allHeld || t.placement.early))
+		}) {
 			c.markDirty(w, false)
 		}
 	}
--- a/conductor/workload.go
+++ b/conductor/workload.go
@@ -308,7 +308,7 @@
 		t := all[p.Task]
 		t.failed, t.highestRun, t.checkpoint = p.FailedRuns, p.Run, p.Checkpoint
 		if len(p.Executors) > 0 {
-			t.placement = &placement{executors: p.Executors}
+			t.placement = &placement{executors: p.Executors, early: true}
 		}
 	}
 	for _, p := range placements {
