Start no part of a gang whose held starts were released

The starts of a gang are held until the placements of all its tasks are durable. If the executor of one task is gone meanwhile, its run is released and no longer held, but the check for gangs that can't start whole looked only at the runs that still are: the others were sent, and waited alone on their executors, so that the gang didn't start again either.

A held gang of which a task waits again is released at once.

TestHeldGangStartsAllOrNone fails without the change: 3 of 4 tasks run.

--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -1774,6 +1774,27 @@
 	}
 }
 
+// TestHeldGangStartsAllOrNone guards against a part of a gang that starts: its starts are held, and the executor
+// of one task is gone before they are sent.
+func TestHeldGangStartsAllOrNone(t *testing.T) {
+	const members = 4
+	sim := newSimulation(t, 1, members)
+	sim.run(2 * time.Second)
+	step := tasks(members, 10_000, time.Hour, func(s *messenger.StepSpec) { s.Gang = true })
+	sim.acceptSpec(batchQueue, "gang", messenger.WorkloadSpec{Payload: "gang", Steps: []messenger.StepSpec{step}})
+	sim.owner.Schedule(sim.now)
+	sim.storeOffline = true
+	sim.run(200 * time.Millisecond)
+	sim.crashFor(sim.hosts[members-1], 2*time.Second, false)
+	sim.run(500 * time.Millisecond)
+	sim.storeOffline = false
+	sim.run(500 * time.Millisecond)
+	if diff := cmp.Diff(0, sim.running("gang")); diff != "" {
+		t.Errorf("running without an executor (-want +got):\n%s", diff)
+	}
+	sim.runUntil(4*time.Second, func() bool { return sim.running("gang") == members })
+}
+
 // TestDelayedReportOfEarlierAgent guards against tasks that run twice after the restart of an agent
 // behind a partition: a report that the partition held up comes after those of the next agent, and
 // says nothing of the runs that were started since.
--- a/conductor/placement.go
+++ b/conductor/placement.go
@@ -171,7 +171,12 @@
 func (c *Conductor) sendHeldStarts(now time.Time) {
 	var brokenGangs []*step
 	for _, s := range c.heldStarts {
-		if gang := s.run.task.step; gang.spec.Gang && s.write <= c.durable && c.runs[s.run.ref] == s.run && c.obstacle(now, s.run) != "" {
+		gang := s.run.task.step
+		if !gang.spec.Gang || c.runs[s.run.ref] != s.run || slices.Contains(brokenGangs, gang) {
+			continue
+		}
+		// A run of the gang that has been released since, as its executor is gone, is held no more.
+		if gang.waiting > 0 || s.write <= c.durable && c.obstacle(now, s.run) != "" {
 			brokenGangs = append(brokenGangs, gang)
 		}
 	}
@@ -179,11 +184,12 @@
 		if c.runs[s.run.ref] != s.run {
 			return true
 		}
-		if s.write > c.durable {
+		broken := slices.Contains(brokenGangs, s.run.task.step)
+		if s.write > c.durable && !broken {
 			return false
 		}
 		obstacle := c.obstacle(now, s.run)
-		if obstacle == "" && slices.Contains(brokenGangs, s.run.task.step) {
+		if obstacle == "" && broken {
 			obstacle = "gang incomplete"
 		}
 		if obstacle != "" {
