Measure reports of a fleet that runs tasks

Starts are held until their placements are durable, so that newBenchFleet took the orders before there were any: the benchmarks of reports and of ticks measured a fleet without runs (0 instead of 210 of 14 hosts), and with 15,000 held starts of 1000 hosts, through which each pass went.

newBenchFleet lets the owner settle, and fails unless all tasks start.

--- a/conductor/bench_test.go
+++ b/conductor/bench_test.go
@@ -44,10 +44,10 @@
 			b.Fatal(err)
 		}
 	}
-	records, number = c.TakeWrites()
-	c.AppendCommitted(number, records)
-	c.Schedule(now)
+	settle(c, now)
+	started := 0
 	for host, orders := range c.TakeOrders() {
+		started += len(orders.Starts)
 		var at int
 		if _, err := fmt.Sscanf(host, "host-%d", &at); err != nil {
 			b.Fatal(err)
@@ -57,6 +57,9 @@
 		}
 		reports[at].Orders = orders.Number
 	}
+	if want := hosts * tasksPerHost; started != want {
+		b.Fatalf("tasks that were started: got %d, want %d", started, want)
+	}
 	return c, reports, now
 }
 
