Shorten the wait for inherited leases once the predecessor is known to have stopped

Cause: whether the predecessor has stopped was asked once, before the claim. The class: evidence that comes later than the decision that needs it.

The elector remembers the owner before this entry, and the owner asks at each tick whether that one is known to have stopped: its name replied as another process, or it knows of this epoch. What it granted then ends by its length from now. That holds only if no owner before it may act, as it recorded.

TestPredecessorStopped and TestLateProofOfStopShortensWait are new; without the call the latter's first case waits 8.4 s.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -50,9 +50,11 @@
 	epoch int64
 	// clean is whether every earlier owner is known to have stopped. settled is whether it is
 	// recorded that no earlier owner can act any more, and startedAt when this owner began.
-	clean     bool
-	settled   bool
-	startedAt time.Time
+	clean bool
+	// onlyPredecessor is whether no owner but the last one may still act.
+	onlyPredecessor bool
+	settled         bool
+	startedAt       time.Time
 	// epochLog is since when this entry has known of epochs; nil if it doesn't know.
 	epochLog EpochLog
 	// hostFirstHeardAt is when a host was last heard for the first time, tickedAt when the last tick
--- a/conductor/held_work_test.go
+++ b/conductor/held_work_test.go
@@ -143,3 +143,37 @@
 		}
 	}
 }
+
+// TestLateProofOfStopShortensWait guards against a task that waits twice as long as it must: its host is lost
+// with the owner, of which the successor learns only after its claim that it has stopped.
+func TestLateProofOfStopShortensWait(t *testing.T) {
+	const proofDelay = 500 * time.Millisecond
+	for _, test := range []struct {
+		name string
+		// settled is whether the predecessor had recorded that none before it can act.
+		settled bool
+		want    time.Duration
+	}{
+		{name: "predecessor alone", settled: true, want: 4900 * time.Millisecond},
+		{name: "owners before it may act", want: 8400 * time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			sim := newSimulation(t, 1, 4)
+			sim.run(2 * time.Second)
+			sim.replaceOwner(test.settled)
+			sim.run(time.Second)
+			sim.submit(batchQueue, "w", tasks(1, 1000, time.Hour))
+			sim.runUntil(time.Second, func() bool { return sim.running("w") == 1 })
+			lost := sim.hostOf("w")
+			sim.loseForGood(lost, true, false)
+			sim.replaceOwner(false)
+			replacedAt := sim.now
+			sim.run(proofDelay)
+			sim.owner.RecordPredecessorStopped(sim.now)
+			sim.runUntil(9*time.Second, func() bool { return sim.running("w") == 1 && sim.hostOf("w") != lost })
+			if diff := cmp.Diff(test.want, sim.now.Sub(replacedAt).Round(100*time.Millisecond)); diff != "" {
+				t.Errorf("time until the task runs elsewhere (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/conductor/journal.go
+++ b/conductor/journal.go
@@ -22,7 +22,8 @@
 	if err != nil {
 		errs = append(errs, err)
 	}
-	c.clean = c.clean && (c.epoch == 1 || settled == c.epoch-1)
+	c.onlyPredecessor = c.epoch == 1 || settled == c.epoch-1
+	c.clean = c.clean && c.onlyPredecessor
 	progress := map[string]messenger.ProgressRecord{}
 	unreadable := map[string]bool{}
 	for _, r := range records {
@@ -128,6 +129,24 @@
 	return until
 }
 
+// RecordPredecessorStopped records that the last owner is known to have stopped by now, so that what it
+// granted ends by its length from now.
+func (c *Conductor) RecordPredecessorStopped(now time.Time) {
+	if c.clean || !c.onlyPredecessor {
+		return
+	}
+	c.clean = true
+	end := now.Add(c.config.Lease + c.config.Margin)
+	shortened := 0
+	for _, e := range c.allExecutors() {
+		if end.Before(e.leaseEnd) {
+			e.leaseEnd = end
+			shortened++
+		}
+	}
+	c.logger.Info("predecessor stopped", "epoch", c.epoch, "elapsedMillis", now.Sub(c.startedAt).Milliseconds(), "executors", shortened)
+}
+
 // settledEpoch returns the epoch of the last owner that recorded that no earlier owner could act
 // any more; 0 if there is none. The error is Invalid for a record that can't be decoded.
 func settledEpoch(records []appender.KeyedRecord) (int64, error) {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -396,6 +396,9 @@
 	if c.conductor != nil && !c.elector.IsOwner() {
 		c.endOwnership("a later epoch exists")
 	}
+	if c.conductor != nil && c.elector.PredecessorStopped() {
+		c.conductor.RecordPredecessorStopped(now)
+	}
 	if c.conductor != nil && c.checkStore(now) != nil && c.conductor.WithdrawUnsent(now) > 0 {
 		c.broadcast()
 	}
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -193,8 +193,12 @@
 	sightings []sighting
 	owner     messenger.Member
 	isOwner   bool
-	released  bool
-	leaving   bool
+	// predecessor is the owner before this entry, which this entry knew since predecessorSince; its name is
+	// empty if it isn't known.
+	predecessor      messenger.Member
+	predecessorSince time.Time
+	released         bool
+	leaving          bool
 	// takingOverEpoch is the epoch that this entry has claimed and does not act in yet; 0 if there
 	// is none.
 	takingOverEpoch int64
@@ -294,6 +298,10 @@
 // sent.
 func (e *Elector) RecordClaim(sent, now time.Time, epoch int64) {
 	e.recordReplacement(now, epoch)
+	e.predecessor = messenger.Member{}
+	if e.epoch == epoch-1 {
+		e.predecessor, e.predecessorSince = e.owner, e.ownerSince
+	}
 	e.setEpoch(now, epoch)
 	e.owner = e.self
 	e.isOwner = true
@@ -818,6 +826,17 @@
 	return p != nil && (e.ownerReleased(p) || e.ownerReplaced(p))
 }
 
+// PredecessorStopped reports whether this entry owns the workloads and the owner before it is known to have
+// stopped acting: its process was replaced, or knows of this entry's epoch or a later one.
+func (e *Elector) PredecessorStopped() bool {
+	p := e.peers[e.predecessor.Name]
+	if !e.isOwner || p == nil {
+		return false
+	}
+	return replaced(p, e.predecessor, e.predecessorSince) ||
+		p.ping.Member == e.predecessor && int64(p.ping.Epoch) >= e.epoch && !p.ping.Owner
+}
+
 // ownerLeaving reports whether the owner, which is the peer p, shuts down and has stopped acting.
 func (e *Elector) ownerLeaving(p *peer) bool {
 	return p.ping.Member == e.owner && p.ping.Leaving && !p.ping.Owner
@@ -836,12 +855,15 @@
 	return p.gone && (p.ping.Member == e.owner || p.ping.Member.Address == e.owner.Address && p.goneAsOf.After(e.ownerSince))
 }
 
-// ownerReplaced reports whether the owner's process is known to have been replaced: the peer of its
-// name replied as another incarnation to a ping that was sent after this entry had learned of the
-// owner. An incarnation from the list of members, or one whose pings were held up, may be an earlier
+// ownerReplaced reports whether the owner's process, that of the peer p, is known to have been replaced.
+func (e *Elector) ownerReplaced(p *peer) bool { return replaced(p, e.owner, e.ownerSince) }
+
+// replaced reports whether the process of an owner that this entry has known since a time is known to have
+// been replaced: the peer p of its name replied as another incarnation to a ping that was sent after that
+// time. An incarnation from the list of members, or one whose pings were held up, may be an earlier
 // one than the owner.
-func (e *Elector) ownerReplaced(p *peer) bool {
-	return p.ping.Member.Incarnation != e.owner.Incarnation && p.repliedAsOf.After(e.ownerSince)
+func replaced(p *peer, owner messenger.Member, since time.Time) bool {
+	return p.ping.Member.Incarnation != owner.Incarnation && p.repliedAsOf.After(since)
 }
 
 func latest(a, b time.Time) time.Time {
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -270,6 +270,49 @@
 	}
 }
 
+// TestPredecessorStopped guards against work that waits twice as long as it must after a takeover: the proof that
+// the predecessor has stopped comes only after the claim. It also guards against a run of the predecessor that is
+// given up although that may still act.
+func TestPredecessorStopped(t *testing.T) {
+	next := func(p *messenger.Ping) { p.Member.Incarnation = "entry-a-2" }
+	tests := []struct {
+		name   string
+		update func(s *fixture)
+		want   bool
+	}{
+		{name: "silent", update: func(*fixture) {}},
+		{name: "refuses connections", update: func(s *fixture) { s.MarkPeerGone(s.now, member("entry-a")) }},
+		{name: "replies at its own epoch", update: func(s *fixture) { s.HandlePingReply(s.now, s.now, ping("entry-a", 3, nil)) }},
+		{name: "knows the later epoch", update: func(s *fixture) { s.HandlePingReply(s.now, s.now, ping("entry-a", 4, nil)) }, want: true},
+		{name: "another process replies", update: func(s *fixture) { s.HandlePingReply(s.now, s.now, ping("entry-a", 0, next)) }, want: true},
+		{
+			name:   "another process replies to a ping from before the owner was known",
+			update: func(s *fixture) { s.HandlePingReply(start, s.now, ping("entry-a", 0, next)) },
+		},
+		{name: "ping of another process", update: func(s *fixture) { s.HandlePing(s.now, ping("entry-a", 0, next)) }},
+		{name: "another entry replies", update: func(s *fixture) { s.HandlePingReply(s.now, s.now, ping("entry-c", 4, nil)) }},
+		{
+			name: "replaced in turn",
+			update: func(s *fixture) {
+				s.HandlePingReply(s.now, s.now, ping("entry-a", 0, next))
+				s.RecordLaterEpoch(s.now, 5)
+			},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := newFixture()
+			s.advance(time.Second, true, ping("entry-a", 3, asOwner))
+			s.RecordClaim(s.now, s.now, 4)
+			s.now = s.now.Add(100 * time.Millisecond)
+			test.update(s)
+			if diff := cmp.Diff(test.want, s.PredecessorStopped()); diff != "" {
+				t.Errorf("the predecessor has stopped (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestRefusedConnectionIsNotStoppedOwner guards against tasks that run twice after a takeover: an owner
 // behind a partition that refuses connections acts until its authority ends.
 func TestRefusedConnectionIsNotStoppedOwner(t *testing.T) {
