--- a/conductor/placement.go
+++ b/conductor/placement.go
@@ -50,7 +50,8 @@
 	for _, id := range slices.Sorted(maps.Keys(c.workloads)) {
 		w := c.workloads[id]
 		if w.dropPlacements(func(t *task) bool {
-			return !recorded || !c.placementsComplete && !(t.restartsAlways() && (allHeld || t.placement.early))
+			counts := t.restartsAlways() && (allHeld || t.placement.early)
+			return !recorded || !c.placementsComplete && !counts
 		}) {
 			c.markDirty(w, false)
 		}
