--- a/conductor/held_work_test.go
+++ b/conductor/held_work_test.go
@@ -114,6 +114,7 @@
 		for _, work := range heldWork() {
 			for _, clean := range []bool{true, false} {
 				t.Run(fmt.Sprintf("%s, %s, owner clean %t", host.name, work.kind, clean), func(t *testing.T) {
+					t.Parallel()
 					sim := newHeldSimulation(t, work, host, 1)
 					sim.replaceOwner(clean)
 					sim.run(500 * time.Millisecond)
@@ -133,6 +134,7 @@
 				for _, clean := range []bool{true, false} {
 					for _, period := range []time.Duration{1500 * time.Millisecond, 2 * time.Second, 3 * time.Second} {
 						t.Run(fmt.Sprintf("%s, %d of 4, %s, owner clean %t, every %s", host.name, odd, work.kind, clean, period), func(t *testing.T) {
+							t.Parallel()
 							sim := newHeldSimulation(t, work, host, odd)
 							sim.replaceOwner(clean)
 							sim.replaceOwnerEvery(period, clean, restartBound, func() bool { return sim.running("held") == heldTasks })
