Collect the placements of a wide workload in linear time

placementsOf compared the executors of each task with those of all other placements, so that a write of a workload took the square of the number of executors that run it, under the owner's lock. It looks them up by their ids now.

BenchmarkWideWorkloadWrite, 50 iterations beside other load, tasks on as many executors: 1000 tasks 2.44 ms before, 0.56 ms after; 5000 tasks 54.2 ms before, 1.9 ms after; 100 tasks 0.05 ms both.

--- a/conductor/bench_test.go
+++ b/conductor/bench_test.go
@@ -201,3 +201,40 @@
 		})
 	}
 }
+
+// BenchmarkWideWorkloadWrite measures the write of the progress of a workload after the end of one run. Each
+// of its tasks may run on an executor of its own.
+func BenchmarkWideWorkloadWrite(b *testing.B) {
+	for _, hosts := range []int{100, 1000, 5000} {
+		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
+			c := conductor.New(conductor.DefaultConfig(), 1, true, hclog.NewNullLogger(), metrics.NewRegistry())
+			c.SetCatalog(catalog())
+			for i := range hosts {
+				c.Report(origin, newIdleReport(i, 1))
+			}
+			settle(c, origin)
+			spec := &messenger.WorkloadSpec{Steps: []messenger.StepSpec{tasks(hosts, 9000, time.Hour)}}
+			if _, err := c.Submit(origin, messenger.WorkloadRequest{Queue: batchQueue, Id: "wide", Spec: spec}); err != nil {
+				b.Fatal(err)
+			}
+			c.Schedule(origin)
+			settle(c, origin)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				b.StopTimer()
+				report := newIdleReport(0, 1)
+				report.TicketMillis = i + 2
+				report.Executors[0].Ends = []messenger.RunEnd{{
+					Number: i + 1, Run: messenger.RunRef{Task: messenger.TaskRef{Workload: "wide"}, Run: i + 2}, How: messenger.EndStopped, Checkpoint: fmt.Sprint(i),
+				}}
+				c.Report(origin, report)
+				b.StartTimer()
+				records, number := c.TakeWrites()
+				b.StopTimer()
+				c.AppendCommitted(number, records)
+				b.StartTimer()
+			}
+		})
+	}
+}
--- a/conductor/workload.go
+++ b/conductor/workload.go
@@ -2,7 +2,7 @@
 
 import (
 	"encoding/base64"
-	"slices"
+	"strings"
 	"time"
 
 	"apricotwinch"
@@ -260,13 +260,19 @@
 // the same executors share one, as most tasks of a step run on few executors.
 func placementsOf(tasks []*task) []messenger.Placement {
 	var placements []messenger.Placement
+	var found map[string]int
 	for i, t := range tasks {
 		if t.done || t.placement == nil {
 			continue
 		}
-		at := slices.IndexFunc(placements, func(p messenger.Placement) bool { return slices.Equal(p.Executors, t.placement.executors) })
-		if at < 0 {
+		key := strings.Join(t.placement.executors, "\x00")
+		at, ok := found[key]
+		if !ok {
+			if found == nil {
+				found = map[string]int{}
+			}
 			at = len(placements)
+			found[key] = at
 			placements = append(placements, messenger.Placement{Executors: t.placement.executors})
 		}
 		placements[at].Tasks = append(placements[at].Tasks, i)
