--- a/conductor/bench_test.go
+++ b/conductor/bench_test.go
@@ -44,10 +44,10 @@
 			b.Fatal(err)
 		}
 	}
-	records, number = c.TakeWrites()
-	c.AppendCommitted(number, records)
-	c.Schedule(now)
+	settle(c, now)
+	started := 0
 	for host, orders := range c.TakeOrders() {
+		started += len(orders.Starts)
 		var at int
 		if _, err := fmt.Sscanf(host, "host-%d", &at); err != nil {
 			b.Fatal(err)
@@ -57,6 +57,9 @@
 		}
 		reports[at].Orders = orders.Number
 	}
+	if want := hosts * tasksPerHost; started != want {
+		b.Fatalf("tasks that were started: got %d, want %d", started, want)
+	}
 	return c, reports, now
 }
 
@@ -84,6 +87,22 @@
 	}
 }
 
+// BenchmarkReportWithHeldStarts measures one report of a host and the scheduling pass after it while 20 starts a
+// host are held, as they are while the store is away.
+func BenchmarkReportWithHeldStarts(b *testing.B) {
+	for _, hosts := range []int{82, 1000} {
+		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
+			c, reports, now := newBenchFleet(b, hosts)
+			spec := &messenger.WorkloadSpec{Steps: []messenger.StepSpec{tasks(20*hosts, 50, time.Hour)}}
+			if _, err := c.Submit(now, messenger.WorkloadRequest{Queue: urgentQueue, Id: "held", Spec: spec}); err != nil {
+				b.Fatal(err)
+			}
+			c.Schedule(now)
+			benchReports(b, c, reports, now)
+		})
+	}
+}
+
 // BenchmarkReportWithBacklog measures one report of a host and the scheduling pass after it while
 // best-effort steps wait that fit nowhere.
 func BenchmarkReportWithBacklog(b *testing.B) {
@@ -174,3 +193,64 @@
 		return c, reports, now
 	})
 }
+
+// BenchmarkLogStepWaits measures 10 s of ticks of an owner of 240 hosts while 3000 steps of 20 tasks wait that
+// fit nowhere.
+func BenchmarkLogStepWaits(b *testing.B) {
+	const waiting, waitingTasks = 3000, 20
+	for _, bestEffort := range []bool{false, true} {
+		b.Run(fmt.Sprint("bestEffort=", bestEffort), func(b *testing.B) {
+			benchTicks(b, 10*time.Second, func() (*conductor.Conductor, []messenger.Report, time.Time) {
+				c, reports, now := newBenchFleet(b, 240)
+				step := tasks(waitingTasks, 2000, time.Hour)
+				step.Fills, step.Image, step.MaxPerExecutor = bestEffort, "batch", 1
+				for i := range waiting {
+					id := fmt.Sprintf("%016x", 1<<20+i)
+					if _, err := c.Submit(now, messenger.WorkloadRequest{Queue: batchQueue, Id: id, Spec: &messenger.WorkloadSpec{Steps: []messenger.StepSpec{step}}}); err != nil {
+						b.Fatal(err)
+					}
+				}
+				records, number := c.TakeWrites()
+				c.AppendCommitted(number, records)
+				return c, reports, now
+			})
+		})
+	}
+}
+
+// BenchmarkWideWorkloadWrite measures the write of the progress of a workload after the end of one run. Each
+// of its tasks may run on an executor of its own.
+func BenchmarkWideWorkloadWrite(b *testing.B) {
+	for _, hosts := range []int{100, 1000, 5000} {
+		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
+			c := conductor.New(conductor.DefaultConfig(), 1, true, hclog.NewNullLogger(), metrics.NewRegistry())
+			c.SetCatalog(catalog())
+			for i := range hosts {
+				c.Report(origin, newIdleReport(i, 1))
+			}
+			settle(c, origin)
+			spec := &messenger.WorkloadSpec{Steps: []messenger.StepSpec{tasks(hosts, 9000, time.Hour)}}
+			if _, err := c.Submit(origin, messenger.WorkloadRequest{Queue: batchQueue, Id: "wide", Spec: spec}); err != nil {
+				b.Fatal(err)
+			}
+			c.Schedule(origin)
+			settle(c, origin)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				b.StopTimer()
+				report := newIdleReport(0, 1)
+				report.TicketMillis = i + 2
+				report.Executors[0].Ends = []messenger.RunEnd{{
+					Number: i + 1, Run: messenger.RunRef{Task: messenger.TaskRef{Workload: "wide"}, Run: i + 2}, How: messenger.EndStopped, Checkpoint: fmt.Sprint(i),
+				}}
+				c.Report(origin, report)
+				b.StartTimer()
+				records, number := c.TakeWrites()
+				b.StopTimer()
+				c.AppendCommitted(number, records)
+				b.StartTimer()
+			}
+		})
+	}
+}
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -50,9 +50,11 @@
 	epoch int64
 	// clean is whether every earlier owner is known to have stopped. settled is whether it is
 	// recorded that no earlier owner can act any more, and startedAt when this owner began.
-	clean     bool
-	settled   bool
-	startedAt time.Time
+	clean bool
+	// onlyPredecessor is whether no owner but the last one may still act.
+	onlyPredecessor bool
+	settled         bool
+	startedAt       time.Time
 	// epochLog is since when this entry has known of epochs; nil if it doesn't know.
 	epochLog EpochLog
 	// hostFirstHeardAt is when a host was last heard for the first time, tickedAt when the last tick
@@ -71,6 +73,9 @@
 	// changedExecutors holds the executors that reported or lost a run since the last pass over the
 	// waiting steps.
 	changedExecutors map[*executor]bool
+	// placementsComplete is whether a task without a placement can't have been started by an earlier
+	// owner.
+	placementsComplete bool
 	// reconciled is whether every executor that the last owner used is listed or provably idle, and
 	// runsReconciled is the same for the lists of their runs alone.
 	reconciled     bool
@@ -110,6 +115,10 @@
 	lastOrders int
 	// heldStarts holds the starts that wait for the placements of their tasks.
 	heldStarts []heldStart
+	// heldCheckedThrough is the number of the last durable append when the held starts were last looked at,
+	// and heldReleased is whether a run of one was released since.
+	heldCheckedThrough int64
+	heldReleased       bool
 }
 
 // New returns a conductor for the owner with the given epoch. clean is whether the last owner is
