Start one task of a best-effort workload that has had no run for long

A step of best-effort tasks waited without a bound while its tasks request more processors than the others are expected to leave unused, or while earlier best-effort tasks take them; for MaxPlacementWait, which began anew with each owner, while the serving tasks have little headroom; and as long as a tail latency is over its target beside a best-effort task that isn't throttled. A long-running workload whose tasks take more than any data centre has outside its reserve was never started.

Once a workload has had no run for MaxIdle (1.5 s) since the turn of its step, one task of it, or its gang, starts beyond these bounds while less than MaxIdleUtilization of the service's processors is in use by other tasks than best-effort ones: on the executor that keeps the most headroom, where its agent throttles it as usual. Its other tasks wait as before.

Before: TestIdleWorkload... failed in each case with no run after 3 s, or 20 s in TestIdleWorkloadStartsOneTask.

--- a/conductor/config.go
+++ b/conductor/config.go
@@ -30,6 +30,11 @@
 	// doesn't start on an executor until it has waited for MaxPlacementWait.
 	MinSpeed         float64
 	MaxPlacementWait time.Duration
+	// MaxIdle is how long a workload has no run until a first task starts beyond the bounds on best-effort
+	// work and the reserve, while less than MaxIdleUtilization of a service's processors, 0 to 1, are in
+	// use. It must leave time for the start within the 3 s that users wait.
+	MaxIdle            time.Duration
+	MaxIdleUtilization float64
 	// Pacer is the configuration by which agents throttle best-effort tasks.
 	Pacer pacer.Config
 	// MinStartHeadroom is the headroom (target divided by tail latency) that serving tasks must
@@ -64,6 +69,8 @@
 		Pacer:                  pacer.DefaultConfig(),
 		MinStartHeadroom:       1.25,
 		MaxPlacementWait:       8 * time.Second,
+		MaxIdle:                1500 * time.Millisecond,
+		MaxIdleUtilization:     0.6,
 		Backoff:                50 * time.Millisecond,
 		MaxBackoff:             time.Second,
 		FailureStreak:          3,
--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -176,6 +176,7 @@
 	c.runs[r.ref] = r
 	r.executor.runs[r.ref] = r
 	r.executor.allocate(r.task.step, 1)
+	r.task.step.occurrence.workload.runs++
 }
 
 // release removes a run that has ended; its task waits again if that was its current run and it
@@ -188,6 +189,9 @@
 	delete(r.executor.runs, r.ref)
 	r.setIdle(0)
 	r.executor.allocate(r.task.step, -1)
+	w := r.task.step.occurrence.workload
+	w.runs--
+	w.idleSince = now
 	c.changedExecutors[r.executor] = true
 	if r.task.originalRun == r {
 		r.task.originalRun = nil
--- /dev/null
+++ b/conductor/idle.go
@@ -0,0 +1,101 @@
+package conductor
+
+import (
+	"slices"
+	"time"
+)
+
+// Weights in the cost of an executor to a task that starts beyond the bounds of its step.
+const (
+	// costHarm is the cost of each unit of headroom that serving tasks are expected to lack once the task
+	// has started.
+	costHarm = 20
+	// maxCrowding bounds the cost of best-effort tasks that share too few processors.
+	maxCrowding = 5
+)
+
+// idleFor returns how long the workload of a step has had no run since the step's turn has come; 0 if it has
+// one.
+func (s *step) idleFor(now time.Time) time.Duration {
+	w := s.occurrence.workload
+	if w.runs > 0 {
+		return 0
+	}
+	since := s.readyAt
+	if w.idleSince.After(since) {
+		since = w.idleSince
+	}
+	return now.Sub(since)
+}
+
+// mayStartIdle reports whether a task of a step may start beyond the bounds that only weigh it against other
+// work: its workload has been idle for too long, and most of the service is free.
+func (p *schedulingPass) mayStartIdle(s *step, service string) bool {
+	if !s.spec.Fills && !s.spec.Lasting {
+		return false // Nothing but room and its constraints hold it.
+	}
+	config := p.conductor.config
+	return s.idleFor(p.now) >= config.MaxIdle && p.utilizationOf(service) < config.MaxIdleUtilization
+}
+
+// startIdle starts one task of a step whose workload has been idle for too long, or its gang, on the
+// executor of a pool where that harms least. Its agent throttles it there as others need it.
+func (p *schedulingPass) startIdle(s *step, service string, pool []*executor) {
+	if !p.mayStartIdle(s, service) {
+		return
+	}
+	c := p.conductor
+	idle := s.idleFor(p.now)
+	p.beyondBounds = true
+	defer func() { p.beyondBounds = false }()
+	if s.spec.Gang {
+		p.startGang(s, pool)
+	} else if at := slices.IndexFunc(s.tasks, p.mayStart); at >= 0 {
+		t := s.tasks[at]
+		candidates := p.candidates(s, pool)
+		if at := p.cheapest(t, candidates, false); at >= 0 {
+			c.startRun(p.now, t, candidates[at].executor)
+			p.recordStart(service, s, candidates[at].executor)
+		}
+	}
+	if w := s.occurrence.workload; w.runs > 0 {
+		c.count("workloads.idle_started")
+		c.logger.Info("idle workload started", "workload", w.id, "step", s.number, "idleMillis", idle.Milliseconds())
+	}
+}
+
+// evaluateIdle is evaluate for a task that starts beyond the bounds: a best-effort task needs nothing but
+// memory and accelerators.
+func (p *schedulingPass) evaluateIdle(s *step, e *executor) (cost float64, ok bool) {
+	c := p.conductor
+	if !s.spec.Fills {
+		return c.stepCost(p.now, s, e, 0), c.fits(s, e)
+	}
+	if !s.allows(e) || !e.allocated.Add(s.need.WithoutProcessors()).Fits(e.capacity) {
+		return 0, false
+	}
+	crowding := float64(e.bestEffort-e.bestEffortIdle+s.need.ProcessorMillis()) / max(1, c.expectedUnused(e))
+	lacking := max(0, c.config.MinStartHeadroom-c.startHeadroom(p.now, s.spec.Image, e))
+	return min(crowding, maxCrowding) + costHarm*lacking - speedWeight*p.outlook(s.spec.Image, e).speed + c.faultCost(p.now, s, e), true
+}
+
+// utilizationOf returns the share of a service's processors, 0 to 1, that other tasks than best-effort ones
+// take. It counts the executors that may get no tasks, too.
+func (p *schedulingPass) utilizationOf(service string) float64 {
+	if u, ok := p.utilizations[service]; ok {
+		return u
+	}
+	var allocated, capacity int64
+	for _, e := range p.conductor.allExecutors() {
+		if e.service == service {
+			allocated += e.allocated.ProcessorMillis()
+			capacity += e.capacity.ProcessorMillis()
+		}
+	}
+	u := float64(allocated) / float64(max(1, capacity))
+	if p.utilizations == nil {
+		p.utilizations = map[string]float64{}
+	}
+	p.utilizations[service] = u
+	return u
+}
--- /dev/null
+++ b/conductor/idle_test.go
@@ -0,0 +1,178 @@
+package conductor_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"apricotwinch/messenger"
+)
+
+// maxIdleTime is how long a workload that could run may have no run, in the eyes of users.
+const maxIdleTime = 3 * time.Second
+
+// image returns a change of a step that sets its image.
+func image(name string) func(*messenger.StepSpec) {
+	return func(s *messenger.StepSpec) { s.Image = name }
+}
+
+// serving returns a change of a step that makes its tasks, one on each executor, serve users.
+func serving(targetMillis int) func(*messenger.StepSpec) {
+	return func(s *messenger.StepSpec) {
+		s.Lasting, s.Image, s.TailTargetMillis, s.MaxPerExecutor = true, "watch", targetMillis, 1
+	}
+}
+
+// setInterference makes the next owner expect an interference, in headroom, between the serving tasks and a
+// best-effort image, and replaces the owner.
+func (sim *simulation) setInterference(bestEffortImage string, headroom float64) {
+	sim.t.Helper()
+	record := messenger.InterferenceRecord{Presses: []messenger.Interference{{Serving: "watch", Filling: bestEffortImage, Headroom: headroom}}}
+	data, err := json.Marshal(record)
+	if err != nil {
+		sim.t.Fatalf("interference: %v", err)
+	}
+	sim.store["presses"] = data
+	sim.replaceOwner(true)
+	sim.run(2 * time.Second)
+}
+
+// TestIdleWorkloadStartsBesideServingTasks guards against best-effort workloads that get no run at all, though
+// most processors and memory are free, as the serving tasks of all executors have little headroom.
+func TestIdleWorkloadStartsBesideServingTasks(t *testing.T) {
+	tests := []struct {
+		name         string
+		tailMillis   float64
+		interference float64
+		workloads    int
+		change       func(*messenger.StepSpec)
+	}{
+		{name: "little headroom", tailMillis: 9, interference: 0.6, workloads: 1},
+		{name: "over the target", tailMillis: 30, interference: 0.6, workloads: 1},
+		{name: "over the target, several workloads", tailMillis: 30, interference: 0.6, workloads: 12},
+		{name: "over the target without interference", tailMillis: 30, interference: 0.01, workloads: 12},
+		{name: "gang", tailMillis: 30, interference: 0.6, workloads: 1, change: func(s *messenger.StepSpec) { s.Gang = true }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			sim := newSimulation(t, 1, 3)
+			sim.run(2 * time.Second)
+			sim.submit(watchQueue, "watch", tasks(3, 2000, time.Hour, serving(10)))
+			sim.run(time.Second)
+			sim.setInterference("render", test.interference)
+			for _, h := range sim.hosts {
+				h.executor.tailMillis = test.tailMillis
+			}
+			sim.run(time.Second)
+			change := test.change
+			if change == nil {
+				change = func(*messenger.StepSpec) {}
+			}
+			for i := range test.workloads {
+				sim.submit(batchQueue, fmt.Sprint("w", i), tasks(2, 1000, time.Hour, bestEffort, image("render"), change))
+			}
+			sim.runUntil(maxIdleTime, func() bool {
+				for i := range test.workloads {
+					if sim.running(fmt.Sprint("w", i)) == 0 {
+						return false
+					}
+				}
+				return true
+			})
+		})
+	}
+}
+
+// TestIdleWorkloadStartsBesideBestEffortTasks guards against best-effort workloads that get no run at all, as
+// their tasks request more processors than the other ones leave unused, or the tasks of earlier
+// workloads do.
+func TestIdleWorkloadStartsBesideBestEffortTasks(t *testing.T) {
+	tests := []struct {
+		name string
+		// earlier and waiting are the steps of the workloads, of which the earlier one runs.
+		earlier, waiting messenger.StepSpec
+	}{
+		{name: "as wide as an executor", earlier: tasks(2, 1000, time.Hour, serving(10)), waiting: tasks(1, 16_000, time.Hour, bestEffort)},
+		{name: "wider than an executor", earlier: tasks(2, 1000, time.Hour, longRunning), waiting: tasks(1, 40_000, time.Hour, bestEffort)},
+		{name: "beside earlier ones", earlier: tasks(32, 1000, time.Hour, bestEffort), waiting: tasks(4, 1000, time.Hour, bestEffort)},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			sim := newSimulation(t, 1, 2)
+			sim.run(2 * time.Second)
+			sim.submit(watchQueue, "earlier", test.earlier)
+			sim.run(time.Second)
+			sim.submit(batchQueue, "w", test.waiting)
+			sim.runUntil(maxIdleTime, func() bool { return sim.running("w") > 0 })
+		})
+	}
+}
+
+// TestIdleWorkloadStartsOneTask guards against more best-effort tasks than the bounds allow: beyond
+// the first task, those of a workload wait for room.
+func TestIdleWorkloadStartsOneTask(t *testing.T) {
+	sim := newSimulation(t, 1, 2)
+	sim.run(2 * time.Second)
+	sim.submit(batchQueue, "earlier", tasks(32, 1000, time.Hour, bestEffort))
+	sim.run(time.Second)
+	sim.submit(batchQueue, "w", tasks(4, 1000, time.Hour, bestEffort))
+	sim.run(20 * time.Second)
+	if n := sim.running("w"); n != 1 {
+		t.Errorf("%d tasks run, want 1", n)
+	}
+}
+
+// TestIdleWorkloadAvoidsServingTasks guards against harm by a first task beside serving tasks over their
+// target while another executor has none.
+func TestIdleWorkloadAvoidsServingTasks(t *testing.T) {
+	sim := newSimulation(t, 1, 3)
+	sim.run(2 * time.Second)
+	sim.submit(watchQueue, "watch", tasks(2, 2000, time.Hour, serving(10)))
+	sim.run(time.Second)
+	sim.setInterference("render", 0.6)
+	for _, h := range sim.hosts {
+		h.executor.tailMillis = 30
+	}
+	sim.run(time.Second)
+	sim.submit(batchQueue, "earlier", tasks(16, 1000, time.Hour, bestEffort, image("render")))
+	sim.run(time.Second)
+	sim.submit(batchQueue, "w", tasks(1, 1000, time.Hour, bestEffort, image("render")))
+	sim.runUntil(maxIdleTime, func() bool { return sim.running("w") > 0 })
+	if h := sim.hostOf("w"); sim.runsTasksOf(h, "watch") {
+		t.Errorf("the task runs beside serving tasks on %s", h.name)
+	}
+}
+
+// runsTasksOf reports whether a host runs a task of a workload.
+func (sim *simulation) runsTasksOf(h *modelHost, id string) bool {
+	return slices.ContainsFunc(h.executor.refs(), func(ref messenger.RunRef) bool { return ref.Task.Workload == id })
+}
+
+// TestBusyServiceKeepsBestEffortOrder guards against processors that idle workloads take from those that come
+// first while other tasks use most of a service.
+func TestBusyServiceKeepsBestEffortOrder(t *testing.T) {
+	sim := newSimulation(t, 1, 2)
+	sim.run(2 * time.Second)
+	sim.submit(urgentQueue, "urgent", tasks(24, 1000, time.Hour))
+	sim.submit(batchQueue, "earlier", tasks(8, 1000, time.Hour, bestEffort))
+	sim.run(time.Second)
+	sim.submit(batchQueue, "w", tasks(1, 1000, time.Hour, bestEffort))
+	sim.run(20 * time.Second)
+	if n := sim.running("w"); n != 0 {
+		t.Errorf("%d tasks run, want 0", n)
+	}
+}
+
+// TestIdleLongRunningWorkloadUsesReserve guards against long-running workloads that get no run at all, as
+// one task takes more than each data centre has outside its reserve.
+func TestIdleLongRunningWorkloadUsesReserve(t *testing.T) {
+	sim := newSimulation(t, 1, 2)
+	for i, h := range sim.hosts {
+		h.dc = fmt.Sprint("dc-", i)
+	}
+	sim.run(2 * time.Second)
+	sim.submit(watchQueue, "w", tasks(2, 15_000, time.Hour, longRunning))
+	sim.runUntil(maxIdleTime, func() bool { return sim.running("w") > 0 })
+}
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -112,10 +112,7 @@
 // constraints.
 func (c *Conductor) fits(s *step, e *executor) bool {
 	need := s.need
-	if s.spec.Label != "" && !e.labels[s.spec.Label] {
-		return false
-	}
-	if s.spec.MaxPerExecutor > 0 && e.countTasks(s) >= s.spec.MaxPerExecutor {
+	if !s.allows(e) {
 		return false
 	}
 	if s.spec.Fills {
@@ -127,6 +124,14 @@
 	return e.allocated.Add(need).Fits(e.capacity)
 }
 
+// allows reports whether an executor meets the constraints of a step besides room.
+func (s *step) allows(e *executor) bool {
+	if s.spec.Label != "" && !e.labels[s.spec.Label] {
+		return false
+	}
+	return s.spec.MaxPerExecutor <= 0 || e.countTasks(s) < s.spec.MaxPerExecutor
+}
+
 // countTasks returns the number of runs of a step on the executor.
 func (e *executor) countTasks(s *step) int {
 	n := 0
@@ -214,6 +219,12 @@
 			cost += costNoLongRunning
 		}
 	}
+	return cost + c.faultCost(now, s, e)
+}
+
+// faultCost returns the cost of the faults of an executor, and of its distance, to a task of a step.
+func (c *Conductor) faultCost(now time.Time, s *step, e *executor) float64 {
+	cost := 0.0
 	if e.failureStreak >= c.config.FailureStreak && now.Sub(e.failedAt) < c.config.FailureStreakTTL {
 		cost += costFailing
 	}
--- a/conductor/schedule.go
+++ b/conductor/schedule.go
@@ -25,6 +25,11 @@
 	// outlooks holds what best-effort images are expected to do on executors, until a start changes
 	// that.
 	outlooks map[*executor]map[string]outlook
+	// utilizations holds, by service, the share of its processors that are in use; a service is missing
+	// until that is needed.
+	utilizations map[string]float64
+	// beyondBounds is whether a task may start beyond the bounds that only weigh it against other work.
+	beyondBounds bool
 	// evaluated counts the evaluations of executors.
 	evaluated int64
 }
@@ -135,7 +140,10 @@
 	switch {
 	case q.Advised:
 		if slices.ContainsFunc(s.tasks, p.mayStart) {
-			p.startTasks(s, q.Service, c.allowedExecutors(p.now, s, q, p.pool(q.Service)))
+			allowed := c.allowedExecutors(p.now, s, q, p.pool(q.Service))
+			if !p.startTasks(s, q.Service, allowed) {
+				p.startIdle(s, q.Service, allowed)
+			}
 		}
 	case blocked && s.spec.Gang:
 		if slices.ContainsFunc(p.changed[q.Service], func(e *executor) bool { return p.admits(s, e) }) {
@@ -147,6 +155,7 @@
 		s.blockedAt = time.Time{}
 		if !p.startTasks(s, q.Service, p.pool(q.Service)) {
 			s.blockedAt = p.now
+			p.startIdle(s, q.Service, p.pool(q.Service))
 		}
 	}
 }
@@ -229,6 +238,9 @@
 func (p *schedulingPass) evaluate(s *step, e *executor) (cost float64, ok bool) {
 	c := p.conductor
 	p.evaluated++
+	if p.beyondBounds {
+		return p.evaluateIdle(s, e)
+	}
 	if !c.fits(s, e) {
 		return 0, false
 	}
--- a/conductor/workload.go
+++ b/conductor/workload.go
@@ -26,6 +26,9 @@
 	// dueCount is the number of occurrences that are due.
 	dueCount  int
 	unstarted bool
+	// runs is the number of the workload's runs, and idleSince when the last of them ended.
+	runs      int
+	idleSince time.Time
 	rank      bestEffortRank
 	priority  int
 	dirtySpec bool
