Ask for advice when the allowed executors don't take the waiting tasks

Advice about further executors was requested only while no allowed one had room for one task. A gang that fits on none of the allowed executors alone, a long-running task for which only the reserve is left there, and a best-effort task that requests more processors than any executor has were never asked about elsewhere, however much room was free: LOST.

Advice is requested after the pass over the allowed executors, if tasks still wait for room. For a workload that has been idle for too long, the executors that may take its first task count as having room.

--- a/conductor/advice.go
+++ b/conductor/advice.go
@@ -61,31 +61,35 @@
 	return t.text, true
 }
 
-// allowedExecutors returns the executors of a pool for which a step has a valid ticket. If none
-// of them has room, it requests advice about others.
-func (c *Conductor) allowedExecutors(now time.Time, s *step, q *cataloger.Queue, pool []*executor) []*executor {
+// scheduleAdvised starts waiting tasks of a step on the executors for which it has a valid ticket. If these
+// don't take all of them, it requests advice about others that have room.
+func (p *schedulingPass) scheduleAdvised(s *step, q *cataloger.Queue) {
+	c := p.conductor
 	var allowed, unknown []*executor
-	allowedHasRoom, unknownHasRoom := false, false
-	for _, e := range pool {
-		_, valid := s.validTicket(now, e)
-		_, hadTicket := s.advice.tickets[e.id]
-		fits := c.fits(s, e)
-		switch {
-		case valid:
+	unknownHasRoom := false
+	idle := p.mayStartIdle(s, q.Service)
+	for _, e := range p.pool(q.Service) {
+		if _, valid := s.validTicket(p.now, e); valid {
 			allowed = append(allowed, e)
-			allowedHasRoom = allowedHasRoom || fits
-		case !s.advice.denied[e.id] && (fits || hadTicket):
+			continue
+		}
+		_, hadTicket := s.advice.tickets[e.id]
+		fits := c.fits(s, e) || idle && p.admitsIdle(s, e)
+		if !s.advice.denied[e.id] && (fits || hadTicket) {
 			unknown = append(unknown, e)
 			unknownHasRoom = unknownHasRoom || fits
 		}
 	}
-	if !allowedHasRoom && unknownHasRoom {
-		c.requestAdvice(now, s, q, unknown)
+	if p.startTasks(s, q.Service, allowed) {
+		return
+	}
+	if unknownHasRoom {
+		c.requestAdvice(p.now, s, q, unknown)
 	}
-	return allowed
+	p.startIdle(s, q.Service, allowed)
 }
 
-// requestAdvice sets the pending request. It does nothing if there is one already, as the
+// requestAdvice sets the pending request about executors that the step has no ticket for. It does nothing if there is one already, as the
 // service takes one at a time, or while it backs off after a failure. Steps are tried in order,
 // so the first one that needs advice gets it.
 func (c *Conductor) requestAdvice(now time.Time, s *step, q *cataloger.Queue, unknown []*executor) {
--- a/conductor/idle.go
+++ b/conductor/idle.go
@@ -64,16 +64,24 @@
 	}
 }
 
-// evaluateIdle is evaluate for a task that starts beyond the bounds: a best-effort task needs nothing but
-// memory and accelerators.
-func (p *schedulingPass) evaluateIdle(s *step, e *executor) (cost float64, ok bool) {
-	c := p.conductor
+// admitsIdle reports whether a task of a step may start on an executor beyond the bounds: a best-effort task
+// needs nothing but memory and accelerators.
+func (p *schedulingPass) admitsIdle(s *step, e *executor) bool {
 	if !s.spec.Fills {
-		return c.stepCost(p.now, s, e, 0), c.fits(s, e)
+		return p.conductor.fits(s, e)
 	}
-	if !s.allows(e) || !e.allocated.Add(s.need.WithoutProcessors()).Fits(e.capacity) {
+	return s.allows(e) && e.allocated.Add(s.need.WithoutProcessors()).Fits(e.capacity)
+}
+
+// evaluateIdle is evaluate for a task that starts beyond the bounds.
+func (p *schedulingPass) evaluateIdle(s *step, e *executor) (cost float64, ok bool) {
+	c := p.conductor
+	if !p.admitsIdle(s, e) {
 		return 0, false
 	}
+	if !s.spec.Fills {
+		return c.stepCost(p.now, s, e, 0), true
+	}
 	crowding := float64(e.bestEffort-e.bestEffortIdle+s.need.ProcessorMillis()) / max(1, c.expectedUnused(e))
 	lacking := max(0, c.config.MinStartHeadroom-c.startHeadroom(p.now, s.spec.Image, e))
 	return min(crowding, maxCrowding) + costHarm*lacking - speedWeight*p.outlook(s.spec.Image, e).speed + c.faultCost(p.now, s, e), true
--- a/conductor/schedule.go
+++ b/conductor/schedule.go
@@ -140,10 +140,7 @@
 	switch {
 	case q.Advised:
 		if slices.ContainsFunc(s.tasks, p.mayStart) {
-			allowed := c.allowedExecutors(p.now, s, q, p.pool(q.Service))
-			if !p.startTasks(s, q.Service, allowed) {
-				p.startIdle(s, q.Service, allowed)
-			}
+			p.scheduleAdvised(s, q)
 		}
 	case blocked && s.spec.Gang:
 		if slices.ContainsFunc(p.changed[q.Service], func(e *executor) bool { return p.admits(s, e) }) {
