Remember all executors that refuse a task, and stop a refused gang

A task avoided only the executor that had refused it last. Two executors that refuse all starts, and cost less than the ones that don't, got it in turn for as long as they refuse: a single workload doesn't count as a streak of failures. Of a gang, only the refused member avoided the executor. The others stayed started and waited for it until the end by `alone`, and the next time another member went to that executor.

A gang of which a member is refused is stopped and starts anew, with all members avoiding the executor.

--- a/conductor/place.go
+++ b/conductor/place.go
@@ -151,9 +151,12 @@
 
 // Weights in the cost of an executor; 1 is the cost of all its processors.
 const (
-	// costAvoided is the cost of the executor on which the last run of the task failed or was
-	// refused, or which the task leaves for another one.
+	// costAvoided is the cost of the executor on which the last run of the task failed, or which the
+	// task leaves for another one.
 	costAvoided = 10
+	// costRefused is the cost of an executor that has refused the task lately: a stalled or slow one at
+	// least starts it.
+	costRefused = 60
 	// costFailing is the cost of an executor with a streak of failures.
 	costFailing = 100
 	// costUnhealthy is the cost of a stalled or slow executor.
@@ -190,11 +193,7 @@
 	if t.step.spec.Fills {
 		speed = c.expectedSpeed(t.step.spec.Image, e)
 	}
-	cost := c.stepCost(now, t.step, e, speed)
-	if t.avoid == e {
-		cost += costAvoided
-	}
-	return cost
+	return c.stepCost(now, t.step, e, speed) + c.avoidanceCost(now, t, e)
 }
 
 // stepCost returns the cost of an executor to a task of a step that doesn't avoid it. speed is the
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -144,7 +144,7 @@
 		}
 		t := run.task
 		c.release(now, run, "refused")
-		t.avoid = run.executor
+		c.addRefusal(now, t, run.executor)
 		t.notBefore = now.Add(c.config.Backoff)
 		switch refusal.Kind {
 		case string(apricotwinch.NoTarget):
@@ -152,6 +152,9 @@
 		case string(apricotwinch.Forbidden):
 			delete(t.step.advice.tickets, run.executor.id)
 		}
+		if t.step.spec.Gang {
+			c.refuseGang(now, t.step, run.executor)
+		}
 	}
 	h.refusalsThrough = max(h.refusalsThrough, r.RefusalsThrough)
 }
--- a/conductor/schedule.go
+++ b/conductor/schedule.go
@@ -273,10 +273,7 @@
 		if keepsReserve && p.unreservedIn(n.executor) < t.step.need.ProcessorMillis() {
 			continue
 		}
-		cost := n.cost
-		if t.avoid == n.executor {
-			cost += costAvoided
-		}
+		cost := n.cost + p.conductor.avoidanceCost(p.now, t, n.executor)
 		if best < 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -149,6 +149,8 @@
 	keepsEnds bool
 	// mute is whether the executor answers no call and carries none out.
 	mute bool
+	// refusing is whether the executor refuses all starts as unhealthy.
+	refusing bool
 	// slowdown is the share of its speed that the executor lacks, 0 to 1; 1 for stalled.
 	slowdown float64
 	// tailMillis is the tail latency of serving tasks, in milliseconds.
@@ -545,7 +547,7 @@
 		}
 		answer, err := custodian.Answer{}, apricotwinch.Errorf(apricotwinch.Forbidden, "ticket")
 		switch {
-		case sim.random.Float64() < sim.refusedShare:
+		case h.executor.refusing || sim.random.Float64() < sim.refusedShare:
 			err = apricotwinch.Errorf(apricotwinch.NoTarget, "unhealthy")
 		case sim.hasValidTicket(h, call.Order):
 			answer, err = h.executor.start(sim, call)
@@ -848,6 +850,7 @@
 		h.unheard = false
 		h.deaf = false
 		h.executor.mute = false
+		h.executor.refusing = false
 		h.executor.slowdown = 0
 		if h.agentDown {
 			sim.restartAgent(h)
--- a/conductor/workload.go
+++ b/conductor/workload.go
@@ -81,6 +81,7 @@
 	checkpoint    string
 	notBefore     time.Time
 	avoid         *executor
+	refusals      []refusal
 	current       *run
 	// originalRun is an earlier run that continues while the current one is its speculative
 	// copy.
