Keep the bound on tasks for each executor while a gang is placed

The bound counts the runs of a step on an executor. Those chosen for an executor count now.

Before: TestGangKeepsMaxPerExecutor saw 5 tasks on an executor that may run 2.

--- a/conductor/gang.go
+++ b/conductor/gang.go
@@ -49,7 +49,11 @@
 			e := candidates[at].executor
 			e.allocate(s, 1)
 			chosen = append(chosen, e)
-			candidates = p.update(s, candidates, at)
+			if s.full(e, chosen) {
+				candidates = slices.Delete(candidates, at, at+1)
+			} else {
+				candidates = p.update(s, candidates, at)
+			}
 		}
 		for _, e := range chosen {
 			e.allocate(s, -1)
@@ -61,6 +65,21 @@
 	return nil
 }
 
+// full reports whether an executor may get no more tasks of a step than it has, with those that are chosen to
+// go there.
+func (s *step) full(e *executor, chosen []*executor) bool {
+	if s.spec.MaxPerExecutor <= 0 {
+		return false
+	}
+	n := e.countTasks(s)
+	for _, other := range chosen {
+		if other == e {
+			n++
+		}
+	}
+	return n >= s.spec.MaxPerExecutor
+}
+
 // racksOf returns the sets of executors to try in turn: each rack alone for a step that is slow
 // across racks, then the whole pool.
 func racksOf(s *step, pool []*executor) [][]*executor {
