Keep a workload whose id was canceled and withdrawn before

A workload that was submitted and canceled before its first append was durable is withdrawn when the store rejects that append, but stayed in the list of ended ones. If the same id was submitted again, EndedRetention later the new workload and its records were deleted while it ran: the caller of an accepted job gets 410. Only the workload that ended is deleted.

Before: TestResubmittedWorkloadOutlivesCanceledOne saw state "not_found".

--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -242,6 +242,9 @@
 	for len(c.ended) > 0 && now.Sub(c.ended[0].endedAt) > c.config.EndedRetention {
 		w := c.ended[0]
 		c.ended = c.ended[1:]
+		if c.workloads[w.id] != w {
+			continue // It was withdrawn, and may have been submitted again.
+		}
 		delete(c.workloads, w.id)
 		c.deleteRecord(prefixWork + w.id)
 		c.deleteRecord(prefixProgress + w.id)
