Pause the first task of an idle best-effort workload until its turn

Users only need to see each workload run.

Such a task is started paused: its agent sets its pace to 0 as soon as it has started. It holds its memory, and its processors count as left to others. In the order of all waiting steps it is resumed once there is room for its work at its executor, or if no other best-effort work goes on there, or stopped and started elsewhere. Agents list which runs are paused, so that the next owner resumes them.

Before: TestFirstTaskOfIdleWorkloadIsPaused failed, as the task ended while there was no room for its work; TestPausedRun is new. The simulation's executors now carry out changes of pace.

--- a/conductor/config.go
+++ b/conductor/config.go
@@ -31,8 +31,9 @@
 	MinSpeed         float64
 	MaxPlacementWait time.Duration
 	// MaxIdle is how long a workload has no run until a first task starts beyond the bounds on best-effort
-	// work and the reserve, while less than MaxIdleUtilization of a service's processors, 0 to 1, are in
-	// use. It must leave time for the start within the 3 s that users wait.
+	// work and the reserve, while tasks hold less than MaxIdleUtilization, 0 to 1, of a service's processors,
+	// those of best-effort tasks not counted, and of its memory. It must leave time for the start
+	// within the 3 s that users wait.
 	MaxIdle            time.Duration
 	MaxIdleUtilization float64
 	// Pacer is the configuration by which agents throttle best-effort tasks.
--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -177,6 +177,10 @@
 	r.executor.runs[r.ref] = r
 	r.executor.allocate(r.task.step, 1)
 	r.task.step.occurrence.workload.runs++
+	if r.paused {
+		c.paused[r] = true
+		r.setIdle(r.task.step.need.ProcessorMillis())
+	}
 }
 
 // release removes a run that has ended; its task waits again if that was its current run and it
@@ -187,6 +191,7 @@
 	}
 	delete(c.runs, r.ref)
 	delete(r.executor.runs, r.ref)
+	delete(c.paused, r)
 	r.setIdle(0)
 	r.executor.allocate(r.task.step, -1)
 	w := r.task.step.occurrence.workload
--- a/conductor/idle.go
+++ b/conductor/idle.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"apricotwinch"
 )
 
 // Weights in the cost of an executor to a task that starts beyond the bounds of its step.
@@ -39,15 +41,16 @@
 }
 
 // startIdle starts one task of a step whose workload has been idle for too long, or its gang, on the
-// executor of a pool where that harms least. Its agent throttles it there as others need it.
+// executor of a pool where that harms least. A best-effort task is paused until there is room for its work, so
+// that it takes nothing of what comes first.
 func (p *schedulingPass) startIdle(s *step, service string, pool []*executor) {
 	if !p.mayStartIdle(s, service) {
 		return
 	}
 	c := p.conductor
 	idle := s.idleFor(p.now)
-	p.beyondBounds = true
-	defer func() { p.beyondBounds = false }()
+	p.beyondBounds, s.startsPaused = true, s.spec.Fills
+	defer func() { p.beyondBounds, s.startsPaused = false, false }()
 	if s.spec.Gang {
 		p.startGang(s, pool)
 	} else if at := slices.IndexFunc(s.tasks, p.mayStart); at >= 0 {
@@ -88,19 +91,22 @@
 }
 
 // utilizationOf returns the share of a service's processors, 0 to 1, that other tasks than best-effort ones
-// take. It counts the executors that may get no tasks, too.
+// take, or that of its memory that all tasks take if that is larger. It counts the executors that may get no
+// tasks, too.
 func (p *schedulingPass) utilizationOf(service string) float64 {
 	if u, ok := p.utilizations[service]; ok {
 		return u
 	}
-	var allocated, capacity int64
+	var allocated, capacity apricotwinch.Resources
 	for _, e := range p.conductor.allExecutors() {
 		if e.service == service {
-			allocated += e.allocated.ProcessorMillis()
-			capacity += e.capacity.ProcessorMillis()
+			allocated, capacity = allocated.Add(e.allocated), capacity.Add(e.capacity)
 		}
 	}
-	u := float64(allocated) / float64(max(1, capacity))
+	u := max(
+		float64(allocated.ProcessorMillis())/float64(max(1, capacity.ProcessorMillis())),
+		float64(allocated.MemoryBytes())/float64(max(1, capacity.MemoryBytes())),
+	)
 	if p.utilizations == nil {
 		p.utilizations = map[string]float64{}
 	}
--- a/conductor/idle_test.go
+++ b/conductor/idle_test.go
@@ -176,3 +176,72 @@
 	sim.submit(watchQueue, "w", tasks(2, 15_000, time.Hour, longRunning))
 	sim.runUntil(maxIdleTime, func() bool { return sim.running("w") > 0 })
 }
+
+// TestFirstTaskOfIdleWorkloadIsPaused guards against processors that the first task of an idle workload takes from
+// best-effort tasks that come before it, and against one that is never resumed: it works once there is
+// room for it, at its own executor or at another one, also if its agent or the owner has been replaced.
+func TestFirstTaskOfIdleWorkloadIsPaused(t *testing.T) {
+	tests := []struct {
+		name string
+		// elsewhere is whether there is room only at the other executor.
+		elsewhere bool
+		disturb   func(*simulation)
+	}{
+		{name: "calm", disturb: func(*simulation) {}},
+		{name: "room elsewhere", elsewhere: true, disturb: func(*simulation) {}},
+		{name: "agents replaced", disturb: func(sim *simulation) {
+			for _, h := range sim.hosts {
+				sim.restartAgent(h)
+			}
+		}},
+		{name: "owner replaced", disturb: func(sim *simulation) { sim.replaceOwner(true) }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			sim := newSimulation(t, 1, 2)
+			sim.run(2 * time.Second)
+			sim.submit(batchQueue, "earlier", tasks(32, 1000, time.Hour, bestEffort))
+			sim.run(time.Second)
+			const workTime = 2 * time.Second
+			sim.submit(batchQueue, "w", tasks(1, 1000, workTime, bestEffort))
+			sim.runUntil(maxIdleTime, func() bool { return sim.running("w") == 1 })
+			sim.run(time.Second)
+			test.disturb(sim)
+			sim.run(3 * workTime)
+			if state := sim.state("w"); state != messenger.WorkloadRunning {
+				t.Fatalf("state %q while there is no room for its work, want %q", state, messenger.WorkloadRunning)
+			}
+			first := sim.hostOf("w")
+			for _, h := range sim.hosts {
+				if (h != first) == test.elsewhere {
+					h.executor.endRunsOf(sim, "earlier")
+				}
+			}
+			sim.runUntil(workTime+2*time.Second, func() bool { return sim.state("w") == messenger.WorkloadCompleted })
+		})
+	}
+}
+
+// TestWideBestEffortTaskWorks guards against a best-effort task that never works, as it requests more processors
+// than any executor's other tasks leave unused.
+func TestWideBestEffortTaskWorks(t *testing.T) {
+	sim := newSimulation(t, 1, 2)
+	for _, h := range sim.hosts {
+		h.executor.tailMillis = 4
+	}
+	sim.run(2 * time.Second)
+	sim.submit(watchQueue, "watch", tasks(2, 2000, time.Hour, serving(10)))
+	sim.run(time.Second)
+	const workTime = 2 * time.Second
+	sim.submit(batchQueue, "w", tasks(1, 16_000, workTime, bestEffort, image("render")))
+	sim.runUntil(maxIdleTime+workTime, func() bool { return sim.state("w") == messenger.WorkloadCompleted })
+}
+
+// endRunsOf ends the runs of a workload as done.
+func (m *modelExecutor) endRunsOf(sim *simulation, id string) {
+	for _, ref := range m.refs() {
+		if ref.Task.Workload == id {
+			m.end(sim, ref, messenger.EndDone)
+		}
+	}
+}
--- a/conductor/move.go
+++ b/conductor/move.go
@@ -88,6 +88,9 @@
 // for others.
 func (r *run) updatePace(now time.Time, state *messenger.RunState) {
 	r.pace = state.Pace
+	if r.paused {
+		return
+	}
 	switch {
 	case state.Phase != messenger.RunRunning || state.Pace >= throttledPace:
 		r.throttledSince = time.Time{}
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -97,7 +97,7 @@
 		if h := r.headroom(); h > 0 && h < 1 {
 			over = true
 		}
-		unthrottled = unthrottled || r.task.step.spec.Fills && !r.longThrottled(now)
+		unthrottled = unthrottled || r.task.step.spec.Fills && !r.paused && !r.longThrottled(now)
 	}
 	return over && unthrottled
 }
@@ -256,6 +256,7 @@
 		phase:        messenger.RunStarting,
 		startedAt:    now,
 		resumed:      t.checkpoint != "",
+		paused:       t.step.startsPaused,
 	}
 	t.inherited = false
 	c.makeCurrent(now, r)
--- a/conductor/rank.go
+++ b/conductor/rank.go
@@ -88,6 +88,9 @@
 			s.occurrence.workload.rank = c.rankOf(now, s.occurrence.workload)
 		}
 	}
+	for r := range c.paused {
+		r.task.step.occurrence.workload.rank = c.rankOf(now, r.task.step.occurrence.workload)
+	}
 	slices.SortStableFunc(c.steps, compareSteps)
 	images := c.bestEffortImages()
 	for _, h := range c.hosts {
--- a/conductor/schedule.go
+++ b/conductor/schedule.go
@@ -28,6 +28,8 @@
 	// utilizations holds, by service, the share of its processors that are in use; a service is missing
 	// until that is needed.
 	utilizations map[string]float64
+	// paused holds the paused runs that are still to be tried, in order.
+	paused []*run
 	// beyondBounds is whether a task may start beyond the bounds that only weigh it against other work.
 	beyondBounds bool
 	// evaluated counts the evaluations of executors.
@@ -52,7 +54,7 @@
 func (c *Conductor) Schedule(now time.Time) {
 	c.updateReconciled()
 	c.sendHeldStarts(now)
-	if len(c.steps) == 0 {
+	if len(c.steps)+len(c.paused) == 0 {
 		clear(c.changedExecutors)
 		return
 	}
@@ -63,6 +65,7 @@
 		changed:    c.takeChangedExecutors(),
 		unreserved: map[string]map[string]int64{},
 		outlooks:   map[*executor]map[string]outlook{},
+		paused:     c.pausedRuns(),
 	}
 	c.steps = slices.DeleteFunc(c.steps, func(s *step) bool {
 		w := s.occurrence.workload
@@ -73,10 +76,12 @@
 		if w.durableState == "" {
 			return false
 		}
+		p.resumeBefore(s)
 		p.scheduleStep(s)
 		s.queued = s.waiting > 0
 		return !s.queued
 	})
+	p.resumeBefore(nil)
 	metrics.GetOrRegisterCounter("executors.evaluated", c.registry).Inc(p.evaluated)
 }
 
@@ -244,11 +249,18 @@
 	if !s.spec.Fills {
 		return c.stepCost(p.now, s, e, 0), true
 	}
-	o := p.outlook(s.spec.Image, e)
-	if e.overTarget(p.now) || p.now.Sub(s.readyAt) < c.config.MaxPlacementWait && !o.placeable {
+	if !p.mayFill(s, e) {
 		return 0, false
 	}
-	return c.stepCost(p.now, s, e, o.speed), true
+	return c.stepCost(p.now, s, e, p.outlook(s.spec.Image, e).speed), true
+}
+
+// mayFill reports whether a best-effort task of a step may begin to work on an executor with room for it.
+func (p *schedulingPass) mayFill(s *step, e *executor) bool {
+	if e.overTarget(p.now) {
+		return false
+	}
+	return p.now.Sub(s.readyAt) >= p.conductor.config.MaxPlacementWait || p.outlook(s.spec.Image, e).placeable
 }
 
 // outlook returns what one more task of a best-effort image is expected to do on an executor.
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -19,6 +19,7 @@
 	"apricotwinch/conductor"
 	"apricotwinch/custodian"
 	"apricotwinch/messenger"
+	"apricotwinch/pacer"
 )
 
 const (
@@ -170,6 +171,8 @@
 	order     messenger.StartOrder
 	remaining time.Duration
 	fails     bool
+	// pace is the share of its speed at which the run works, in percent.
+	pace int
 	// stopAt is when an ordered stop takes effect; zero if none was ordered.
 	stopAt time.Time
 }
@@ -557,6 +560,10 @@
 		}
 		next, _ := h.agent.HandleStartAnswer(sim.now, call, answer, err)
 		calls.Stops = append(calls.Stops, next.Stops...)
+		calls.Paces = append(calls.Paces, next.Paces...)
+	}
+	for _, call := range calls.Paces {
+		h.agent.HandlePaceAnswer(call, h.executor.setPace(call))
 	}
 	for _, call := range calls.Stops {
 		if sim.delay(h, func(e *modelExecutor) { _, _ = e.stop(sim, call) }) {
@@ -618,11 +625,21 @@
 	}
 	spec := sim.specs[ref.Task.Workload].Steps[ref.Task.Step]
 	remaining := time.Duration(spec.EstimateMillis) * time.Millisecond
-	m.runs[ref] = &modelRun{order: call.Order, remaining: remaining, fails: call.Order.Payload == "hopeless"}
+	m.runs[ref] = &modelRun{order: call.Order, remaining: remaining, pace: pacer.FullSpeed, fails: call.Order.Payload == "hopeless"}
 	sim.checkStart(ref)
 	return answer, nil
 }
 
+// setPace sets the pace of a run, as an executor that answers every call.
+func (m *modelExecutor) setPace(call custodian.RunCall) error {
+	r := m.runs[call.Run]
+	if r == nil || call.Token < m.token {
+		return apricotwinch.Errorf(apricotwinch.Conflict, "old")
+	}
+	r.pace = call.Percent
+	return nil
+}
+
 func (m *modelExecutor) stop(sim *simulation, call custodian.RunCall) (custodian.Answer, error) {
 	answer, err := m.fence(sim, call.Token, 0)
 	if err != nil {
@@ -706,7 +723,7 @@
 	m.lapsed = lapsed
 	for _, ref := range m.refs() {
 		r := m.runs[ref]
-		r.remaining -= time.Duration(float64(tickInterval) * (1 - m.slowdown))
+		r.remaining -= time.Duration(float64(tickInterval) * (1 - m.slowdown) * float64(r.pace) / pacer.FullSpeed)
 		longRunning := sim.specs[ref.Task.Workload].Steps[ref.Task.Step].Lasting
 		switch {
 		case m.clock(sim.now) > m.deadline:
--- a/conductor/workload.go
+++ b/conductor/workload.go
@@ -64,7 +64,9 @@
 	readyAt time.Time
 	// blockedAt is when a task of the step last fitted on none of all executors; zero if one did.
 	blockedAt time.Time
-	advice    advice
+	// startsPaused is whether its tasks start paused now.
+	startsPaused bool
+	advice       advice
 }
 
 // task is the state of one task of a step.
@@ -131,8 +133,12 @@
 	// throttledSince is since when that is below throttledPace, zero if it is not.
 	pace           int
 	throttledSince time.Time
+	// paused is whether the run does no work until it is resumed, and resumeNumber the number of the
+	// last orders that resume it.
+	paused       bool
+	resumeNumber int
 	// idle is the part of its processors, in thousandths, that the run leaves unused while it is
-	// throttled.
+	// throttled or paused.
 	idle int64
 	// undisturbed is the smoothed headroom that a serving run would have without best-effort
 	// tasks; 0 if unknown.
--- a/custodian/custodian_test.go
+++ b/custodian/custodian_test.go
@@ -471,6 +471,39 @@
 	}
 }
 
+// TestPausedRun guards against best-effort work that goes on though it was started paused, or that counts
+// against the pace of other such work, and against a run that isn't resumed.
+func TestPausedRun(t *testing.T) {
+	s := newFixture()
+	paused, working := order(0, 1, 2000), order(1, 1, 2000)
+	paused.Fills, paused.Paused, working.Fills = true, true, true
+	calls, _ := s.HandleOrders(s.now, s.orders(paused, working))
+	paces := map[messenger.RunRef]int{paused.Run: 100, working.Run: 100}
+	apply := func(calls custodian.Calls) {
+		for _, call := range calls.Paces {
+			paces[call.Run] = call.Percent
+		}
+	}
+	for _, start := range calls.Starts {
+		calls, _ := s.HandleStartAnswer(s.now, start, custodian.Answer{Clock: s.clock()}, nil)
+		apply(calls)
+	}
+	if diff := cmp.Diff(map[messenger.RunRef]int{paused.Run: 0, working.Run: 100}, paces); diff != "" {
+		t.Errorf("paces (-want +got):\n%s", diff)
+	}
+	listed := s.NextReport(s.now).Executors[0].Runs
+	if got := []bool{listed[0].Paused, listed[1].Paused}; !cmp.Equal(got, []bool{true, false}) {
+		t.Errorf("reported as paused: %v, want the first run", got)
+	}
+	orders := s.orders()
+	orders.Resumes = []messenger.ResumeOrder{{Run: paused.Run, Executor: paused.Executor}}
+	calls, _ = s.HandleOrders(s.now, orders)
+	apply(calls)
+	if diff := cmp.Diff(map[messenger.RunRef]int{paused.Run: 100, working.Run: 100}, paces); diff != "" {
+		t.Errorf("paces once resumed (-want +got):\n%s", diff)
+	}
+}
+
 // TestNextIncarnationGetsGreaterToken checks that calls for an earlier incarnation of an
 // executor do not block calls for the next one, whose clock starts anew.
 func TestNextIncarnationGetsGreaterToken(t *testing.T) {
--- a/custodian/orders.go
+++ b/custodian/orders.go
@@ -41,6 +41,9 @@
 	for _, start := range o.Starts {
 		c.startRun(now, start, &calls)
 	}
+	for _, resume := range o.Resumes {
+		c.resumeRun(now, resume, &calls)
+	}
 	return calls, nil
 }
 
@@ -135,6 +138,16 @@
 	c.addCall(now, e, r, calls)
 }
 
+// resumeRun resumes a paused run. One that hasn't started yet starts at full speed.
+func (c *Custodian) resumeRun(now time.Time, resume messenger.ResumeOrder, calls *Calls) {
+	e := c.executors[resume.Executor]
+	if e == nil || e.runs[resume.Run] == nil {
+		return
+	}
+	e.runs[resume.Run].order.Paused = false
+	calls.Paces = append(calls.Paces, c.updatePaces(now, e).Paces...)
+}
+
 // findExecutor returns an incarnation of an executor, or nil if it is not the known one. The answer
 // to a call for an earlier incarnation says nothing of the next one.
 func (c *Custodian) findExecutor(id string, born int) *executor {
--- a/custodian/pace.go
+++ b/custodian/pace.go
@@ -20,31 +20,43 @@
 func (c *Custodian) updatePaces(now time.Time, e *executor) Calls {
 	shares := map[string]float64{}
 	var bestEffort []pacer.BestEffort
-	var runs []*run
+	var runs, paused []*run
 	for _, r := range e.sortedRuns() {
-		if r.order.Fills && r.phase == messenger.RunRunning {
-			bestEffort = append(bestEffort, pacer.BestEffort{Image: r.order.Image, Pace: r.pace})
-			runs = append(runs, r)
-			shares[r.order.Image] += r.share()
+		if !r.order.Fills || r.phase != messenger.RunRunning {
+			continue
+		}
+		shares[r.order.Image] += r.share()
+		if r.order.Paused {
+			paused = append(paused, r)
+			continue
 		}
+		bestEffort = append(bestEffort, pacer.BestEffort{Image: r.order.Image, Pace: r.pace})
+		runs = append(runs, r)
 	}
-	if len(bestEffort) == 0 {
+	if len(runs)+len(paused) == 0 {
 		return Calls{}
 	}
 	serving := c.servingTasks(now, e, shares)
 	var calls Calls
+	for _, r := range paused {
+		c.setPace(now, e, r, 0, serving, &calls)
+	}
 	for i, pace := range pacer.Decide(c.config.Pacer, serving, bestEffort, c.interference) {
-		r := runs[i]
-		if r.pace == pace {
-			continue
-		}
-		c.logPace(now, e, r, pace, serving)
-		r.pace = pace
-		calls.Paces = append(calls.Paces, RunCall{Executor: e.ID, Born: e.StartedMillis, Address: e.Address, Token: e.token, Run: r.order.Run, Percent: pace})
+		c.setPace(now, e, runs[i], pace, serving, &calls)
 	}
 	return calls
 }
 
+// setPace adds the call that sets the pace of a run, if it changes.
+func (c *Custodian) setPace(now time.Time, e *executor, r *run, pace int, serving []pacer.Serving, calls *Calls) {
+	if r.pace == pace {
+		return
+	}
+	c.logPace(now, e, r, pace, serving)
+	r.pace = pace
+	calls.Paces = append(calls.Paces, RunCall{Executor: e.ID, Born: e.StartedMillis, Address: e.Address, Token: e.token, Run: r.order.Run, Percent: pace})
+}
+
 // servingTasks returns the serving tasks of an executor, each with the headroom that it would have
 // without best-effort work.
 func (c *Custodian) servingTasks(now time.Time, e *executor, shares map[string]float64) []pacer.Serving {
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -766,6 +766,9 @@
 	// Number of the orders within the epoch, from 1.
 	Number int `json:"number"`
 
+	// Paused runs to resume.
+	Resumes []ResumeOrder `json:"resumes,omitempty,omitzero"`
+
 	// Run ends that are durable.
 	Seen []DurableEnds `json:"seen,omitempty,omitzero"`
 
@@ -1056,6 +1059,15 @@
 	ProcessorMillis int `json:"processorMillis"`
 }
 
+// An order to resume a paused run.
+type ResumeOrder struct {
+	// Id of the executor.
+	Executor string `json:"executor"`
+
+	// The run.
+	Run RunRef `json:"run"`
+}
+
 // An entry's command to withdraw a request that has not started.
 type Revoke struct {
 	// Incarnation of the agent that the request was sent to.
@@ -1128,6 +1140,9 @@
 	// is not throttled.
 	Pace int `json:"pace,omitempty,omitzero"`
 
+	// Whether the run does no work until it is resumed.
+	Paused bool `json:"paused,omitempty,omitzero"`
+
 	// Percentage of the task that is done.
 	Percent int `json:"percent,omitempty,omitzero"`
 
@@ -1263,6 +1278,9 @@
 	// Name of the image that the task runs.
 	Image string `json:"image,omitempty,omitzero"`
 
+	// Whether the run does no work from its start until it is resumed.
+	Paused bool `json:"paused,omitempty,omitzero"`
+
 	// Text that is passed to the task.
 	Payload string `json:"payload"`
 
