Merge: placed starts and reasons for waits

The reasons for which a best-effort task may not begin to work are decided in one place, harm, for starts and for paused runs.

--- a/conductor/idle_test.go
+++ b/conductor/idle_test.go
@@ -18,8 +18,8 @@
 	return func(s *messenger.StepSpec) { s.Image = name }
 }
 
-// serving returns a change of a step that makes its tasks, one on each executor, serve users.
-func serving(targetMillis int) func(*messenger.StepSpec) {
+// servingUsers returns a change of a step that makes its tasks, one on each executor, serve users.
+func servingUsers(targetMillis int) func(*messenger.StepSpec) {
 	return func(s *messenger.StepSpec) {
 		s.Lasting, s.Image, s.TailTargetMillis, s.MaxPerExecutor = true, "watch", targetMillis, 1
 	}
@@ -59,7 +59,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			sim := newSimulation(t, 1, 3)
 			sim.run(2 * time.Second)
-			sim.submit(watchQueue, "watch", tasks(3, 2000, time.Hour, serving(10)))
+			sim.submit(watchQueue, "watch", tasks(3, 2000, time.Hour, servingUsers(10)))
 			sim.run(time.Second)
 			sim.setInterference("render", test.interference)
 			for _, h := range sim.hosts {
@@ -94,7 +94,7 @@
 		// earlier and waiting are the steps of the workloads, of which the earlier one runs.
 		earlier, waiting messenger.StepSpec
 	}{
-		{name: "as wide as an executor", earlier: tasks(2, 1000, time.Hour, serving(10)), waiting: tasks(1, 16_000, time.Hour, bestEffort)},
+		{name: "as wide as an executor", earlier: tasks(2, 1000, time.Hour, servingUsers(10)), waiting: tasks(1, 16_000, time.Hour, bestEffort)},
 		{name: "wider than an executor", earlier: tasks(2, 1000, time.Hour, longRunning), waiting: tasks(1, 40_000, time.Hour, bestEffort)},
 		{name: "beside earlier ones", earlier: tasks(32, 1000, time.Hour, bestEffort), waiting: tasks(4, 1000, time.Hour, bestEffort)},
 	}
@@ -129,7 +129,7 @@
 func TestIdleWorkloadAvoidsServingTasks(t *testing.T) {
 	sim := newSimulation(t, 1, 3)
 	sim.run(2 * time.Second)
-	sim.submit(watchQueue, "watch", tasks(2, 2000, time.Hour, serving(10)))
+	sim.submit(watchQueue, "watch", tasks(2, 2000, time.Hour, servingUsers(10)))
 	sim.run(time.Second)
 	sim.setInterference("render", 0.6)
 	for _, h := range sim.hosts {
@@ -230,7 +230,7 @@
 		h.executor.tailMillis = 4
 	}
 	sim.run(2 * time.Second)
-	sim.submit(watchQueue, "watch", tasks(2, 2000, time.Hour, serving(10)))
+	sim.submit(watchQueue, "watch", tasks(2, 2000, time.Hour, servingUsers(10)))
 	sim.run(time.Second)
 	const workTime = 2 * time.Second
 	sim.submit(batchQueue, "w", tasks(1, 16_000, workTime, bestEffort, image("render")))
--- a/conductor/pause.go
+++ b/conductor/pause.go
@@ -46,7 +46,7 @@
 	c, e, s := p.conductor, r.executor, r.task.step
 	working, unused := e.bestEffort-e.bestEffortIdle, c.expectedUnused(e)
 	hasRoom := float64(working+s.need.ProcessorMillis()) <= c.config.BestEffortRatio*unused || working <= 0 && unused > 0
-	return hasRoom && p.mayFill(s, e)
+	return hasRoom && p.harm(s, e) == ""
 }
 
 // hasRoomElsewhere reports whether a paused run, which has done no work, may start on another executor that has
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -110,18 +110,26 @@
 
 // fits reports whether an executor has room for one more task of a step and meets the step's
 // constraints.
-func (c *Conductor) fits(s *step, e *executor) bool {
+func (c *Conductor) fits(s *step, e *executor) bool { return c.misfit(s, e) == "" }
+
+// misfit returns the reason, one of refusals, for which an executor has no room for one more task of a step
+// or doesn't meet the step's constraints; empty if it fits.
+func (c *Conductor) misfit(s *step, e *executor) string {
 	need := s.need
-	if !s.allows(e) {
-		return false
-	}
 	if s.spec.Fills {
-		if float64(e.bestEffort-e.bestEffortIdle+need.ProcessorMillis()) > c.config.BestEffortRatio*c.expectedUnused(e) {
-			return false
-		}
 		need = need.WithoutProcessors()
 	}
-	return e.allocated.Add(need).Fits(e.capacity)
+	switch {
+	case s.spec.Label != "" && !e.labels[s.spec.Label]:
+		return waitLabel
+	case s.spec.Fills && float64(e.bestEffort-e.bestEffortIdle+s.need.ProcessorMillis()) > c.config.BestEffortRatio*c.expectedUnused(e):
+		return waitUnused
+	case !e.allocated.Add(need).Fits(e.capacity):
+		return waitNoRoom
+	case s.spec.MaxPerExecutor > 0 && e.countTasks(s) >= s.spec.MaxPerExecutor:
+		return waitMaxRuns
+	}
+	return ""
 }
 
 // allows reports whether an executor meets the constraints of a step besides room.
@@ -244,10 +252,14 @@
 	return t.highestRun + 1
 }
 
-// startRun orders an executor to start the next run of a task.
+// startRun has an executor start the next run of a task, once its placement is durable.
 func (c *Conductor) startRun(now time.Time, t *task, e *executor) {
+	c.startPlaced(now, t, e, c.place(t, e))
+}
+
+// startPlaced has an executor start the next run of a task once the append with the given number is durable.
+func (c *Conductor) startPlaced(now time.Time, t *task, e *executor, write int64) {
 	number := c.nextRun(t)
-	write := c.place(t, e)
 	r := &run{
 		ref:          messenger.RunRef{Task: t.ref, Run: number},
 		task:         t,
@@ -260,12 +272,10 @@
 	}
 	t.inherited = false
 	c.makeCurrent(now, r)
-	order := r.startOrder()
-	order.Ticket, _ = t.step.validTicket(now, e)
 	if write > c.durable {
-		c.heldStarts = append(c.heldStarts, heldStart{run: r, order: order, write: write})
+		c.heldStarts = append(c.heldStarts, heldStart{run: r, write: write})
 	} else {
-		c.sendStart(r, order)
+		c.sendStart(now, r)
 	}
 }
 
--- a/conductor/withdrawal_test.go
+++ b/conductor/withdrawal_test.go
@@ -21,7 +21,7 @@
 		t.Fatal(err)
 	}
 	records, _ := sim.owner.TakeWrites()
-	sim.owner.RevertAppend(records)
+	sim.owner.RevertAppend(sim.now, records)
 	sim.submit(batchQueue, "w", tasks(1, 500, time.Hour))
 	sim.run(conductor.DefaultConfig().EndedRetention + time.Second)
 	if state := sim.state("w"); state != messenger.WorkloadRunning {
