--- a/conductor/place.go
+++ b/conductor/place.go
@@ -97,7 +97,7 @@
 		if h := r.headroom(); h > 0 && h < 1 {
 			over = true
 		}
-		unthrottled = unthrottled || r.task.step.spec.Fills && !r.longThrottled(now)
+		unthrottled = unthrottled || r.task.step.spec.Fills && !r.paused && !r.longThrottled(now)
 	}
 	return over && unthrottled
 }
@@ -132,6 +132,14 @@
 	return ""
 }
 
+// allows reports whether an executor meets the constraints of a step besides room.
+func (s *step) allows(e *executor) bool {
+	if s.spec.Label != "" && !e.labels[s.spec.Label] {
+		return false
+	}
+	return s.spec.MaxPerExecutor <= 0 || e.countTasks(s) < s.spec.MaxPerExecutor
+}
+
 // countTasks returns the number of runs of a step on the executor.
 func (e *executor) countTasks(s *step) int {
 	n := 0
@@ -151,9 +159,12 @@
 
 // Weights in the cost of an executor; 1 is the cost of all its processors.
 const (
-	// costAvoided is the cost of the executor on which the last run of the task failed or was
-	// refused, or which the task leaves for another one.
+	// costAvoided is the cost of the executor on which the last run of the task failed, or which the
+	// task leaves for another one.
 	costAvoided = 10
+	// costRefused is the cost of an executor that has refused the task lately: a stalled or slow one at
+	// least starts it.
+	costRefused = 60
 	// costFailing is the cost of an executor with a streak of failures.
 	costFailing = 100
 	// costUnhealthy is the cost of a stalled or slow executor.
@@ -190,11 +201,7 @@
 	if t.step.spec.Fills {
 		speed = c.expectedSpeed(t.step.spec.Image, e)
 	}
-	cost := c.stepCost(now, t.step, e, speed)
-	if t.avoid == e {
-		cost += costAvoided
-	}
-	return cost
+	return c.stepCost(now, t.step, e, speed) + c.avoidanceCost(now, t, e)
 }
 
 // stepCost returns the cost of an executor to a task of a step that doesn't avoid it. speed is the
@@ -219,6 +226,12 @@
 			cost += costNoLongRunning
 		}
 	}
+	return cost + c.faultCost(now, s, e)
+}
+
+// faultCost returns the cost of the faults of an executor, and of its distance, to a task of a step.
+func (c *Conductor) faultCost(now time.Time, s *step, e *executor) float64 {
+	cost := 0.0
 	if e.failureStreak >= c.config.FailureStreak && now.Sub(e.failedAt) < c.config.FailureStreakTTL {
 		cost += costFailing
 	}
@@ -255,6 +268,7 @@
 		phase:        messenger.RunStarting,
 		startedAt:    now,
 		resumed:      t.checkpoint != "",
+		paused:       t.step.startsPaused,
 	}
 	t.inherited = false
 	c.makeCurrent(now, r)
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -144,7 +144,7 @@
 		}
 		t := run.task
 		c.release(now, run, "refused")
-		t.avoid = run.executor
+		c.addRefusal(now, t, run.executor)
 		t.notBefore = now.Add(c.config.Backoff)
 		switch refusal.Kind {
 		case string(apricotwinch.NoTarget):
@@ -152,6 +152,9 @@
 		case string(apricotwinch.Forbidden):
 			delete(t.step.advice.tickets, run.executor.id)
 		}
+		if t.step.spec.Gang {
+			c.refuseGang(now, t.step, run.executor)
+		}
 	}
 	h.refusalsThrough = max(h.refusalsThrough, r.RefusalsThrough)
 }
@@ -252,6 +255,7 @@
 		listed[state.Runs[i].Run] = true
 		c.updateRun(now, e, &state.Runs[i])
 		c.repeatStop(e, &state.Runs[i], processed)
+		c.updatePaused(e, &state.Runs[i], processed)
 	}
 	for ref, run := range e.runs {
 		// The end of a task that starts again after any end doesn't matter.
@@ -318,7 +322,7 @@
 	if w != nil {
 		t = w.task(state.Run.Task)
 	}
-	run := &run{ref: state.Run, task: t, executor: e, startedAt: now}
+	run := &run{ref: state.Run, task: t, executor: e, startedAt: now, paused: state.Paused}
 	if t == nil {
 		e.runsUnknown = true
 		if state.Phase != messenger.RunStopping {
--- a/conductor/workload.go
+++ b/conductor/workload.go
@@ -27,6 +27,9 @@
 	// dueCount is the number of occurrences that are due.
 	dueCount  int
 	unstarted bool
+	// runs is the number of the workload's runs, and idleSince when the last of them ended.
+	runs      int
+	idleSince time.Time
 	rank      bestEffortRank
 	priority  int
 	dirtySpec bool
@@ -62,6 +65,8 @@
 	readyAt time.Time
 	// blockedAt is when a task of the step last fitted on none of all executors; zero if one did.
 	blockedAt time.Time
+	// startsPaused is whether its tasks start paused now.
+	startsPaused bool
 	// wait is since when and why a step that is not long-running has started none of its waiting tasks.
 	wait   *stepWait
 	advice advice
@@ -81,6 +86,7 @@
 	checkpoint    string
 	notBefore     time.Time
 	avoid         *executor
+	refusals      []refusal
 	current       *run
 	// originalRun is an earlier run that continues while the current one is its speculative
 	// copy.
@@ -131,8 +137,12 @@
 	// throttledSince is since when that is below throttledPace, zero if it is not.
 	pace           int
 	throttledSince time.Time
+	// paused is whether the run does no work until it is resumed, and resumeNumber the number of the
+	// last orders that resume it.
+	paused       bool
+	resumeNumber int
 	// idle is the part of its processors, in thousandths, that the run leaves unused while it is
-	// throttled.
+	// throttled or paused.
 	idle int64
 	// undisturbed is the smoothed headroom that a serving run would have without best-effort
 	// tasks; 0 if unknown.
