--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -84,8 +84,8 @@
 	confirmations  confirmations
 	runs           map[messenger.RunRef]*run
 	steps          []*step
-	// paused holds the runs that are paused.
-	paused map[*run]bool
+	// background holds the background runs.
+	background map[*run]bool
 	// waits holds the waits of long-running tasks, and those that have ended since waitsCheckedAt, when
 	// they were last looked at.
 	waits                  []*wait
@@ -137,7 +137,7 @@
 		hosts:        map[string]*host{},
 		runs:         map[messenger.RunRef]*run{},
 		orders:       map[string]*messenger.Orders{},
-		paused:       map[*run]bool{},
+		background:   map[*run]bool{},
 
 		changedExecutors:   map[*executor]bool{},
 		appraiser:          appraiser.New(appraiser.DefaultConfig()),
--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -179,8 +179,8 @@
 	r.executor.runs[r.ref] = r
 	r.executor.allocate(r.task.step, 1)
 	r.task.step.occurrence.workload.runs++
-	if r.paused {
-		c.paused[r] = true
+	if r.background {
+		c.background[r] = true
 		r.setIdle(r.task.step.need.ProcessorMillis())
 	}
 }
@@ -194,7 +194,7 @@
 	delete(c.runs, r.ref)
 	delete(r.executor.runs, r.ref)
 	c.heldReleased = c.heldReleased || r.ordersNumber == heldOrders
-	delete(c.paused, r)
+	delete(c.background, r)
 	r.setIdle(0)
 	r.executor.allocate(r.task.step, -1)
 	w := r.task.step.occurrence.workload
--- a/conductor/idle.go
+++ b/conductor/idle.go
@@ -41,16 +41,16 @@
 }
 
 // startIdle starts one task of a step whose workload has been idle for too long, or its gang, on the
-// executor of a pool where that harms least. A best-effort task is paused until there is room for its work, so
-// that it takes nothing of what comes first.
+// executor of a pool where that harms least. A best-effort task works in the background, at the
+// least pace, until there is room for its work, so that it takes little of what comes first.
 func (p *schedulingPass) startIdle(s *step, service string, pool []*executor) {
 	if !p.mayStartIdle(s, service) {
 		return
 	}
 	c := p.conductor
 	idle := s.idleFor(p.now)
-	p.beyondBounds, s.startsPaused = true, s.spec.Fills
-	defer func() { p.beyondBounds, s.startsPaused = false, false }()
+	p.beyondBounds, s.startsInBackground = true, s.spec.Fills
+	defer func() { p.beyondBounds, s.startsInBackground = false, false }()
 	if s.spec.Gang {
 		p.startGang(s, pool)
 	} else if at := slices.IndexFunc(s.tasks, p.mayStart); at >= 0 {
--- a/conductor/interference.go
+++ b/conductor/interference.go
@@ -162,7 +162,7 @@
 		}
 		sum := interference
 		for _, bestEffort := range e.runs {
-			if bestEffort.task.step.spec.Fills && !bestEffort.paused {
+			if bestEffort.task.step.spec.Fills && !bestEffort.background {
 				sum += c.appraiser.Interference(spec.Image, bestEffort.task.step.spec.Image)
 			}
 		}
@@ -212,6 +212,6 @@
 		Fills:            spec.Fills,
 		TailTargetMillis: spec.TailTargetMillis,
 		Image:            spec.Image,
-		Paused:           r.paused,
+		Background:       r.background,
 	}
 }
--- a/conductor/move.go
+++ b/conductor/move.go
@@ -88,7 +88,7 @@
 // for others.
 func (r *run) updatePace(now time.Time, state *messenger.RunState) {
 	r.pace = state.Pace
-	if r.paused {
+	if r.background {
 		return
 	}
 	switch {
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -97,7 +97,7 @@
 		if h := r.headroom(); h > 0 && h < 1 {
 			over = true
 		}
-		unthrottled = unthrottled || r.task.step.spec.Fills && !r.paused && !r.longThrottled(now)
+		unthrottled = unthrottled || r.task.step.spec.Fills && !r.background && !r.longThrottled(now)
 	}
 	return over && unthrottled
 }
@@ -268,7 +268,7 @@
 		phase:        messenger.RunStarting,
 		startedAt:    now,
 		resumed:      t.checkpoint != "",
-		paused:       t.step.startsPaused,
+		background:   t.step.startsInBackground,
 	}
 	t.inherited = false
 	c.makeCurrent(now, r)
--- a/conductor/rank.go
+++ b/conductor/rank.go
@@ -88,7 +88,7 @@
 			s.occurrence.workload.rank = c.rankOf(now, s.occurrence.workload)
 		}
 	}
-	for r := range c.paused {
+	for r := range c.background {
 		r.task.step.occurrence.workload.rank = c.rankOf(now, r.task.step.occurrence.workload)
 	}
 	slices.SortStableFunc(c.steps, compareSteps)
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -255,7 +255,7 @@
 		listed[state.Runs[i].Run] = true
 		c.updateRun(now, e, &state.Runs[i])
 		c.repeatStop(e, &state.Runs[i], processed)
-		c.updatePaused(e, &state.Runs[i], processed)
+		c.updateBackground(e, &state.Runs[i], processed)
 	}
 	for ref, run := range e.runs {
 		// The end of a task that starts again after any end doesn't matter.
@@ -322,7 +322,7 @@
 	if w != nil {
 		t = w.task(state.Run.Task)
 	}
-	run := &run{ref: state.Run, task: t, executor: e, startedAt: now, paused: state.Paused}
+	run := &run{ref: state.Run, task: t, executor: e, startedAt: now, background: state.Background}
 	if t == nil {
 		e.runsUnknown = true
 		if state.Phase != messenger.RunStopping {
--- a/conductor/schedule.go
+++ b/conductor/schedule.go
@@ -28,8 +28,8 @@
 	// utilizations holds, by service, the share of its processors that are in use; a service is missing
 	// until that is needed.
 	utilizations map[string]float64
-	// paused holds the paused runs that are still to be tried, in order.
-	paused []*run
+	// background holds the background runs that are still to be tried, in order.
+	background []*run
 	// beyondBounds is whether a task may start beyond the bounds that only weigh it against other work.
 	beyondBounds bool
 	// evaluated counts the evaluations of executors.
@@ -55,7 +55,7 @@
 func (c *Conductor) Schedule(now time.Time) {
 	c.updateReconciled()
 	c.sendHeldStarts(now)
-	if len(c.steps)+len(c.paused) == 0 {
+	if len(c.steps)+len(c.background) == 0 {
 		clear(c.changedExecutors)
 		return
 	}
@@ -66,7 +66,7 @@
 		changed:    c.takeChangedExecutors(),
 		unreserved: map[string]map[string]int64{},
 		outlooks:   map[*executor]map[string]outlook{},
-		paused:     c.pausedRuns(),
+		background: c.backgroundRuns(),
 	}
 	c.steps = slices.DeleteFunc(c.steps, func(s *step) bool {
 		w := s.occurrence.workload
@@ -74,12 +74,12 @@
 			s.queued = false
 			return true
 		}
-		p.resumeBefore(s)
+		p.promoteBefore(s)
 		p.scheduleStep(s)
 		s.queued = s.waiting > 0
 		return !s.queued
 	})
-	p.resumeBefore(nil)
+	p.promoteBefore(nil)
 	metrics.GetOrRegisterCounter("executors.evaluated", c.registry).Inc(p.evaluated)
 }
 
--- a/conductor/workload.go
+++ b/conductor/workload.go
@@ -65,8 +65,8 @@
 	readyAt time.Time
 	// blockedAt is when a task of the step last fitted on none of all executors; zero if one did.
 	blockedAt time.Time
-	// startsPaused is whether its tasks start paused now.
-	startsPaused bool
+	// startsInBackground is whether its tasks start in the background now.
+	startsInBackground bool
 	// wait is since when and why a step that is not long-running has started none of its waiting tasks.
 	wait   *stepWait
 	advice advice
@@ -137,12 +137,12 @@
 	// throttledSince is since when that is below throttledPace, zero if it is not.
 	pace           int
 	throttledSince time.Time
-	// paused is whether the run does no work until it is resumed, and resumeNumber the number of the
+	// background is whether the run works at the least pace until it is promoted, and promotionNumber the number of the
 	// last orders that resume it.
-	paused       bool
-	resumeNumber int
+	background      bool
+	promotionNumber int
 	// idle is the part of its processors, in thousandths, that the run leaves unused while it is
-	// throttled or paused.
+	// throttled or in the background.
 	idle int64
 	// undisturbed is the smoothed headroom that a serving run would have without best-effort
 	// tasks; 0 if unknown.
--- a/custodian/orders.go
+++ b/custodian/orders.go
@@ -41,8 +41,8 @@
 	for _, start := range o.Starts {
 		c.startRun(now, start, &calls)
 	}
-	for _, resume := range o.Resumes {
-		c.resumeRun(now, resume, &calls)
+	for _, promotion := range o.Promotions {
+		c.promoteRun(now, promotion, &calls)
 	}
 	return calls, nil
 }
@@ -138,13 +138,13 @@
 	c.addCall(now, e, r, calls)
 }
 
-// resumeRun resumes a paused run. One that hasn't started yet starts at full speed.
-func (c *Custodian) resumeRun(now time.Time, resume messenger.ResumeOrder, calls *Calls) {
-	e := c.executors[resume.Executor]
-	if e == nil || e.runs[resume.Run] == nil {
+// promoteRun lets a background run work at the pace of others. One that hasn't started yet starts so.
+func (c *Custodian) promoteRun(now time.Time, promotion messenger.PromotionOrder, calls *Calls) {
+	e := c.executors[promotion.Executor]
+	if e == nil || e.runs[promotion.Run] == nil {
 		return
 	}
-	e.runs[resume.Run].order.Paused = false
+	e.runs[promotion.Run].order.Background = false
 	calls.Paces = append(calls.Paces, c.updatePaces(now, e).Paces...)
 }
 
--- a/custodian/pace.go
+++ b/custodian/pace.go
@@ -20,27 +20,19 @@
 func (c *Custodian) updatePaces(now time.Time, e *executor) Calls {
 	shares := map[string]float64{}
 	var bestEffort []pacer.BestEffort
-	var runs, paused []*run
+	var runs []*run
 	for _, r := range e.sortedRuns() {
-		if !r.order.Fills || r.phase != messenger.RunRunning {
-			continue
-		}
-		shares[r.order.Image] += r.share()
-		if r.order.Paused {
-			paused = append(paused, r)
-			continue
+		if r.order.Fills && r.phase == messenger.RunRunning {
+			bestEffort = append(bestEffort, pacer.BestEffort{Image: r.order.Image, Pace: r.pace, Background: r.order.Background})
+			runs = append(runs, r)
+			shares[r.order.Image] += r.share()
 		}
-		bestEffort = append(bestEffort, pacer.BestEffort{Image: r.order.Image, Pace: r.pace})
-		runs = append(runs, r)
 	}
-	if len(runs)+len(paused) == 0 {
+	if len(bestEffort) == 0 {
 		return Calls{}
 	}
 	serving := c.servingTasks(now, e, shares)
 	var calls Calls
-	for _, r := range paused {
-		c.setPace(now, e, r, 0, serving, &calls)
-	}
 	for i, pace := range pacer.Decide(c.config.Pacer, serving, bestEffort, c.interference) {
 		c.setPace(now, e, runs[i], pace, serving, &calls)
 	}
--- a/custodian/report.go
+++ b/custodian/report.go
@@ -91,7 +91,7 @@
 		s.Run = r.order.Run
 		s.Phase = r.phase
 		s.Pace = r.pace
-		s.Paused = r.order.Paused
+		s.Background = r.order.Background
 		s.Unknown = !r.known
 		state.Runs = append(state.Runs, s)
 	}
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -770,8 +770,8 @@
 	// Number of the orders within the epoch, from 1.
 	Number int `json:"number"`
 
-	// Paused runs to resume.
-	Resumes []ResumeOrder `json:"resumes,omitempty,omitzero"`
+	// Background runs to promote.
+	Promotions []PromotionOrder `json:"promotions,omitempty,omitzero"`
 
 	// Run ends that are durable.
 	Seen []DurableEnds `json:"seen,omitempty,omitzero"`
@@ -934,6 +934,15 @@
 	State string `json:"state"`
 }
 
+// An order to let a background run work at the pace of others.
+type PromotionOrder struct {
+	// Id of the executor.
+	Executor string `json:"executor"`
+
+	// The run.
+	Run RunRef `json:"run"`
+}
+
 // An edit that was rejected when its record was applied.
 type RejectedEdit struct {
 	// Id of the record.
@@ -1079,15 +1088,6 @@
 	ProcessorMillis int `json:"processorMillis"`
 }
 
-// An order to resume a paused run.
-type ResumeOrder struct {
-	// Id of the executor.
-	Executor string `json:"executor"`
-
-	// The run.
-	Run RunRef `json:"run"`
-}
-
 // An entry's command to withdraw a request that has not started.
 type Revoke struct {
 	// Incarnation of the agent that the request was sent to.
@@ -1149,6 +1149,9 @@
 
 // The state of one run at an executor.
 type RunState struct {
+	// Whether the run works at the least pace until it is promoted.
+	Background bool `json:"background,omitempty,omitzero"`
+
 	// Latest checkpoint.
 	Checkpoint string `json:"checkpoint,omitempty,omitzero"`
 
@@ -1160,9 +1163,6 @@
 	// is not throttled.
 	Pace int `json:"pace,omitempty,omitzero"`
 
-	// Whether the run does no work until it is resumed.
-	Paused bool `json:"paused,omitempty,omitzero"`
-
 	// Percentage of the task that is done.
 	Percent int `json:"percent,omitempty,omitzero"`
 
@@ -1282,6 +1282,9 @@
 
 // An order to start a run at an executor.
 type StartOrder struct {
+	// Whether the run works at the least pace until it is promoted.
+	Background bool `json:"background,omitempty,omitzero"`
+
 	// Start of the incarnation of the executor that the run is for, in milliseconds
 	// since 1970; 0 for any.
 	Born int `json:"born,omitempty,omitzero"`
@@ -1298,9 +1301,6 @@
 	// Name of the image that the task runs.
 	Image string `json:"image,omitempty,omitzero"`
 
-	// Whether the run does no work from its start until it is resumed.
-	Paused bool `json:"paused,omitempty,omitzero"`
-
 	// Text that is passed to the task.
 	Payload string `json:"payload"`
 
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -45,6 +45,8 @@
 type BestEffort struct {
 	Image string
 	Pace  int
+	// Background is set for a task that works at the least pace, as others come before it.
+	Background bool
 }
 
 // Interference returns the headroom that a best-effort image at full speed takes from a
@@ -84,8 +86,11 @@
 // is throttled more; a pace that would hardly change is kept.
 func Decide(config Config, serving []Serving, bestEffort []BestEffort, interference Interference) []int {
 	shares := make([]float64, len(bestEffort))
-	for i := range shares {
+	for i, b := range bestEffort {
 		shares[i] = 1
+		if b.Background {
+			shares[i] = float64(config.MinPace) / FullSpeed
+		}
 	}
 	for _, s := range serving {
 		if s.Undisturbed > 0 {
--- a/pacer/pacer_test.go
+++ b/pacer/pacer_test.go
@@ -37,6 +37,8 @@
 		{name: "over its target for long without known interference", serving: []pacer.Serving{{Image: "watch", Undisturbed: 0.8, Doubtful: true}}, bestEffort: []pacer.BestEffort{{Image: "render", Pace: 100}}, want: []int{0}},
 		{name: "unknown headroom", serving: []pacer.Serving{{Image: "quotes", Undisturbed: 0}}, bestEffort: []pacer.BestEffort{{Image: "render", Pace: 30}}, want: []int{100}},
 		{name: "change too small", serving: []pacer.Serving{{Image: "quotes", Undisturbed: 1.82}}, bestEffort: []pacer.BestEffort{{Image: "render", Pace: 50}}, want: []int{50}},
+		{name: "background", bestEffort: []pacer.BestEffort{{Image: "render", Pace: 100, Background: true}, {Image: "pack", Pace: 100}}, want: []int{4, 100}},
+		{name: "background without headroom", serving: []pacer.Serving{{Image: "quotes", Undisturbed: 1.1}}, bestEffort: []pacer.BestEffort{{Image: "render", Pace: 4, Background: true}}, want: []int{0}},
 		{name: "below the least pace", serving: []pacer.Serving{{Image: "quotes", Undisturbed: 1.32}}, bestEffort: []pacer.BestEffort{{Image: "render", Pace: 50}}, want: []int{0}},
 	}
 	for _, test := range tests {
