Date a run by when its start was sent

A run whose start was held while the store was away counted as past its restoring and its first measurements at once, as its age was counted from its placement (found by the review, by reading).

--- a/conductor/placement.go
+++ b/conductor/placement.go
@@ -157,6 +157,7 @@
 	order := r.startOrder()
 	order.Ticket, _ = r.task.step.validTicket(now, e)
 	orders := c.ordersFor(e.host)
+	r.startedAt = now
 	r.ordersNumber, r.agent = orders.Number, orders.Incarnation
 	e.host.lastStart = orders.Number
 	orders.Starts = append(orders.Starts, order)
