Let a reborn executor join only with whole lists

A start may reach the next incarnation of an executor under the same id. When that one listed the run in a row that can't be read, the owner gave up the one before, as its agent reported it gone, started its tasks elsewhere, and took the new one for listed as it joined: the task ran twice.

--- a/conductor/agents_test.go
+++ b/conductor/agents_test.go
@@ -180,3 +180,19 @@
 		}
 	}
 }
+
+// TestRebornExecutorWithUnreadableRunKeepsTask guards against a task that runs twice: its start reached the next
+// incarnation of an executor, which lists the run in a row that can't be read.
+func TestRebornExecutorWithUnreadableRunKeepsTask(t *testing.T) {
+	// The start must be the first call that reaches the next incarnation.
+	for ticks := range 3 {
+		sim := newSimulation(t, 1, 4)
+		sim.run(2*time.Second + time.Duration(ticks)*tickInterval)
+		h := sim.hosts[0]
+		sim.crash(h)
+		sim.submit(batchQueue, "short", tasks(1, 1000, 3*time.Second))
+		sim.runUntil(time.Second, func() bool { return len(h.executor.runs) == 1 })
+		h.executor.hideRuns()
+		sim.replaceOwnerEvery(2*time.Second, false, 20*time.Second, func() bool { return sim.state("short") == messenger.WorkloadCompleted })
+	}
+}
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -158,9 +158,7 @@
 
 func (c *Conductor) updateExecutors(now time.Time, h *host, r messenger.Report) {
 	h.listedAt = now
-	if !c.mayRenew(h) {
-		r.Gone, r.Executors = c.withoutReborn(h, r)
-	}
+	r.Gone, r.Executors = c.withoutReborn(now, h, r)
 	for _, gone := range r.Gone {
 		if e := h.executors[gone.Id]; e != nil && e.incarnation == gone.Born {
 			c.removeExecutor(now, e, "reported gone by its agent")
@@ -200,14 +198,19 @@
 }
 
 // withoutReborn returns what a report says of executors that are gone and of those that are there, without those
-// of which the host has another incarnation than this owner knows. An incarnation that may not join yet,
-// as its leases may not be renewed, may list the end of a run that was started on the one before.
-func (c *Conductor) withoutReborn(h *host, r messenger.Report) ([]messenger.ExecutorIncarnation, []messenger.ExecutorState) {
+// of which it lists another incarnation than this owner knows and that can't join yet: its leases may not
+// be renewed, or its lists may lack a run that was started on the one before, or the end of one.
+func (c *Conductor) withoutReborn(now time.Time, h *host, r messenger.Report) ([]messenger.ExecutorIncarnation, []messenger.ExecutorState) {
 	reborn := map[string]bool{}
 	for i := range r.Executors {
-		record := &r.Executors[i].Executor
-		if e := h.executors[record.Id]; e != nil && e.incarnation != record.Born {
-			reborn[record.Id] = true
+		state := &r.Executors[i]
+		e := h.executors[state.Executor.Id]
+		if e == nil || e.incarnation == state.Executor.Born || c.mayRenew(h) && !state.Incomplete {
+			continue
+		}
+		reborn[e.id] = true
+		if c.mayRenew(h) {
+			e.extendLease(now.Add(c.config.Lease + c.config.Margin))
 		}
 	}
 	if len(reborn) == 0 {
@@ -235,8 +238,8 @@
 	e.capacity = state.Executor.Capacity.Value()
 	// The agent may return to an earlier owner that still acts, so that a report doesn't shorten what
 	// was inherited.
-	if until := now.Add(c.config.Lease + c.config.Margin); c.mayRenew(e.host) && until.After(e.leaseEnd) {
-		e.leaseEnd = until
+	if c.mayRenew(e.host) {
+		e.extendLease(now.Add(c.config.Lease + c.config.Margin))
 	}
 	e.reachable = state.Reachable && !e.host.withheld
 	if state.Draining && !e.draining {
@@ -265,6 +268,13 @@
 	c.observeProgress(now, e, time.Duration(state.SilentMillis)*time.Millisecond)
 }
 
+// extendLease records that the executor's runs may go on until a time.
+func (e *executor) extendLease(until time.Time) {
+	if until.After(e.leaseEnd) {
+		e.leaseEnd = until
+	}
+}
+
 // updateRun updates a run that an executor has reported, and stops it if its task must not run.
 func (c *Conductor) updateRun(now time.Time, e *executor, state *messenger.RunState) {
 	run := c.runs[state.Run]
--- a/conductor/unreadable_test.go
+++ b/conductor/unreadable_test.go
@@ -153,6 +153,7 @@
 			func() { sim.randomHost().agentDown = true },
 			func() { sim.randomHost().disconnected = true },
 			func() { sim.randomHost().executor.mute = true },
+			func() { sim.crash(sim.randomHost()) },
 			func() { sim.lostShare = 0.5 },
 			func() { sim.lateShare = 0.5 },
 			func() { sim.lateShare, sim.refusedShare = 0.3, 0.5 },
