Keep a workload that is submitted again after it was withdrawn

A workload that is canceled while the append that accepts it is on its way, and withdrawn since the store refuses that, stayed in the list of workloads that have ended.

--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -81,6 +81,25 @@
 	sim.runUntil(time.Second, func() bool { return sim.state("w") == messenger.WorkloadCompleted })
 }
 
+// TestResubmissionAfterWithdrawalIsKept guards against the loss of an accepted workload: another one of its id
+// was canceled and, as the store refused it, withdrawn before.
+func TestResubmissionAfterWithdrawalIsKept(t *testing.T) {
+	sim := newSimulation(t, 1, 2)
+	sim.run(2 * time.Second)
+	spec := messenger.WorkloadSpec{Payload: "w", Steps: []messenger.StepSpec{tasks(1, 500, time.Hour)}}
+	sim.acceptSpec(batchQueue, "w", spec)
+	rejected, _ := sim.owner.TakeWrites()
+	if _, err := sim.owner.Cancel(sim.now, "w"); err != nil {
+		t.Fatal(err)
+	}
+	sim.owner.RevertAppend(sim.now, rejected)
+	sim.submitSpec(batchQueue, "w", spec)
+	sim.run(conductor.DefaultConfig().EndedRetention + time.Second)
+	if diff := cmp.Diff(messenger.WorkloadRunning, sim.state("w")); diff != "" {
+		t.Errorf("state (-want +got):\n%s", diff)
+	}
+}
+
 // TestRejectedAppendWithdrawsNewWorkloads verifies that after an append that the store
 // provably rejected, its new workloads never run and all other changes are written again.
 func TestRejectedAppendWithdrawsNewWorkloads(t *testing.T) {
--- a/conductor/journal.go
+++ b/conductor/journal.go
@@ -216,6 +216,10 @@
 		}
 		c.logger.Info("workload withdrawn", "workload", w.id, "queue", w.queue)
 		c.count("workloads.withdrawn")
+		if w.terminal() {
+			// Its id may be submitted again.
+			c.ended = slices.DeleteFunc(c.ended, func(ended *workload) bool { return ended == w })
+		}
 		w.state = messenger.WorkloadCanceled
 		for _, o := range w.occurrences {
 			for _, t := range o.tasks() {
