Don't start a task whose run is found while its start is held

If a run of a task is found, for instance one that was carried out late, while the next start of the task on another executor waits for the store, the found run was stopped and the held start sent once its placement was durable, maybe before the stop had taken effect: the task ran twice.

The held start is released, and the found run becomes the current one. A gang is left as it was, as one run of another number doesn't replace it.

TestRunFoundWhileStartIsHeld fails without the change: batch runs on host-0 and on host-1.

--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -1745,6 +1745,28 @@
 	}
 }
 
+// TestRunFoundWhileStartIsHeld guards against a task that runs twice: a late start of it is carried out while its
+// next one, on another executor, waits for the store.
+func TestRunFoundWhileStartIsHeld(t *testing.T) {
+	sim := newSimulation(t, 1, 3)
+	sim.run(2 * time.Second)
+	sim.submit(batchQueue, "batch", tasks(1, 1000, time.Hour))
+	sim.run(time.Second)
+	first := sim.hostOf("batch")
+	ref := first.executor.refs()[0]
+	sim.storeOffline = true
+	sim.crashFor(first, time.Second, false)
+	sim.run(3 * time.Second)
+	first.executor.runs[ref] = &modelRun{order: messenger.StartOrder{Run: ref}, remaining: time.Hour}
+	first.executor.deadline = first.executor.clock(sim.now) + time.Second
+	sim.run(150 * time.Millisecond)
+	sim.storeOffline = false
+	sim.run(time.Second)
+	if diff := cmp.Diff(1, sim.running("batch")); diff != "" {
+		t.Errorf("running (-want +got):\n%s", diff)
+	}
+}
+
 // TestHeldStart checks that a long-running task that moves while the store is away starts once the store
 // is back, unless it was canceled meanwhile or its executor is gone.
 func TestHeldStart(t *testing.T) {
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -305,6 +305,9 @@
 		return nil
 	}
 	c.placeFound(t, e)
+	if held := t.current; held != nil && held.ordersNumber == heldOrders && !t.step.spec.Gang {
+		c.release(now, held, "another run found")
+	}
 	if w.terminal() || t.done || t.current != nil {
 		c.logger.Info("orphaned run", "run", state.Run, "executor", e.id, "state", w.state, "done", t.done)
 		c.count("runs.stray")
