Ask the predecessor's next process for a reply

An owner pings its predecessor until that is known to have stopped. TestPredecessorIsPinged fails without it.

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -837,6 +837,12 @@
 		p.ping.Member == e.predecessor && int64(p.ping.Epoch) >= e.epoch && !p.ping.Owner
 }
 
+// awaitsPredecessor reports whether this entry owns the workloads and doesn't know that the owner before it has
+// stopped acting.
+func (e *Elector) awaitsPredecessor() bool {
+	return e.isOwner && e.predecessor.Name != "" && e.predecessor.Name != e.self.Name && !e.PredecessorStopped()
+}
+
 // ownerLeaving reports whether the owner, which is the peer p, shuts down and has stopped acting.
 func (e *Elector) ownerLeaving(p *peer) bool {
 	return p.ping.Member == e.owner && p.ping.Leaving && !p.ping.Owner
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -313,6 +314,33 @@
 	}
 }
 
+// TestPredecessorIsPinged guards against a proof that never comes: the predecessor's entry is back as another
+// process and pings the owner, which hears it and asks for no reply.
+func TestPredecessorIsPinged(t *testing.T) {
+	s := newFixture()
+	s.advance(time.Second, true, ping("entry-a", 3, asOwner))
+	s.RecordClaim(s.now, s.now, 4)
+	next := ping("entry-a", 0, func(p *messenger.Ping) { p.Member.Incarnation = "entry-a-2" })
+	pinged := func() bool {
+		for end := s.now.Add(500 * time.Millisecond); s.now.Before(end); {
+			s.now = s.now.Add(25 * time.Millisecond)
+			next.Number++
+			s.HandlePing(s.now, next)
+			if slices.Contains(s.PingTargets(s.now), next.Member) {
+				return true
+			}
+		}
+		return false
+	}
+	if !pinged() {
+		t.Error("the predecessor's next process isn't pinged within 0.5 s")
+	}
+	s.HandlePingReply(s.now, s.now, next)
+	if pinged() {
+		t.Error("it is pinged again although it is known that the predecessor has stopped")
+	}
+}
+
 // TestRefusedConnectionIsNotStoppedOwner guards against tasks that run twice after a takeover: an owner
 // behind a partition that refuses connections acts until its authority ends.
 func TestRefusedConnectionIsNotStoppedOwner(t *testing.T) {
--- a/elector/watch.go
+++ b/elector/watch.go
@@ -114,13 +114,16 @@
 }
 
 // watchedPeers returns the peers whose state this entry needs and has not heard for its watch
-// interval: the owner and the standbys, and all peers while this entry owns the workloads and
+// interval: the owner and the standbys, its predecessor until that is known to have stopped, and all peers while this entry owns the workloads and
 // the store accepts no append, since its authority then depends on their replies.
 func (e *Elector) watchedPeers(now time.Time) []*peer {
 	watched := e.standbys(now)
 	if p := e.peers[e.owner.Name]; p != nil && !p.gone {
 		watched = append(watched, p)
 	}
+	if p := e.peers[e.predecessor.Name]; p != nil && !p.gone && e.awaitsPredecessor() && !slices.Contains(watched, p) {
+		watched = append(watched, p)
+	}
 	needsReplies := e.isOwner && now.Sub(e.appendSentAt) > e.config.ProofInterval+e.config.StoreTimeout/2
 	if needsReplies {
 		watched = slices.Collect(maps.Values(e.peers))
@@ -135,9 +138,12 @@
 	})
 }
 
-// needsReply reports whether a peer has pinged as another process of the owner, and a reply must show
-// which of the two is the later one.
+// needsReply reports whether a peer has pinged as another process of the owner, or of this entry's
+// predecessor, and a reply must show which of the two is the later one.
 func (e *Elector) needsReply(p *peer) bool {
+	if p.ping.Member.Name == e.predecessor.Name && e.awaitsPredecessor() {
+		return true
+	}
 	return p.ping.Member.Name == e.owner.Name && p.ping.Member.Incarnation != e.owner.Incarnation && !e.ownerReplaced(p)
 }
 
