Keep the predecessor known while peers learn of the claim

"predecessor stopped" still never came: peers that hear of the claim tell this entry of its own epoch before it acts in it, and the owner before isn't known any more then. It is recorded when the claim is committed.

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -193,9 +193,10 @@
 	sightings []sighting
 	owner     messenger.Member
 	isOwner   bool
-	// predecessor is the owner before this entry, which this entry knew since predecessorSince; its name is
-	// empty if it isn't known.
+	// predecessor is the owner of predecessorEpoch, after which this entry claimed, and predecessorSince is since
+	// when this entry knew it; its name is empty if it isn't known.
 	predecessor      messenger.Member
+	predecessorEpoch int64
 	predecessorSince time.Time
 	released         bool
 	leaving          bool
@@ -284,7 +285,18 @@
 
 // RecordTakeover records that the store accepted this entry's claim of epoch. The entry reads the
 // journal, and then calls RecordClaim if it can act as the owner, and EndTakeover.
-func (e *Elector) RecordTakeover(epoch int64) { e.takingOverEpoch = epoch }
+func (e *Elector) RecordTakeover(epoch int64) {
+	e.takingOverEpoch = epoch
+	e.recordPredecessor(epoch)
+}
+
+// recordPredecessor records the owner before an epoch that this entry has claimed. Peers that learn of the claim
+// tell of the epoch before this entry owns the workloads, and the owner before isn't known any more then.
+func (e *Elector) recordPredecessor(epoch int64) {
+	if e.epoch == epoch-1 {
+		e.predecessor, e.predecessorEpoch, e.predecessorSince = e.owner, e.epoch, e.ownerSince
+	}
+}
 
 // EndTakeover records that a takeover has ended, whether or not this entry owns the workloads.
 func (e *Elector) EndTakeover(now time.Time) {
@@ -298,10 +310,7 @@
 // sent.
 func (e *Elector) RecordClaim(sent, now time.Time, epoch int64) {
 	e.recordReplacement(now, epoch)
-	e.predecessor = messenger.Member{}
-	if e.epoch == epoch-1 {
-		e.predecessor, e.predecessorSince = e.owner, e.ownerSince
-	}
+	e.recordPredecessor(epoch)
 	e.setEpoch(now, epoch)
 	e.owner = e.self
 	e.isOwner = true
@@ -830,7 +839,7 @@
 // stopped acting: its process was replaced, or knows of this entry's epoch or a later one.
 func (e *Elector) PredecessorStopped() bool {
 	p := e.peers[e.predecessor.Name]
-	if !e.isOwner || p == nil {
+	if !e.isOwner || e.predecessorEpoch != e.epoch-1 || p == nil {
 		return false
 	}
 	return replaced(p, e.predecessor, e.predecessorSince) ||
@@ -840,7 +849,8 @@
 // awaitsPredecessor reports whether this entry owns the workloads and doesn't know that the owner before it has
 // stopped acting.
 func (e *Elector) awaitsPredecessor() bool {
-	return e.isOwner && e.predecessor.Name != "" && e.predecessor.Name != e.self.Name && !e.PredecessorStopped()
+	known := e.predecessorEpoch == e.epoch-1 && e.predecessor.Name != "" && e.predecessor.Name != e.self.Name
+	return e.isOwner && known && !e.PredecessorStopped()
 }
 
 // ownerLeaving reports whether the owner, which is the peer p, shuts down and has stopped acting.
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -304,6 +304,8 @@
 		t.Run(test.name, func(t *testing.T) {
 			s := newFixture()
 			s.advance(time.Second, true, ping("entry-a", 3, asOwner))
+			s.RecordTakeover(4)
+			s.HandlePingReply(s.now, s.now, ping("entry-c", 4, nil)) // It has learned of the claim.
 			s.RecordClaim(s.now, s.now, 4)
 			s.now = s.now.Add(100 * time.Millisecond)
 			test.update(s)
