Try paused runs where something has changed

Each pass over the waiting steps sorted and tried all paused runs, and for each of them the executors that had just reported, so that some were stopped for room that another task took in the same pass. A pass tries those whose executors have changed, and twice a second all; room elsewhere is looked for then, for the first 16 in order. A large deployment's backlog may have thousands.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -82,8 +82,9 @@
 	confirmations  confirmations
 	runs           map[messenger.RunRef]*run
 	steps          []*step
-	// paused holds the runs that are paused.
-	paused map[*run]bool
+	// paused holds the runs that are paused, and pausedTriedAt is when all of them were last tried.
+	paused        map[*run]bool
+	pausedTriedAt time.Time
 	// waits holds the waits of long-running tasks, and those that have ended since waitsCheckedAt, when
 	// they were last looked at.
 	waits                  []*wait
--- a/conductor/pause.go
+++ b/conductor/pause.go
@@ -2,21 +2,31 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
 	"apricotwinch/messenger"
 )
 
-// pausedRuns returns the paused runs in the order in which their steps are scheduled.
-func (c *Conductor) pausedRuns() []*run {
-	if len(c.paused) == 0 {
-		return nil
+// maxPausedMoves bounds the paused runs, the first in order, for which room elsewhere is looked for at a time.
+const maxPausedMoves = 16
+
+// takePausedRuns returns the paused runs that are to be tried now, in the order in which their steps are
+// scheduled: those whose executors have changed since the last pass, or once each rescanPeriod all.
+func (c *Conductor) takePausedRuns(now time.Time) (runs []*run, all bool) {
+	all = now.Sub(c.pausedTriedAt) >= rescanPeriod
+	if all {
+		c.pausedTriedAt = now
+	}
+	for r := range c.paused {
+		if all || c.changedExecutors[r.executor] {
+			runs = append(runs, r)
+		}
 	}
-	return slices.SortedFunc(maps.Keys(c.paused), func(a, b *run) int {
+	slices.SortFunc(runs, func(a, b *run) int {
 		return cmp.Or(compareSteps(a.task.step, b.task.step), compareTasks(a.task, b.task), cmp.Compare(a.ref.Run, b.ref.Run))
 	})
+	return runs, all
 }
 
 // resumeBefore resumes the paused runs whose turn comes before that of a step, or all if it is nil, where
@@ -49,15 +59,15 @@
 	return hasRoom && p.harm(s, e) == ""
 }
 
-// hasRoomElsewhere reports whether a paused run, which has done no work, may start on another executor that has
-// changed since the last pass.
+// hasRoomElsewhere reports whether a paused run, which has done no work, may start on another executor.
 func (p *schedulingPass) hasRoomElsewhere(r *run) bool {
 	s := r.task.step
 	q, ok := p.conductor.queue(s.occurrence.workload)
-	if !ok || s.spec.Gang || q.Advised {
+	if p.pausedMoves == 0 || !ok || s.spec.Gang || q.Advised {
 		return false
 	}
-	return slices.ContainsFunc(p.changed[q.Service], func(e *executor) bool { return e != r.executor && p.admits(s, e) })
+	p.pausedMoves--
+	return slices.ContainsFunc(p.pool(q.Service), func(e *executor) bool { return e != r.executor && p.admits(s, e) })
 }
 
 // resumeRun orders the agent of a paused run to resume it. Its first moments disturb others like a start.
--- a/conductor/schedule.go
+++ b/conductor/schedule.go
@@ -30,6 +30,8 @@
 	utilizations map[string]float64
 	// paused holds the paused runs that are still to be tried, in order.
 	paused []*run
+	// pausedMoves is for how many of these room elsewhere may still be looked for.
+	pausedMoves int
 	// beyondBounds is whether a task may start beyond the bounds that only weigh it against other work.
 	beyondBounds bool
 	// evaluated counts the evaluations of executors.
@@ -60,13 +62,17 @@
 		return
 	}
 	c.rankSteps(now)
+	paused, all := c.takePausedRuns(now)
 	p := &schedulingPass{
 		conductor:  c,
 		now:        now,
 		changed:    c.takeChangedExecutors(),
 		unreserved: map[string]map[string]int64{},
 		outlooks:   map[*executor]map[string]outlook{},
-		paused:     c.pausedRuns(),
+		paused:     paused,
+	}
+	if all {
+		p.pausedMoves = maxPausedMoves
 	}
 	c.steps = slices.DeleteFunc(c.steps, func(s *step) bool {
 		w := s.occurrence.workload
