--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -50,9 +50,11 @@
 	epoch int64
 	// clean is whether every earlier owner is known to have stopped. settled is whether it is
 	// recorded that no earlier owner can act any more, and startedAt when this owner began.
-	clean     bool
-	settled   bool
-	startedAt time.Time
+	clean bool
+	// onlyPredecessor is whether no owner but the last one may still act.
+	onlyPredecessor bool
+	settled         bool
+	startedAt       time.Time
 	// epochLog is since when this entry has known of epochs; nil if it doesn't know.
 	epochLog EpochLog
 	// hostFirstHeardAt is when a host was last heard for the first time, tickedAt when the last tick
@@ -82,9 +84,9 @@
 	confirmations  confirmations
 	runs           map[messenger.RunRef]*run
 	steps          []*step
-	// paused holds the runs that are paused, and pausedTriedAt is when all of them were last tried.
-	paused        map[*run]bool
-	pausedTriedAt time.Time
+	// background holds the background runs, and backgroundTriedAt is when all of them were last tried.
+	background        map[*run]bool
+	backgroundTriedAt time.Time
 	// waits holds the waits of long-running tasks, and those that have ended since waitsCheckedAt, when
 	// they were last looked at.
 	waits                  []*wait
@@ -116,6 +118,10 @@
 	lastOrders int
 	// heldStarts holds the starts that wait for the placements of their tasks.
 	heldStarts []heldStart
+	// heldCheckedThrough is the number of the last durable append when the held starts were last looked at,
+	// and heldReleased is whether a run of one was released since.
+	heldCheckedThrough int64
+	heldReleased       bool
 }
 
 // New returns a conductor for the owner with the given epoch. clean is whether the last owner is
@@ -132,7 +138,7 @@
 		hosts:        map[string]*host{},
 		runs:         map[messenger.RunRef]*run{},
 		orders:       map[string]*messenger.Orders{},
-		paused:       map[*run]bool{},
+		background:   map[*run]bool{},
 
 		changedExecutors:   map[*executor]bool{},
 		appraiser:          appraiser.New(appraiser.DefaultConfig()),
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -81,6 +81,25 @@
 	sim.runUntil(time.Second, func() bool { return sim.state("w") == messenger.WorkloadCompleted })
 }
 
+// TestResubmissionAfterWithdrawalIsKept guards against the loss of an accepted workload: another one of its id
+// was canceled and, as the store refused it, withdrawn before.
+func TestResubmissionAfterWithdrawalIsKept(t *testing.T) {
+	sim := newSimulation(t, 1, 2)
+	sim.run(2 * time.Second)
+	spec := messenger.WorkloadSpec{Payload: "w", Steps: []messenger.StepSpec{tasks(1, 500, time.Hour)}}
+	sim.acceptSpec(batchQueue, "w", spec)
+	rejected, _ := sim.owner.TakeWrites()
+	if _, err := sim.owner.Cancel(sim.now, "w"); err != nil {
+		t.Fatal(err)
+	}
+	sim.owner.RevertAppend(sim.now, rejected)
+	sim.submitSpec(batchQueue, "w", spec)
+	sim.run(conductor.DefaultConfig().EndedRetention + time.Second)
+	if diff := cmp.Diff(messenger.WorkloadRunning, sim.state("w")); diff != "" {
+		t.Errorf("state (-want +got):\n%s", diff)
+	}
+}
+
 // TestRejectedAppendWithdrawsNewWorkloads verifies that after an append that the store
 // provably rejected, its new workloads never run and all other changes are written again.
 func TestRejectedAppendWithdrawsNewWorkloads(t *testing.T) {
@@ -1647,6 +1666,31 @@
 	}
 }
 
+// TestOwnerOfVersionBeforeStartsLongRunningTask guards against a long-running task that runs twice while a
+// deployment goes back to the version before and forth again: that version doesn't read where this one recorded
+// that the task may run, and starts it elsewhere before it records that.
+func TestOwnerOfVersionBeforeStartsLongRunningTask(t *testing.T) {
+	sim := newSimulation(t, 1, 4)
+	sim.run(2 * time.Second)
+	sim.submit(watchQueue, "watch", tasks(1, 1000, time.Hour, longRunning))
+	sim.run(2 * time.Second)
+	written := slices.Clone(sim.store["p/watch"])
+	sim.replaceOwner(true)
+	sim.run(time.Second)
+	sim.crash(sim.hostOf("watch"))
+	sim.runUntil(time.Second, func() bool { return sim.running("watch") == 1 })
+	sim.run(time.Second)
+	sim.store["p/watch"] = written
+	rewrite(sim, "claim/2", func(record *messenger.OwnerClaimRecord) { record.Complete = false })
+	rewrite(sim, "placements", func(record *messenger.PlacementsRecord) { record.Complete = false })
+	sim.hostOf("watch").disconnected = true
+	sim.replaceOwner(true)
+	sim.run(12 * time.Second)
+	if diff := cmp.Diff(1, sim.running("watch")); diff != "" {
+		t.Errorf("running (-want +got):\n%s", diff)
+	}
+}
+
 // TestHeldStartAfterEvacuation guards against a start in a data centre that is out of service: it waited
 // for the store until after the data centre had been taken out.
 func TestHeldStartAfterEvacuation(t *testing.T) {
@@ -1708,6 +1752,28 @@
 	}
 }
 
+// TestRunFoundWhileStartIsHeld guards against a task that runs twice: a late start of it is carried out while its
+// next one, on another executor, waits for the store.
+func TestRunFoundWhileStartIsHeld(t *testing.T) {
+	sim := newSimulation(t, 1, 3)
+	sim.run(2 * time.Second)
+	sim.submit(batchQueue, "batch", tasks(1, 1000, time.Hour))
+	sim.run(time.Second)
+	first := sim.hostOf("batch")
+	ref := first.executor.refs()[0]
+	sim.storeOffline = true
+	sim.crashFor(first, time.Second, false)
+	sim.run(3 * time.Second)
+	first.executor.runs[ref] = &modelRun{order: messenger.StartOrder{Run: ref}, remaining: time.Hour}
+	first.executor.deadline = first.executor.clock(sim.now) + time.Second
+	sim.run(150 * time.Millisecond)
+	sim.storeOffline = false
+	sim.run(time.Second)
+	if diff := cmp.Diff(1, sim.running("batch")); diff != "" {
+		t.Errorf("running (-want +got):\n%s", diff)
+	}
+}
+
 // TestHeldStart checks that a long-running task that moves while the store is away starts once the store
 // is back, unless it was canceled meanwhile or its executor is gone.
 func TestHeldStart(t *testing.T) {
@@ -1756,6 +1822,27 @@
 	}
 }
 
+// TestHeldGangStartsAllOrNone guards against a part of a gang that starts: its starts are held, and the executor
+// of one task is gone before they are sent.
+func TestHeldGangStartsAllOrNone(t *testing.T) {
+	const members = 4
+	sim := newSimulation(t, 1, members)
+	sim.run(2 * time.Second)
+	step := tasks(members, 10_000, time.Hour, func(s *messenger.StepSpec) { s.Gang = true })
+	sim.acceptSpec(batchQueue, "gang", messenger.WorkloadSpec{Payload: "gang", Steps: []messenger.StepSpec{step}})
+	sim.owner.Schedule(sim.now)
+	sim.storeOffline = true
+	sim.run(200 * time.Millisecond)
+	sim.crashFor(sim.hosts[members-1], 2*time.Second, false)
+	sim.run(500 * time.Millisecond)
+	sim.storeOffline = false
+	sim.run(500 * time.Millisecond)
+	if diff := cmp.Diff(0, sim.running("gang")); diff != "" {
+		t.Errorf("running without an executor (-want +got):\n%s", diff)
+	}
+	sim.runUntil(4*time.Second, func() bool { return sim.running("gang") == members })
+}
+
 // TestDelayedReportOfEarlierAgent guards against tasks that run twice after the restart of an agent
 // behind a partition: a report that the partition held up comes after those of the next agent, and
 // says nothing of the runs that were started since.
--- a/conductor/placement.go
+++ b/conductor/placement.go
@@ -21,6 +21,8 @@
 	// write is the number of the append that must be durable before the task starts there; 0 for
 	// none.
 	write int64
+	// early is whether a version before messenger.Placement recorded it.
+	early bool
 }
 
 // heldStart is a start that is sent once the placement of its task, or those of its gang, are durable.
@@ -38,15 +40,19 @@
 
 // restorePlacements drops the placements of inherited tasks unless the last owner recorded them, too: an
 // owner that doesn't may have moved a task since its placement was written. Owners of versions before
-// recorded no placements but those of tasks that always restart, and none before a first start. It queues
-// the record of what this owner's journal says, in one append with the progress of the tasks whose
+// recorded no placements but those of tasks that always restart, and none before a first start. They don't
+// read what this version recorded, so that it only counts if allHeld is set: no owner of theirs came since. It
+// queues the record of what this owner's journal says, in one append with the progress of the tasks whose
 // placements are dropped.
-func (c *Conductor) restorePlacements(last messenger.PlacementsRecord) {
+func (c *Conductor) restorePlacements(last messenger.PlacementsRecord, allHeld bool) {
 	recorded := c.epoch == 1 || int64(last.Epoch) == c.epoch-1
 	c.placementsComplete = c.epoch == 1 || recorded && last.Complete
 	for _, id := range slices.Sorted(maps.Keys(c.workloads)) {
 		w := c.workloads[id]
-		if w.dropPlacements(func(t *task) bool { return !recorded || !c.placementsComplete && !t.restartsAlways() }) {
+		if w.dropPlacements(func(t *task) bool {
+			counts := t.restartsAlways() && (allHeld || t.placement.early)
+			return !recorded || !c.placementsComplete && !counts
+		}) {
 			c.markDirty(w, false)
 		}
 	}
@@ -151,6 +157,7 @@
 	order := r.startOrder()
 	order.Ticket, _ = r.task.step.validTicket(now, e)
 	orders := c.ordersFor(e.host)
+	r.startedAt = now
 	r.ordersNumber, r.agent = orders.Number, orders.Incarnation
 	e.host.lastStart = orders.Number
 	orders.Starts = append(orders.Starts, order)
@@ -163,10 +170,19 @@
 
 // sendHeldStarts sends the starts whose placements have become durable. The task of one that can't be
 // sent any more waits again, and with it those of its gang, which would wait for it on their executors.
+// Between two appends it does nothing unless a run of a held start was released.
 func (c *Conductor) sendHeldStarts(now time.Time) {
+	if c.heldCheckedThrough == c.durable && !c.heldReleased {
+		return
+	}
 	var brokenGangs []*step
 	for _, s := range c.heldStarts {
-		if gang := s.run.task.step; gang.spec.Gang && s.write <= c.durable && c.runs[s.run.ref] == s.run && c.obstacle(now, s.run) != "" {
+		gang := s.run.task.step
+		if !gang.spec.Gang || c.runs[s.run.ref] != s.run || slices.Contains(brokenGangs, gang) {
+			continue
+		}
+		// A run of the gang that has been released since, as its executor is gone, is held no more.
+		if gang.waiting > 0 || s.write <= c.durable && c.obstacle(now, s.run) != "" {
 			brokenGangs = append(brokenGangs, gang)
 		}
 	}
@@ -174,11 +190,12 @@
 		if c.runs[s.run.ref] != s.run {
 			return true
 		}
-		if s.write > c.durable {
+		broken := slices.Contains(brokenGangs, s.run.task.step)
+		if s.write > c.durable && !broken {
 			return false
 		}
 		obstacle := c.obstacle(now, s.run)
-		if obstacle == "" && slices.Contains(brokenGangs, s.run.task.step) {
+		if obstacle == "" && broken {
 			obstacle = "gang incomplete"
 		}
 		if obstacle != "" {
@@ -188,6 +205,7 @@
 		c.sendStart(now, s.run)
 		return true
 	})
+	c.heldCheckedThrough, c.heldReleased = c.durable, false
 }
 
 // obstacle returns why the start of a run can't be sent any more; empty if it can.
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -161,6 +161,7 @@
 
 func (c *Conductor) updateExecutors(now time.Time, h *host, r messenger.Report) {
 	h.listedAt = now
+	r.Gone, r.Executors = c.withoutReborn(now, h, r)
 	for _, gone := range r.Gone {
 		if e := h.executors[gone.Id]; e != nil && e.incarnation == gone.Born {
 			c.removeExecutor(now, e, "reported gone by its agent")
@@ -199,6 +200,30 @@
 	}
 }
 
+// withoutReborn returns what a report says of executors that are gone and of those that are there, without those
+// of which it lists another incarnation than this owner knows and that can't join yet: its leases may not
+// be renewed, or its lists may lack a run that was started on the one before, or the end of one.
+func (c *Conductor) withoutReborn(now time.Time, h *host, r messenger.Report) ([]messenger.ExecutorIncarnation, []messenger.ExecutorState) {
+	reborn := map[string]bool{}
+	for i := range r.Executors {
+		state := &r.Executors[i]
+		e := h.executors[state.Executor.Id]
+		if e == nil || e.incarnation == state.Executor.Born || c.mayRenew(h) && !state.Incomplete {
+			continue
+		}
+		reborn[e.id] = true
+		if c.mayRenew(h) {
+			e.extendLease(now.Add(c.config.Lease + c.config.Margin))
+		}
+	}
+	if len(reborn) == 0 {
+		return r.Gone, r.Executors
+	}
+	gone := slices.DeleteFunc(slices.Clone(r.Gone), func(g messenger.ExecutorIncarnation) bool { return reborn[g.Id] })
+	states := slices.DeleteFunc(slices.Clone(r.Executors), func(s messenger.ExecutorState) bool { return reborn[s.Executor.Id] })
+	return gone, states
+}
+
 // processedOrders returns the number of the last orders of this owner that an agent has
 // processed.
 func (c *Conductor) processedOrders(r messenger.Report) int {
@@ -216,8 +241,8 @@
 	e.capacity = state.Executor.Capacity.Value()
 	// The agent may return to an earlier owner that still acts, so that a report doesn't shorten what
 	// was inherited.
-	if until := now.Add(c.config.Lease + c.config.Margin); c.mayRenew(e.host) && until.After(e.leaseEnd) {
-		e.leaseEnd = until
+	if c.mayRenew(e.host) {
+		e.extendLease(now.Add(c.config.Lease + c.config.Margin))
 	}
 	e.reachable = state.Reachable && !e.host.withheld
 	if state.Draining && !e.draining {
@@ -233,7 +258,7 @@
 		listed[state.Runs[i].Run] = true
 		c.updateRun(now, e, &state.Runs[i])
 		c.repeatStop(e, &state.Runs[i], processed)
-		c.updatePaused(e, &state.Runs[i], processed)
+		c.updateBackground(e, &state.Runs[i], processed)
 	}
 	for ref, run := range e.runs {
 		// The end of a task that starts again after any end doesn't matter.
@@ -247,6 +272,13 @@
 	c.observeProgress(now, e, time.Duration(state.SilentMillis)*time.Millisecond)
 }
 
+// extendLease records that the executor's runs may go on until a time.
+func (e *executor) extendLease(until time.Time) {
+	if until.After(e.leaseEnd) {
+		e.leaseEnd = until
+	}
+}
+
 // updateRun updates a run that an executor has reported, and stops it if its task must not run.
 func (c *Conductor) updateRun(now time.Time, e *executor, state *messenger.RunState) {
 	run := c.runs[state.Run]
@@ -300,7 +332,7 @@
 	if w != nil {
 		t = w.task(state.Run.Task)
 	}
-	run := &run{ref: state.Run, task: t, executor: e, startedAt: now, paused: state.Paused}
+	run := &run{ref: state.Run, task: t, executor: e, startedAt: now, background: state.Background}
 	if t == nil {
 		e.runsUnknown = true
 		if state.Phase != messenger.RunStopping {
@@ -309,6 +341,9 @@
 		return nil
 	}
 	c.placeFound(t, e)
+	if held := t.current; held != nil && held.ordersNumber == heldOrders && !t.step.spec.Gang {
+		c.release(now, held, "another run found")
+	}
 	if w.terminal() || t.done || t.current != nil {
 		c.logger.Info("orphaned run", "run", state.Run, "executor", e.id, "state", w.state, "done", t.done)
 		c.count("runs.stray")
--- a/conductor/schedule.go
+++ b/conductor/schedule.go
@@ -28,10 +28,10 @@
 	// utilizations holds, by service, the share of its processors that are in use; a service is missing
 	// until that is needed.
 	utilizations map[string]float64
-	// paused holds the paused runs that are still to be tried, in order.
-	paused []*run
-	// pausedMoves is for how many of these room elsewhere may still be looked for.
-	pausedMoves int
+	// background holds the background runs that are still to be tried, in order.
+	background []*run
+	// backgroundMoves is for how many of these room elsewhere may still be looked for.
+	backgroundMoves int
 	// beyondBounds is whether a task may start beyond the bounds that only weigh it against other work.
 	beyondBounds bool
 	// evaluated counts the evaluations of executors.
@@ -57,22 +57,22 @@
 func (c *Conductor) Schedule(now time.Time) {
 	c.updateReconciled()
 	c.sendHeldStarts(now)
-	if len(c.steps)+len(c.paused) == 0 {
+	if len(c.steps)+len(c.background) == 0 {
 		clear(c.changedExecutors)
 		return
 	}
 	c.rankSteps(now)
-	paused, all := c.takePausedRuns(now)
+	background, all := c.takeBackgroundRuns(now)
 	p := &schedulingPass{
 		conductor:  c,
 		now:        now,
 		changed:    c.takeChangedExecutors(),
 		unreserved: map[string]map[string]int64{},
 		outlooks:   map[*executor]map[string]outlook{},
-		paused:     paused,
+		background: background,
 	}
 	if all {
-		p.pausedMoves = maxPausedMoves
+		p.backgroundMoves = maxBackgroundMoves
 	}
 	c.steps = slices.DeleteFunc(c.steps, func(s *step) bool {
 		w := s.occurrence.workload
@@ -80,12 +80,12 @@
 			s.queued = false
 			return true
 		}
-		p.resumeBefore(s)
+		p.promoteBefore(s)
 		p.scheduleStep(s)
 		s.queued = s.waiting > 0
 		return !s.queued
 	})
-	p.resumeBefore(nil)
+	p.promoteBefore(nil)
 	metrics.GetOrRegisterCounter("executors.evaluated", c.registry).Inc(p.evaluated)
 }
 
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -32,6 +32,8 @@
 	stopDuration = 300 * time.Millisecond
 	// maxListedEnds is how many ends an executor lists at a time.
 	maxListedEnds = 500
+	// maxLease is the longest lease of an executor.
+	maxLease = 10 * time.Second
 )
 
 var origin = time.Unix(1_000_000, 0)
@@ -72,7 +74,9 @@
 	// which the executor got the acknowledgment that the end is durable.
 	doneTasks    map[messenger.TaskRef]bool
 	acknowledged map[messenger.TaskRef]bool
-	specs        map[string]messenger.WorkloadSpec
+	// restartedAs holds, by task, the number of the last run that started after an end as done.
+	restartedAs map[messenger.TaskRef]int
+	specs       map[string]messenger.WorkloadSpec
 	// lostShare is the share of calls to executors whose answer is lost, 0 to 1.
 	lostShare float64
 	// lateShare is the share of starts and stops that get no answer and are carried out seconds
@@ -144,8 +148,10 @@
 	lapsesAtEnd map[int]int
 	// clockLag is the share of its rate that the executor's clock lacks, 0 to 0.02.
 	clockLag float64
-	// unreadable holds the runs that the executor lists in a row that can't be read.
-	unreadable map[messenger.RunRef]bool
+	// unreadable holds the runs that the executor lists in a row that can't be read, also once they have
+	// ended. otherWriter is whether both its lists hold such a row of another writer.
+	unreadable  map[messenger.RunRef]bool
+	otherWriter bool
 	// keepsEnds is whether no acknowledgment of ends reaches the executor.
 	keepsEnds bool
 	// mute is whether the executor answers no call and carries none out.
@@ -187,6 +193,7 @@
 		undelivered:  map[string][]*messenger.Orders{},
 		doneTasks:    map[messenger.TaskRef]bool{},
 		acknowledged: map[messenger.TaskRef]bool{},
+		restartedAs:  map[messenger.TaskRef]int{},
 		specs:        map[string]messenger.WorkloadSpec{},
 
 		ticketExpiries: map[string]time.Time{},
@@ -629,7 +636,7 @@
 		return answer, apricotwinch.Errorf(apricotwinch.StaleEpoch, "fence")
 	}
 	m.token = token
-	m.deadline = max(m.deadline, deadline)
+	m.deadline = max(m.deadline, min(deadline, answer.Clock+maxLease))
 	return answer, nil
 }
 
@@ -690,11 +697,23 @@
 	m.ends = slices.DeleteFunc(m.ends, func(e messenger.RunEnd) bool {
 		if e.Number <= call.AckedEnd && e.How == messenger.EndDone && m.lapsesAtEnd[e.Number] == m.lapses {
 			sim.acknowledged[e.Run.Task] = true
+			if spec := sim.specs[e.Run.Task.Workload].Steps[e.Run.Task.Step]; sim.restartedAs[e.Run.Task] > e.Run.Run && !spec.Speculative {
+				sim.t.Fatalf("the end of %v as done is acknowledged, and the task was started again", e.Run)
+			}
 		}
 		return e.Number <= call.AckedEnd
 	})
 	holding.Ends = slices.Clone(m.ends[:min(len(m.ends), maxListedEnds)])
+	for i, end := range holding.Ends {
+		if m.unreadable[end.Run] {
+			holding.Ends[i] = messenger.RunEnd{}
+		}
+	}
 	holding.EndsIncomplete = len(holding.Ends) == maxListedEnds
+	if m.otherWriter {
+		holding.Ends = append(holding.Ends, messenger.RunEnd{})
+		holding.RunsIncomplete = true
+	}
 	for ref := range m.runs {
 		if m.unreadable[ref] {
 			holding.RunsIncomplete = true
@@ -780,6 +799,9 @@
 // depends on are done.
 func (sim *simulation) checkStart(ref messenger.RunRef) {
 	sim.t.Helper()
+	if sim.doneTasks[ref.Task] {
+		sim.restartedAs[ref.Task] = ref.Run
+	}
 	if sim.acknowledged[ref.Task] && !sim.specs[ref.Task.Workload].Steps[ref.Task.Step].Lasting {
 		sim.t.Fatalf("%v was started after the task was done", ref)
 	}
--- a/conductor/workload.go
+++ b/conductor/workload.go
@@ -2,7 +2,7 @@
 
 import (
 	"encoding/base64"
-	"slices"
+	"strings"
 	"time"
 
 	"apricotwinch"
@@ -65,8 +65,8 @@
 	readyAt time.Time
 	// blockedAt is when a task of the step last fitted on none of all executors; zero if one did.
 	blockedAt time.Time
-	// startsPaused is whether its tasks start paused now.
-	startsPaused bool
+	// startsInBackground is whether its tasks start in the background now.
+	startsInBackground bool
 	// wait is since when and why a step that is not long-running has started none of its waiting tasks.
 	wait   *stepWait
 	advice advice
@@ -137,12 +137,12 @@
 	// throttledSince is since when that is below throttledPace, zero if it is not.
 	pace           int
 	throttledSince time.Time
-	// paused is whether the run does no work until it is resumed, and resumeNumber the number of the
+	// background is whether the run works at the least pace until it is promoted, and promotionNumber the number of the
 	// last orders that resume it.
-	paused       bool
-	resumeNumber int
+	background      bool
+	promotionNumber int
 	// idle is the part of its processors, in thousandths, that the run leaves unused while it is
-	// throttled or paused.
+	// throttled or in the background.
 	idle int64
 	// undisturbed is the smoothed headroom that a serving run would have without best-effort
 	// tasks; 0 if unknown.
@@ -270,13 +270,19 @@
 // the same executors share one, as most tasks of a step run on few executors.
 func placementsOf(tasks []*task) []messenger.Placement {
 	var placements []messenger.Placement
+	var found map[string]int
 	for i, t := range tasks {
 		if t.done || t.placement == nil {
 			continue
 		}
-		at := slices.IndexFunc(placements, func(p messenger.Placement) bool { return slices.Equal(p.Executors, t.placement.executors) })
-		if at < 0 {
+		key := strings.Join(t.placement.executors, "\x00")
+		at, ok := found[key]
+		if !ok {
+			if found == nil {
+				found = map[string]int{}
+			}
 			at = len(placements)
+			found[key] = at
 			placements = append(placements, messenger.Placement{Executors: t.placement.executors})
 		}
 		placements[at].Tasks = append(placements[at].Tasks, i)
@@ -318,7 +324,7 @@
 		t := all[p.Task]
 		t.failed, t.highestRun, t.checkpoint = p.FailedRuns, p.Run, p.Checkpoint
 		if len(p.Executors) > 0 {
-			t.placement = &placement{executors: p.Executors}
+			t.placement = &placement{executors: p.Executors, early: true}
 		}
 	}
 	for _, p := range placements {
