Ask for advice about no more executors than tickets live for

Where the service takes as long for them as a ticket is valid, no ticket was valid when the answer came, the same request was sent again, and the step never ran. A request names as many executors as the service answers for within half of that time, and at least one.

Before: TestTicketsOutliveTheirRequest, with 12 executors, 100 ms for each and tickets of a second, failed after 3 s.

--- a/conductor/advice.go
+++ b/conductor/advice.go
@@ -105,7 +105,7 @@
 	}
 	slices.SortStableFunc(unknown, func(a, b *executor) int { return cmp.Compare(rank(a), rank(b)) })
 	request := &AdviceRequest{Step: first.ref}
-	for _, e := range unknown[:min(len(unknown), maxRequestExecutors)] {
+	for _, e := range unknown[:min(len(unknown), requestSize(q))] {
 		request.Executors = append(request.Executors, e.id)
 	}
 	request.ExpectedDuration = q.AdviceDecide + time.Duration(len(request.Executors))*q.AdviceEach
@@ -113,6 +113,16 @@
 	c.count("advice.asked")
 }
 
+// requestSize returns how many executors a request may name: at most so many that the tickets are valid for as
+// long after the answer as it takes, as each counts from the request on.
+func requestSize(q *cataloger.Queue) int {
+	size := maxRequestExecutors
+	if q.AdviceEach > 0 && q.TicketLife > 0 {
+		size = min(size, int((q.TicketLife/2-q.AdviceDecide)/q.AdviceEach))
+	}
+	return max(1, size)
+}
+
 // TakeAdviceRequest returns the request to send to the advice service, if there is one that was not
 // taken yet. Its answer must be passed to HandleAdvice.
 func (c *Conductor) TakeAdviceRequest() (AdviceRequest, bool) {
--- a/conductor/advice_test.go
+++ b/conductor/advice_test.go
@@ -60,3 +60,25 @@
 		})
 	}
 }
+
+// TestTicketsOutliveTheirRequest guards against steps that never run, as a request names so many executors that
+// its answer comes after the tickets have expired.
+func TestTicketsOutliveTheirRequest(t *testing.T) {
+	const ticketLife = time.Second
+	sim := newSimulation(t, 1, 12)
+	sim.slowAdvice = true
+	sim.owner.SetCatalog(cataloger.New(2, 1<<20, []cataloger.Queue{{
+		Name: batchQueue, Service: service, MaxAttempts: 3, Advised: true, AdviceDecide: 100 * time.Millisecond,
+		AdviceEach: 100 * time.Millisecond, TicketLife: ticketLife,
+	}}))
+	sim.advise = func(q conductor.AdviceRequest) (map[string]string, error) {
+		tickets := map[string]string{}
+		for _, id := range q.Executors {
+			tickets[id] = sim.issueTicket(q.Step, id, ticketLife)
+		}
+		return tickets, nil
+	}
+	sim.run(2 * time.Second)
+	sim.submit(batchQueue, "w", tasks(1, 1000, time.Hour))
+	sim.runUntil(maxIdleTime, func() bool { return sim.running("w") == 1 })
+}
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -93,6 +93,11 @@
 	// ticketExpiries holds when each ticket expires.
 	advise         func(conductor.AdviceRequest) (map[string]string, error)
 	ticketExpiries map[string]time.Time
+	// slowAdvice is whether an answer takes as long as the owner expects. pendingAdvice is the request that
+	// waits for one, and adviceSentAt when it was sent.
+	slowAdvice    bool
+	pendingAdvice *conductor.AdviceRequest
+	adviceSentAt  time.Time
 }
 
 // modelHost is a host with its agent and its executor.
@@ -233,6 +238,7 @@
 	if errs := sim.owner.Restore(sim.now, records(sim.store)); len(errs) > 0 {
 		sim.t.Fatalf("restore: %v", errs)
 	}
+	sim.pendingAdvice = nil
 	sim.undelivered = map[string][]*messenger.Orders{}
 	for _, h := range sim.hosts {
 		h.links.orders = nil
@@ -478,8 +484,12 @@
 // answerAdvice answers the owner's pending request to the advice service, if there is one.
 func (sim *simulation) answerAdvice() {
 	if q, ok := sim.owner.TakeAdviceRequest(); ok {
-		tickets, err := sim.advise(q)
-		sim.owner.HandleAdvice(sim.now, sim.now, q, tickets, err)
+		sim.pendingAdvice, sim.adviceSentAt = &q, sim.now
+	}
+	if q := sim.pendingAdvice; q != nil && (!sim.slowAdvice || sim.now.Sub(sim.adviceSentAt) >= q.ExpectedDuration) {
+		sim.pendingAdvice = nil
+		tickets, err := sim.advise(*q)
+		sim.owner.HandleAdvice(sim.now, sim.adviceSentAt, *q, tickets, err)
 	}
 }
 
