Count a failure while the queue is missing against the attempts

The limit isn't known without the queue, so that the task is looked at again before it starts.

Before: TestFailureWithoutQueueUsesUpAttempts saw 1 run more than allowed of a task, and 2 of a gang.

--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -151,6 +151,41 @@
 	}
 }
 
+// TestFailureWithoutQueueUsesUpAttempts guards against one more attempt of a task whose last allowed one failed
+// while its queue was not configured.
+func TestFailureWithoutQueueUsesUpAttempts(t *testing.T) {
+	gang := func(s *messenger.StepSpec) { s.Gang = true }
+	tests := []struct {
+		name string
+		step messenger.StepSpec
+	}{
+		{name: "task", step: tasks(1, 500, 300*time.Millisecond)},
+		{name: "gang", step: tasks(2, 500, 300*time.Millisecond, gang)},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			sim := newSimulation(t, 1, 1)
+			sim.run(2 * time.Second)
+			queue := cataloger.Queue{Name: batchQueue, Service: service, MaxAttempts: 1}
+			sim.owner.SetCatalog(cataloger.New(2, 1<<20, []cataloger.Queue{queue}))
+			sim.submit(batchQueue, "hopeless", test.step)
+			sim.runUntil(time.Second, func() bool { return sim.running("hopeless") == test.step.Tasks })
+			sim.owner.SetCatalog(cataloger.New(3, 1<<20, nil))
+			sim.runUntil(2*time.Second, func() bool { return sim.running("hopeless") == 0 })
+			sim.run(time.Second)
+			ends := sim.endCount()
+			sim.owner.SetCatalog(cataloger.New(4, 1<<20, []cataloger.Queue{queue}))
+			sim.run(2 * time.Second)
+			if diff := cmp.Diff(messenger.WorkloadFailed, sim.state("hopeless")); diff != "" {
+				t.Errorf("state (-want +got):\n%s", diff)
+			}
+			if n := sim.endCount() - ends; n > 0 {
+				t.Errorf("%d runs more than allowed", n)
+			}
+		})
+	}
+}
+
 // TestFailureCountedOnceAcrossOwners verifies that the end of a failed run counts as one
 // failure when it is reported to an owner and again, after a failover, to the next one.
 func TestFailureCountedOnceAcrossOwners(t *testing.T) {
--- a/conductor/ends.go
+++ b/conductor/ends.go
@@ -78,15 +78,18 @@
 	}
 }
 
-// failIfExhausted ends the workload of a task that has used up its attempts; long-running tasks
-// have no limit.
-func (c *Conductor) failIfExhausted(now time.Time, t *task) {
+// failIfExhausted ends the workload of a task that has used up its attempts, and reports whether it did;
+// long-running tasks have no limit. Of a queue that isn't configured the limit isn't known, so that a task is
+// looked at again before it starts.
+func (c *Conductor) failIfExhausted(now time.Time, t *task) bool {
 	w := t.step.occurrence.workload
 	queue, ok := c.queue(w)
-	if ok && !t.step.spec.Lasting && len(t.failed) >= queue.MaxAttempts {
-		c.logger.Info("workload failed", "workload", w.id, "task", t.ref, "failed", t.failed, "limit", queue.MaxAttempts)
-		c.endWorkload(now, w, messenger.WorkloadFailed)
+	if !ok || t.step.spec.Lasting || len(t.failed) < queue.MaxAttempts {
+		return false
 	}
+	c.logger.Info("workload failed", "workload", w.id, "task", t.ref, "failed", t.failed, "limit", queue.MaxAttempts)
+	c.endWorkload(now, w, messenger.WorkloadFailed)
+	return true
 }
 
 // countExecutorFailure adds a failure to the streak of the executor. Failures in a row of one
--- a/conductor/gang.go
+++ b/conductor/gang.go
@@ -16,6 +16,9 @@
 	}) {
 		return true
 	}
+	if c.failIfExhausted(p.now, s.tasks[0]) {
+		return true
+	}
 	chosen := p.chooseGang(s, pool)
 	if chosen == nil {
 		return false
--- a/conductor/schedule.go
+++ b/conductor/schedule.go
@@ -206,6 +206,9 @@
 		if !p.mayStart(t) {
 			continue
 		}
+		if c.failIfExhausted(p.now, t) {
+			return true
+		}
 		keepsReserve := t.keepsReserve()
 		if keepsReserve && reserveReached {
 			continue
