--- a/conductor/background.go
+++ b/conductor/background.go
@@ -2,21 +2,32 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
 	"apricotwinch/messenger"
 )
 
-// backgroundRuns returns the background runs in the order in which their steps are scheduled.
-func (c *Conductor) backgroundRuns() []*run {
-	if len(c.background) == 0 {
-		return nil
+// maxBackgroundMoves bounds the background runs, the first in order, for which room elsewhere is looked for at a
+// time.
+const maxBackgroundMoves = 16
+
+// takeBackgroundRuns returns the background runs that are to be tried now, in the order in which their steps are
+// scheduled: those whose executors have changed since the last pass, or once each rescanPeriod all.
+func (c *Conductor) takeBackgroundRuns(now time.Time) (runs []*run, all bool) {
+	all = now.Sub(c.backgroundTriedAt) >= rescanPeriod
+	if all {
+		c.backgroundTriedAt = now
+	}
+	for r := range c.background {
+		if all || c.changedExecutors[r.executor] {
+			runs = append(runs, r)
+		}
 	}
-	return slices.SortedFunc(maps.Keys(c.background), func(a, b *run) int {
+	slices.SortFunc(runs, func(a, b *run) int {
 		return cmp.Or(compareSteps(a.task.step, b.task.step), compareTasks(a.task, b.task), cmp.Compare(a.ref.Run, b.ref.Run))
 	})
+	return runs, all
 }
 
 // promoteBefore promotes the background runs whose turn comes before that of a step, or all if it is nil, where
@@ -49,15 +60,15 @@
 	return hasRoom && p.harm(s, e) == ""
 }
 
-// hasRoomElsewhere reports whether a background run, which has done little work, may start on another executor that has
-// changed since the last pass.
+// hasRoomElsewhere reports whether a background run, which has done little work, may start on another executor.
 func (p *schedulingPass) hasRoomElsewhere(r *run) bool {
 	s := r.task.step
 	q, ok := p.conductor.queue(s.occurrence.workload)
-	if !ok || s.spec.Gang || q.Advised {
+	if p.backgroundMoves == 0 || !ok || s.spec.Gang || q.Advised {
 		return false
 	}
-	return slices.ContainsFunc(p.changed[q.Service], func(e *executor) bool { return e != r.executor && p.admits(s, e) })
+	p.backgroundMoves--
+	return slices.ContainsFunc(p.pool(q.Service), func(e *executor) bool { return e != r.executor && p.admits(s, e) })
 }
 
 // promoteRun orders the agent of a background run to promote it. Its first moments disturb others like a start.
