--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -84,8 +84,9 @@
 	confirmations  confirmations
 	runs           map[messenger.RunRef]*run
 	steps          []*step
-	// background holds the background runs.
-	background map[*run]bool
+	// background holds the background runs, and backgroundTriedAt is when all of them were last tried.
+	background        map[*run]bool
+	backgroundTriedAt time.Time
 	// waits holds the waits of long-running tasks, and those that have ended since waitsCheckedAt, when
 	// they were last looked at.
 	waits                  []*wait
--- a/conductor/schedule.go
+++ b/conductor/schedule.go
@@ -30,6 +30,8 @@
 	utilizations map[string]float64
 	// background holds the background runs that are still to be tried, in order.
 	background []*run
+	// backgroundMoves is for how many of these room elsewhere may still be looked for.
+	backgroundMoves int
 	// beyondBounds is whether a task may start beyond the bounds that only weigh it against other work.
 	beyondBounds bool
 	// evaluated counts the evaluations of executors.
@@ -60,13 +62,17 @@
 		return
 	}
 	c.rankSteps(now)
+	background, all := c.takeBackgroundRuns(now)
 	p := &schedulingPass{
 		conductor:  c,
 		now:        now,
 		changed:    c.takeChangedExecutors(),
 		unreserved: map[string]map[string]int64{},
 		outlooks:   map[*executor]map[string]outlook{},
-		background: c.backgroundRuns(),
+		background: background,
+	}
+	if all {
+		p.backgroundMoves = maxBackgroundMoves
 	}
 	c.steps = slices.DeleteFunc(c.steps, func(s *step) bool {
 		w := s.occurrence.workload
@@ -200,6 +206,9 @@
 		if !p.mayStart(t) {
 			continue
 		}
+		if c.failIfExhausted(p.now, t) {
+			return true
+		}
 		keepsReserve := t.keepsReserve()
 		if keepsReserve && reserveReached {
 			continue
