--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -856,6 +856,7 @@
 // end was acknowledged, and that no executor is overcommitted. In the end every workload must
 // have completed.
 func TestInvariantsUnderFaults(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		sim := newSimulation(t, rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 4).Draw(t, "hosts"))
 		sim.run(2 * time.Second)
@@ -912,6 +913,7 @@
 func TestInvariantsUnderDelays(t *testing.T) {
 	for seed := range uint64(delaySeeds(t)) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			sim := newSimulation(t, seed, 2+int(seed%4))
 			r := sim.random
 			sim.network = &modelNetwork{maxDelay: time.Duration(1+r.IntN(40)) * time.Millisecond}
@@ -966,6 +968,7 @@
 func TestLateStartAfterCutDoesNotDouble(t *testing.T) {
 	for seed := range uint64(60) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			sim := newSimulation(t, seed, 6)
 			sim.run(2 * time.Second)
 			sim.lateShare = 0.95
@@ -1507,6 +1510,7 @@
 		}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			sim := newSimulation(t, 1, 1)
 			sim.run(2 * time.Second)
 			for i := range 25 {
--- a/conductor/delivery_test.go
+++ b/conductor/delivery_test.go
@@ -143,6 +143,7 @@
 func TestInvariantsUnderOneWayPaths(t *testing.T) {
 	for seed := range uint64(delaySeeds(t)) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			sim := newSimulation(t, seed, 3+int(seed%3))
 			r := sim.random
 			sim.network = &modelNetwork{maxDelay: time.Duration(1+r.IntN(40)) * time.Millisecond}
--- a/conductor/grant_test.go
+++ b/conductor/grant_test.go
@@ -25,6 +25,7 @@
 			bound += 2 * time.Second
 		}
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			sim, cut := newCutSimulation(t, 1)
 			sim.submit(watchQueue, "watch", tasks(2, 1000, time.Hour, longRunning))
 			sim.submit(batchQueue, "short", tasks(60, 1000, 20*time.Second))
--- a/conductor/idle_test.go
+++ b/conductor/idle_test.go
@@ -198,6 +198,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			sim := newSimulation(t, 1, 2)
 			sim.run(2 * time.Second)
 			sim.submit(batchQueue, "earlier", tasks(32, 1000, time.Hour, bestEffort))
--- a/conductor/liveness_test.go
+++ b/conductor/liveness_test.go
@@ -95,6 +95,7 @@
 		for _, clean := range []bool{true, false} {
 			for _, period := range []time.Duration{2 * time.Second, 3 * time.Second} {
 				t.Run(fmt.Sprintf("%s, owner clean %t, every %s", fault.name, clean, period), func(t *testing.T) {
+					t.Parallel()
 					sim, odd := newCutSimulation(t, 1)
 					sim.submit(watchQueue, "watch", tasks(2, 1000, time.Hour, longRunning))
 					sim.submit(batchQueue, "short", tasks(100, 1000, time.Second))
--- a/conductor/unreadable_test.go
+++ b/conductor/unreadable_test.go
@@ -67,6 +67,7 @@
 		for _, restarted := range []bool{false, true} {
 			for _, readableAfter := range []time.Duration{0, 300 * time.Millisecond, 4500 * time.Millisecond} {
 				t.Run(fmt.Sprintf("%s, agent restarted %t, readable after %s", rows.name, restarted, readableAfter), func(t *testing.T) {
+					t.Parallel()
 					sim, h := newSeasonedSimulation(t)
 					sim.submit(batchQueue, "short", tasks(120, 1000, 1500*time.Millisecond))
 					sim.runUntil(2*time.Second, func() bool { return len(h.executor.runs) > 4 })
@@ -133,6 +134,7 @@
 // TestInvariantsWithUnreadableRows injects random faults while executors list rows that can't be read, which they
 // go on to list when the faults have ended. No task may run twice, and all must complete.
 func TestInvariantsWithUnreadableRows(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		sim := newSimulation(t, rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 4).Draw(t, "hosts"))
 		sim.run(22 * time.Second)
