--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -29,7 +29,7 @@
 	watchQueue   = "watches"
 	// stopDuration is how long a run continues after its stop was ordered.
 	stopDuration = 300 * time.Millisecond
-	// maxListedEnds is how many ends an executor lists at a time.
+	// maxListedEnds is how many ends an executor lists at a time, unless a simulation sets another number.
 	maxListedEnds = 500
 )
 
@@ -80,6 +80,8 @@
 	lateCalls []lateCall
 	// refusedShare is the share of starts that executors refuse as unhealthy, 0 to 1.
 	refusedShare float64
+	// listedEnds is how many ends an executor lists at a time.
+	listedEnds int
 	// jumps counts the executors that started after their clock had jumped back.
 	jumps int
 	// network delays the messages between owners, agents and executors; nil for none.
@@ -145,8 +147,12 @@
 	clockLag float64
 	// unreadable holds the runs that the executor lists in a row that can't be read.
 	unreadable map[messenger.RunRef]bool
-	// keepsEnds is whether no acknowledgment of ends reaches the executor.
-	keepsEnds bool
+	// oddEnd is whether the executor lists one more end in a row that can't be read.
+	oddEnd bool
+	// keepsEnds is whether no acknowledgment of ends reaches the executor, and keptThrough the number of the
+	// last end whose acknowledgment didn't.
+	keepsEnds   bool
+	keptThrough int
 	// mute is whether the executor answers no call and carries none out.
 	mute bool
 	// slowdown is the share of its speed that the executor lacks, 0 to 1; 1 for stalled.
@@ -183,6 +189,7 @@
 		doneTasks:    map[messenger.TaskRef]bool{},
 		acknowledged: map[messenger.TaskRef]bool{},
 		specs:        map[string]messenger.WorkloadSpec{},
+		listedEnds:   maxListedEnds,
 
 		ticketExpiries: map[string]time.Time{},
 	}
@@ -643,16 +650,12 @@
 		return holding, err
 	}
 	if m.keepsEnds {
+		m.keptThrough = max(m.keptThrough, call.AckedEnd)
 		call.AckedEnd = 0
 	}
-	m.ends = slices.DeleteFunc(m.ends, func(e messenger.RunEnd) bool {
-		if e.Number <= call.AckedEnd && e.How == messenger.EndDone && m.lapsesAtEnd[e.Number] == m.lapses {
-			sim.acknowledged[e.Run.Task] = true
-		}
-		return e.Number <= call.AckedEnd
-	})
-	holding.Ends = slices.Clone(m.ends[:min(len(m.ends), maxListedEnds)])
-	holding.EndsIncomplete = len(holding.Ends) == maxListedEnds
+	m.acknowledge(sim, call.AckedEnd)
+	holding.Ends = slices.Clone(m.ends[:min(len(m.ends), sim.listedEnds)])
+	holding.EndsIncomplete = len(holding.Ends) == sim.listedEnds || m.oddEnd
 	for ref := range m.runs {
 		if m.unreadable[ref] {
 			holding.RunsIncomplete = true
@@ -667,6 +670,16 @@
 	return holding, nil
 }
 
+// acknowledge drops the ends up to the one with the given number.
+func (m *modelExecutor) acknowledge(sim *simulation, through int) {
+	m.ends = slices.DeleteFunc(m.ends, func(e messenger.RunEnd) bool {
+		if e.Number <= through && e.How == messenger.EndDone && m.lapsesAtEnd[e.Number] == m.lapses {
+			sim.acknowledged[e.Run.Task] = true
+		}
+		return e.Number <= through
+	})
+}
+
 // percent returns how much of a run is done, in percent.
 func (r *modelRun) percent(sim *simulation, ref messenger.RunRef) int {
 	whole := time.Duration(sim.specs[ref.Task.Workload].Steps[ref.Task.Step].EstimateMillis) * time.Millisecond
