--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -84,6 +84,8 @@
 	confirmations  confirmations
 	runs           map[messenger.RunRef]*run
 	steps          []*step
+	// background holds the background runs.
+	background map[*run]bool
 	// waits holds the waits of long-running tasks, and those that have ended since waitsCheckedAt, when
 	// they were last looked at.
 	waits                  []*wait
@@ -115,6 +117,10 @@
 	lastOrders int
 	// heldStarts holds the starts that wait for the placements of their tasks.
 	heldStarts []heldStart
+	// heldCheckedThrough is the number of the last durable append when the held starts were last looked at,
+	// and heldReleased is whether a run of one was released since.
+	heldCheckedThrough int64
+	heldReleased       bool
 }
 
 // New returns a conductor for the owner with the given epoch. clean is whether the last owner is
@@ -131,6 +137,7 @@
 		hosts:        map[string]*host{},
 		runs:         map[messenger.RunRef]*run{},
 		orders:       map[string]*messenger.Orders{},
+		background:   map[*run]bool{},
 
 		changedExecutors:   map[*executor]bool{},
 		appraiser:          appraiser.New(appraiser.DefaultConfig()),
--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -178,6 +178,11 @@
 	c.runs[r.ref] = r
 	r.executor.runs[r.ref] = r
 	r.executor.allocate(r.task.step, 1)
+	r.task.step.occurrence.workload.runs++
+	if r.background {
+		c.background[r] = true
+		r.setIdle(r.task.step.need.ProcessorMillis())
+	}
 }
 
 // release removes a run that has ended; its task waits again if that was its current run and it
@@ -188,8 +193,13 @@
 	}
 	delete(c.runs, r.ref)
 	delete(r.executor.runs, r.ref)
+	c.heldReleased = c.heldReleased || r.ordersNumber == heldOrders
+	delete(c.background, r)
 	r.setIdle(0)
 	r.executor.allocate(r.task.step, -1)
+	w := r.task.step.occurrence.workload
+	w.runs--
+	w.idleSince = now
 	c.changedExecutors[r.executor] = true
 	if r.task.originalRun == r {
 		r.task.originalRun = nil
@@ -240,6 +250,9 @@
 	for len(c.ended) > 0 && now.Sub(c.ended[0].endedAt) > c.config.EndedRetention {
 		w := c.ended[0]
 		c.ended = c.ended[1:]
+		if c.workloads[w.id] != w {
+			continue // It was withdrawn, and may have been submitted again.
+		}
 		delete(c.workloads, w.id)
 		c.deleteRecord(prefixWork + w.id)
 		c.deleteRecord(prefixProgress + w.id)
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -144,7 +144,7 @@
 		}
 		t := run.task
 		c.release(now, run, "refused")
-		t.avoid = run.executor
+		c.addRefusal(now, t, run.executor)
 		t.notBefore = now.Add(c.config.Backoff)
 		switch refusal.Kind {
 		case string(apricotwinch.NoTarget):
@@ -152,12 +152,18 @@
 		case string(apricotwinch.Forbidden):
 			delete(t.step.advice.tickets, run.executor.id)
 		}
+		if t.step.spec.Gang {
+			c.refuseGang(now, t.step, run.executor)
+		}
 	}
 	h.refusalsThrough = max(h.refusalsThrough, r.RefusalsThrough)
 }
 
 func (c *Conductor) updateExecutors(now time.Time, h *host, r messenger.Report) {
 	h.listedAt = now
+	if !c.mayRenew(h) {
+		r.Gone, r.Executors = c.withoutReborn(h, r)
+	}
 	for _, gone := range r.Gone {
 		if e := h.executors[gone.Id]; e != nil && e.incarnation == gone.Born {
 			c.removeExecutor(now, e, "reported gone by its agent")
@@ -196,6 +202,25 @@
 	}
 }
 
+// withoutReborn returns what a report says of executors that are gone and of those that are there, without those
+// of which the host has another incarnation than this owner knows. An incarnation that may not join yet,
+// as its leases may not be renewed, may list the end of a run that was started on the one before.
+func (c *Conductor) withoutReborn(h *host, r messenger.Report) ([]messenger.ExecutorIncarnation, []messenger.ExecutorState) {
+	reborn := map[string]bool{}
+	for i := range r.Executors {
+		record := &r.Executors[i].Executor
+		if e := h.executors[record.Id]; e != nil && e.incarnation != record.Born {
+			reborn[record.Id] = true
+		}
+	}
+	if len(reborn) == 0 {
+		return r.Gone, r.Executors
+	}
+	gone := slices.DeleteFunc(slices.Clone(r.Gone), func(g messenger.ExecutorIncarnation) bool { return reborn[g.Id] })
+	states := slices.DeleteFunc(slices.Clone(r.Executors), func(s messenger.ExecutorState) bool { return reborn[s.Executor.Id] })
+	return gone, states
+}
+
 // processedOrders returns the number of the last orders of this owner that an agent has
 // processed.
 func (c *Conductor) processedOrders(r messenger.Report) int {
@@ -230,6 +255,7 @@
 		listed[state.Runs[i].Run] = true
 		c.updateRun(now, e, &state.Runs[i])
 		c.repeatStop(e, &state.Runs[i], processed)
+		c.updateBackground(e, &state.Runs[i], processed)
 	}
 	for ref, run := range e.runs {
 		// The end of a task that starts again after any end doesn't matter.
@@ -296,7 +322,7 @@
 	if w != nil {
 		t = w.task(state.Run.Task)
 	}
-	run := &run{ref: state.Run, task: t, executor: e, startedAt: now}
+	run := &run{ref: state.Run, task: t, executor: e, startedAt: now, background: state.Background}
 	if t == nil {
 		e.runsUnknown = true
 		if state.Phase != messenger.RunStopping {
--- a/conductor/schedule.go
+++ b/conductor/schedule.go
@@ -25,6 +25,13 @@
 	// outlooks holds what best-effort images are expected to do on executors, until a start changes
 	// that.
 	outlooks map[*executor]map[string]outlook
+	// utilizations holds, by service, the share of its processors that are in use; a service is missing
+	// until that is needed.
+	utilizations map[string]float64
+	// background holds the background runs that are still to be tried, in order.
+	background []*run
+	// beyondBounds is whether a task may start beyond the bounds that only weigh it against other work.
+	beyondBounds bool
 	// evaluated counts the evaluations of executors.
 	evaluated int64
 }
@@ -48,7 +55,7 @@
 func (c *Conductor) Schedule(now time.Time) {
 	c.updateReconciled()
 	c.sendHeldStarts(now)
-	if len(c.steps) == 0 {
+	if len(c.steps)+len(c.background) == 0 {
 		clear(c.changedExecutors)
 		return
 	}
@@ -59,6 +66,7 @@
 		changed:    c.takeChangedExecutors(),
 		unreserved: map[string]map[string]int64{},
 		outlooks:   map[*executor]map[string]outlook{},
+		background: c.backgroundRuns(),
 	}
 	c.steps = slices.DeleteFunc(c.steps, func(s *step) bool {
 		w := s.occurrence.workload
@@ -66,10 +74,12 @@
 			s.queued = false
 			return true
 		}
+		p.promoteBefore(s)
 		p.scheduleStep(s)
 		s.queued = s.waiting > 0
 		return !s.queued
 	})
+	p.promoteBefore(nil)
 	metrics.GetOrRegisterCounter("executors.evaluated", c.registry).Inc(p.evaluated)
 }
 
@@ -157,7 +167,7 @@
 	switch {
 	case q.Advised:
 		if slices.ContainsFunc(s.tasks, p.mayStart) {
-			p.startTasks(s, q.Service, c.allowedExecutors(p.now, s, q, p.pool(q.Service)))
+			p.scheduleAdvised(s, q)
 		}
 	case blocked && s.spec.Gang:
 		if slices.ContainsFunc(p.changed[q.Service], func(e *executor) bool { return p.admits(s, e) }) {
@@ -169,6 +179,7 @@
 		s.blockedAt = time.Time{}
 		if !p.startTasks(s, q.Service, p.pool(q.Service)) {
 			s.blockedAt = p.now
+			p.startIdle(s, q.Service, p.pool(q.Service))
 		}
 	}
 }
@@ -250,6 +261,9 @@
 // the task may start there.
 func (p *schedulingPass) evaluate(s *step, e *executor) (cost float64, ok bool) {
 	p.evaluated++
+	if p.beyondBounds {
+		return p.evaluateIdle(s, e)
+	}
 	if p.refusal(s, e) != "" {
 		return 0, false
 	}
@@ -267,10 +281,16 @@
 	if reason := c.misfit(s, e); reason != "" || !s.spec.Fills {
 		return reason
 	}
+	return p.harm(s, e)
+}
+
+// harm returns the reason, one of refusals, for which a best-effort task of a step may not begin to work beside
+// the other tasks of an executor; empty if it may.
+func (p *schedulingPass) harm(s *step, e *executor) string {
 	switch {
 	case e.overTarget(p.now):
 		return waitTailLatency
-	case p.now.Sub(s.readyAt) < c.config.MaxPlacementWait && !p.outlook(s.spec.Image, e).placeable:
+	case p.now.Sub(s.readyAt) < p.conductor.config.MaxPlacementWait && !p.outlook(s.spec.Image, e).placeable:
 		return waitOutlook
 	}
 	return ""
@@ -298,10 +318,7 @@
 		if keepsReserve && p.unreservedIn(n.executor) < t.step.need.ProcessorMillis() {
 			continue
 		}
-		cost := n.cost
-		if t.avoid == n.executor {
-			cost += costAvoided
-		}
+		cost := n.cost + p.conductor.avoidanceCost(p.now, t, n.executor)
 		if best < 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -19,6 +19,7 @@
 	"apricotwinch/conductor"
 	"apricotwinch/custodian"
 	"apricotwinch/messenger"
+	"apricotwinch/pacer"
 )
 
 const (
@@ -31,6 +32,8 @@
 	stopDuration = 300 * time.Millisecond
 	// maxListedEnds is how many ends an executor lists at a time, unless a simulation sets another number.
 	maxListedEnds = 500
+	// maxLease is the longest lease of an executor.
+	maxLease = 10 * time.Second
 )
 
 var origin = time.Unix(1_000_000, 0)
@@ -71,7 +74,9 @@
 	// which the executor got the acknowledgment that the end is durable.
 	doneTasks    map[messenger.TaskRef]bool
 	acknowledged map[messenger.TaskRef]bool
-	specs        map[string]messenger.WorkloadSpec
+	// restartedAs holds, by task, the number of the last run that started after an end as done.
+	restartedAs map[messenger.TaskRef]int
+	specs       map[string]messenger.WorkloadSpec
 	// lostShare is the share of calls to executors whose answer is lost, 0 to 1.
 	lostShare float64
 	// lateShare is the share of starts and stops that get no answer and are carried out seconds
@@ -145,16 +150,20 @@
 	lapsesAtEnd map[int]int
 	// clockLag is the share of its rate that the executor's clock lacks, 0 to 0.02.
 	clockLag float64
-	// unreadable holds the runs that the executor lists in a row that can't be read.
-	unreadable map[messenger.RunRef]bool
-	// oddEnd is whether the executor lists one more end in a row that can't be read.
-	oddEnd bool
+	// unreadable holds the runs that the executor lists in a row that can't be read, also once they have
+	// ended. otherWriter is whether both its lists hold such a row of another writer, and oddEnd whether
+	// that of its ends does.
+	unreadable  map[messenger.RunRef]bool
+	otherWriter bool
+	oddEnd      bool
 	// keepsEnds is whether no acknowledgment of ends reaches the executor, and keptThrough the number of the
 	// last end whose acknowledgment didn't.
 	keepsEnds   bool
 	keptThrough int
 	// mute is whether the executor answers no call and carries none out.
 	mute bool
+	// refusing is whether the executor refuses all starts as unhealthy.
+	refusing bool
 	// slowdown is the share of its speed that the executor lacks, 0 to 1; 1 for stalled.
 	slowdown float64
 	// tailMillis is the tail latency of serving tasks, in milliseconds.
@@ -174,6 +183,8 @@
 	order     messenger.StartOrder
 	remaining time.Duration
 	fails     bool
+	// pace is the share of its speed at which the run works, in percent.
+	pace int
 	// stopAt is when an ordered stop takes effect; zero if none was ordered.
 	stopAt time.Time
 }
@@ -188,6 +199,7 @@
 		undelivered:  map[string][]*messenger.Orders{},
 		doneTasks:    map[messenger.TaskRef]bool{},
 		acknowledged: map[messenger.TaskRef]bool{},
+		restartedAs:  map[messenger.TaskRef]int{},
 		specs:        map[string]messenger.WorkloadSpec{},
 		listedEnds:   maxListedEnds,
 
@@ -575,7 +587,7 @@
 		}
 		answer, err := custodian.Answer{}, apricotwinch.Errorf(apricotwinch.Forbidden, "ticket")
 		switch {
-		case sim.random.Float64() < sim.refusedShare:
+		case h.executor.refusing || sim.random.Float64() < sim.refusedShare:
 			err = apricotwinch.Errorf(apricotwinch.NoTarget, "unhealthy")
 		case sim.hasValidTicket(h, call.Order):
 			answer, err = h.executor.start(sim, call)
@@ -585,6 +597,10 @@
 		}
 		next, _ := h.agent.HandleStartAnswer(sim.now, call, answer, err)
 		calls.Stops = append(calls.Stops, next.Stops...)
+		calls.Paces = append(calls.Paces, next.Paces...)
+	}
+	for _, call := range calls.Paces {
+		h.agent.HandlePaceAnswer(call, h.executor.setPace(call))
 	}
 	for _, call := range calls.Stops {
 		if sim.delay(h, func(e *modelExecutor) { _, _ = e.stop(sim, call) }) {
@@ -627,7 +643,7 @@
 		return answer, apricotwinch.Errorf(apricotwinch.StaleEpoch, "fence")
 	}
 	m.token = token
-	m.deadline = max(m.deadline, deadline)
+	m.deadline = max(m.deadline, min(deadline, answer.Clock+maxLease))
 	return answer, nil
 }
 
@@ -646,11 +662,21 @@
 	}
 	spec := sim.specs[ref.Task.Workload].Steps[ref.Task.Step]
 	remaining := time.Duration(spec.EstimateMillis) * time.Millisecond
-	m.runs[ref] = &modelRun{order: call.Order, remaining: remaining, fails: call.Order.Payload == "hopeless"}
+	m.runs[ref] = &modelRun{order: call.Order, remaining: remaining, pace: pacer.FullSpeed, fails: call.Order.Payload == "hopeless"}
 	sim.checkStart(ref)
 	return answer, nil
 }
 
+// setPace sets the pace of a run, as an executor that answers every call.
+func (m *modelExecutor) setPace(call custodian.RunCall) error {
+	r := m.runs[call.Run]
+	if r == nil || call.Token < m.token {
+		return apricotwinch.Errorf(apricotwinch.Conflict, "old")
+	}
+	r.pace = call.Percent
+	return nil
+}
+
 func (m *modelExecutor) stop(sim *simulation, call custodian.RunCall) (custodian.Answer, error) {
 	answer, err := m.fence(sim, call.Token, 0)
 	if err != nil {
@@ -678,7 +704,16 @@
 	}
 	m.acknowledge(sim, call.AckedEnd)
 	holding.Ends = slices.Clone(m.ends[:min(len(m.ends), sim.listedEnds)])
-	holding.EndsIncomplete = len(holding.Ends) == sim.listedEnds || m.oddEnd
+	for i, end := range holding.Ends {
+		if m.unreadable[end.Run] {
+			holding.Ends[i] = messenger.RunEnd{}
+		}
+	}
+	holding.EndsIncomplete = len(holding.Ends) == sim.listedEnds
+	if m.otherWriter || m.oddEnd {
+		holding.Ends = append(holding.Ends, messenger.RunEnd{})
+	}
+	holding.RunsIncomplete = m.otherWriter
 	for ref := range m.runs {
 		if m.unreadable[ref] {
 			holding.RunsIncomplete = true
@@ -698,6 +733,9 @@
 	m.ends = slices.DeleteFunc(m.ends, func(e messenger.RunEnd) bool {
 		if e.Number <= through && e.How == messenger.EndDone && m.lapsesAtEnd[e.Number] == m.lapses {
 			sim.acknowledged[e.Run.Task] = true
+			if spec := sim.specs[e.Run.Task.Workload].Steps[e.Run.Task.Step]; sim.restartedAs[e.Run.Task] > e.Run.Run && !spec.Speculative {
+				sim.t.Fatalf("the end of %v as done is acknowledged, and the task was started again", e.Run)
+			}
 		}
 		return e.Number <= through
 	})
@@ -740,7 +778,7 @@
 	m.lapsed = lapsed
 	for _, ref := range m.refs() {
 		r := m.runs[ref]
-		r.remaining -= time.Duration(float64(tickInterval) * (1 - m.slowdown))
+		r.remaining -= time.Duration(float64(tickInterval) * (1 - m.slowdown) * float64(r.pace) / pacer.FullSpeed)
 		longRunning := sim.specs[ref.Task.Workload].Steps[ref.Task.Step].Lasting
 		switch {
 		case m.clock(sim.now) > m.deadline:
@@ -774,6 +812,9 @@
 // depends on are done.
 func (sim *simulation) checkStart(ref messenger.RunRef) {
 	sim.t.Helper()
+	if sim.doneTasks[ref.Task] {
+		sim.restartedAs[ref.Task] = ref.Run
+	}
 	if sim.acknowledged[ref.Task] && !sim.specs[ref.Task.Workload].Steps[ref.Task.Step].Lasting {
 		sim.t.Fatalf("%v was started after the task was done", ref)
 	}
@@ -884,6 +925,7 @@
 		h.unheard = false
 		h.deaf = false
 		h.executor.mute = false
+		h.executor.refusing = false
 		h.executor.slowdown = 0
 		if h.agentDown {
 			sim.restartAgent(h)
--- a/conductor/workload.go
+++ b/conductor/workload.go
@@ -2,7 +2,7 @@
 
 import (
 	"encoding/base64"
-	"slices"
+	"strings"
 	"time"
 
 	"apricotwinch"
@@ -27,6 +27,9 @@
 	// dueCount is the number of occurrences that are due.
 	dueCount  int
 	unstarted bool
+	// runs is the number of the workload's runs, and idleSince when the last of them ended.
+	runs      int
+	idleSince time.Time
 	rank      bestEffortRank
 	priority  int
 	dirtySpec bool
@@ -62,6 +65,8 @@
 	readyAt time.Time
 	// blockedAt is when a task of the step last fitted on none of all executors; zero if one did.
 	blockedAt time.Time
+	// startsInBackground is whether its tasks start in the background now.
+	startsInBackground bool
 	// wait is since when and why a step that is not long-running has started none of its waiting tasks.
 	wait   *stepWait
 	advice advice
@@ -81,6 +86,7 @@
 	checkpoint    string
 	notBefore     time.Time
 	avoid         *executor
+	refusals      []refusal
 	current       *run
 	// originalRun is an earlier run that continues while the current one is its speculative
 	// copy.
@@ -131,8 +137,12 @@
 	// throttledSince is since when that is below throttledPace, zero if it is not.
 	pace           int
 	throttledSince time.Time
+	// background is whether the run works at the least pace until it is promoted, and promotionNumber the number of the
+	// last orders that resume it.
+	background      bool
+	promotionNumber int
 	// idle is the part of its processors, in thousandths, that the run leaves unused while it is
-	// throttled.
+	// throttled or in the background.
 	idle int64
 	// undisturbed is the smoothed headroom that a serving run would have without best-effort
 	// tasks; 0 if unknown.
@@ -260,13 +270,19 @@
 // the same executors share one, as most tasks of a step run on few executors.
 func placementsOf(tasks []*task) []messenger.Placement {
 	var placements []messenger.Placement
+	var found map[string]int
 	for i, t := range tasks {
 		if t.done || t.placement == nil {
 			continue
 		}
-		at := slices.IndexFunc(placements, func(p messenger.Placement) bool { return slices.Equal(p.Executors, t.placement.executors) })
-		if at < 0 {
+		key := strings.Join(t.placement.executors, "\x00")
+		at, ok := found[key]
+		if !ok {
+			if found == nil {
+				found = map[string]int{}
+			}
 			at = len(placements)
+			found[key] = at
 			placements = append(placements, messenger.Placement{Executors: t.placement.executors})
 		}
 		placements[at].Tasks = append(placements[at].Tasks, i)
--- a/custodian/orders.go
+++ b/custodian/orders.go
@@ -41,6 +41,9 @@
 	for _, start := range o.Starts {
 		c.startRun(now, start, &calls)
 	}
+	for _, promotion := range o.Promotions {
+		c.promoteRun(now, promotion, &calls)
+	}
 	return calls, nil
 }
 
@@ -135,6 +138,16 @@
 	c.addCall(now, e, r, calls)
 }
 
+// promoteRun lets a background run work at the pace of others. One that hasn't started yet starts so.
+func (c *Custodian) promoteRun(now time.Time, promotion messenger.PromotionOrder, calls *Calls) {
+	e := c.executors[promotion.Executor]
+	if e == nil || e.runs[promotion.Run] == nil {
+		return
+	}
+	e.runs[promotion.Run].order.Background = false
+	calls.Paces = append(calls.Paces, c.updatePaces(now, e).Paces...)
+}
+
 // findExecutor returns an incarnation of an executor, or nil if it is not the known one. The answer
 // to a call for an earlier incarnation says nothing of the next one.
 func (c *Custodian) findExecutor(id string, born int) *executor {
@@ -201,6 +214,9 @@
 // longer carries the earlier call out.
 func (c *Custodian) handleRefusedStart(now time.Time, e *executor, r *run, kind apricotwinch.Kind) (Calls, bool) {
 	if !r.maybeStarted || !r.confirmedAt.IsZero() {
+		if r.confirmedAt.IsZero() {
+			e.doubt.forget(r.order.Run)
+		}
 		e.remove(r.order.Run)
 		c.refuseRun(r.order.Run, kind)
 		return Calls{}, true
@@ -251,9 +267,7 @@
 			for ref := range e.runs {
 				e.remove(ref)
 			}
-			// What was not listed has lapsed, too, and an end from before the lapse no longer counts.
-			e.endsIncomplete = false
-			e.runsKnown = e.runsKnown || e.confirmed
+			e.lapse(now)
 			changed = true
 		}
 		for _, r := range e.sortedRuns() {
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -770,6 +770,9 @@
 	// Number of the orders within the epoch, from 1.
 	Number int `json:"number"`
 
+	// Background runs to promote.
+	Promotions []PromotionOrder `json:"promotions,omitempty,omitzero"`
+
 	// Run ends that are durable.
 	Seen []DurableEnds `json:"seen,omitempty,omitzero"`
 
@@ -931,6 +934,15 @@
 	State string `json:"state"`
 }
 
+// An order to let a background run work at the pace of others.
+type PromotionOrder struct {
+	// Id of the executor.
+	Executor string `json:"executor"`
+
+	// The run.
+	Run RunRef `json:"run"`
+}
+
 // An edit that was rejected when its record was applied.
 type RejectedEdit struct {
 	// Id of the record.
@@ -1137,6 +1149,9 @@
 
 // The state of one run at an executor.
 type RunState struct {
+	// Whether the run works at the least pace until it is promoted.
+	Background bool `json:"background,omitempty,omitzero"`
+
 	// Latest checkpoint.
 	Checkpoint string `json:"checkpoint,omitempty,omitzero"`
 
@@ -1267,6 +1282,9 @@
 
 // An order to start a run at an executor.
 type StartOrder struct {
+	// Whether the run works at the least pace until it is promoted.
+	Background bool `json:"background,omitempty,omitzero"`
+
 	// Start of the incarnation of the executor that the run is for, in milliseconds
 	// since 1970; 0 for any.
 	Born int `json:"born,omitempty,omitzero"`
