--- a/conductor/promise_test.go
+++ b/conductor/promise_test.go
@@ -18,6 +18,9 @@
 	completionBound = 2 * time.Minute
 	// oddCalm is how long tasks are looked at while lists stay incomplete.
 	oddCalm = 30 * time.Second
+	// oddRuns is how many runs an executor lists in rows that can't be read. The rows of their ends leave
+	// room for others in its list.
+	oddRuns = 2
 	// listedEndsUnderFaults is how many ends executors list at a time under random faults.
 	listedEndsUnderFaults = 6
 )
@@ -120,7 +123,9 @@
 }
 
 // isOdd reports whether an executor's lists stay incomplete.
-func (m *modelExecutor) isOdd() bool { return m.oddEnd || m.keepsEnds || len(m.unreadable) > 0 }
+func (m *modelExecutor) isOdd() bool {
+	return m.oddEnd || m.otherWriter || m.keepsEnds || len(m.unreadable) > 0
+}
 
 // room is what the executors that remain have: those that are not lost, and whose lists are complete.
 type room struct {
@@ -293,14 +298,17 @@
 	if sim.random.IntN(2) == 0 && !sim.isLost(h) {
 		sim.restartAgent(h)
 	}
-	switch sim.random.IntN(3) {
+	switch sim.random.IntN(4) {
 	case 0:
 		e.oddEnd = true
 	case 1:
+		e.otherWriter = true
+	case 2:
 		e.keepsEnds = true
 	default:
 		e.unreadable = map[messenger.RunRef]bool{}
-		for _, ref := range e.refs() {
+		refs := e.refs()
+		for _, ref := range refs[:min(len(refs), oddRuns)] {
 			e.unreadable[ref] = true
 		}
 	}
