--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -30,7 +30,7 @@
 	watchQueue   = "watches"
 	// stopDuration is how long a run continues after its stop was ordered.
 	stopDuration = 300 * time.Millisecond
-	// maxListedEnds is how many ends an executor lists at a time.
+	// maxListedEnds is how many ends an executor lists at a time, unless a simulation sets another number.
 	maxListedEnds = 500
 	// maxLease is the longest lease of an executor.
 	maxLease = 10 * time.Second
@@ -85,6 +85,8 @@
 	lateCalls []lateCall
 	// refusedShare is the share of starts that executors refuse as unhealthy, 0 to 1.
 	refusedShare float64
+	// listedEnds is how many ends an executor lists at a time.
+	listedEnds int
 	// jumps counts the executors that started after their clock had jumped back.
 	jumps int
 	// network delays the messages between owners, agents and executors; nil for none.
@@ -154,11 +156,15 @@
 	// clockLag is the share of its rate that the executor's clock lacks, 0 to 0.02.
 	clockLag float64
 	// unreadable holds the runs that the executor lists in a row that can't be read, also once they have
-	// ended. otherWriter is whether both its lists hold such a row of another writer.
+	// ended. otherWriter is whether both its lists hold such a row of another writer, and oddEnd whether
+	// that of its ends does.
 	unreadable  map[messenger.RunRef]bool
 	otherWriter bool
-	// keepsEnds is whether no acknowledgment of ends reaches the executor.
-	keepsEnds bool
+	oddEnd      bool
+	// keepsEnds is whether no acknowledgment of ends reaches the executor, and keptThrough the number of the
+	// last end whose acknowledgment didn't.
+	keepsEnds   bool
+	keptThrough int
 	// mute is whether the executor answers no call and carries none out.
 	mute bool
 	// refusing is whether the executor refuses all starts as unhealthy.
@@ -200,6 +206,7 @@
 		acknowledged: map[messenger.TaskRef]bool{},
 		restartedAs:  map[messenger.TaskRef]int{},
 		specs:        map[string]messenger.WorkloadSpec{},
+		listedEnds:   maxListedEnds,
 
 		ticketExpiries: map[string]time.Time{},
 	}
@@ -702,28 +709,21 @@
 		return holding, err
 	}
 	if m.keepsEnds {
+		m.keptThrough = max(m.keptThrough, call.AckedEnd)
 		call.AckedEnd = 0
 	}
-	m.ends = slices.DeleteFunc(m.ends, func(e messenger.RunEnd) bool {
-		if e.Number <= call.AckedEnd && e.How == messenger.EndDone && m.lapsesAtEnd[e.Number] == m.lapses {
-			sim.acknowledged[e.Run.Task] = true
-			if spec := sim.specs[e.Run.Task.Workload].Steps[e.Run.Task.Step]; sim.restartedAs[e.Run.Task] > e.Run.Run && !spec.Speculative {
-				sim.t.Fatalf("the end of %v as done is acknowledged, and the task was started again", e.Run)
-			}
-		}
-		return e.Number <= call.AckedEnd
-	})
-	holding.Ends = slices.Clone(m.ends[:min(len(m.ends), maxListedEnds)])
+	m.acknowledge(sim, call.AckedEnd)
+	holding.Ends = slices.Clone(m.ends[:min(len(m.ends), sim.listedEnds)])
 	for i, end := range holding.Ends {
 		if m.unreadable[end.Run] {
 			holding.Ends[i] = messenger.RunEnd{}
 		}
 	}
-	holding.EndsIncomplete = len(holding.Ends) == maxListedEnds
-	if m.otherWriter {
+	holding.EndsIncomplete = len(holding.Ends) == sim.listedEnds
+	if m.otherWriter || m.oddEnd {
 		holding.Ends = append(holding.Ends, messenger.RunEnd{})
-		holding.RunsIncomplete = true
 	}
+	holding.RunsIncomplete = m.otherWriter
 	for ref := range m.runs {
 		if m.unreadable[ref] {
 			holding.RunsIncomplete = true
@@ -738,6 +738,19 @@
 	return holding, nil
 }
 
+// acknowledge drops the ends up to the one with the given number.
+func (m *modelExecutor) acknowledge(sim *simulation, through int) {
+	m.ends = slices.DeleteFunc(m.ends, func(e messenger.RunEnd) bool {
+		if e.Number <= through && e.How == messenger.EndDone && m.lapsesAtEnd[e.Number] == m.lapses {
+			sim.acknowledged[e.Run.Task] = true
+			if spec := sim.specs[e.Run.Task.Workload].Steps[e.Run.Task.Step]; sim.restartedAs[e.Run.Task] > e.Run.Run && !spec.Speculative {
+				sim.t.Fatalf("the end of %v as done is acknowledged, and the task was started again", e.Run)
+			}
+		}
+		return e.Number <= through
+	})
+}
+
 // percent returns how much of a run is done, in percent.
 func (r *modelRun) percent(sim *simulation, ref messenger.RunRef) int {
 	whole := time.Duration(sim.specs[ref.Task.Workload].Steps[ref.Task.Step].EstimateMillis) * time.Millisecond
