--- a/conductor/background.go
+++ b/conductor/background.go
@@ -51,8 +51,8 @@
 	}
 }
 
-// mayPromote reports whether a background run may work at the pace of others: as a start there may, but for one that requests more
-// processors than there are, and has no other best-effort work beside it.
+// mayPromote reports whether a background run may work at the pace of others: as a start there may, but for one
+// that requests more processors than there are, and has no other best-effort work beside it.
 func (p *schedulingPass) mayPromote(r *run) bool {
 	c, e, s := p.conductor, r.executor, r.task.step
 	working, unused := e.bestEffort-e.bestEffortIdle, c.expectedUnused(e)
