--- a/conductor/advice.go
+++ b/conductor/advice.go
@@ -89,9 +89,9 @@
 	p.startIdle(s, q.Service, allowed)
 }
 
-// requestAdvice sets the pending request about executors that the step has no ticket for. It does nothing if there is one already, as the
-// service takes one at a time, or while it backs off after a failure. Steps are tried in order,
-// so the first one that needs advice gets it.
+// requestAdvice sets the pending request about executors that the step has no ticket for. It does nothing if
+// there is one already, as the service takes one at a time, or while it backs off after a failure. Steps are
+// tried in order, so the first one that needs advice gets it.
 func (c *Conductor) requestAdvice(now time.Time, s *step, q *cataloger.Queue, unknown []*executor) {
 	if c.pendingRequest != nil || now.Before(c.nextAdviceAt) {
 		return
