--- a/conductor/ends.go
+++ b/conductor/ends.go
@@ -44,6 +44,7 @@
 	run := c.runs[end.Run]
 	current := run != nil && run.executor == e
 	if current {
+		c.recordRepeatEnd(now, run, end)
 		c.release(now, run, end.How)
 	}
 	t.highestRun = max(t.highestRun, end.Run.Run)
--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -150,6 +150,9 @@
 func (c *Conductor) removeExecutor(now time.Time, e *executor, reason string) {
 	c.logger.Info("executor gone", "executor", e.id, "host", e.host.name, "runs", len(e.runs), "reason", reason)
 	for _, run := range e.runs {
+		if run.task.current == run {
+			run.task.recordLoss(e, c.startedAt)
+		}
 		c.release(now, run, reason)
 		c.count("runs.lost")
 	}
@@ -208,6 +211,9 @@
 		return
 	}
 	r.task.current = nil
+	if r.ordersNumber == heldOrders {
+		r.task.loss = r.repeats
+	}
 	if !r.task.done {
 		r.task.step.waiting++
 		c.queueStep(r.task.step)
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -269,8 +269,9 @@
 		startedAt:    now,
 		resumed:      t.checkpoint != "",
 		background:   t.step.startsInBackground,
+		repeats:      t.loss,
 	}
-	t.inherited = false
+	t.inherited, t.loss = false, nil
 	c.makeCurrent(now, r)
 	if write > c.durable {
 		c.heldStarts = append(c.heldStarts, heldStart{run: r, write: write})
--- a/conductor/placement.go
+++ b/conductor/placement.go
@@ -102,6 +102,9 @@
 	if t.placement != nil && t.placement.contains(e) {
 		return t.placement.write
 	}
+	if t.loss == nil {
+		t.loss = c.inheritedLoss(t)
+	}
 	next := &placement{executors: []string{e.id}, write: c.sequence + 1}
 	w := t.step.occurrence.workload
 	switch {
@@ -162,6 +165,7 @@
 	e.host.lastStart = orders.Number
 	orders.Starts = append(orders.Starts, order)
 	c.count("runs.ordered")
+	c.recordRepeat(now, r)
 	if c.logger.IsInfo() {
 		c.logger.Info("run ordered", "run", r.ref, "executor", e.id, "host", e.host.name, "order", r.ordersNumber,
 			"committed", e.allocated.String(), "filling", e.bestEffort, "resumed", r.resumed)
--- a/conductor/workload.go
+++ b/conductor/workload.go
@@ -98,6 +98,8 @@
 	inherited bool
 	// wait is since when and why a long-running task has no run; nil for any other task.
 	wait *wait
+	// loss is the loss of the task's last run; nil if that ended otherwise or the task has another run.
+	loss *loss
 	// placement is where the task may run. Without one it was never started, unless the journal's
 	// placements are not complete.
 	placement *placement
@@ -141,6 +143,8 @@
 	// last orders that resume it.
 	background      bool
 	promotionNumber int
+	// repeats is the loss of the run that this one repeats; nil if it repeats none.
+	repeats *loss
 	// idle is the part of its processors, in thousandths, that the run leaves unused while it is
 	// throttled or in the background.
 	idle int64
