Sort the runs of model executors once per change

The simulations of package conductor sort the runs of each executor twice a tick, with two fmt.Sprint in each comparison: 75% of the CPU time of the package's tests.

A modelExecutor keeps its sorted runs until one starts or ends, and a run the text that it is sorted by. Runs are visited in the same order as before. The tests that place a run on an executor use add.

--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -1038,7 +1038,7 @@
 	sim.run(2 * time.Second)
 	sim.submitScheduled(batchQueue, "w", time.Second, 5*time.Second, 2, tasks(1, 500, 500*time.Millisecond))
 	early := messenger.RunRef{Task: messenger.TaskRef{Workload: "w", Occurrence: 1}, Run: 1}
-	sim.hosts[0].executor.runs[early] = &modelRun{order: messenger.StartOrder{Run: early}, remaining: time.Hour}
+	sim.hosts[0].executor.add(&modelRun{order: messenger.StartOrder{Run: early}, remaining: time.Hour})
 	sim.replaceOwner(true)
 	sim.run(500 * time.Millisecond)
 	if diff := cmp.Diff(1, sim.running("w")); diff != "" {
@@ -1777,7 +1777,7 @@
 			sim.crash(first)
 			// The model of an executor takes a lease by the clock of its last incarnation.
 			sim.restartAgent(first)
-			late.executor.runs[ref] = &modelRun{order: messenger.StartOrder{Run: ref}, remaining: time.Hour}
+			late.executor.add(&modelRun{order: messenger.StartOrder{Run: ref}, remaining: time.Hour})
 			late.executor.deadline = late.executor.clock(sim.now) + time.Second
 			sim.announce(late)
 			sim.run(900 * time.Millisecond)
@@ -1803,7 +1803,7 @@
 	sim.storeOffline = true
 	sim.crashFor(first, time.Second, false)
 	sim.run(3 * time.Second)
-	first.executor.runs[ref] = &modelRun{order: messenger.StartOrder{Run: ref}, remaining: time.Hour}
+	first.executor.add(&modelRun{order: messenger.StartOrder{Run: ref}, remaining: time.Hour})
 	first.executor.deadline = first.executor.clock(sim.now) + time.Second
 	sim.run(150 * time.Millisecond)
 	sim.storeOffline = false
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -143,7 +143,9 @@
 	deadline    time.Duration
 	capacity    apricotwinch.Resources
 	runs        map[messenger.RunRef]*modelRun
-	ends        []messenger.RunEnd
+	// sorted caches the runs in the order of their text; nil after a change.
+	sorted []messenger.RunRef
+	ends   []messenger.RunEnd
 	// barredThrough holds, by task, the highest number of a run that may not start any more.
 	barredThrough map[messenger.TaskRef]int
 	lastEnd       int
@@ -185,7 +187,9 @@
 
 // modelRun is one run on a modelExecutor.
 type modelRun struct {
-	order     messenger.StartOrder
+	order messenger.StartOrder
+	// text is the text of the run's reference.
+	text      string
 	remaining time.Duration
 	fails     bool
 	// pace is the share of its speed at which the run works, in percent.
@@ -672,7 +676,7 @@
 	}
 	spec := sim.specs[ref.Task.Workload].Steps[ref.Task.Step]
 	remaining := time.Duration(spec.EstimateMillis) * time.Millisecond
-	m.runs[ref] = &modelRun{order: call.Order, remaining: remaining, pace: pacer.FullSpeed, fails: call.Order.Payload == "hopeless"}
+	m.add(&modelRun{order: call.Order, remaining: remaining, pace: pacer.FullSpeed, fails: call.Order.Payload == "hopeless"})
 	sim.checkStart(ref)
 	return answer, nil
 }
@@ -760,8 +764,16 @@
 	return int(100 * (whole - max(0, r.remaining)) / whole)
 }
 
+// add adds a run.
+func (m *modelExecutor) add(r *modelRun) {
+	r.text = fmt.Sprint(r.order.Run)
+	m.runs[r.order.Run] = r
+	m.sorted = nil
+}
+
 func (m *modelExecutor) end(sim *simulation, ref messenger.RunRef, how string) {
 	delete(m.runs, ref)
+	m.sorted = nil
 	m.barredThrough[ref.Task] = max(m.barredThrough[ref.Task], ref.Run)
 	m.lastEnd++
 	m.lapsesAtEnd[m.lastEnd] = m.lapses
@@ -803,19 +815,16 @@
 	}
 }
 
-// refs returns the runs in a fixed order.
+// refs returns the runs in a fixed order. The caller must not change the list.
 func (m *modelExecutor) refs() []messenger.RunRef {
-	refs := make([]messenger.RunRef, 0, len(m.runs))
-	for ref := range m.runs {
-		refs = append(refs, ref)
-	}
-	slices.SortFunc(refs, func(a, b messenger.RunRef) int {
-		if fmt.Sprint(a) < fmt.Sprint(b) {
-			return -1
+	if m.sorted == nil {
+		m.sorted = make([]messenger.RunRef, 0, len(m.runs))
+		for ref := range m.runs {
+			m.sorted = append(m.sorted, ref)
 		}
-		return 1
-	})
-	return refs
+		slices.SortFunc(m.sorted, func(a, b messenger.RunRef) int { return cmp.Compare(m.runs[a].text, m.runs[b].text) })
+	}
+	return m.sorted
 }
 
 // checkStart checks that a task that starts was not done before, and that the steps that it
