Sort the runs of an executor once per change in custodians

An executor keeps its sorted runs until one is added or removed. Only add and remove change the runs.

No benchmark covers custodians.

--- a/custodian/executor.go
+++ b/custodian/executor.go
@@ -117,7 +117,9 @@
 	grantedUntil  time.Time
 	drainDeadline time.Time
 	runs          map[messenger.RunRef]*run
-	ends          []messenger.RunEnd
+	// sorted caches the runs in the order of compareRuns; nil after a change.
+	sorted []*run
+	ends   []messenger.RunEnd
 	// lastEnd is the number of the last end that was received, durableEnd that of the last one that
 	// the owner has made durable.
 	lastEnd    int
@@ -212,6 +214,7 @@
 
 func (e *executor) add(r *run) {
 	e.runs[r.order.Run] = r
+	e.sorted = nil
 	e.reserved = e.reserved.Add(r.reservation())
 }
 
@@ -219,5 +222,6 @@
 	if r := e.runs[ref]; r != nil {
 		e.reserved = e.reserved.Sub(r.reservation())
 		delete(e.runs, ref)
+		e.sorted = nil
 	}
 }
--- a/custodian/orders.go
+++ b/custodian/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -314,14 +315,12 @@
 	}
 }
 
-// sortedRuns returns the runs in a fixed order.
+// sortedRuns returns the runs in a fixed order. The caller must not change the list.
 func (e *executor) sortedRuns() []*run {
-	runs := make([]*run, 0, len(e.runs))
-	for _, r := range e.runs {
-		runs = append(runs, r)
+	if e.sorted == nil {
+		e.sorted = slices.SortedFunc(maps.Values(e.runs), func(a, b *run) int { return compareRuns(a.order.Run, b.order.Run) })
 	}
-	slices.SortFunc(runs, func(a, b *run) int { return compareRuns(a.order.Run, b.order.Run) })
-	return runs
+	return e.sorted
 }
 
 func compareRuns(a, b messenger.RunRef) int {
