Throttle preferred best-effort work last

A start order may say that a run is preferred; agents of versions before ignore that. pacer.Decide lowers the shares of others until serving tasks keep the wanted headroom, and those of preferred runs only once the others that interfere are stopped.

No run is preferred yet.

--- a/custodian/pace.go
+++ b/custodian/pace.go
@@ -23,7 +23,9 @@
 	var runs []*run
 	for _, r := range e.sortedRuns() {
 		if r.order.Fills && r.phase == messenger.RunRunning {
-			bestEffort = append(bestEffort, pacer.BestEffort{Image: r.order.Image, Pace: r.pace, Background: r.order.Background})
+			bestEffort = append(bestEffort, pacer.BestEffort{
+				Image: r.order.Image, Pace: r.pace, Background: r.order.Background, Preferred: r.order.Preferred,
+			})
 			runs = append(runs, r)
 			shares[r.order.Image] += r.share()
 		}
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -1304,6 +1304,9 @@
 	// Text that is passed to the task.
 	Payload string `json:"payload"`
 
+	// Whether other best-effort runs are throttled before this one.
+	Preferred bool `json:"preferred,omitempty,omitzero"`
+
 	// Resource need of the task.
 	Resources Resources `json:"resources"`
 
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -47,6 +47,8 @@
 	Pace  int
 	// Background is set for a task that works at the least pace, as others come before it.
 	Background bool
+	// Preferred is set for a task that is throttled only once all others that interfere are stopped.
+	Preferred bool
 }
 
 // Interference returns the headroom that a best-effort image at full speed takes from a
@@ -83,7 +85,8 @@
 }
 
 // Decide returns the pace, in percent, of each best-effort task. Work with more interference
-// is throttled more; a pace that would hardly change is kept.
+// is throttled more, and preferred work only once the rest is stopped; a pace that would hardly
+// change is kept.
 func Decide(config Config, serving []Serving, bestEffort []BestEffort, interference Interference) []int {
 	shares := make([]float64, len(bestEffort))
 	for i, b := range bestEffort {
@@ -104,22 +107,32 @@
 	return paces
 }
 
-// limitShares lowers shares until their interference with s leaves the wanted headroom.
+// limitShares lowers shares until their interference with s leaves the wanted headroom, those of preferred
+// tasks last.
 func limitShares(config Config, s Serving, bestEffort []BestEffort, interference Interference, shares []float64) {
-	interferences := make([]float64, len(bestEffort))
-	sum := 0.0
+	preferred, others := make([]float64, len(bestEffort)), make([]float64, len(bestEffort))
 	for i, b := range bestEffort {
 		p := interference(s.Image, b.Image)
 		if s.Doubtful {
 			p = max(p, config.AssumedInterference)
 		}
-		if p >= config.NegligibleInterference {
-			interferences[i] = p
-			sum += p * shares[i]
+		switch {
+		case p < config.NegligibleInterference:
+		case b.Preferred:
+			preferred[i] = p
+		default:
+			others[i] = p
 		}
 	}
 	budget := max(0, s.Undisturbed-config.WantedHeadroom)
-	if sum <= budget {
+	limitTo(config, max(0, budget-totalInterference(preferred, shares, 0)), others, shares)
+	limitTo(config, budget, preferred, shares)
+}
+
+// limitTo lowers the shares of tasks with the given interferences, 0 for those that aren't limited, until
+// these sum up to a budget at most.
+func limitTo(config Config, budget float64, interferences, shares []float64) {
+	if totalInterference(interferences, shares, 0) <= budget {
 		return
 	}
 	low, high := 0.0, 1/config.NegligibleInterference
