Repeat lost runs before new work, where they run fastest

Cause: the repeat of a run that was lost with its executor was treated as new best-effort work. It was ordered by the work that is left, placed for an even use of the processors, throttled like others, and, if all executors refused it, waited for 1.5 s and then worked in the background, though its workload had waited for a lease already.

Change: a task that repeats a lost run goes before new work of its class and priority, for up to three losses, as it may be what ends its executors. A best-effort repeat goes where it is expected to run fastest once others are throttled, and of these where it disturbs least; its start order says that it is preferred. A workload without any run starts it at once beyond the bounds, not in the background.

Before, TestRepeatGoesBeforeNewWork, TestRepeatGoesWhereItRunsFastest, TestRepeatEndsInItsOwnTime and TestIdleWorkloadRepeatsAtOnce failed on. TestOftenLostTaskGoesInItsTurn fails without the bound on losses; TestRepeatsSpread passed before.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -84,6 +84,10 @@
 	confirmations  confirmations
 	runs           map[messenger.RunRef]*run
 	steps          []*step
+	// lost holds the tasks whose runs were lost, and may hold others. inheritedLossesKnown is whether it holds
+	// those of earlier owners.
+	lost                 []*task
+	inheritedLossesKnown bool
 	// background holds the background runs, and backgroundTriedAt is when all of them were last tried.
 	background        map[*run]bool
 	backgroundTriedAt time.Time
--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -151,7 +151,7 @@
 	c.logger.Info("executor gone", "executor", e.id, "host", e.host.name, "runs", len(e.runs), "reason", reason)
 	for _, run := range e.runs {
 		if run.task.current == run {
-			run.task.recordLoss(e, c.startedAt)
+			c.recordLoss(run.task, e)
 		}
 		c.release(now, run, reason)
 		c.count("runs.lost")
@@ -162,6 +162,7 @@
 	delete(e.host.executors, e.id)
 	e.host.sorted = nil
 	c.sortedExecutors = nil
+	c.inheritedLossesKnown = false
 	c.recordHost(e.host)
 }
 
@@ -212,7 +213,7 @@
 	}
 	r.task.current = nil
 	if r.ordersNumber == heldOrders {
-		r.task.loss = r.repeats
+		c.setLoss(r.task, r.repeats)
 	}
 	if !r.task.done {
 		r.task.step.waiting++
--- a/conductor/idle.go
+++ b/conductor/idle.go
@@ -31,25 +31,28 @@
 }
 
 // mayStartIdle reports whether a task of a step may start beyond the bounds that only weigh it against other
-// work: its workload has been idle for too long, and most of the service is free.
+// work: its workload has been idle for too long, or since a run was lost that the task repeats, and most of the
+// service is free.
 func (p *schedulingPass) mayStartIdle(s *step, service string) bool {
 	if !s.spec.Fills && !s.spec.Lasting {
 		return false // Nothing but room and its constraints hold it.
 	}
 	config := p.conductor.config
-	return s.idleFor(p.now) >= config.MaxIdle && p.utilizationOf(service) < config.MaxIdleUtilization
+	idle := s.idleFor(p.now) >= config.MaxIdle || p.repeatsOnly && s.occurrence.workload.runs == 0
+	return idle && p.utilizationOf(service) < config.MaxIdleUtilization
 }
 
 // startIdle starts one task of a step whose workload has been idle for too long, or its gang, on the
 // executor of a pool where that harms least. A best-effort task works in the background, at the
-// least pace, until there is room for its work, so that it takes little of what comes first.
+// least pace, until there is room for its work, so that it takes little of what comes first. One that repeats a
+// lost run comes first itself.
 func (p *schedulingPass) startIdle(s *step, service string, pool []*executor) {
 	if !p.mayStartIdle(s, service) {
 		return
 	}
 	c := p.conductor
 	idle := s.idleFor(p.now)
-	p.beyondBounds, s.startsInBackground = true, s.spec.Fills
+	p.beyondBounds, s.startsInBackground = true, s.spec.Fills && !p.repeatsOnly
 	defer func() { p.beyondBounds, s.startsInBackground = false, false }()
 	if s.spec.Gang {
 		p.startGang(s, pool)
@@ -85,9 +88,8 @@
 	if !s.spec.Fills {
 		return c.stepCost(p.now, s, e, 0), true
 	}
-	crowding := float64(e.bestEffort-e.bestEffortIdle+s.need.ProcessorMillis()) / max(1, c.expectedUnused(e))
 	lacking := max(0, c.config.MinStartHeadroom-c.startHeadroom(p.now, s.spec.Image, e))
-	return min(crowding, maxCrowding) + costHarm*lacking - speedWeight*p.outlook(s.spec.Image, e).speed + c.faultCost(p.now, s, e), true
+	return min(p.crowding(s, e), maxCrowding) + costHarm*lacking - speedWeight*p.outlook(s.spec.Image, e).speed + c.faultCost(p.now, s, e), true
 }
 
 // utilizationOf returns the share of a service's processors, 0 to 1, that other tasks than best-effort ones
--- a/conductor/interference.go
+++ b/conductor/interference.go
@@ -146,6 +146,17 @@
 // expectedSpeed returns the share of full speed, 0 to 1, at which one more task of a best-effort
 // image is expected to run beside the serving tasks on an executor.
 func (c *Conductor) expectedSpeed(image string, e *executor) float64 {
+	return c.speedBeside(image, e, func(*run) bool { return true })
+}
+
+// preferredSpeed is expectedSpeed for a task that is throttled after those that aren't preferred.
+func (c *Conductor) preferredSpeed(image string, e *executor) float64 {
+	return c.speedBeside(image, e, (*run).preferred)
+}
+
+// speedBeside is expectedSpeed for a task that shares what serving tasks leave with the best-effort runs for
+// which shares is true, but for those in the background.
+func (c *Conductor) speedBeside(image string, e *executor, shares func(*run) bool) float64 {
 	speed := 1.0
 	for _, s := range e.runs {
 		spec := s.task.step.spec
@@ -162,7 +173,7 @@
 		}
 		sum := interference
 		for _, bestEffort := range e.runs {
-			if bestEffort.task.step.spec.Fills && !bestEffort.background {
+			if bestEffort.task.step.spec.Fills && !bestEffort.background && shares(bestEffort) {
 				sum += c.appraiser.Interference(spec.Image, bestEffort.task.step.spec.Image)
 			}
 		}
@@ -213,5 +224,6 @@
 		TailTargetMillis: spec.TailTargetMillis,
 		Image:            spec.Image,
 		Background:       r.background,
+		Preferred:        r.preferred(),
 	}
 }
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -33,8 +33,7 @@
 func compareSteps(a, b *step) int {
 	x, y := a.occurrence.workload, b.occurrence.workload
 	return cmp.Or(
-		cmp.Compare(class(a), class(b)),
-		cmp.Compare(x.priority, y.priority),
+		compareClasses(a, b),
 		compareRanks(x.rank, y.rank),
 		x.acceptedAt.Compare(y.acceptedAt),
 		cmp.Compare(x.id, y.id),
@@ -42,6 +41,11 @@
 	)
 }
 
+// compareClasses compares steps by class and priority alone.
+func compareClasses(a, b *step) int {
+	return cmp.Or(cmp.Compare(class(a), class(b)), cmp.Compare(a.occurrence.workload.priority, b.occurrence.workload.priority))
+}
+
 // class returns 1 for best-effort steps, which come after all others, and 0 for others.
 func class(s *step) int {
 	if s.spec.Fills {
--- a/conductor/repeat.go
+++ b/conductor/repeat.go
@@ -16,12 +16,21 @@
 }
 
 // recordLoss records that the current run of a task is lost with its executor.
-func (t *task) recordLoss(e *executor, startedAt time.Time) {
+func (c *Conductor) recordLoss(t *task, e *executor) {
 	heardAt := e.reportedAt
 	if heardAt.IsZero() {
-		heardAt = startedAt
+		heardAt = c.startedAt
+	}
+	t.losses++
+	c.setLoss(t, &loss{executor: e.id, heardAt: heardAt})
+}
+
+// setLoss sets the loss of a task's last run; nil for none.
+func (c *Conductor) setLoss(t *task, l *loss) {
+	t.loss = l
+	if l != nil {
+		c.lost = append(c.lost, t)
 	}
-	t.loss = &loss{executor: e.id, heardAt: heardAt}
 }
 
 // inheritedLoss returns the loss of a run that an earlier owner may have started on an executor that is gone;
--- a/conductor/schedule.go
+++ b/conductor/schedule.go
@@ -24,7 +24,7 @@
 	unreserved map[string]map[string]int64
 	// outlooks holds what best-effort images are expected to do on executors, until a start changes
 	// that.
-	outlooks map[*executor]map[string]outlook
+	outlooks map[*executor]map[outlookKey]outlook
 	// utilizations holds, by service, the share of its processors that are in use; a service is missing
 	// until that is needed.
 	utilizations map[string]float64
@@ -32,12 +32,22 @@
 	background []*run
 	// backgroundMoves is for how many of these room elsewhere may still be looked for.
 	backgroundMoves int
+	// repeating holds the steps with tasks that repeat lost runs and that are still to be tried, in order;
+	// repeatsOnly is whether only such tasks may start.
+	repeating   []*step
+	repeatsOnly bool
 	// beyondBounds is whether a task may start beyond the bounds that only weigh it against other work.
 	beyondBounds bool
 	// evaluated counts the evaluations of executors.
 	evaluated int64
 }
 
+// outlookKey identifies an outlook on an executor. preferred is whether others are throttled first.
+type outlookKey struct {
+	image     string
+	preferred bool
+}
+
 // outlook is what one more task of a best-effort image is expected to do on an executor.
 type outlook struct {
 	speed float64
@@ -68,8 +78,9 @@
 		now:        now,
 		changed:    c.takeChangedExecutors(),
 		unreserved: map[string]map[string]int64{},
-		outlooks:   map[*executor]map[string]outlook{},
+		outlooks:   map[*executor]map[outlookKey]outlook{},
 		background: background,
+		repeating:  c.repeatingSteps(),
 	}
 	if all {
 		p.backgroundMoves = maxBackgroundMoves
@@ -80,6 +91,7 @@
 			s.queued = false
 			return true
 		}
+		p.repeatBefore(s)
 		p.promoteBefore(s)
 		p.scheduleStep(s)
 		s.queued = s.waiting > 0
@@ -234,6 +246,9 @@
 
 // mayStart reports whether a task waits for nothing but an executor.
 func (p *schedulingPass) mayStart(t *task) bool {
+	if p.repeatsOnly && !t.repeatsFirst() {
+		return false
+	}
 	return !t.done && t.current == nil && !p.now.Before(t.notBefore) && !p.conductor.awaitsExecutors(t)
 }
 
@@ -276,11 +291,13 @@
 	if p.refusal(s, e) != "" {
 		return 0, false
 	}
-	speed := 0.0
-	if s.spec.Fills {
-		speed = p.outlook(s.spec.Image, e).speed
+	switch {
+	case s.spec.Fills && p.repeatsOnly:
+		return p.repeatCost(s, e), true
+	case s.spec.Fills:
+		return p.conductor.stepCost(p.now, s, e, p.outlook(s.spec.Image, e).speed), true
 	}
-	return p.conductor.stepCost(p.now, s, e, speed), true
+	return p.conductor.stepCost(p.now, s, e, 0), true
 }
 
 // refusal returns the reason, one of refusals, for which a task of a step may not start on an executor;
@@ -305,17 +322,25 @@
 	return ""
 }
 
-// outlook returns what one more task of a best-effort image is expected to do on an executor.
+// outlook returns what one more task of a best-effort image is expected to do on an executor. One that repeats
+// a lost run may start in spite of the headroom that others take, as they are throttled first.
 func (p *schedulingPass) outlook(image string, e *executor) outlook {
-	if o, ok := p.outlooks[e][image]; ok {
+	key := outlookKey{image: image, preferred: p.repeatsOnly}
+	if o, ok := p.outlooks[e][key]; ok {
 		return o
 	}
 	c := p.conductor
-	o := outlook{speed: c.expectedSpeed(image, e), placeable: c.suitable(p.now, image, e)}
+	var o outlook
+	if p.repeatsOnly {
+		o.speed = c.preferredSpeed(image, e)
+		o.placeable = o.speed >= c.config.MinSpeed
+	} else {
+		o = outlook{speed: c.expectedSpeed(image, e), placeable: c.suitable(p.now, image, e)}
+	}
 	if p.outlooks[e] == nil {
-		p.outlooks[e] = map[string]outlook{}
+		p.outlooks[e] = map[outlookKey]outlook{}
 	}
-	p.outlooks[e][image] = o
+	p.outlooks[e][key] = o
 	return o
 }
 
--- a/conductor/waits.go
+++ b/conductor/waits.go
@@ -331,5 +331,5 @@
 
 // newPass returns a pass at a time that starts nothing and knows no changed executors.
 func (c *Conductor) newPass(now time.Time) *schedulingPass {
-	return &schedulingPass{conductor: c, now: now, unreserved: map[string]map[string]int64{}, outlooks: map[*executor]map[string]outlook{}}
+	return &schedulingPass{conductor: c, now: now, unreserved: map[string]map[string]int64{}, outlooks: map[*executor]map[outlookKey]outlook{}}
 }
--- a/conductor/workload.go
+++ b/conductor/workload.go
@@ -99,7 +99,9 @@
 	// wait is since when and why a long-running task has no run; nil for any other task.
 	wait *wait
 	// loss is the loss of the task's last run; nil if that ended otherwise or the task has another run.
-	loss *loss
+	// losses counts the runs that were lost with executors that this owner knew.
+	loss   *loss
+	losses int
 	// placement is where the task may run. Without one it was never started, unless the journal's
 	// placements are not complete.
 	placement *placement
