Order starts only under leases that were renewed

A resumed host's first whole report renews no lease, and the host counts as usable as soon as the record is durable. Orders then carried the ticket of that report, or, after a report of ends alone, one that counts from the zero time: it overflows at the agent, which accepts the start at any age. The owner gives the run up when the inherited leases have ended, 4.4 s after the claim, and starts the task elsewhere.

Orders with starts now carry a ticket that the agent refuses until a whole report has renewed leases, and none older than what that one granted. Orders without starts go by the proof, as before.

--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -39,11 +39,13 @@
 	listedAt        time.Time
 	processedOrders int
 	// reportTicket is the ticket of the last report, and refusalsThrough the number of the last refusal
-	// that was applied. Orders carry orderTicket, which is earlier by as much as the leases are shorter, so
-	// that the agent accepts none for longer than the leases last.
+	// that was applied. Orders carry startTicket or, without starts, stopTicket, which are earlier by as much as
+	// the leases are shorter.
 	reportTicket int
-	orderTicket  int
-	// grantedFrom is the time from which the leases count that the last whole report renewed.
+	startTicket  int
+	stopTicket   int
+	// renewed is whether the last whole report renewed leases, and grantedFrom the time from which these count.
+	renewed         bool
 	grantedFrom     time.Time
 	refusalsThrough int
 	sentOrders      sentOrders
@@ -330,6 +332,9 @@
 	})
 	h.sentOrders.record(undelivered.Number, h.reportTicket)
 	orders = *undelivered
-	orders.TicketMillis = h.orderTicket
+	orders.TicketMillis = h.stopTicket
+	if len(orders.Starts) > 0 {
+		orders.TicketMillis = h.startTicket
+	}
 	return orders, h.address, true
 }
--- a/conductor/lease.go
+++ b/conductor/lease.go
@@ -109,16 +109,26 @@
 	return now
 }
 
-// updateOrderTicket updates the ticket that orders to a host carry, so that its agent accepts them only until the
-// leases end that the last whole report renewed: the owner gives up what it ordered after that.
-func (c *Conductor) updateOrderTicket(now, provenAt time.Time, h *host, r messenger.Report) {
+// updateOrderTickets updates the tickets that orders to a host carry. Its agent accepts starts only until the leases
+// end that the last whole report renewed, as the owner gives up what it started after that: none if that one
+// renewed none. Stops may come later, and go by the proof alone.
+func (c *Conductor) updateOrderTickets(now, provenAt time.Time, h *host, r messenger.Report) {
 	from := c.grantBase(now, provenAt, h)
-	switch {
-	case !c.mayRenew(h):
-	case r.Whole:
+	if r.Whole {
+		h.renewed = c.mayRenew(h)
 		h.grantedFrom = from
-	case h.grantedFrom.Before(from):
-		from = h.grantedFrom
 	}
-	h.orderTicket = r.TicketMillis - int(now.Sub(from).Milliseconds())
+	h.stopTicket = r.TicketMillis - int(now.Sub(from).Milliseconds())
+	age := c.config.Lease + time.Second // The agent refuses it.
+	if h.renewed {
+		age = min(age, now.Sub(earliest(from, h.grantedFrom)))
+	}
+	h.startTicket = r.TicketMillis - int(age.Milliseconds())
+}
+
+func earliest(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
 }
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -38,7 +38,7 @@
 	if c.showsHealthyHost(r) {
 		c.resumeHost(now, h)
 	}
-	c.updateOrderTicket(now, provenAt, h, r)
+	c.updateOrderTickets(now, provenAt, h, r)
 	switch {
 	case r.Whole:
 		c.applyRefusals(now, h, r)
