Count no first reply of an entry as a proof of its past

An entry that this owner never heard may have claimed, acted and restarted. The reply of its new process, which knows of no claim until it has read the store, was a proof at once, as only processes after one that had replied were accounted for: an owner without authority got it back. The store's next accepted append accounts for it now.

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -470,7 +470,7 @@
 	if p == nil || p.ping.Member != ping.Member {
 		return
 	}
-	if p.repliedAsOf.IsZero() && !p.stateAsOf.IsZero() {
+	if p.repliedAsOf.IsZero() {
 		e.accountForEnd(now, p)
 	}
 	p.repliedAsOf = latest(p.repliedAsOf, sent)
@@ -525,7 +525,8 @@
 	p.goneAsOf = latest(p.goneAsOf, sent)
 }
 
-// accountForEnd records that a process of a peer ended between p.stateAsOf and now. One that was out of
+// accountForEnd records that a process of a peer may have ended between p.stateAsOf, or any time if this entry never
+// had its reply, and now. One that was out of
 // sight for less than OwnerTimeout counts as one that has not claimed. That is not proven: an entry
 // whose pings the owner refuses claims earlier.
 func (e *Elector) accountForEnd(now time.Time, p *peer) {
