--- a/conductor/config.go
+++ b/conductor/config.go
@@ -12,8 +12,8 @@
 	// Lease is how long the runs of a host continue at most after it sent the last report whose reply
 	// renewed their lease, and after the owner's latest proof by then that it had no successor.
 	Lease time.Duration
-	// Margin is added to Lease before the runs of a host that doesn't report count as ended. It
-	// covers the clock of an executor, which may run 2% slow, and the delay of messages.
+	// Margin is added to Lease before the runs of a host that doesn't report count as ended. It covers the
+	// difference between the clocks of its agent and of owners, and the time in which an executor ends its runs.
 	Margin time.Duration
 	// Authority is how long an earlier owner may have continued to act after it was fenced.
 	Authority time.Duration
