Check the invariants under delays with owners that prove late

The simulation's current owner always had a proof of the moment, so that its leases were of full length but for those of an owner that is cut off. TestInvariantsUnderDelaysWithOldProofs runs the same faults with proofs of up to 1.8 s, which vary from report to report. TestInvariantsUnderDelays is unchanged but for its body, which moved into a function of both.

--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -914,54 +914,73 @@
 	for seed := range uint64(delaySeeds(t)) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			sim := newSimulation(t, seed, 2+int(seed%4))
-			r := sim.random
-			sim.network = &modelNetwork{maxDelay: time.Duration(1+r.IntN(40)) * time.Millisecond}
-			sim.run(2 * time.Second)
-			sim.network.lateShare = []float64{0, 0.01, 0.05}[r.IntN(3)]
-			for _, h := range sim.hosts {
-				h.executor.clockLag = 0.02 * float64(r.IntN(2))
-			}
-			faults := sim.delayFaults()
-			sim.submit(watchQueue, "watch", tasks(3, 1000, time.Hour, longRunning))
-			for i := range 12 {
-				d := time.Duration(200+r.IntN(3000)) * time.Millisecond
-				switch id := fmt.Sprint("job", i); r.IntN(4) {
-				case 0:
-					sim.submitScheduled(batchQueue, id, time.Second, time.Second, 4, tasks(2, 1000, d))
-				case 1:
-					sim.submit(batchQueue, id, tasks(4, 1000, d, func(s *messenger.StepSpec) { s.Gang = true }))
-				case 2:
-					sim.submit(batchQueue, id, tasks(8, 1000, d, func(s *messenger.StepSpec) { s.Checkpoints = true }), tasks(4, 1000, d, after(0)))
-				default:
-					sim.submit(batchQueue, id, tasks(20, 500, d))
-				}
-				for range r.IntN(3) {
-					faults[r.IntN(len(faults))]()
-				}
-				sim.run(time.Duration(r.IntN(1500)) * time.Millisecond)
-				if r.IntN(3) == 0 {
-					sim.clearFaults()
-				}
-			}
-			sim.clearFaults()
-			sim.network.lateShare = 0
-			for i := range 12 {
-				// A workload that was never durable is lost with its owner; its sender repeats it.
-				sim.submitSpec(batchQueue, fmt.Sprint("job", i), sim.specs[fmt.Sprint("job", i)])
-			}
-			sim.runUntil(2*time.Minute, func() bool {
-				for i := range 12 {
-					if sim.state(fmt.Sprint("job", i)) != messenger.WorkloadCompleted {
-						return false
-					}
-				}
-				return sim.running("watch") == 3
-			})
+			checkInvariantsUnderDelays(t, seed, 0)
+		})
+	}
+}
+
+// TestInvariantsUnderDelaysWithOldProofs guards against tasks that run twice, or don't end, as leases are short and of
+// varying length: owners prove late that they have no successor.
+func TestInvariantsUnderDelaysWithOldProofs(t *testing.T) {
+	const seeds, proofAge = 5, 1800 * time.Millisecond
+	for seed := range uint64(seeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			checkInvariantsUnderDelays(t, seed, proofAge)
 		})
 	}
 }
 
+// checkInvariantsUnderDelays is one seed of TestInvariantsUnderDelays, with proofs of up to proofAge.
+func checkInvariantsUnderDelays(t *testing.T, seed uint64, proofAge time.Duration) {
+	t.Helper()
+	sim := newSimulation(t, seed, 2+int(seed%4))
+	sim.proofAge = proofAge
+	r := sim.random
+	sim.network = &modelNetwork{maxDelay: time.Duration(1+r.IntN(40)) * time.Millisecond}
+	sim.run(2 * time.Second)
+	sim.network.lateShare = []float64{0, 0.01, 0.05}[r.IntN(3)]
+	for _, h := range sim.hosts {
+		h.executor.clockLag = 0.02 * float64(r.IntN(2))
+	}
+	faults := sim.delayFaults()
+	sim.submit(watchQueue, "watch", tasks(3, 1000, time.Hour, longRunning))
+	for i := range 12 {
+		d := time.Duration(200+r.IntN(3000)) * time.Millisecond
+		switch id := fmt.Sprint("job", i); r.IntN(4) {
+		case 0:
+			sim.submitScheduled(batchQueue, id, time.Second, time.Second, 4, tasks(2, 1000, d))
+		case 1:
+			sim.submit(batchQueue, id, tasks(4, 1000, d, func(s *messenger.StepSpec) { s.Gang = true }))
+		case 2:
+			sim.submit(batchQueue, id, tasks(8, 1000, d, func(s *messenger.StepSpec) { s.Checkpoints = true }), tasks(4, 1000, d, after(0)))
+		default:
+			sim.submit(batchQueue, id, tasks(20, 500, d))
+		}
+		for range r.IntN(3) {
+			faults[r.IntN(len(faults))]()
+		}
+		sim.run(time.Duration(r.IntN(1500)) * time.Millisecond)
+		if r.IntN(3) == 0 {
+			sim.clearFaults()
+		}
+	}
+	sim.clearFaults()
+	sim.network.lateShare = 0
+	for i := range 12 {
+		// A workload that was never durable is lost with its owner; its sender repeats it.
+		sim.submitSpec(batchQueue, fmt.Sprint("job", i), sim.specs[fmt.Sprint("job", i)])
+	}
+	sim.runUntil(2*time.Minute, func() bool {
+		for i := range 12 {
+			if sim.state(fmt.Sprint("job", i)) != messenger.WorkloadCompleted {
+				return false
+			}
+		}
+		return sim.running("watch") == 3
+	})
+}
+
 // TestLateStartAfterCutDoesNotDouble cuts hosts off until the owner has started their tasks
 // elsewhere, while most calls to executors get no answer and are carried out seconds later. After the
 // cut neither such a start nor its repetition by the agent may run a task a second time.
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -68,6 +68,8 @@
 	undelivered map[string][]*messenger.Orders
 	// provenAt is when the store was last online for the owner.
 	provenAt time.Time
+	// proofAge is the greatest age of the current owner's latest proof that it has no successor.
+	proofAge time.Duration
 	// isolated is an earlier owner that is cut off from the store; nil if there is none.
 	isolated *isolatedOwner
 	// doneTasks holds the tasks that an executor has ended as done, acknowledged those of
@@ -595,7 +597,8 @@
 	if sim.isolated != nil && owner == sim.isolated.conductor {
 		return sim.isolated.provenAt
 	}
-	return sim.now
+	age := sim.proofAge / 2 * (sim.now.Sub(origin) / tickInterval % 3)
+	return sim.now.Add(-age)
 }
 
 // deliver sends the orders of an owner to the hosts that it reaches, in the order of their
