Draw owners that the store alone proves in the simulation

The current owner's proof was always that of the moment in the simulation, so that no random case had shortened leases or tickets but at an isolated owner.

--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -859,6 +859,7 @@
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		sim := newSimulation(t, rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 4).Draw(t, "hosts"))
+		sim.storeAlone = rapid.Bool().Draw(t, "storeAlone")
 		sim.run(2 * time.Second)
 		workloads := rapid.IntRange(1, 5).Draw(t, "jobs")
 		for i := range workloads {
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -68,6 +68,8 @@
 	undelivered map[string][]*messenger.Orders
 	// provenAt is when the store was last online for the owner.
 	provenAt time.Time
+	// storeAlone is whether an entry is out of reach, so that the store alone proves that the owner has no successor.
+	storeAlone bool
 	// isolated is an earlier owner that is cut off from the store; nil if there is none.
 	isolated *isolatedOwner
 	// doneTasks holds the tasks that an executor has ended as done, acknowledged those of
@@ -589,12 +591,15 @@
 	return reply
 }
 
-// proofOf returns the latest proof of an owner that it has no successor: the current one is reached by the store or by
-// all other entries.
+// proofOf returns the latest proof of an owner that it has no successor: the current one is reached by the store, or by
+// all other entries unless the store alone proves that.
 func (sim *simulation) proofOf(owner *conductor.Conductor) time.Time {
 	if sim.isolated != nil && owner == sim.isolated.conductor {
 		return sim.isolated.provenAt
 	}
+	if sim.storeAlone {
+		return sim.provenAt
+	}
 	return sim.now
 }
 
