Let the store alone prove the authority of an owner without peers

An owner that knew no other entry counted as proven at any time: it acted, and granted full leases, for good without the store, though an entry that joined behind a cut may have claimed. ProvenThrough knew of that, the authority and the leases didn't.

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -602,8 +602,11 @@
 
 // peersProvenAt returns the latest time at which no other entry knew of a later epoch; the zero
 // time if one does, has never replied to a ping, or may have claimed, unseen, before its process
-// ended. The store alone can prove then that it hasn't.
+// ended, or if no other entry is known. The store alone can prove then that it hasn't.
 func (e *Elector) peersProvenAt(now time.Time) time.Time {
+	if len(e.peers) == 0 {
+		return time.Time{}
+	}
 	provenAt := now
 	for _, p := range e.peers {
 		unaccounted := !p.unaccountedAt.IsZero() && !e.appendSentAt.After(p.unaccountedAt)
--- a/elector/proof_unknown_test.go
+++ b/elector/proof_unknown_test.go
@@ -25,3 +25,17 @@
 		t.Errorf("authority before and after the reply (-want +got):\n%s", diff)
 	}
 }
+
+// TestOwnerWithoutPeersNeedsStore guards against an owner that acts, and grants leases, for good without the store:
+// an entry that it hasn't heard of may have joined, and claimed, behind a cut.
+func TestOwnerWithoutPeersNeedsStore(t *testing.T) {
+	config := elector.DefaultConfig()
+	s := newFixture()
+	s.RecordClaim(s.now, s.now, 1)
+	s.advance(config.AuthorityTimeout-50*time.Millisecond, false)
+	before := s.HasAuthority(s.now)
+	s.advance(100*time.Millisecond, false)
+	if diff := cmp.Diff([]bool{true, false}, []bool{before, s.HasAuthority(s.now)}); diff != "" {
+		t.Errorf("authority shortly before and after it should end (-want +got):\n%s", diff)
+	}
+}
