--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -70,6 +70,8 @@
 	provenAt time.Time
 	// proofAge is the greatest age of the current owner's latest proof that it has no successor.
 	proofAge time.Duration
+	// storeAlone is whether an entry is out of reach, so that the store alone proves that the owner has no successor.
+	storeAlone bool
 	// isolated is an earlier owner that is cut off from the store; nil if there is none.
 	isolated *isolatedOwner
 	// doneTasks holds the tasks that an executor has ended as done, acknowledged those of
@@ -595,12 +597,15 @@
 	return reply
 }
 
-// proofOf returns the latest proof of an owner that it has no successor: the current one is reached by the store or by
-// all other entries.
+// proofOf returns the latest proof of an owner that it has no successor: the current one is reached by the store, or by
+// all other entries unless the store alone proves that.
 func (sim *simulation) proofOf(owner *conductor.Conductor) time.Time {
 	if sim.isolated != nil && owner == sim.isolated.conductor {
 		return sim.isolated.provenAt
 	}
+	if sim.storeAlone {
+		return sim.provenAt
+	}
 	age := sim.proofAge / 2 * (sim.now.Sub(origin) / tickInterval % 3)
 	return sim.now.Add(-age)
 }
