Count lost hosts in the use of a service

Cause: MaxIdleUtilization, up to which a best-effort job without a run gets one beyond the bounds, was taken of the executors that are left.

Change: executors that were given up as their leases expired count in the capacity until their host reports again or is dropped. A successor doesn't know those that its predecessor gave up.

Result (aarch64): TestIdleWorkloadStartsWhileHostsAreLost fails before and passes; go test ./conductor -run 'TestRepeatOfLostRun|Idle|BusyService|Promises|TestUnheard' passes, without -race, beside other load.

--- a/conductor/first_step_test.go
+++ b/conductor/first_step_test.go
@@ -69,7 +69,6 @@
 // service seems in use, once the long-running tasks of a lost host have moved to the others: users count
 // what is in use against the whole service.
 func TestIdleWorkloadStartsWhileHostsAreLost(t *testing.T) {
-	knownRed(t)
 	sim := newSimulation(t, 1, 4)
 	sim.run(6 * time.Second)
 	sim.submit(watchQueue, "lasting", tasks(31, 1000, time.Hour, longRunning))
--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -51,6 +51,9 @@
 	executors   map[string]*executor
 	// sorted caches the executors in order of their ids; nil after a change.
 	sorted []*executor
+	// lost holds the executors, by id, that this owner has given up as their leases expired. The host may be cut
+	// off, and they are part of the service until it reports again or is dropped.
+	lost map[string]*executor
 }
 
 // executor is one incarnation of an executor.
@@ -110,7 +113,7 @@
 }
 
 func newHost(now time.Time, name, address string) *host {
-	return &host{name: name, address: address, lastReportAt: now, executors: map[string]*executor{}, replaced: map[string]bool{}}
+	return &host{name: name, address: address, lastReportAt: now, executors: map[string]*executor{}, replaced: map[string]bool{}, lost: map[string]*executor{}}
 }
 
 // executorsByID returns the executors of the host in order of their ids. The caller must not
@@ -285,6 +288,7 @@
 		case !now.After(e.leaseEnd):
 		case provenAt.After(e.leaseEnd):
 			c.removeExecutor(now, e, "its leases have expired")
+			h.lost[e.id] = e
 		default:
 			// A successor may have renewed the leases before they expired.
 			e.reachable = false
--- a/conductor/idle.go
+++ b/conductor/idle.go
@@ -106,7 +106,7 @@
 
 // utilizationOf returns the share of a service's processors, 0 to 1, that other tasks than best-effort ones
 // take, or that of its memory that all tasks take if that is larger. It counts the executors that may get no
-// tasks, too.
+// tasks, too, and the capacity of those that are given up as their leases have expired: they may be cut off.
 func (p *schedulingPass) utilizationOf(service string) float64 {
 	if u, ok := p.utilizations[service]; ok {
 		return u
@@ -117,6 +117,13 @@
 			allocated, capacity = allocated.Add(e.allocated), capacity.Add(e.capacity)
 		}
 	}
+	for _, h := range p.conductor.hosts {
+		for _, e := range h.lost {
+			if e.service == service {
+				capacity = capacity.Add(e.capacity)
+			}
+		}
+	}
 	u := max(
 		float64(allocated.ProcessorMillis())/float64(max(1, capacity.ProcessorMillis())),
 		float64(allocated.MemoryBytes())/float64(max(1, capacity.MemoryBytes())),
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -161,6 +161,7 @@
 
 func (c *Conductor) updateExecutors(now time.Time, h *host, r messenger.Report) {
 	h.listedAt = now
+	clear(h.lost)
 	r.Gone, r.Executors = c.withoutReborn(now, h, r)
 	for _, gone := range r.Gone {
 		if e := h.executors[gone.Id]; e != nil && e.incarnation == gone.Born {
