--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -51,6 +51,9 @@
 	executors   map[string]*executor
 	// sorted caches the executors in order of their ids; nil after a change.
 	sorted []*executor
+	// lost holds the executors, by id, that this owner has given up as their leases expired. The host may be cut
+	// off, and they are part of the service until it reports again or is dropped.
+	lost map[string]*executor
 }
 
 // executor is one incarnation of an executor.
@@ -110,7 +113,7 @@
 }
 
 func newHost(now time.Time, name, address string) *host {
-	return &host{name: name, address: address, lastReportAt: now, executors: map[string]*executor{}, replaced: map[string]bool{}}
+	return &host{name: name, address: address, lastReportAt: now, executors: map[string]*executor{}, replaced: map[string]bool{}, lost: map[string]*executor{}}
 }
 
 // executorsByID returns the executors of the host in order of their ids. The caller must not
@@ -153,7 +156,14 @@
 		if run.task.current == run {
 			run.task.recordLoss(e, c.startedAt)
 		}
+		w := run.task.step.occurrence.workload
+		idleSince := w.idleSince
 		c.release(now, run, reason)
+		// The run may have ended right after the last list of it.
+		w.idleSince = idleSince
+		if e.reportedAt.After(idleSince) {
+			w.idleSince = e.reportedAt
+		}
 		c.count("runs.lost")
 	}
 	delete(c.changedExecutors, e)
@@ -181,7 +191,11 @@
 	c.runs[r.ref] = r
 	r.executor.runs[r.ref] = r
 	r.executor.allocate(r.task.step, 1)
-	r.task.step.occurrence.workload.runs++
+	w := r.task.step.occurrence.workload
+	w.runs++
+	if r.repeats != nil {
+		w.repeats++
+	}
 	if r.background {
 		c.background[r] = true
 		r.setIdle(r.task.step.need.ProcessorMillis())
@@ -202,6 +216,9 @@
 	r.executor.allocate(r.task.step, -1)
 	w := r.task.step.occurrence.workload
 	w.runs--
+	if r.repeats != nil {
+		w.repeats--
+	}
 	w.idleSince = now
 	c.changedExecutors[r.executor] = true
 	if r.task.originalRun == r {
@@ -271,6 +288,7 @@
 		case !now.After(e.leaseEnd):
 		case provenAt.After(e.leaseEnd):
 			c.removeExecutor(now, e, "its leases have expired")
+			h.lost[e.id] = e
 		default:
 			// A successor may have renewed the leases before they expired.
 			e.reachable = false
