--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -114,6 +114,8 @@
 	isolated  bool
 	agentDown bool
 	executor  *modelExecutor
+	// oldAgent is whether the agent is of a version that counts the full lease from each report.
+	oldAgent bool
 	// unheard is whether nothing reaches the agent from owners, while its own messages do arrive.
 	unheard bool
 	// deaf is whether no orders reach the agent, while the replies to its reports do.
@@ -128,7 +130,10 @@
 type isolatedOwner struct {
 	conductor   *conductor.Conductor
 	undelivered map[string][]*messenger.Orders
-	provenAt    time.Time
+	// provenAt is its latest proof that it has no successor.
+	provenAt time.Time
+	// unbounded is whether it is of a version that doesn't bound leases by that proof.
+	unbounded bool
 }
 
 func (o *isolatedOwner) hasAuthority(now time.Time) bool {
@@ -143,7 +148,9 @@
 	deadline    time.Duration
 	capacity    apricotwinch.Resources
 	runs        map[messenger.RunRef]*modelRun
-	ends        []messenger.RunEnd
+	// sorted caches the runs in the order of their text; nil after a change.
+	sorted []messenger.RunRef
+	ends   []messenger.RunEnd
 	// barredThrough holds, by task, the highest number of a run that may not start any more.
 	barredThrough map[messenger.TaskRef]int
 	lastEnd       int
@@ -185,7 +192,9 @@
 
 // modelRun is one run on a modelExecutor.
 type modelRun struct {
-	order     messenger.StartOrder
+	order messenger.StartOrder
+	// text is the text of the run's reference.
+	text      string
 	remaining time.Duration
 	fails     bool
 	// pace is the share of its speed at which the run works, in percent.
@@ -219,6 +228,13 @@
 	return sim
 }
 
+// useOldAgents gives all hosts agents of the version that counts the full lease from each report.
+func (sim *simulation) useOldAgents() {
+	for _, h := range sim.hosts {
+		h.oldAgent = true
+	}
+}
+
 func catalog() *cataloger.Catalog {
 	queue := func(name string, priority, attempts int) cataloger.Queue {
 		return cataloger.Queue{Name: name, Host: "h", Prefix: "/" + name + "/", Service: service, Priority: priority, MaxAttempts: attempts}
@@ -239,8 +255,14 @@
 // earlier one is known to have stopped.
 func (sim *simulation) replaceOwner(clean bool) {
 	sim.claim()
+	sim.startOwner(clean)
+}
+
+// startOwner is replaceOwner for the last claim.
+func (sim *simulation) startOwner(clean bool) {
 	sim.owner = conductor.New(conductor.DefaultConfig(), sim.epoch, clean, sim.logger, metrics.NewRegistry())
 	sim.owner.SetEpochLog(sim)
+	sim.owner.SetClaimedAt(sim.claims[sim.epoch-1])
 	sim.owner.SetCatalog(catalog())
 	if errs := sim.owner.Restore(sim.now, records(sim.store)); len(errs) > 0 {
 		sim.t.Fatalf("restore: %v", errs)
@@ -303,7 +325,7 @@
 // isolateOwner cuts the owner and some hosts off from the store and the other hosts, and replaces
 // it.
 func (sim *simulation) isolateOwner(hosts ...*modelHost) {
-	sim.isolated = &isolatedOwner{conductor: sim.owner, undelivered: sim.undelivered, provenAt: sim.provenAt}
+	sim.isolated = &isolatedOwner{conductor: sim.owner, undelivered: sim.undelivered, provenAt: sim.now}
 	for _, h := range sim.hosts {
 		h.isolated = slices.Contains(hosts, h)
 	}
@@ -551,11 +573,35 @@
 		sim.sendReport(h, owner)
 		return
 	}
-	report := h.agent.NextReport(sim.now)
-	reply := owner.Report(sim.now, report)
+	reply := sim.applyReport(h, owner, sim.nextReport(h))
 	h.agent.HandleReportAnswer(sim.now, sim.now, reply)
 }
 
+// nextReport returns the next report of a host's agent.
+func (sim *simulation) nextReport(h *modelHost) messenger.Report {
+	report := h.agent.NextReport(sim.now)
+	report.LeaseLengths = report.LeaseLengths && !h.oldAgent
+	return report
+}
+
+// applyReport applies a report at an owner and returns the reply as the agent understands it.
+func (sim *simulation) applyReport(h *modelHost, owner *conductor.Conductor, report messenger.Report) messenger.ReportReply {
+	reply := owner.Report(sim.now, sim.proofOf(owner), report)
+	if h.oldAgent || sim.isolated != nil && owner == sim.isolated.conductor && sim.isolated.unbounded {
+		reply.LeaseMillis = 0
+	}
+	return reply
+}
+
+// proofOf returns the latest proof of an owner that it has no successor: the current one is reached by the store or by
+// all other entries.
+func (sim *simulation) proofOf(owner *conductor.Conductor) time.Time {
+	if sim.isolated != nil && owner == sim.isolated.conductor {
+		return sim.isolated.provenAt
+	}
+	return sim.now
+}
+
 // deliver sends the orders of an owner to the hosts that it reaches, in the order of their
 // numbers.
 func (sim *simulation) deliver(owner *conductor.Conductor, undelivered map[string][]*messenger.Orders, isolated bool) {
@@ -672,7 +718,7 @@
 	}
 	spec := sim.specs[ref.Task.Workload].Steps[ref.Task.Step]
 	remaining := time.Duration(spec.EstimateMillis) * time.Millisecond
-	m.runs[ref] = &modelRun{order: call.Order, remaining: remaining, pace: pacer.FullSpeed, fails: call.Order.Payload == "hopeless"}
+	m.add(&modelRun{order: call.Order, remaining: remaining, pace: pacer.FullSpeed, fails: call.Order.Payload == "hopeless"})
 	sim.checkStart(ref)
 	return answer, nil
 }
@@ -760,8 +806,16 @@
 	return int(100 * (whole - max(0, r.remaining)) / whole)
 }
 
+// add adds a run.
+func (m *modelExecutor) add(r *modelRun) {
+	r.text = fmt.Sprint(r.order.Run)
+	m.runs[r.order.Run] = r
+	m.sorted = nil
+}
+
 func (m *modelExecutor) end(sim *simulation, ref messenger.RunRef, how string) {
 	delete(m.runs, ref)
+	m.sorted = nil
 	m.barredThrough[ref.Task] = max(m.barredThrough[ref.Task], ref.Run)
 	m.lastEnd++
 	m.lapsesAtEnd[m.lastEnd] = m.lapses
@@ -803,19 +857,16 @@
 	}
 }
 
-// refs returns the runs in a fixed order.
+// refs returns the runs in a fixed order. The caller must not change the list.
 func (m *modelExecutor) refs() []messenger.RunRef {
-	refs := make([]messenger.RunRef, 0, len(m.runs))
-	for ref := range m.runs {
-		refs = append(refs, ref)
-	}
-	slices.SortFunc(refs, func(a, b messenger.RunRef) int {
-		if fmt.Sprint(a) < fmt.Sprint(b) {
-			return -1
+	if m.sorted == nil {
+		m.sorted = make([]messenger.RunRef, 0, len(m.runs))
+		for ref := range m.runs {
+			m.sorted = append(m.sorted, ref)
 		}
-		return 1
-	})
-	return refs
+		slices.SortFunc(m.sorted, func(a, b messenger.RunRef) int { return cmp.Compare(m.runs[a].text, m.runs[b].text) })
+	}
+	return m.sorted
 }
 
 // checkStart checks that a task that starts was not done before, and that the steps that it
