--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -39,11 +39,13 @@
 	listedAt        time.Time
 	processedOrders int
 	// reportTicket is the ticket of the last report, and refusalsThrough the number of the last refusal
-	// that was applied. Orders carry orderTicket, which is earlier by as much as the leases are shorter, so
-	// that the agent accepts none for longer than the leases last.
+	// that was applied. Orders carry startTicket or, without starts, stopTicket, which are earlier by as much as
+	// the leases are shorter.
 	reportTicket int
-	orderTicket  int
-	// grantedFrom is the time from which the leases count that the last whole report renewed.
+	startTicket  int
+	stopTicket   int
+	// renewed is whether the last whole report renewed leases, and grantedFrom the time from which these count.
+	renewed         bool
 	grantedFrom     time.Time
 	refusalsThrough int
 	sentOrders      sentOrders
@@ -159,7 +161,7 @@
 	c.logger.Info("executor gone", "executor", e.id, "host", e.host.name, "runs", len(e.runs), "reason", reason)
 	for _, run := range e.runs {
 		if run.task.current == run {
-			run.task.recordLoss(e, c.startedAt)
+			c.recordLoss(run.task, e)
 		}
 		w := run.task.step.occurrence.workload
 		idleSince := w.idleSince
@@ -177,6 +179,7 @@
 	delete(e.host.executors, e.id)
 	e.host.sorted = nil
 	c.sortedExecutors = nil
+	c.inheritedLossesKnown = false
 	c.recordHost(e.host)
 }
 
@@ -234,7 +237,7 @@
 	}
 	r.task.current = nil
 	if r.ordersNumber == heldOrders {
-		r.task.loss = r.repeats
+		c.setLoss(r.task, r.repeats)
 	}
 	if !r.task.done {
 		r.task.step.waiting++
@@ -348,6 +351,9 @@
 	})
 	h.sentOrders.record(undelivered.Number, h.reportTicket)
 	orders = *undelivered
-	orders.TicketMillis = h.orderTicket
+	orders.TicketMillis = h.stopTicket
+	if len(orders.Starts) > 0 {
+		orders.TicketMillis = h.startTicket
+	}
 	return orders, h.address, true
 }
