Start further repeats of an idle workload in the background

Change: that pass may start further repeats of a workload whose runs are all repeats, after MaxIdle and in the background.

--- a/conductor/idle.go
+++ b/conductor/idle.go
@@ -37,24 +37,21 @@
 		return false // Nothing but room and its constraints hold it.
 	}
 	config := p.conductor.config
-	idle := s.idleFor(p.now) >= config.MaxIdle
-	if p.repeatsOnly {
-		idle = s.occurrence.workload.runs == 0
-	}
+	idle := s.idleFor(p.now) >= config.MaxIdle || p.repeatsOnly && s.occurrence.workload.runs == 0
 	return idle && p.utilizationOf(service) < config.MaxIdleUtilization
 }
 
 // startIdle starts one task of a step whose workload has been idle for too long, or its gang, on the
 // executor of a pool where that harms least. A best-effort task works in the background, at the
-// least pace, until there is room for its work, so that it takes little of what comes first. One that repeats a
-// lost run comes first itself.
+// least pace, until there is room for its work, so that it takes little of what comes first. The first one that
+// repeats a lost run comes first itself.
 func (p *schedulingPass) startIdle(s *step, service string, pool []*executor) {
 	if !p.mayStartIdle(s, service) {
 		return
 	}
 	c := p.conductor
 	idle, runs := s.idleFor(p.now), s.occurrence.workload.runs
-	p.beyondBounds, s.startsInBackground = true, s.spec.Fills && !p.repeatsOnly
+	p.beyondBounds, s.startsInBackground = true, s.spec.Fills && !(p.repeatsOnly && runs == 0)
 	defer func() { p.beyondBounds, s.startsInBackground = false, false }()
 	if s.spec.Gang {
 		p.startGang(s, pool)
