--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -186,7 +186,7 @@
 // makeCurrent makes a run the current one of its task and adds it to its executor.
 func (c *Conductor) makeCurrent(now time.Time, r *run) {
 	t := r.task
-	t.current = r
+	t.current, t.loss = r, nil
 	c.endWait(now, r)
 	t.step.waiting--
 	t.highestRun = max(t.highestRun, r.ref.Run)
--- a/conductor/lease.go
+++ b/conductor/lease.go
@@ -17,7 +17,7 @@
 	write    int64
 }
 
-// SetClaimedAt sets when this entry knew that its claim was committed, and told of it to those that asked. It must
+// SetClaimedAt sets when this entry knew that its claim was committed, from when on it answered pings with the later epoch. It must
 // be called before Restore; without it, no time before Restore counts. Each proof of an earlier owner that it
 // has no successor is earlier, and with it the time from which that owner's leases count.
 func (c *Conductor) SetClaimedAt(at time.Time) { c.claimedAt = at }
@@ -61,8 +61,8 @@
 }
 
 // updateLengths updates whether the agent of a host honors the length of a lease. A successor relies on a record
-// that it does, so that one is written only for an agent that follows this owner: it runs since after the
-// claim, and no earlier owner can know a later one.
+// that it does, so that one is written only for an agent that follows this owner: any agent of the host before it
+// has ended, and its leases are older than the record.
 func (c *Conductor) updateLengths(h *host, r messenger.Report) {
 	if !r.Whole {
 		return
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -275,7 +275,7 @@
 		background:   t.step.startsInBackground,
 		repeats:      t.loss,
 	}
-	t.inherited, t.loss = false, nil
+	t.inherited = false
 	c.makeCurrent(now, r)
 	if write > c.durable {
 		c.heldStarts = append(c.heldStarts, heldStart{run: r, write: write})
--- a/conductor/repeat.go
+++ b/conductor/repeat.go
@@ -11,7 +11,7 @@
 // loss is the loss of a task's run with its executor, which nobody hears any more.
 type loss struct {
 	executor string
-	// heardAt is when the executor was last listed to this owner; if it never was, when this owner started.
+	// heardAt is when the executor was last listed to this owner; if it never was, when this owner had claimed.
 	heardAt time.Time
 }
 
@@ -19,7 +19,7 @@
 func (c *Conductor) recordLoss(t *task, e *executor) {
 	heardAt := e.reportedAt
 	if heardAt.IsZero() {
-		heardAt = c.startedAt
+		heardAt = c.claimedAt
 	}
 	t.losses++
 	c.setLoss(t, &loss{executor: e.id, heardAt: heardAt})
@@ -41,7 +41,7 @@
 	}
 	for _, id := range t.placement.executors {
 		if len(c.executorsWithID(id)) == 0 {
-			return &loss{executor: id, heardAt: c.startedAt}
+			return &loss{executor: id, heardAt: c.claimedAt}
 		}
 	}
 	return nil
