--- a/conductor/idle.go
+++ b/conductor/idle.go
@@ -51,7 +51,7 @@
 	}
 	c := p.conductor
 	idle, runs := s.idleFor(p.now), s.occurrence.workload.runs
-	p.beyondBounds, s.startsInBackground = true, s.spec.Fills && !(p.repeatsOnly && runs == 0)
+	p.beyondBounds, s.startsInBackground = true, s.spec.Fills && (!p.repeatsOnly || runs > 0)
 	defer func() { p.beyondBounds, s.startsInBackground = false, false }()
 	if s.spec.Gang {
 		p.startGang(s, pool)
