--- a/conductor/lease.go
+++ b/conductor/lease.go
@@ -17,9 +17,9 @@
 	write    int64
 }
 
-// SetClaimedAt sets when this entry knew that its claim was committed, from when on it answered pings with the later epoch. It must
-// be called before Restore; without it, no time before Restore counts. Each proof of an earlier owner that it
-// has no successor is earlier, and with it the time from which that owner's leases count.
+// SetClaimedAt sets when this entry knew that its claim was committed. From then on it answers pings with the later
+// epoch, so that each proof of an earlier owner that it has no successor is older, and with it the time from which
+// that owner's leases count. It must be called before Restore; without it, no time before Restore counts.
 func (c *Conductor) SetClaimedAt(at time.Time) { c.claimedAt = at }
 
 // restoreBounds restores since when all owners have bounded leases by their proofs. last is the record of
--- a/conductor/preference.go
+++ b/conductor/preference.go
@@ -5,8 +5,8 @@
 	"slices"
 )
 
-// maxPreferredRepeats bounds the lost runs of a task that go before other work when they are repeated: the task itself may be what
-// ends its executors.
+// maxPreferredRepeats bounds the lost runs of a task that go before other work when they are repeated: the task
+// itself may be what ends its executors.
 const maxPreferredRepeats = 3
 
 // repeatsFirst reports whether the next run of a task goes before new work, as it repeats a lost run.
--- a/conductor/repeat_test.go
+++ b/conductor/repeat_test.go
@@ -40,14 +40,14 @@
 	gang := func(s *messenger.StepSpec) { s.Gang = true }
 	config := conductor.DefaultConfig()
 	for _, work := range []struct {
-		name   string
-		first  messenger.StepSpec
-		repeat bool
+		name      string
+		first     messenger.StepSpec
+		scheduled bool
 	}{
 		{name: "ordinary", first: tasks(8, 2000, own)},
 		{name: "best-effort", first: tasks(8, 2000, own, fills)},
 		{name: "gang", first: tasks(8, 2000, own, gang)},
-		{name: "scheduled", first: tasks(8, 2000, own), repeat: true},
+		{name: "scheduled", first: tasks(8, 2000, own), scheduled: true},
 	} {
 		for _, change := range []struct {
 			name   string
@@ -62,7 +62,7 @@
 				sim := newSimulation(t, 1, 6)
 				sim.run(6 * time.Second)
 				steps := []messenger.StepSpec{work.first, tasks(2, 1000, time.Hour, after(0))}
-				if work.repeat {
+				if work.scheduled {
 					sim.submitScheduled(batchQueue, "job", 0, time.Hour, 2, steps...)
 				} else {
 					sim.submit(batchQueue, "job", steps...)
