Name the incarnation, token and deadline in the lines about runs

Adds born to the owner's and the agent's lines about runs and executors, token and deadline to calls without an answer, "executor confirmed" with the end of stray leases, "hold not answered", and "run found" with a counter for a run that this agent didn't start on that incarnation.

--- a/conductor/ends.go
+++ b/conductor/ends.go
@@ -49,7 +49,7 @@
 	}
 	t.highestRun = max(t.highestRun, end.Run.Run)
 	if c.logger.IsInfo() {
-		c.logger.Info("run ended", "run", end.Run, "executor", e.id, "how", end.How, "current", current)
+		c.logger.Info("run ended", "run", end.Run, "executor", e.id, "born", e.incarnation, "how", end.How, "current", current)
 	}
 	c.markStarted(w)
 	switch {
--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -158,7 +158,7 @@
 
 // removeExecutor removes an incarnation of an executor that is gone and releases its runs.
 func (c *Conductor) removeExecutor(now time.Time, e *executor, reason string) {
-	c.logger.Info("executor gone", "executor", e.id, "host", e.host.name, "runs", len(e.runs), "reason", reason)
+	c.logger.Info("executor gone", "executor", e.id, "born", e.incarnation, "host", e.host.name, "runs", len(e.runs), "reason", reason)
 	for _, run := range e.runs {
 		if run.task.current == run {
 			c.recordLoss(run.task, e)
--- a/conductor/placement.go
+++ b/conductor/placement.go
@@ -167,7 +167,7 @@
 	c.count("runs.ordered")
 	c.recordRepeat(now, r)
 	if c.logger.IsInfo() {
-		c.logger.Info("run ordered", "run", r.ref, "executor", e.id, "host", e.host.name, "order", r.ordersNumber,
+		c.logger.Info("run ordered", "run", r.ref, "executor", e.id, "born", e.incarnation, "host", e.host.name, "order", r.ordersNumber,
 			"committed", e.allocated.String(), "filling", e.bestEffort, "resumed", r.resumed)
 	}
 }
--- a/conductor/recovery.go
+++ b/conductor/recovery.go
@@ -152,7 +152,7 @@
 	}
 	c.beginWait(now, r.task, reason)
 	c.count("long_running.freed")
-	c.logger.Info("long-running task freed", "run", r.ref, "executor", r.executor.id, "host", r.executor.host.name, "reason", reason,
+	c.logger.Info("long-running task freed", "run", r.ref, "executor", r.executor.id, "born", r.executor.incarnation, "host", r.executor.host.name, "reason", reason,
 		"runMillis", now.Sub(r.startedAt).Milliseconds())
 }
 
@@ -170,7 +170,7 @@
 		return // It is the first run, or was found in a report and may have run all the time.
 	}
 	metrics.GetOrRegisterTimer("long_running.away", c.registry).Update(now.Sub(w.since))
-	c.logger.Info("long-running task restarted", "run", r.ref, "executor", r.executor.id, "awayMillis", now.Sub(w.since).Milliseconds(), "reason", w.reason)
+	c.logger.Info("long-running task restarted", "run", r.ref, "executor", r.executor.id, "born", r.executor.incarnation, "awayMillis", now.Sub(w.since).Milliseconds(), "reason", w.reason)
 }
 
 // blockedMillis returns for how many milliseconds the step has been blocked; 0 if it is not.
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -196,7 +196,7 @@
 			h.sorted = nil
 			c.sortedExecutors = nil
 			c.recordHost(h)
-			c.logger.Info("executor joined", "executor", e.id, "host", h.name, "dataCentre", e.dc, "rack", e.rack, "capacity", e.capacity.String())
+			c.logger.Info("executor joined", "executor", e.id, "born", e.incarnation, "host", h.name, "dataCentre", e.dc, "rack", e.rack, "capacity", e.capacity.String())
 		}
 		if e.incarnation == record.Born {
 			// An agent that has not seen this epoch yet may still obey the last owner.
@@ -272,7 +272,7 @@
 		// The end of a task that starts again after any end doesn't matter.
 		complete := !state.Incomplete || state.RunsListed && run.task.restartsAlways()
 		if !listed[ref] && follows && complete && e.host.cannotStart(run, processed) {
-			c.logger.Info("run lost", "run", ref, "executor", e.id, "order", run.ordersNumber, "processed", processed)
+			c.logger.Info("run lost", "run", ref, "executor", e.id, "born", e.incarnation, "order", run.ordersNumber, "processed", processed)
 			c.count("runs.lost")
 			c.release(now, run, "lost")
 		}
@@ -353,14 +353,14 @@
 		c.release(now, held, "another run found")
 	}
 	if w.terminal() || t.done || t.current != nil {
-		c.logger.Info("orphaned run", "run", state.Run, "executor", e.id, "state", w.state, "done", t.done)
+		c.logger.Info("orphaned run", "run", state.Run, "executor", e.id, "born", e.incarnation, "state", w.state, "done", t.done)
 		c.count("runs.stray")
 		run.orphaned = true
 		c.track(run)
 		return run
 	}
 	c.makeCurrent(now, run)
-	c.logger.Info("run adopted", "run", state.Run, "executor", e.id, "phase", state.Phase)
+	c.logger.Info("run adopted", "run", state.Run, "executor", e.id, "born", e.incarnation, "phase", state.Phase)
 	c.count("runs.adopted")
 	return run
 }
--- a/custodian/executor.go
+++ b/custodian/executor.go
@@ -199,13 +199,17 @@
 // what came of it: it may still carry the call out.
 func (r *run) inDoubt() bool { return r.confirmedAt.IsZero() && !r.fenced }
 
-func (e *executor) hasRunInDoubt() bool {
+func (e *executor) hasRunInDoubt() bool { return e.countInDoubt() > 0 }
+
+// countInDoubt returns the number of runs in doubt.
+func (e *executor) countInDoubt() int {
+	n := 0
 	for _, r := range e.runs {
 		if r.inDoubt() {
-			return true
+			n++
 		}
 	}
-	return false
+	return n
 }
 
 // listsIncomplete reports whether the executor is reported and may have runs or ends that it has not
--- a/custodian/hold.go
+++ b/custodian/hold.go
@@ -54,6 +54,8 @@
 	if err != nil {
 		if e.unansweredSince.IsZero() {
 			e.unansweredSince = sent
+			c.logger.Info("hold not answered", "executor", e.ID, "born", e.StartedMillis, "token", call.Token, "deadlineMillis", call.Deadline.Milliseconds(),
+				"ackedEnd", call.AckedEnd, "kind", string(apricotwinch.KindOf(err)))
 		}
 		changed := c.handleHoldError(now, e, answer.Answer, err)
 		c.wholeReportDue = c.wholeReportDue || changed
@@ -78,6 +80,10 @@
 		if e.confirmed && e.strayLeaseEnd.IsZero() {
 			e.strayLeaseEnd = c.strayLeaseEnd(now, e)
 		}
+		if e.confirmed {
+			c.logger.Info("executor confirmed", "executor", e.ID, "born", e.StartedMillis, "token", e.token, "clockMillis", e.clock.Milliseconds(),
+				"strayLeaseMillis", e.strayLeaseEnd.Sub(now).Milliseconds())
+		}
 		c.wholeReportDue = true
 	}
 	inDoubt := e.doubt.present()
@@ -121,7 +127,7 @@
 		changed = true
 		metrics.GetOrRegisterCounter("runs.ended."+end.How, c.registry).Inc(1)
 		if c.logger.IsInfo() {
-			c.logger.Info("run ended", "run", end.Run, "executor", e.ID, "how", end.How, "number", end.Number)
+			c.logger.Info("run ended", "run", end.Run, "executor", e.ID, "born", e.StartedMillis, "how", end.How, "number", end.Number)
 		}
 	}
 	return changed
@@ -140,6 +146,9 @@
 		if r == nil {
 			r = &run{order: messenger.StartOrder{Run: state.Run, Executor: e.ID}, phase: messenger.RunRunning, pace: pacer.FullSpeed}
 			e.add(r)
+			metrics.GetOrRegisterCounter("runs.found", c.registry).Inc(1)
+			c.logger.Info("run found", "run", state.Run, "executor", e.ID, "born", e.StartedMillis, "token", e.token, "confirmed", e.confirmed,
+				"clockMillis", e.clock.Milliseconds())
 			changed = true
 		}
 		if r.phase == messenger.RunStarting {
@@ -157,14 +166,14 @@
 			continue
 		}
 		if r.fenced && e.confirmed {
-			c.logger.Info("run never started", "run", ref, "executor", e.ID)
+			c.logger.Info("run never started", "run", ref, "executor", e.ID, "born", e.StartedMillis)
 			c.removeUnlisted(e, r)
 			changed = true
 			continue
 		}
 		gone := !r.confirmedAt.IsZero() && r.confirmedAt.Before(sent) && !r.inFlight
 		if gone && !listed[ref] && r.phase != messenger.RunStarting {
-			c.logger.Info("run no longer listed", "run", ref, "executor", e.ID)
+			c.logger.Info("run no longer listed", "run", ref, "executor", e.ID, "born", e.StartedMillis)
 			c.removeUnlisted(e, r)
 			changed = true
 		}
--- a/custodian/incarnations.go
+++ b/custodian/incarnations.go
@@ -111,7 +111,8 @@
 
 func (c *Custodian) dropExecutor(e *executor, reason string) {
 	c.ended = append(c.ended, endedIncarnation{ExecutorIncarnation: messenger.ExecutorIncarnation{Id: e.ID, Born: e.StartedMillis}, endedAt: c.updatedAt})
-	c.logger.Info("executor dropped", "executor", e.ID, "born", e.StartedMillis, "runs", len(e.runs), "reason", reason)
+	c.logger.Info("executor dropped", "executor", e.ID, "born", e.StartedMillis, "token", e.token, "clockMillis", e.clock.Milliseconds(), "runs", len(e.runs),
+		"inDoubt", e.countInDoubt(), "reason", reason)
 	delete(c.executors, e.ID)
 }
 
--- a/custodian/orders.go
+++ b/custodian/orders.go
@@ -206,7 +206,8 @@
 	default:
 		r.maybeStarted = true
 	}
-	c.logger.Info("start not answered", "run", call.Order.Run, "executor", e.ID, "kind", string(kind), "error", err)
+	c.logger.Info("start not answered", "run", call.Order.Run, "executor", e.ID, "born", call.Born, "token", call.Token,
+		"deadlineMillis", call.Deadline.Milliseconds(), "kind", string(kind), "error", err)
 	return Calls{}, false
 }
 
@@ -222,7 +223,7 @@
 		c.refuseRun(r.order.Run, kind)
 		return Calls{}, true
 	}
-	c.logger.Info("refused start in doubt", "run", r.order.Run, "executor", e.ID, "kind", string(kind), "fenced", r.fenced)
+	c.logger.Info("refused start in doubt", "run", r.order.Run, "executor", e.ID, "born", e.StartedMillis, "kind", string(kind), "fenced", r.fenced)
 	metrics.GetOrRegisterCounter("starts.refused_in_doubt", c.registry).Inc(1)
 	r.refusal = kind
 	var calls Calls
@@ -261,7 +262,8 @@
 			changed = true
 		}
 		if (len(e.runs) > 0 || e.listsIncomplete()) && now.After(c.lastGrant(e).Add(c.config.Margin)) && now.Sub(e.lastContactAt) > c.config.SilenceTimeout {
-			c.logger.Info("executor leases expired", "executor", id, "runs", len(e.runs), "silentMillis", now.Sub(e.lastContactAt).Milliseconds())
+			c.logger.Info("executor leases expired", "executor", id, "born", e.StartedMillis, "runs", len(e.runs), "inDoubt", e.countInDoubt(),
+				"silentMillis", now.Sub(e.lastContactAt).Milliseconds(), "strayLeaseMillis", max(0, e.strayLeaseEnd.Sub(now)).Milliseconds())
 			if e.hasRunInDoubt() {
 				c.fence(e)
 			}
@@ -299,7 +301,7 @@
 	if e.leaseUntil.IsZero() || !now.After(e.leaseUntil) || !e.confirmed || !e.hasRunInDoubt() {
 		return false
 	}
-	c.logger.Info("executor fenced", "executor", e.ID, "runs", len(e.runs), "lapsedMillis", now.Sub(e.leaseUntil).Milliseconds())
+	c.logger.Info("executor fenced", "executor", e.ID, "born", e.StartedMillis, "runs", len(e.runs), "lapsedMillis", now.Sub(e.leaseUntil).Milliseconds())
 	c.fence(e)
 	return true
 }
