Let models of executors carry late calls out in any incarnation, and reproduce TWICE

Cause: the simulation dropped calls that arrived after the executor had been replaced, though a call names the executor by its id alone, so that the next incarnation under the id carries it out. It also gave incarnations start times that had nothing to do with the time of day.

Change: a late call is carried out by the incarnation that is up when it arrives; the start time is the time of day, or earlier than the last one's if the clock jumped back. TestReconciliationIsLogged names the executor's new start time; nothing else in it changes.

--- a/conductor/network_test.go
+++ b/conductor/network_test.go
@@ -219,24 +219,21 @@
 	})
 }
 
-// sendToExecutor sends a call to an executor. One that arrives late is carried out only by the
-// incarnation that it was sent to, and a mute executor carries it out when it is no longer mute. An
+// sendToExecutor sends a call to an executor. The incarnation that is up when it arrives carries it out, as the
+// name in a call doesn't tell incarnations under one id apart; a mute one does when it is no longer mute. An
 // executor that is down refuses connections.
 func (sim *simulation) sendToExecutor(h *modelHost, apply func(*modelExecutor)) {
 	if h.executor.isDown(sim.now) {
 		apply(h.executor)
 		return
 	}
-	incarnation, sent := h.executor.incarnation, sim.now
 	var arrive func()
 	arrive = func() {
 		if h.executor.mute {
 			sim.network.messages = append(sim.network.messages, modelMessage{at: sim.now.Add(time.Second), deliver: arrive})
 			return
 		}
-		if h.executor.incarnation == incarnation || sim.now.Sub(sent) < sim.network.maxDelay {
-			apply(h.executor)
-		}
+		apply(h.executor)
 	}
 	sim.send(arrive)
 }
--- a/conductor/recovery_test.go
+++ b/conductor/recovery_test.go
@@ -50,7 +50,7 @@
 // TestReconciliationIsLogged guards against a takeover whose log doesn't show which executor it waits
 // for, and why.
 func TestReconciliationIsLogged(t *testing.T) {
-	executor := messenger.ExecutorState{Executor: messenger.ExecutorRecord{Id: "executor-host-1", Born: 2, Service: service, Address: "host-1:2"}}
+	executor := messenger.ExecutorState{Executor: messenger.ExecutorRecord{Id: "executor-host-1", Born: int(origin.UnixMilli()) + 1, Service: service, Address: "host-1:2"}}
 	incomplete := executor
 	incomplete.Incomplete = true
 	tests := []struct {
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -91,8 +91,6 @@
 	refusedShare float64
 	// listedEnds is how many ends an executor lists at a time.
 	listedEnds int
-	// jumps counts the executors that started after their clock had jumped back.
-	jumps int
 	// network delays the messages between owners, agents and executors; nil for none.
 	network *modelNetwork
 	// advise answers the owner's requests for tickets; nil when no tickets are needed.
@@ -146,6 +144,7 @@
 
 // modelExecutor is a model of an executor.
 type modelExecutor struct {
+	// incarnation is the time of the start by the time of day of the executor's machine, in Unix milliseconds.
 	incarnation int
 	startedAt   time.Time
 	token       int64
@@ -186,12 +185,11 @@
 	tailMillis float64
 }
 
-// lateCall is a call that an executor carries out later; another incarnation doesn't.
+// lateCall is a call that the executor of a host carries out later, in whatever incarnation is up then.
 type lateCall struct {
-	host        *modelHost
-	incarnation int
-	apply       func(*modelExecutor)
-	at          time.Time
+	host  *modelHost
+	apply func(*modelExecutor)
+	at    time.Time
 }
 
 // modelRun is one run on a modelExecutor.
@@ -224,7 +222,7 @@
 		ticketExpiries: map[string]time.Time{},
 	}
 	for i := range hosts {
-		h := &modelHost{name: fmt.Sprintf("host-%d", i), executor: sim.newModelExecutor(i + 1)}
+		h := &modelHost{name: fmt.Sprintf("host-%d", i), executor: sim.newModelExecutor(int(sim.now.UnixMilli()) + i)}
 		sim.hosts = append(sim.hosts, h)
 		sim.restartAgent(h)
 	}
@@ -358,19 +356,19 @@
 
 // crash replaces the executor of a host, and with it all its runs, by a new incarnation.
 func (sim *simulation) crash(h *modelHost) {
-	h.executor = sim.newModelExecutor(h.executor.incarnation + 1000)
+	sim.crashFor(h, 0, false)
 }
 
 // crashFor is crash with a new incarnation that starts after a time, with a start time that is
 // earlier by the clock if that has jumped back.
 func (sim *simulation) crashFor(h *modelHost, down time.Duration, clockJumped bool) {
-	incarnation := h.executor.incarnation + 1000
+	startedAt := sim.now.Add(down)
+	incarnation := max(h.executor.incarnation+1, int(startedAt.UnixMilli()))
 	if clockJumped {
-		sim.jumps++
-		incarnation = 100_000_000 - sim.jumps
+		incarnation = h.executor.incarnation - 1
 	}
 	h.executor = sim.newModelExecutor(incarnation)
-	h.executor.startedAt = sim.now.Add(down)
+	h.executor.startedAt = startedAt
 }
 
 // isDown reports whether the executor has not started yet.
@@ -685,7 +683,7 @@
 		return false
 	}
 	at := sim.now.Add(2*time.Second + time.Duration(sim.random.IntN(10_000))*time.Millisecond)
-	sim.lateCalls = append(sim.lateCalls, lateCall{host: h, incarnation: h.executor.incarnation, apply: apply, at: at})
+	sim.lateCalls = append(sim.lateCalls, lateCall{host: h, apply: apply, at: at})
 	return true
 }
 
@@ -693,7 +691,7 @@
 func (sim *simulation) applyLateCalls() {
 	sim.lateCalls = slices.DeleteFunc(sim.lateCalls, func(late lateCall) bool {
 		due := !sim.now.Before(late.at)
-		if due && late.host.executor.incarnation == late.incarnation {
+		if due && !late.host.executor.isDown(sim.now) {
 			late.apply(late.host.executor)
 		}
 		return due
