Renew no lease by reports that don't list the executor

After an agent had raised an executor's token, its reports didn't list the executor until that was answered. Their answers renewed the executor's leases all the same, while the owner counts these from the last report that listed it: if the host was cut off right after, what ran there went on up to 4 s after the owner had started it elsewhere.

Change: an executor that isn't confirmed counts as not reported; the answers to reports from the next one that lists it on renew its leases. What keeps an executor from being forgotten is now that a lease of it was renewed.

Evidence: TestReportWithoutExecutorRenewsNoLease failed before: the first hold after the greater token carried a deadline.

--- a/custodian/executor.go
+++ b/custodian/executor.go
@@ -109,8 +109,8 @@
 	// has.
 	unansweredSince time.Time
 	announcedAt     time.Time
-	// reportedAt is when a report first listed the executor. The owner's answers to this and later
-	// reports renew its leases until leaseUntil. The last lease that the executor may have
+	// reportedAt is when a report first listed the executor since it was confirmed. The owner's answers to
+	// this and later reports renew its leases until leaseUntil. The last lease that the executor may have
 	// received from this agent ends at grantedUntil.
 	reportedAt    time.Time
 	leaseUntil    time.Time
@@ -216,6 +216,13 @@
 // listed.
 func (e *executor) listsIncomplete() bool { return e.confirmed && (e.endsIncomplete || !e.runsKnown) }
 
+// unconfirm records that the executor isn't reported until it has answered a hold with the present token. The answers
+// to reports that don't list it renew no leases: the owner takes them for no later than it was listed.
+func (e *executor) unconfirm() {
+	e.confirmed = false
+	e.reportedAt = time.Time{}
+}
+
 func (e *executor) add(r *run) {
 	e.runs[r.order.Run] = r
 	e.sorted = nil
--- a/custodian/incarnations.go
+++ b/custodian/incarnations.go
@@ -108,7 +108,7 @@
 // writer's announcement could otherwise stand for the executor whose id or address it names.
 func (c *Custodian) forgetUnconfirmed(now time.Time) {
 	for id, e := range c.executors {
-		if !e.confirmed && e.reportedAt.IsZero() && len(e.runs) == 0 && now.Sub(e.announcedAt) > c.config.AnnouncementTTL {
+		if !e.confirmed && e.leaseUntil.IsZero() && len(e.runs) == 0 && now.Sub(e.announcedAt) > c.config.AnnouncementTTL {
 			c.logger.Info("executor forgotten", "executor", id, "born", e.StartedMillis, "address", e.Address)
 			delete(c.executors, id)
 		}
--- a/custodian/orders.go
+++ b/custodian/orders.go
@@ -311,7 +311,7 @@
 func (c *Custodian) fence(e *executor) {
 	metrics.GetOrRegisterCounter("executors.fenced", c.registry).Inc(1)
 	e.token = c.nextToken(e, e.clock)
-	e.confirmed = false
+	e.unconfirm()
 	for _, r := range e.runs {
 		r.fenced = r.fenced || r.inDoubt()
 	}
--- a/custodian/token_test.go
+++ b/custodian/token_test.go
@@ -7,6 +7,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/rcrowley/go-metrics"
 
+	"apricotwinch"
 	"apricotwinch/custodian"
 	"apricotwinch/messenger"
 )
@@ -124,3 +125,27 @@
 		t.Errorf("token = %d, want at most %d", got, limit)
 	}
 }
+
+// TestReportWithoutExecutorRenewsNoLease guards against tasks that run twice: the answer to a report that didn't list an
+// executor, whose token was raised, renewed its leases beyond the time at which the owner takes them for ended.
+func TestReportWithoutExecutorRenewsNoLease(t *testing.T) {
+	s := newStartedFixture(t)
+	calls, err := s.HandleOrders(s.now, s.orders(order(2, 1, 1000)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.HandleStartAnswer(s.now, calls.Starts[0], custodian.Answer{}, apricotwinch.Errorf(apricotwinch.Unknown, "no answer"))
+	s.now = s.now.Add(custodian.DefaultConfig().Lease + time.Second)
+	s.Tick(s.now)
+	if got := len(s.renew().Executors); got != 0 {
+		t.Fatalf("%d executors are reported before the greater token is answered, want 0", got)
+	}
+	s.hold(custodian.HoldAnswer{}, nil)
+	if got := s.hold(custodian.HoldAnswer{}, nil).Deadline; got != 0 {
+		t.Errorf("deadline = %s, want no lease before a report lists the executor", got)
+	}
+	s.renew()
+	if got := s.hold(custodian.HoldAnswer{}, nil).Deadline; got == 0 {
+		t.Error("no lease after a report has listed the executor")
+	}
+}
