Confirm an executor anew that rejects the agent's token

An executor that rejects the token of a confirmed agent has carried out a call of another agent, or for another incarnation, after the confirmation: a run or an end that the agent doesn't know, a longer lease. The agent chose a greater token, and went on to report the executor with what it had listed before.

Change: such an executor isn't reported before it has answered the greater token, which shows what the other call did and that none of its kind has an effect any more. What was known of its lists, complete or not, counts anew. A start that is rejected shows it as well as a hold; the rejection of a token that has been replaced shows nothing.

Evidence: TestRejectedTokenEndsConfirmation (both cases) and TestRejectionOfEarlierTokenIsExpected failed before.

--- a/custodian/hold.go
+++ b/custodian/hold.go
@@ -57,7 +57,7 @@
 			c.logger.Info("hold not answered", "executor", e.ID, "born", e.StartedMillis, "token", call.Token, "deadlineMillis", call.Deadline.Milliseconds(),
 				"ackedEnd", call.AckedEnd, "kind", string(apricotwinch.KindOf(err)))
 		}
-		changed := c.handleHoldError(now, e, answer.Answer, err)
+		changed := c.handleHoldError(now, e, call, answer.Answer, err)
 		c.wholeReportDue = c.wholeReportDue || changed
 		return Calls{}, changed
 	}
@@ -100,21 +100,40 @@
 
 // handleHoldError takes the error of a hold that was not answered or was rejected. It reports
 // whether a report to the owner is due at once.
-func (c *Custodian) handleHoldError(now time.Time, e *executor, answer Answer, err error) bool {
+func (c *Custodian) handleHoldError(now time.Time, e *executor, call HoldCall, answer Answer, err error) bool {
 	e.updateClock(now, answer.Clock)
 	switch apricotwinch.KindOf(err) {
 	case apricotwinch.StaleIncarnation:
 		c.dropExecutor(e, err.Error())
 		return true
 	case apricotwinch.StaleEpoch:
-		c.lastTokens[e.ID] += e.tokenIncrement
-		e.tokenIncrement = 2*e.tokenIncrement + 1
-		e.token = c.nextToken(e, answer.Clock)
-		e.tokenFromClock = answer.Clock > 0
+		return c.handleRejectedToken(e, call.Token, answer)
 	}
 	return false
 }
 
+// handleRejectedToken takes the rejection of a call for its low token. It reports whether a report to the owner is due
+// at once: a confirmed executor has carried out a call of another agent or for another incarnation, so that it
+// counts as confirmed again, with all its runs and ends, once it has answered a greater token.
+func (c *Custodian) handleRejectedToken(e *executor, token int64, answer Answer) bool {
+	if token != e.token {
+		return false // A greater one has been chosen since.
+	}
+	metrics.GetOrRegisterCounter("executors.token_rejected", c.registry).Inc(1)
+	c.lastTokens[e.ID] += e.tokenIncrement
+	e.tokenIncrement = 2*e.tokenIncrement + 1
+	e.token = c.nextToken(e, answer.Clock)
+	e.tokenFromClock = answer.Clock > 0
+	if !e.confirmed {
+		return false
+	}
+	c.logger.Warn("token rejected", "executor", e.ID, "born", e.StartedMillis, "token", token, "clockMillis", e.clock.Milliseconds(), "runs", len(e.runs))
+	e.unconfirm()
+	e.runsKnown = false
+	e.doubt.endsKnown = false
+	return true
+}
+
 func (c *Custodian) addEnds(e *executor, ends []messenger.RunEnd) bool {
 	changed := false
 	for _, end := range ends {
--- a/custodian/orders.go
+++ b/custodian/orders.go
@@ -182,6 +182,7 @@
 	}
 	e.updateClock(now, answer.Clock)
 	r.inFlight = false
+	changed := false
 	kind := apricotwinch.KindOf(err)
 	switch kind {
 	case "":
@@ -201,14 +202,17 @@
 		return Calls{}, false
 	case apricotwinch.NoCapacity, apricotwinch.Invalid, apricotwinch.NoTarget, apricotwinch.Forbidden:
 		return c.handleRefusedStart(now, e, r, kind)
-	case apricotwinch.Unreachable, apricotwinch.StaleEpoch, apricotwinch.StaleIncarnation, apricotwinch.DeadlineExceeded:
+	case apricotwinch.StaleEpoch:
+		changed = c.handleRejectedToken(e, call.Token, answer)
+		c.wholeReportDue = c.wholeReportDue || changed
+	case apricotwinch.Unreachable, apricotwinch.StaleIncarnation, apricotwinch.DeadlineExceeded:
 		// The call was not carried out, and is repeated.
 	default:
 		r.maybeStarted = true
 	}
 	c.logger.Info("start not answered", "run", call.Order.Run, "executor", e.ID, "born", call.Born, "token", call.Token,
 		"deadlineMillis", call.Deadline.Milliseconds(), "kind", string(kind), "error", err)
-	return Calls{}, false
+	return Calls{}, changed
 }
 
 // handleRefusedStart takes the refusal of a start. It says nothing of an earlier call for the run
--- a/custodian/token_test.go
+++ b/custodian/token_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/hashicorp/go-hclog"
 	"github.com/rcrowley/go-metrics"
 
@@ -126,6 +127,77 @@
 	}
 }
 
+// TestRejectedTokenEndsConfirmation guards against a task that runs twice: an executor that carried out a call of another
+// agent, or for another incarnation, was still reported with the runs that it had listed before.
+func TestRejectedTokenEndsConfirmation(t *testing.T) {
+	rejected := apricotwinch.Errorf(apricotwinch.StaleEpoch, "fence")
+	tests := []struct {
+		name   string
+		reject func(*testing.T, *fixture)
+	}{
+		{name: "hold", reject: func(_ *testing.T, s *fixture) { s.hold(custodian.HoldAnswer{}, rejected) }},
+		{name: "start", reject: func(t *testing.T, s *fixture) {
+			calls, err := s.HandleOrders(s.now, s.orders(order(2, 1, 1000)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, due := s.HandleStartAnswer(s.now, calls.Starts[0], custodian.Answer{Clock: s.clock()}, rejected); !due {
+				t.Error("no report is due")
+			}
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := newStartedFixture(t)
+			s.renew()
+			before := s.hold(custodian.HoldAnswer{Runs: states(0, 1)}, nil)
+			test.reject(t, s)
+			s.now = s.now.Add(time.Second)
+			if got := len(s.renew().Executors); got != 0 {
+				t.Errorf("%d executors are reported after the rejection, want 0", got)
+			}
+			confirming := s.hold(custodian.HoldAnswer{Runs: states(0, 1, 3)}, nil)
+			if confirming.Token <= before.Token || confirming.Deadline != 0 {
+				t.Errorf("hold with token %d and deadline %s, want a token above %d and no lease", confirming.Token, confirming.Deadline, before.Token)
+			}
+			if got := s.hold(custodian.HoldAnswer{Runs: states(0, 1, 3)}, nil).Deadline; got > before.Deadline+conversionSlack {
+				t.Errorf("deadline %s, want none after %s, as no report has listed the executor since", got, before.Deadline)
+			}
+			report := s.renew()
+			if len(report.Executors) != 1 {
+				t.Fatalf("%d executors are reported, want 1", len(report.Executors))
+			}
+			unknown := map[int]bool{}
+			for _, run := range report.Executors[0].Runs {
+				unknown[run.Run.Task.Index] = run.Unknown
+			}
+			delete(unknown, 2)
+			if diff := cmp.Diff(map[int]bool{0: false, 1: false, 3: true}, unknown); diff != "" {
+				t.Errorf("runs that were found (-want +got):\n%s", diff)
+			}
+			if got := s.hold(custodian.HoldAnswer{Runs: states(0, 1, 3)}, nil).Deadline; got <= before.Deadline+conversionSlack {
+				t.Errorf("deadline %s, want one after %s", got, before.Deadline)
+			}
+		})
+	}
+}
+
+// TestRejectionOfEarlierTokenIsExpected checks that an executor stays confirmed if it rejects a call with a token
+// that this agent has replaced.
+func TestRejectionOfEarlierTokenIsExpected(t *testing.T) {
+	s := newStartedFixture(t)
+	call, _ := s.NextHold(s.now, "e")
+	s.hold(custodian.HoldAnswer{}, apricotwinch.Errorf(apricotwinch.StaleEpoch, "fence"))
+	confirming := s.hold(custodian.HoldAnswer{Runs: states(0, 1)}, nil)
+	s.HandleHoldAnswer(s.now, s.now, call, custodian.HoldAnswer{Answer: custodian.Answer{Clock: s.clock()}}, apricotwinch.Errorf(apricotwinch.StaleEpoch, "fence"))
+	if got := len(s.renew().Executors); got != 1 {
+		t.Errorf("%d executors are reported, want 1", got)
+	}
+	if got := s.hold(custodian.HoldAnswer{Runs: states(0, 1)}, nil).Token; got != confirming.Token {
+		t.Errorf("token = %d, want %d as before", got, confirming.Token)
+	}
+}
+
 // TestReportWithoutExecutorRenewsNoLease guards against tasks that run twice: the answer to a report that didn't list an
 // executor, whose token was raised, renewed its leases beyond the time at which the owner takes them for ended.
 func TestReportWithoutExecutorRenewsNoLease(t *testing.T) {
