Count fencing tokens from the agent's time, as executors' clocks start anywhere

Cause: the clock of an executor was taken to start near 0 with each incarnation. In the simulation all clocks started at 0, which hid it.

Change: a token is the agent's time in Unix milliseconds, which goes on from the time of day at the agent's start, and more than the last one under the same id. An executor that has seen a greater one rejects it, and the agent exceeds that step by step. No first hold is needed any more to read the clock. The clocks of the simulation's executors start anywhere, as the start time decides; the tests that let a call for the last incarnation take effect set the next clock behind its deadline.

In TestRepeatOfLostRunIsLogged the repeat ends 40 ms earlier, as its executor is confirmed by one hold less.

--- a/conductor/agents_test.go
+++ b/conductor/agents_test.go
@@ -168,6 +168,7 @@
 		sim.run(2*time.Second + time.Duration(ticks)*tickInterval)
 		h := sim.hosts[0]
 		sim.crash(h)
+		h.executor.clockStart = time.Millisecond // Behind the deadline of the start, which is by the last incarnation's clock.
 		sim.submit(batchQueue, "short", tasks(1, 1000, 200*time.Millisecond))
 		sim.runUntil(time.Second, func() bool { return len(h.executor.runs) == 1 })
 		h.agentDown = true
@@ -190,6 +191,7 @@
 		sim.run(2*time.Second + time.Duration(ticks)*tickInterval)
 		h := sim.hosts[0]
 		sim.crash(h)
+		h.executor.clockStart = time.Millisecond // Behind the deadline of the start, which is by the last incarnation's clock.
 		sim.submit(batchQueue, "short", tasks(1, 1000, 3*time.Second))
 		sim.runUntil(time.Second, func() bool { return len(h.executor.runs) == 1 })
 		h.executor.hideRuns()
--- a/conductor/reborn_test.go
+++ b/conductor/reborn_test.go
@@ -18,6 +18,7 @@
 		sim.t.Fatalf("hold %+v, want one that renews the leases", call)
 	}
 	sim.crash(h)
+	h.executor.clockStart = time.Millisecond
 	if _, err := h.executor.hold(sim, call); err != nil {
 		sim.t.Fatalf("hold: %v", err)
 	}
@@ -110,13 +111,10 @@
 		name        string
 		clockJumped bool
 	}{
-		{name: "time of day goes on"},
-		{name: "time of day set back", clockJumped: true},
+		{name: "later start time"},
+		{name: "earlier start time", clockJumped: true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			if test.clockJumped {
-				knownRed(t)
-			}
 			sim := newSimulation(t, 1, 4)
 			sim.network = &modelNetwork{maxDelay: 20 * time.Millisecond}
 			sim.run(30 * time.Second)
@@ -125,6 +123,7 @@
 			sim.submit(batchQueue, "work", tasks(12, 2000, 15*time.Second))
 			sim.run(150 * time.Millisecond)
 			sim.crashFor(h, 0, test.clockJumped)
+			h.executor.clockStart = time.Millisecond
 			sim.restartAgent(h)
 			sim.run(30 * time.Second)
 			if diff := cmp.Diff(messenger.WorkloadCompleted, sim.state("work")); diff != "" {
--- a/conductor/repeat_test.go
+++ b/conductor/repeat_test.go
@@ -93,7 +93,7 @@
 		{
 			name:    "one owner",
 			ordered: []string{"lost=executor-host-0 unheardMillis=4420 running=1"},
-			ended:   []string{"how=done lost=executor-host-0 unheardMillis=5270"},
+			ended:   []string{"how=done lost=executor-host-0 unheardMillis=5230"},
 		},
 		{
 			name:     "after a takeover",
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -34,6 +34,10 @@
 	maxListedEnds = 500
 	// maxLease is the longest lease of an executor.
 	maxLease = 10 * time.Second
+	// maxClockStartMillis bounds the time on an executor's clock at its start, which follows from its start time by
+	// clockStartFactor.
+	maxClockStartMillis = 8_000_000
+	clockStartFactor    = 7919
 )
 
 var origin = time.Unix(1_000_000, 0)
@@ -147,10 +151,12 @@
 	// incarnation is the time of the start by the time of day of the executor's machine, in Unix milliseconds.
 	incarnation int
 	startedAt   time.Time
-	token       int64
-	deadline    time.Duration
-	capacity    apricotwinch.Resources
-	runs        map[messenger.RunRef]*modelRun
+	// clockStart is the time on the executor's clock at its start, which is another one in each incarnation.
+	clockStart time.Duration
+	token      int64
+	deadline   time.Duration
+	capacity   apricotwinch.Resources
+	runs       map[messenger.RunRef]*modelRun
 	// sorted caches the runs in the order of their text; nil after a change.
 	sorted []messenger.RunRef
 	ends   []messenger.RunEnd
@@ -338,6 +344,7 @@
 	return &modelExecutor{
 		incarnation:   incarnation,
 		startedAt:     sim.now,
+		clockStart:    time.Duration(1+incarnation*clockStartFactor%maxClockStartMillis) * time.Millisecond,
 		capacity:      apricotwinch.NewResources(16_000, 64_000, 0),
 		runs:          map[messenger.RunRef]*modelRun{},
 		barredThrough: map[messenger.TaskRef]int{},
@@ -382,8 +389,9 @@
 	})
 }
 
+// clock returns the time on the executor's clock.
 func (m *modelExecutor) clock(now time.Time) time.Duration {
-	return time.Duration(float64(now.Sub(m.startedAt))*(1-m.clockLag)) + time.Millisecond
+	return m.clockStart + time.Duration(float64(now.Sub(m.startedAt))*(1-m.clockLag))
 }
 
 // submit submits a workload and makes it durable, unless the store is offline.
--- a/custodian/doubt.go
+++ b/custodian/doubt.go
@@ -158,9 +158,9 @@
 
 // endDoubt takes the first answer after a lapse: what it doesn't list does not run. It reports false
 // while the executor may still carry starts out, and raises its token first.
-func (c *Custodian) endDoubt(e *executor) bool {
+func (c *Custodian) endDoubt(now time.Time, e *executor) bool {
 	if e.hasRunInDoubt() {
-		c.fence(e)
+		c.fence(now, e)
 		return false
 	}
 	if !e.confirmed {
--- a/custodian/executor.go
+++ b/custodian/executor.go
@@ -96,9 +96,6 @@
 	// grows with each such rejection. Calls for an earlier incarnation may have left a greater
 	// token at the executor.
 	tokenIncrement int64
-	// tokenFromClock is set when the token counts from the executor's clock as this agent has read it, so that
-	// it is greater than those of earlier agents; see nextToken.
-	tokenFromClock bool
 	// confirmed is set when the executor has answered a hold with this token. Calls of an earlier agent, and
 	// those for an earlier incarnation, can no longer take effect then.
 	confirmed     bool
--- a/custodian/hold.go
+++ b/custodian/hold.go
@@ -71,11 +71,6 @@
 	e.ackedEnd = max(e.ackedEnd, call.AckedEnd)
 	e.updateClock(now, answer.Clock)
 	if !e.confirmed {
-		if !e.tokenFromClock {
-			e.token = c.nextToken(e, answer.Clock)
-			e.tokenFromClock = true
-			return Calls{}, false
-		}
 		e.confirmed = call.Token == e.token
 		if e.confirmed && e.strayLeaseEnd.IsZero() {
 			e.strayLeaseEnd = c.strayLeaseEnd(now, e)
@@ -87,7 +82,7 @@
 		c.wholeReportDue = true
 	}
 	inDoubt := e.doubt.present()
-	lapsed := c.lapsedBefore(sent, e) && c.endDoubt(e)
+	lapsed := c.lapsedBefore(sent, e) && c.endDoubt(now, e)
 	e.runsIncomplete = answer.RunsIncomplete
 	e.runsKnown = e.runsKnown || e.confirmed && !answer.RunsIncomplete
 	ended := c.addEnds(e, e.settleEnds(answer, lapsed))
@@ -107,7 +102,7 @@
 		c.dropExecutor(e, err.Error())
 		return true
 	case apricotwinch.StaleEpoch:
-		return c.handleRejectedToken(e, call.Token, answer)
+		return c.handleRejectedToken(now, e, call.Token)
 	}
 	return false
 }
@@ -115,15 +110,14 @@
 // handleRejectedToken takes the rejection of a call for its low token. It reports whether a report to the owner is due
 // at once: a confirmed executor has carried out a call of another agent or for another incarnation, so that it
 // counts as confirmed again, with all its runs and ends, once it has answered a greater token.
-func (c *Custodian) handleRejectedToken(e *executor, token int64, answer Answer) bool {
+func (c *Custodian) handleRejectedToken(now time.Time, e *executor, token int64) bool {
 	if token != e.token {
 		return false // A greater one has been chosen since.
 	}
 	metrics.GetOrRegisterCounter("executors.token_rejected", c.registry).Inc(1)
 	c.lastTokens[e.ID] += e.tokenIncrement
 	e.tokenIncrement = 2*e.tokenIncrement + 1
-	e.token = c.nextToken(e, answer.Clock)
-	e.tokenFromClock = answer.Clock > 0
+	e.token = c.nextToken(now, e)
 	if !e.confirmed {
 		return false
 	}
--- a/custodian/incarnations.go
+++ b/custodian/incarnations.go
@@ -1,6 +1,7 @@
 package custodian
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -30,7 +31,7 @@
 			return false
 		}
 		e = &executor{Announcement: a, lastContactAt: now, runs: map[messenger.RunRef]*run{}}
-		e.token = c.nextToken(e, 0)
+		e.token = c.nextToken(now, e)
 		c.executors[a.ID] = e
 		c.logger.Info("executor announced", "executor", a.ID, "born", a.StartedMillis, "address", a.Address, "draining", a.Draining)
 	}
@@ -45,15 +46,14 @@
 	return changed
 }
 
-// nextToken returns a fencing token greater than all that this agent has used under the id of an executor.
-// Unless clock is 0, which stands for unknown, it is also greater than those of earlier agents: for the same
-// incarnation, as the executor's clock only rises, and for earlier ones, unless the time of day went back between
-// the starts of the two.
-func (c *Custodian) nextToken(e *executor, clock time.Duration) int64 {
-	token := c.lastTokens[e.ID] + 1
-	if clock > 0 {
-		token = max(token, int64(e.StartedMillis)+clock.Milliseconds())
-	}
+// nextToken returns a fencing token greater than all that this agent has used under the id of an executor. It is also
+// greater than those of earlier agents unless the time of day went back between their starts: an agent
+// counts its time from the time of day at its start. Executors' clocks don't serve, as each incarnation's starts
+// anywhere.
+func (c *Custodian) nextToken(now time.Time, e *executor) int64 {
+	millis := now.UnixMilli()
+	token := max(c.lastTokens[e.ID]+1, millis)
+	maps.DeleteFunc(c.lastTokens, func(_ string, last int64) bool { return last < millis })
 	c.lastTokens[e.ID] = token
 	return token
 }
--- a/custodian/orders.go
+++ b/custodian/orders.go
@@ -203,7 +203,7 @@
 	case apricotwinch.NoCapacity, apricotwinch.Invalid, apricotwinch.NoTarget, apricotwinch.Forbidden:
 		return c.handleRefusedStart(now, e, r, kind)
 	case apricotwinch.StaleEpoch:
-		changed = c.handleRejectedToken(e, call.Token, answer)
+		changed = c.handleRejectedToken(now, e, call.Token)
 		c.wholeReportDue = c.wholeReportDue || changed
 	case apricotwinch.Unreachable, apricotwinch.StaleIncarnation, apricotwinch.DeadlineExceeded:
 		// The call was not carried out, and is repeated.
@@ -269,7 +269,7 @@
 			c.logger.Info("executor leases expired", "executor", id, "born", e.StartedMillis, "runs", len(e.runs), "inDoubt", e.countInDoubt(),
 				"silentMillis", now.Sub(e.lastContactAt).Milliseconds(), "strayLeaseMillis", max(0, e.strayLeaseEnd.Sub(now)).Milliseconds())
 			if e.hasRunInDoubt() {
-				c.fence(e)
+				c.fence(now, e)
 			}
 			for ref := range e.runs {
 				e.remove(ref)
@@ -306,15 +306,15 @@
 		return false
 	}
 	c.logger.Info("executor fenced", "executor", e.ID, "born", e.StartedMillis, "runs", len(e.runs), "lapsedMillis", now.Sub(e.leaseUntil).Milliseconds())
-	c.fence(e)
+	c.fence(now, e)
 	return true
 }
 
 // fence raises the token of an executor. The executor is reported again after it has answered a
 // call with that token.
-func (c *Custodian) fence(e *executor) {
+func (c *Custodian) fence(now time.Time, e *executor) {
 	metrics.GetOrRegisterCounter("executors.fenced", c.registry).Inc(1)
-	e.token = c.nextToken(e, e.clock)
+	e.token = c.nextToken(now, e)
 	e.unconfirm()
 	for _, r := range e.runs {
 		r.fenced = r.fenced || r.inDoubt()
--- a/custodian/token_test.go
+++ b/custodian/token_test.go
@@ -93,6 +93,48 @@
 	}
 }
 
+// TestTokenAfterTimeOfDayWentBack guards against a task that runs twice: the time of day is set back between the starts of
+// two agents, so that calls of the first one for the last incarnation of an executor have greater tokens than those
+// of the next one.
+func TestTokenAfterTimeOfDayWentBack(t *testing.T) {
+	knownRed(t)
+	first := modelExecutor{id: "e", bornAt: start, clockRate: 1}
+	now := start.Add(time.Hour)
+	agent := newAgent(now, "i1")
+	first.announce(now, agent)
+	before := first.confirm(t, now, agent)
+
+	now = now.Add(time.Second - time.Minute)
+	next := modelExecutor{id: "e", bornAt: now, clockRate: 1}
+	agent = newAgent(now, "i2")
+	next.announce(now, agent)
+	if got := next.confirm(t, now, agent); got <= before {
+		t.Errorf("token = %d, want more than %d, that of the earlier agent", got, before)
+	}
+}
+
+// TestAgentExceedsRejectedToken guards against runs that lapse: the time of day is set back between the starts of two agents,
+// and the executor has seen a greater token than the next one's.
+func TestAgentExceedsRejectedToken(t *testing.T) {
+	const maxRejections = 30
+	e := modelExecutor{id: "e", bornAt: start, clockRate: 1}
+	now := start.Add(2 * time.Hour)
+	agent := newAgent(now, "i1")
+	e.announce(now, agent)
+	seen := e.confirm(t, now, agent)
+	now = now.Add(-time.Hour)
+	agent = newAgent(now, "i2")
+	e.announce(now, agent)
+	for range maxRejections {
+		call, _ := agent.NextHold(now, e.id)
+		if call.Token >= seen {
+			return
+		}
+		agent.HandleHoldAnswer(now, now, call, custodian.HoldAnswer{Answer: custodian.Answer{Clock: e.clock(now)}}, apricotwinch.Errorf(apricotwinch.StaleEpoch, "fence"))
+	}
+	t.Errorf("the token is still below %d after %d rejections", seen, maxRejections)
+}
+
 // TestTokenIsIndependentOfOtherExecutors guards against a task that runs twice: the earlier agent's token for an
 // executor came from the clock of another one, so that it was greater than that of the next agent.
 func TestTokenIsIndependentOfOtherExecutors(t *testing.T) {
