Let stand-in executors carry late calls out in any incarnation

The stand-in of executors dropped a command without an answer when its incarnation had ended, and never delayed a hold.

Late calls now wait in the executor and are carried out as time advances, so that its tests play the same every time. Restart ends an incarnation that is still up, as two faults of the soak may overlap: its runs had no end in the events, and the checker took them for running.

TestLateCommandsReachNextIncarnation, TestLateHoldsReachNextIncarnation and TestRestartEndsRuns failed before.

--- a/standin/performer/calls.go
+++ b/standin/performer/calls.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -76,9 +77,8 @@
 	_, _ = w.Write(data)
 }
 
-// commandHandler returns the HTTP handler of a command. Under Faults.LateFraction, the handler
-// drops the connection and executes the command after Faults.LateDelay, unless the incarnation has
-// ended by then.
+// commandHandler returns the HTTP handler of a command. A late command gets no response; see
+// Faults.LateFraction.
 func (p *Performer) commandHandler(execute func(callBody) (int, reply)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		c, ok := p.decode(w, r)
@@ -86,29 +86,44 @@
 			return
 		}
 		p.mu.Lock()
-		late := p.random.Float64() < p.faults.LateFraction
-		delay, incarnation := p.faults.LateDelay, p.startedAt
-		p.mu.Unlock()
-		if late {
-			go func() {
-				p.clock.Sleep(delay)
-				p.mu.Lock()
-				defer p.mu.Unlock()
-				if p.startedAt.Equal(incarnation) && !p.down {
-					p.advance()
-					execute(c)
-				}
-			}()
-			panic(http.ErrAbortHandler)
-		}
-		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.advance()
+		if p.delayCall(func() { execute(c) }) {
+			panic(http.ErrAbortHandler)
+		}
 		status, result := execute(c)
 		p.writeReply(w, status, result)
 	}
 }
 
+// lateCall is a call without a response, which the incarnation that is up at a time executes if
+// it has the id that the call is addressed to.
+type lateCall struct {
+	at      time.Time
+	id      string
+	execute func()
+}
+
+// delayCall decides whether a call is late and then keeps it for later; p.mu is held.
+func (p *Performer) delayCall(execute func()) bool {
+	if p.random.Float64() >= p.faults.LateFraction {
+		return false
+	}
+	p.lateCalls = append(p.lateCalls, lateCall{at: p.clock.Now().Add(p.faults.LateDelay), id: p.id, execute: execute})
+	return true
+}
+
+// executeLateCalls executes the late calls that are due; p.mu is held.
+func (p *Performer) executeLateCalls(now time.Time) {
+	p.lateCalls = slices.DeleteFunc(p.lateCalls, func(late lateCall) bool {
+		due := !now.Before(late.at)
+		if due && !p.down && p.id == late.id {
+			late.execute()
+		}
+		return due
+	})
+}
+
 // fenced reports whether the fencing token of a call is lower than an earlier one; otherwise it
 // records the token. p.mu is held.
 func (p *Performer) fenced(token int64) bool {
@@ -191,14 +206,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.advance()
-	if p.fenced(c.Token) {
+	if p.delayCall(func() { p.renew(c) }) {
+		panic(http.ErrAbortHandler)
+	}
+	if !p.renew(c) {
 		p.writeReply(w, http.StatusConflict, reply{Reason: "fence"})
 		return
 	}
-	if c.Deadline > 0 {
-		p.extendLease(c.Deadline)
-	}
-	p.acknowledge(c.LastSeen)
 	incarnation := p.startedAt
 	for len(p.endRecords) == 0 && c.Wait > 0 && p.startedAt.Equal(incarnation) && !p.down {
 		if !p.awaitChange(r.Context(), deadline) {
@@ -212,6 +226,19 @@
 	p.writeReply(w, http.StatusOK, p.listRuns())
 }
 
+// renew extends the lease and acknowledges ended runs as a hold asks, and returns false if the hold is
+// rejected for its fencing token; p.mu is held.
+func (p *Performer) renew(c callBody) bool {
+	if p.fenced(c.Token) {
+		return false
+	}
+	if c.Deadline > 0 {
+		p.extendLease(c.Deadline)
+	}
+	p.acknowledge(c.LastSeen)
+	return true
+}
+
 // awaitChange waits until p.changed is closed and returns true, or returns false at the deadline
 // or when ctx is done. The caller holds p.mu; it is released during the wait.
 func (p *Performer) awaitChange(ctx context.Context, deadline <-chan time.Time) bool {
--- a/standin/performer/performer.go
+++ b/standin/performer/performer.go
@@ -66,8 +66,8 @@
 
 // Faults are the faults in force; the zero value has none.
 type Faults struct {
-	// LateFraction is the fraction of commands, 0 to 1, that get no response and are executed after
-	// LateDelay.
+	// LateFraction is the fraction of commands and holds, 0 to 1, that get no response and are executed
+	// after LateDelay, by whatever incarnation is up under the id then.
 	LateFraction float64
 	LateDelay    time.Duration
 	// Stalled stalls the executor: no run makes progress.
@@ -101,6 +101,7 @@
 	// rejectUpTo holds, for each task, the highest run that ended or was stopped; this run and
 	// earlier ones can't be started.
 	rejectUpTo map[string]int
+	lateCalls  []lateCall
 	changed    chan struct{}
 }
 
@@ -171,6 +172,11 @@
 func (p *Performer) Crash() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.endIncarnation()
+}
+
+// endIncarnation ends the incarnation and all its runs; p.mu is held.
+func (p *Performer) endIncarnation() {
 	p.advance()
 	p.down = true
 	for _, r := range p.runs {
@@ -180,10 +186,11 @@
 	p.notifyWaiters()
 }
 
-// Restart starts a new incarnation with the given id.
+// Restart starts a new incarnation with the given id. One that is still up ends.
 func (p *Performer) Restart(id string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.endIncarnation()
 	p.startIncarnation(id)
 }
 
@@ -200,7 +207,8 @@
 	return time.Duration(float64(p.clock.Since(p.startedAt)) * p.config.ClockRate)
 }
 
-// advance advances every run to the present and ends those that are due; p.mu is held.
+// advance advances every run to the present, ends those that are due, and then executes the late calls
+// that are due; p.mu is held.
 func (p *Performer) advance() {
 	now := p.clock.Now()
 	lapsed := p.leaseDeadline > 0 && p.uptime() > p.leaseDeadline
@@ -221,6 +229,7 @@
 			p.finish(r, Done)
 		}
 	}
+	p.executeLateCalls(now)
 }
 
 // finish ends a run and adds it to the end records; p.mu is held.
