Count no end as noted that stand-in executors forget after a lapse

An end is taken note of when last_seen reaches it, unless the leases lapsed between the two: the scheduler may have started the task elsewhere by then. The stand-in of executors counted every acknowledgment, so that the soak would have called a rightful start TWICE or BUDGET after an executor was cut off for long, or got a late acknowledgment.

TestEndsBeforeLapseAreNotNoted failed before.

--- a/standin/performer/calls.go
+++ b/standin/performer/calls.go
@@ -259,7 +259,9 @@
 	for len(p.endRecords) > 0 && p.endRecords[0].number <= seen {
 		e := p.endRecords[0]
 		p.endRecords = p.endRecords[1:]
-		p.observe(Event{At: p.clock.Now(), Executor: p.id, StartedMillis: p.startedAt.UnixMilli(), Task: e.task, Run: e.run, Outcome: e.outcome, Acknowledged: true})
+		if e.lapses == p.lapses {
+			p.observe(Event{At: p.clock.Now(), Executor: p.id, StartedMillis: p.startedAt.UnixMilli(), Task: e.task, Run: e.run, Outcome: e.outcome, Acknowledged: true})
+		}
 	}
 }
 
--- a/standin/performer/performer.go
+++ b/standin/performer/performer.go
@@ -37,7 +37,8 @@
 	Spec          string
 	// Outcome is the outcome of the run; it is empty for a start.
 	Outcome string
-	// Acknowledged is true if the scheduler acknowledged the end of the run.
+	// Acknowledged is true if the scheduler acknowledged the end of the run before the executor's leases
+	// lapsed.
 	Acknowledged bool
 }
 
@@ -95,6 +96,9 @@
 	// leaseDeadline is the end of the lease of all runs, on the executor's clock; 0 before the
 	// first lease.
 	leaseDeadline time.Duration
+	// lapsed is whether the leases have lapsed, and lapses how often they did.
+	lapsed        bool
+	lapses        int
 	runs          map[runKey]*run
 	endRecords    []endRecord
 	lastEndNumber int
@@ -130,6 +134,8 @@
 	runKey
 	outcome    string
 	checkpoint string
+	// lapses is how often the leases had lapsed at the end.
+	lapses int
 }
 
 // New returns an executor with the given id and no runs. The seed makes its random faults
@@ -150,6 +156,7 @@
 	p.id, p.startedAt = id, startedAt
 	p.down = false
 	p.sequence, p.token, p.leaseDeadline, p.lastEndNumber = 0, 0, 0, 0
+	p.lapsed, p.lapses = false, 0
 	p.runs, p.rejectUpTo, p.endRecords = map[runKey]*run{}, map[string]int{}, nil
 }
 
@@ -212,6 +219,10 @@
 func (p *Performer) advance() {
 	now := p.clock.Now()
 	lapsed := p.leaseDeadline > 0 && p.uptime() > p.leaseDeadline
+	if lapsed && !p.lapsed {
+		p.lapses++
+	}
+	p.lapsed = lapsed
 	for _, r := range p.runs {
 		elapsed := now.Sub(r.advancedAt)
 		r.advancedAt = now
@@ -241,7 +252,7 @@
 	if outcome != Done {
 		checkpoint = p.checkpoint(r)
 	}
-	p.endRecords = append(p.endRecords, endRecord{number: p.lastEndNumber, runKey: r.runKey, outcome: outcome, checkpoint: checkpoint})
+	p.endRecords = append(p.endRecords, endRecord{number: p.lastEndNumber, runKey: r.runKey, outcome: outcome, checkpoint: checkpoint, lapses: p.lapses})
 	p.report(r, outcome)
 	p.notifyWaiters()
 }
--- a/standin/performer/performer_test.go
+++ b/standin/performer/performer_test.go
@@ -174,6 +174,39 @@
 	}
 }
 
+// TestEndsBeforeLapseAreNotNoted guards against a checker that takes an end for noted whose acknowledgment arrives
+// after the leases have lapsed: the task may have started elsewhere by then.
+func TestEndsBeforeLapseAreNotNoted(t *testing.T) {
+	tests := []struct {
+		name string
+		pass time.Duration
+		want []string
+	}{
+		{name: "lease holds", pass: time.Second, want: []string{"a done acknowledged"}},
+		{name: "lease lapsed", pass: maxLease},
+		{name: "lease lapsed and renewed", pass: 2 * maxLease},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			e := newExecutor(t)
+			e.start("a", time.Second, 5*time.Second, 1)
+			e.pass(time.Second)
+			e.takeEvents()
+			e.pass(test.pass)
+			if test.pass > maxLease {
+				e.call("hold", map[string]any{"deadline_ms": (2 * test.pass).Milliseconds(), "fencing_token": 1})
+				e.pass(time.Second)
+			}
+			if diff := cmp.Diff(http.StatusOK, e.call("hold", map[string]any{"last_seen": 1, "fencing_token": 1})); diff != "" {
+				t.Errorf("status of a hold (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(test.want, e.takeEvents()); diff != "" {
+				t.Errorf("events (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestLateCallsMissOtherExecutors guards against late calls that an executor with another id executes, or one
 // that is down.
 func TestLateCallsMissOtherExecutors(t *testing.T) {
