Play executors that restart while their calls are held back in the soak

Its executors took no calls that were meant for their last incarnation, no fault cut a restarted one off, and its tasks were shorter than agents and owners wait for leases.

A second series of faults, drawn apart from the first, holds the calls to an executor back, restarts it at once or after 0.6 s, delivers the calls to the next incarnation, and cuts it or its host off 1 to 2 s later for 5 to 9 s; tasks of 6 s and long-running ones run meanwhile.

TestRebornExecutorsCutOff does the same to three of six executors at once.

--- a/soaker/caller_test.go
+++ b/soaker/caller_test.go
@@ -27,6 +27,9 @@
 	// 1.4 processors, and all must fit beside other work while a data centre is out of
 	// service.
 	maxLongRunning = 8
+	// slowTask is the run time of a slow task at full speed. It is longer than an agent and an owner wait
+	// for the end of the leases behind a cut.
+	slowTask = 6 * time.Second
 )
 
 // workload is a submitted workload and what its caller knows of it.
@@ -85,6 +88,49 @@
 	},
 }
 
+// slowKinds set up the kinds of workloads with slow tasks: ordinary, best-effort and long-running ones.
+var slowKinds = []func(w *workload){
+	func(w *workload) { w.setSteps("/batch/", slowTask, 0, 4, 500) },
+	func(w *workload) { w.setSteps("/urgent/", slowTask, 0, 3, 300) },
+	func(w *workload) {
+		w.setSteps("/batch/", slowTask, 0, 4, 800)
+		w.steps[0].BestEffort = true
+	},
+	func(w *workload) {
+		w.longRunning = true
+		w.setSteps("/urgent/", time.Hour, 0, 3, 300)
+		w.steps[0].LongRunning = true
+	},
+}
+
+// maxSlowLongRunning is the maximum number of long-running workloads of slowKinds in a test.
+const maxSlowLongRunning = 3
+
+// submitSlow submits the workloads with slow tasks in turn, in the background, until stop is closed.
+func (c *callers) submitSlow(seed uint64, period time.Duration, stop <-chan struct{}) {
+	random := rand.New(rand.NewPCG(seed, 3))
+	c.background.Go(func() {
+		for i := 0; ; i++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(randomDuration(random, 0, 2*period)):
+			}
+			kind := i % len(slowKinds)
+			if i >= maxSlowLongRunning*len(slowKinds) {
+				kind = i % (len(slowKinds) - 1)
+			}
+			w := &workload{id: fmt.Sprintf("%016x", random.Uint64())}
+			slowKinds[kind](w)
+			w.steps = w.steps[:1]
+			c.mu.Lock()
+			c.workloads = append(c.workloads, w)
+			c.mu.Unlock()
+			c.background.Go(func() { c.submit(w) })
+		}
+	})
+}
+
 // longRunningKind is the index of the long-running workloads in kinds.
 const longRunningKind = 5
 
--- a/soaker/doc.go
+++ b/soaker/doc.go
@@ -9,6 +9,9 @@
 //   - SOAK_SECONDS is how long faults are injected, in seconds.
 //   - SOAK_ENTRIES and SOAK_HOSTS set the size of the deployment.
 //   - SOAK_CUTS is the number of zones that TestZoneCuts cuts off.
+//   - SOAK_REBIRTHS is the number of rounds of TestRebornExecutorsCutOff, in which executors restart
+//     under their ids and are cut off.
 //   - SOAK_REGRESSIONS, if set, adds the seeds that failed in the past.
 //   - SOAK_LOGS is a directory for the logs of the seeds that fail.
+//   - KNOWN_RED, if 1, adds what KNOWN-RED.txt lists.
 package soaker
--- a/soaker/fleet_test.go
+++ b/soaker/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -61,6 +62,8 @@
 
 	mu     sync.Mutex
 	events []performer.Event
+	// cutIPs holds the addresses of the hosts that are cut off.
+	cutIPs map[string]bool
 }
 
 // entry is an entry process with the proxies of its links: front for callers, peer for other
@@ -101,6 +104,7 @@
 		network:   fmt.Sprintf("127.%d.%d", 64+os.Getpid()%128, deployments.Add(1)),
 		store:     archiver.New(clock),
 		storeLink: disrupter.New(clock),
+		cutIPs:    map[string]bool{},
 	}
 	server := httptest.NewServer(f.storeLink.Wrap(f.store))
 	t.Cleanup(server.Close)
@@ -263,6 +267,32 @@
 	}
 }
 
+// cutHost cuts the agent of a host off from the store and the entries until healHost is called. It
+// still reaches its executor.
+func (f *fleet) cutHost(h *host) {
+	h.peer.Partition()
+	h.store.Partition()
+	f.setCut(h, true)
+}
+
+// healHost heals the links of a host to the store and the entries.
+func (f *fleet) healHost(h *host) {
+	f.setCut(h, false)
+	h.peer.Heal()
+	h.store.Heal()
+}
+
+// setCut sets whether the entries get nothing from a host.
+func (f *fleet) setCut(h *host, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cutIPs[h.ip] = cut
+	cutIPs := maps.Clone(f.cutIPs)
+	for _, e := range f.entries {
+		e.peer.PartitionFrom(func(ip string) bool { return cutIPs[ip] })
+	}
+}
+
 // healZones heals the links among the processes and to the store.
 func (f *fleet) healZones() {
 	for _, e := range f.entries {
