--- a/custodian/executor.go
+++ b/custodian/executor.go
@@ -96,11 +96,8 @@
 	// grows with each such rejection. Calls for an earlier incarnation may have left a greater
 	// token at the executor.
 	tokenIncrement int64
-	// tokenFromClock is set when this agent has read the token from the executor's clock, so that
-	// it is greater than those of earlier agents.
-	tokenFromClock bool
-	// confirmed is set when the executor has answered a hold with this token. Calls of an earlier
-	// agent can no longer take effect then.
+	// confirmed is set when the executor has answered a hold with this token. Calls of an earlier agent, and
+	// those for an earlier incarnation, can no longer take effect then.
 	confirmed     bool
 	clock         time.Duration
 	clockAt       time.Time
@@ -109,8 +106,8 @@
 	// has.
 	unansweredSince time.Time
 	announcedAt     time.Time
-	// reportedAt is when a report first listed the executor. The owner's answers to this and later
-	// reports renew its leases until leaseUntil. The last lease that the executor may have
+	// reportedAt is when a report first listed the executor since it was confirmed. The owner's answers to
+	// this and later reports renew its leases until leaseUntil. The last lease that the executor may have
 	// received from this agent ends at grantedUntil.
 	reportedAt    time.Time
 	leaseUntil    time.Time
@@ -216,6 +213,13 @@
 // listed.
 func (e *executor) listsIncomplete() bool { return e.confirmed && (e.endsIncomplete || !e.runsKnown) }
 
+// unconfirm records that the executor isn't reported until it has answered a hold with the present token. The answers
+// to reports that don't list it renew no leases: the owner takes them for no later than it was listed.
+func (e *executor) unconfirm() {
+	e.confirmed = false
+	e.reportedAt = time.Time{}
+}
+
 func (e *executor) add(r *run) {
 	e.runs[r.order.Run] = r
 	e.sorted = nil
--- a/custodian/incarnations.go
+++ b/custodian/incarnations.go
@@ -1,6 +1,7 @@
 package custodian
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -29,7 +30,8 @@
 		if !c.replaceAtAddress(now, a) {
 			return false
 		}
-		e = &executor{Announcement: a, lastContactAt: now, runs: map[messenger.RunRef]*run{}, token: c.nextToken(a.Clock)}
+		e = &executor{Announcement: a, lastContactAt: now, runs: map[messenger.RunRef]*run{}}
+		e.token = c.nextToken(now, e)
 		c.executors[a.ID] = e
 		c.logger.Info("executor announced", "executor", a.ID, "born", a.StartedMillis, "address", a.Address, "draining", a.Draining)
 	}
@@ -44,12 +46,16 @@
 	return changed
 }
 
-// nextToken returns a fencing token greater than all that this agent has used. It is also
-// greater than those of earlier agents for the same incarnation of the executor, since an
-// executor's clock only rises.
-func (c *Custodian) nextToken(clock time.Duration) int64 {
-	c.lastToken = max(c.lastToken+1, clock.Milliseconds())
-	return c.lastToken
+// nextToken returns a fencing token greater than all that this agent has used under the id of an executor. It is also
+// greater than those of earlier agents unless the time of day went back between their starts: an agent
+// counts its time from the time of day at its start. Executors' clocks don't serve, as each incarnation's starts
+// anywhere.
+func (c *Custodian) nextToken(now time.Time, e *executor) int64 {
+	millis := now.UnixMilli()
+	token := max(c.lastTokens[e.ID]+1, millis)
+	maps.DeleteFunc(c.lastTokens, func(_ string, last int64) bool { return last < millis })
+	c.lastTokens[e.ID] = token
+	return token
 }
 
 // answersNow reports whether an executor has just answered. No announcement replaces it then, as
@@ -102,7 +108,7 @@
 // writer's announcement could otherwise stand for the executor whose id or address it names.
 func (c *Custodian) forgetUnconfirmed(now time.Time) {
 	for id, e := range c.executors {
-		if !e.confirmed && e.reportedAt.IsZero() && len(e.runs) == 0 && now.Sub(e.announcedAt) > c.config.AnnouncementTTL {
+		if !e.confirmed && e.leaseUntil.IsZero() && len(e.runs) == 0 && now.Sub(e.announcedAt) > c.config.AnnouncementTTL {
 			c.logger.Info("executor forgotten", "executor", id, "born", e.StartedMillis, "address", e.Address)
 			delete(c.executors, id)
 		}
--- a/custodian/orders.go
+++ b/custodian/orders.go
@@ -182,6 +182,7 @@
 	}
 	e.updateClock(now, answer.Clock)
 	r.inFlight = false
+	changed := false
 	kind := apricotwinch.KindOf(err)
 	switch kind {
 	case "":
@@ -201,14 +202,17 @@
 		return Calls{}, false
 	case apricotwinch.NoCapacity, apricotwinch.Invalid, apricotwinch.NoTarget, apricotwinch.Forbidden:
 		return c.handleRefusedStart(now, e, r, kind)
-	case apricotwinch.Unreachable, apricotwinch.StaleEpoch, apricotwinch.StaleIncarnation, apricotwinch.DeadlineExceeded:
+	case apricotwinch.StaleEpoch:
+		changed = c.handleRejectedToken(now, e, call.Token)
+		c.wholeReportDue = c.wholeReportDue || changed
+	case apricotwinch.Unreachable, apricotwinch.StaleIncarnation, apricotwinch.DeadlineExceeded:
 		// The call was not carried out, and is repeated.
 	default:
 		r.maybeStarted = true
 	}
 	c.logger.Info("start not answered", "run", call.Order.Run, "executor", e.ID, "born", call.Born, "token", call.Token,
 		"deadlineMillis", call.Deadline.Milliseconds(), "kind", string(kind), "error", err)
-	return Calls{}, false
+	return Calls{}, changed
 }
 
 // handleRefusedStart takes the refusal of a start. It says nothing of an earlier call for the run
@@ -265,7 +269,7 @@
 			c.logger.Info("executor leases expired", "executor", id, "born", e.StartedMillis, "runs", len(e.runs), "inDoubt", e.countInDoubt(),
 				"silentMillis", now.Sub(e.lastContactAt).Milliseconds(), "strayLeaseMillis", max(0, e.strayLeaseEnd.Sub(now)).Milliseconds())
 			if e.hasRunInDoubt() {
-				c.fence(e)
+				c.fence(now, e)
 			}
 			for ref := range e.runs {
 				e.remove(ref)
@@ -302,16 +306,16 @@
 		return false
 	}
 	c.logger.Info("executor fenced", "executor", e.ID, "born", e.StartedMillis, "runs", len(e.runs), "lapsedMillis", now.Sub(e.leaseUntil).Milliseconds())
-	c.fence(e)
+	c.fence(now, e)
 	return true
 }
 
 // fence raises the token of an executor. The executor is reported again after it has answered a
 // call with that token.
-func (c *Custodian) fence(e *executor) {
+func (c *Custodian) fence(now time.Time, e *executor) {
 	metrics.GetOrRegisterCounter("executors.fenced", c.registry).Inc(1)
-	e.token = c.nextToken(e.clock)
-	e.confirmed = false
+	e.token = c.nextToken(now, e)
+	e.unconfirm()
 	for _, r := range e.runs {
 		r.fenced = r.fenced || r.inDoubt()
 	}
