Renew leases by few holds, so that few restarts leave a stray lease

Tasks of an executor that has just started under its id wait up to 6.2 s longer after a cut than others, as a call for its last incarnation may have granted it a long lease. Each hold carried a deadline, and one was always waiting at the executor, so that this held after each restart.

Change: a hold carries a deadline only each 0.4 s, isn't kept waiting then, and carries none after one without an answer until one is answered. So the agent mostly knows that no call with a deadline was under way, and mostly none is. The price: the lease of an executor that falls silent ends up to 0.4 s sooner.

--- a/conductor/stray_test.go
+++ b/conductor/stray_test.go
@@ -74,6 +74,34 @@
 	}
 }
 
+// TestFewRestartsLeaveStrayLease guards against tasks that wait for a stray lease whenever their executor has just
+// started under its id: one call was always under way that might have granted it.
+func TestFewRestartsLeaveStrayLease(t *testing.T) {
+	const (
+		restarts = 100
+		most     = restarts / 3
+	)
+	sim := newSimulation(t, 1, 2)
+	sim.season()
+	sim.network = &modelNetwork{maxDelay: 20 * time.Millisecond}
+	sim.run(time.Second)
+	h := sim.hosts[1]
+	stray := 0
+	for i := range restarts {
+		sim.run(15*time.Second + time.Duration(i)*tickInterval)
+		sim.crash(h)
+		h.executor.clockStart = time.Millisecond
+		sim.runUntil(2*time.Second, func() bool { return sim.hostRecord(h).Executors[0].Born == h.executor.incarnation })
+		if sim.strayMillisRecorded(h) > 0 {
+			stray++
+		}
+	}
+	t.Logf("%d of %d restarts may leave a stray lease", stray, restarts)
+	if stray > most {
+		t.Errorf("restarts that may leave a stray lease: got %d of %d, want at most %d", stray, restarts, most)
+	}
+}
+
 // strayMillisRecorded returns for how long a lease of the executor of a host may last that a call for an earlier
 // incarnation granted, by the host's record.
 func (sim *simulation) strayMillisRecorded(h *modelHost) int {
--- a/custodian/custodian.go
+++ b/custodian/custodian.go
@@ -27,6 +27,8 @@
 	// was made an executor may carry out a call without an answer.
 	MaxLease     time.Duration
 	MaxCallDelay time.Duration
+	// RenewalPeriod is the time between two holds that renew the leases of an executor that answers.
+	RenewalPeriod time.Duration
 	// Margin is the time from the end of the last lease that an executor may have received until its
 	// runs count as ended.
 	Margin time.Duration
@@ -61,6 +63,7 @@
 		Lease:               apricotwinch.ExecutorLease,
 		MaxLease:            10 * time.Second,
 		MaxCallDelay:        12 * time.Second,
+		RenewalPeriod:       400 * time.Millisecond,
 		Margin:              200 * time.Millisecond,
 		RetryDelay:          350 * time.Millisecond,
 		SilenceTimeout:      time.Second,
--- a/custodian/custodian_test.go
+++ b/custodian/custodian_test.go
@@ -74,6 +74,12 @@
 	return call
 }
 
+// renewingHold is hold at a time at which it renews the leases if that is allowed.
+func (s *fixture) renewingHold(answer custodian.HoldAnswer, err error) custodian.HoldCall {
+	s.now = s.now.Add(custodian.DefaultConfig().RenewalPeriod)
+	return s.hold(answer, err)
+}
+
 // renew simulates a report to the owner and its answer, and returns the report.
 func (s *fixture) renew() messenger.Report {
 	report := s.Report(s.now, true)
--- a/custodian/hold.go
+++ b/custodian/hold.go
@@ -23,12 +23,14 @@
 		// anew, and would forget its own ends.
 		call.AckedEnd = through
 	}
-	if until := c.grant(now, e); e.confirmed && until.After(now) {
-		call.Deadline = e.deadline(until)
-		e.leaseCalls.begin(call.Deadline)
+	if c.renewalDue(now, e) {
+		if until := c.grant(now, e); until.After(now) {
+			call.Deadline = e.deadline(until)
+			e.leaseCalls.begin(now, call.Deadline)
+		}
 	}
 	// An executor may not wait while it lists an end.
-	if e.confirmed && e.durableEnd >= e.lastEnd && !e.doubt.unreadable {
+	if e.confirmed && e.durableEnd >= e.lastEnd && !e.doubt.unreadable && call.Deadline == 0 {
 		call.Wait = c.config.HoldWait
 	}
 	return call, true
--- a/custodian/orders.go
+++ b/custodian/orders.go
@@ -122,7 +122,7 @@
 		return
 	}
 	deadline := e.deadline(c.grant(now, e))
-	e.leaseCalls.begin(deadline)
+	e.leaseCalls.begin(now, deadline)
 	calls.Starts = append(calls.Starts, StartCall{
 		Executor: e.ID, Born: e.StartedMillis, Address: e.Address, Token: e.token, Deadline: deadline, Order: r.order,
 	})
--- a/custodian/stray.go
+++ b/custodian/stray.go
@@ -15,19 +15,28 @@
 type leaseCalls struct {
 	// latest is the latest deadline. underWay is the number of those that have not ended. lostAt is when the last one ended that the next
 	// incarnation may carry out, or has; zero for none.
+	// madeAt is when the last one was made.
 	latest   time.Duration
 	underWay int
 	lostAt   time.Time
+	madeAt   time.Time
 }
 
 // begin records that a call is made. A deadline of 0 is none.
-func (l *leaseCalls) begin(deadline time.Duration) {
+func (l *leaseCalls) begin(now time.Time, deadline time.Duration) {
 	if deadline > 0 {
+		l.madeAt = now
 		l.underWay++
 		l.latest = max(l.latest, deadline)
 	}
 }
 
+// renewalDue reports whether the next hold renews the leases of an executor. A hold that does isn't kept waiting, and one
+// that may be lost doesn't, so that few calls with a deadline are under way when the executor ends.
+func (c *Custodian) renewalDue(now time.Time, e *executor) bool {
+	return e.confirmed && e.unansweredSince.IsZero() && now.Sub(e.leaseCalls.madeAt) >= c.config.RenewalPeriod
+}
+
 // endLeaseCall records that a call has ended.
 func (e *executor) endLeaseCall(now time.Time, deadline time.Duration, answer Answer, err error) {
 	if deadline <= 0 {
