Acknowledge no end while a start may be under way

Callers saw BUDGET and could see TWICE: a run ended and was taken note of, and its owner never heard of it, so that the task started again; or a task started once more after its end was taken note of.

Cause: an agent acknowledged ends at any time. An executor that is back under its id carries out calls that were meant for its last incarnation. If these are a start and an acknowledgment, the new incarnation, which numbers its ends anew, drops the end of that run before it was listed. If one is the first call of a start that was repeated, it starts a run whose end the last incarnation has had acknowledged.

An acknowledgment now waits until no start may be under way under the id: each has been answered, or can be carried out no more, and this incarnation has answered a hold that was sent after the last answer, which may carry no start time. A start without an answer whose run is listed was carried out, if there was only one call. Later starts carry a greater token than the acknowledgment, so that an incarnation that has carried one out rejects it. The wait is at most 3 s after the end is durable, as users accept 4 s, and none in a list that is full or has a row that can't be read. An agent that finds runs of an earlier one assumes starts under way for 12 s.

Evidence: before the change both cases of TestAcknowledgmentForLastIncarnation and of TestRepeatedStartAfterEnd fail ("started after the task was done"), and TestNoAcknowledgmentWhileStartIsUnderWay and TestStartOutranksAcknowledgment.

A start that is more than 3 s late can still start a run after its end is acknowledged.

--- a/custodian/custodian.go
+++ b/custodian/custodian.go
@@ -30,6 +30,9 @@
 	// Margin is the time from the end of the last lease that an executor may have received until its
 	// runs count as ended.
 	Margin time.Duration
+	// MaxAckDelay bounds how long the acknowledgment of a durable end waits for starts that may be under way;
+	// users accept 4 s from the end of the run.
+	MaxAckDelay time.Duration
 	// RetryDelay is the time after which an unanswered call is repeated.
 	RetryDelay time.Duration
 	// SilenceTimeout is how long an executor must be silent to count as unreachable.
@@ -62,6 +65,7 @@
 		MaxLease:            10 * time.Second,
 		MaxCallDelay:        12 * time.Second,
 		Margin:              200 * time.Millisecond,
+		MaxAckDelay:         3 * time.Second,
 		RetryDelay:          350 * time.Millisecond,
 		SilenceTimeout:      time.Second,
 		AnnouncementTTL:     5 * time.Second,
@@ -104,6 +108,8 @@
 	wholeReportDue  bool
 	// lastTokens holds the greatest fencing token that was used under each id of an executor.
 	lastTokens map[string]int64
+	// starts holds the starts that may still be carried out, by the id of the executor.
+	starts map[string]*underWayStarts
 	// interferences holds the estimates that the owner sent, by the serving and the best-effort
 	// image.
 	interferences map[[2]string]float64
@@ -123,6 +129,7 @@
 		ownerAnsweredAt: now,
 		executors:       map[string]*executor{},
 		lastTokens:      map[string]int64{},
+		starts:          map[string]*underWayStarts{},
 		interferences:   map[[2]string]float64{},
 	}
 }
--- a/custodian/executor.go
+++ b/custodian/executor.go
@@ -131,9 +131,13 @@
 	// strayLeaseEnd is when all leases have ended that the executor may have received before it was
 	// confirmed; zero if it hasn't been.
 	strayLeaseEnd time.Time
-	// ackedEnd is the number of the last end whose acknowledgment reached the executor.
+	// ackedEnd is the number of the last end whose acknowledgment reached the executor, and durable holds the
+	// durable ends after it.
 	ackedEnd int
-	reserved apricotwinch.Resources
+	durable  []durableEnds
+	// answeredHoldAt is when the last hold was sent that the executor has answered.
+	answeredHoldAt time.Time
+	reserved       apricotwinch.Resources
 }
 
 // run is a run at an executor.
--- a/custodian/hold.go
+++ b/custodian/hold.go
@@ -1,6 +1,7 @@
 package custodian
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -18,10 +19,11 @@
 		return HoldCall{}, false
 	}
 	call := HoldCall{Executor: e.ID, Born: e.StartedMillis, Address: e.Address, Token: e.token}
-	if through := min(e.durableEnd, e.doubt.ackLimit()); through > e.ackedEnd {
-		// Acknowledge an end once only: another incarnation under the same id numbers its ends
-		// anew, and would forget its own ends.
+	if through := c.nextAcknowledgment(now, e); through > 0 {
+		// Acknowledge an end once only, and by a token that is lower than those of later starts: another
+		// incarnation under the same id numbers its ends anew, and would forget its own ends.
 		call.AckedEnd = through
+		e.token = c.nextToken(now, e)
 	}
 	if until := c.grant(now, e); e.confirmed && until.After(now) {
 		call.Deadline = e.deadline(until)
@@ -68,7 +70,9 @@
 	}
 	e.lastContactAt = now
 	e.unansweredSince = time.Time{}
+	e.answeredHoldAt = sent
 	e.ackedEnd = max(e.ackedEnd, call.AckedEnd)
+	e.durable = slices.DeleteFunc(e.durable, func(d durableEnds) bool { return d.through <= e.ackedEnd })
 	e.updateClock(now, answer.Clock)
 	if !e.confirmed {
 		e.confirmed = call.Token == e.token
@@ -136,6 +140,7 @@
 		}
 		e.lastEnd = end.Number
 		e.ends = append(e.ends, end)
+		c.startsTo(e.ID).list(e.runs[end.Run])
 		e.remove(end.Run)
 		changed = true
 		metrics.GetOrRegisterCounter("runs.ended."+end.How, c.registry).Inc(1)
@@ -156,6 +161,7 @@
 	for _, state := range states {
 		listed[state.Run] = true
 		r := e.runs[state.Run]
+		c.startsTo(e.ID).list(r)
 		if r == nil {
 			r = &run{order: messenger.StartOrder{Run: state.Run, Executor: e.ID}, phase: messenger.RunRunning, pace: pacer.FullSpeed}
 			e.add(r)
--- a/custodian/orders.go
+++ b/custodian/orders.go
@@ -27,7 +27,7 @@
 		return Calls{}, apricotwinch.Errorf(apricotwinch.StaleView, "ticketMillis: the orders are based on a report that is %s old", age)
 	}
 	c.advanceEpoch(o.Epoch)
-	c.acknowledgeEnds(o.Seen)
+	c.acknowledgeEnds(now, o.Seen)
 	if o.Number <= c.lastOrders {
 		return Calls{}, nil
 	}
@@ -58,13 +58,14 @@
 	}
 }
 
-func (c *Custodian) acknowledgeEnds(seen []messenger.DurableEnds) {
+func (c *Custodian) acknowledgeEnds(now time.Time, seen []messenger.DurableEnds) {
 	for _, s := range seen {
 		e := c.executors[s.Executor]
 		if e == nil || e.StartedMillis != s.Born || s.Through <= e.durableEnd {
 			continue
 		}
 		e.durableEnd = s.Through
+		e.durable = append(e.durable, durableEnds{through: s.Through, at: now})
 		e.ends = slices.DeleteFunc(e.ends, func(end messenger.RunEnd) bool { return end.Number <= s.Through })
 	}
 }
@@ -121,6 +122,7 @@
 		calls.Stops = append(calls.Stops, RunCall{Executor: e.ID, Born: e.StartedMillis, Address: e.Address, Token: e.token, Run: r.order.Run})
 		return
 	}
+	c.startsTo(e.ID).begin(r.order.Run, now.Add(c.config.MaxCallDelay))
 	calls.Starts = append(calls.Starts, StartCall{
 		Executor: e.ID, Born: e.StartedMillis, Address: e.Address, Token: e.token, Deadline: e.deadline(c.grant(now, e)), Order: r.order,
 	})
@@ -171,6 +173,8 @@
 // a report to the owner is due at once. That a run has started can wait for the next report: the
 // owner counts it from its order on.
 func (c *Custodian) HandleStartAnswer(now time.Time, call StartCall, answer Answer, err error) (Calls, bool) {
+	kind := apricotwinch.KindOf(err)
+	c.startsTo(call.Executor).end(now, call.Order.Run, kind)
 	e, r := c.findRun(call.Executor, call.Born, call.Order.Run)
 	if r == nil {
 		return Calls{}, false
@@ -183,7 +187,6 @@
 	e.updateClock(now, answer.Clock)
 	r.inFlight = false
 	changed := false
-	kind := apricotwinch.KindOf(err)
 	switch kind {
 	case "":
 		e.lastContactAt = now
@@ -260,6 +263,7 @@
 	var calls Calls
 	changed := false
 	c.forgetUnconfirmed(now)
+	c.forgetStarts(now)
 	for _, id := range c.Executors() {
 		e := c.executors[id]
 		if c.fenceAfterLapse(now, e) {
--- a/custodian/report.go
+++ b/custodian/report.go
@@ -106,7 +106,7 @@
 	}
 	c.advanceEpoch(reply.Epoch)
 	c.ownerAnsweredAt = now
-	c.acknowledgeEnds(reply.Seen)
+	c.acknowledgeEnds(now, reply.Seen)
 	length := c.config.Lease
 	if reply.LeaseMillis > 0 {
 		length = min(length, time.Duration(reply.LeaseMillis)*time.Millisecond)
