Hold the tasks of an ended executor whose starts may be under way

Callers saw a task run twice: its executor refused connections, was reported gone at once, and the task started elsewhere.

Cause: an incarnation without a known successor counted as gone with all its calls. A call without an answer may be carried out 12 s later, by whatever incarnation is up, and that one has seen no fencing token.

Fix: the agent keeps for each run when a start without an answer may still be carried out, also if a repeat was answered. It lists an ended incarnation, unreachable, with just these runs; all others are released at once as before. It reports the incarnation gone once another one under the id or at the address has answered a greater token, so that its list tells and the calls have no effect any more, or once the calls are too old. A refusal of the call releases the run at once. A task that lasts waits 5 s at most, since it must run again within 9 s.

--- a/conductor/reborn_test.go
+++ b/conductor/reborn_test.go
@@ -1,6 +1,7 @@
 package conductor_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -132,3 +133,129 @@
 		})
 	}
 }
+
+// delayCalls delays the calls to executors that are under way by now so that they arrive at a time. Muting an
+// executor keeps its calls under way.
+func (sim *simulation) delayCalls(at time.Time) {
+	for i := range sim.network.messages {
+		if sim.network.messages[i].at.After(sim.now.Add(sim.network.maxDelay)) {
+			sim.network.messages[i].at = at
+		}
+	}
+}
+
+// workKinds are steps of each kind of work that a start may be under way for.
+func workKinds() []struct {
+	name, queue string
+	step        messenger.StepSpec
+} {
+	return []struct {
+		name, queue string
+		step        messenger.StepSpec
+	}{
+		{name: "ordinary", queue: batchQueue, step: tasks(12, 2000, 4*time.Second)},
+		{name: "long-running", queue: watchQueue, step: tasks(12, 2000, time.Hour, longRunning)},
+		{name: "best-effort", queue: batchQueue, step: tasks(12, 2000, 4*time.Second, bestEffort)},
+		{name: "gang", queue: batchQueue, step: tasks(12, 2000, 4*time.Second, func(s *messenger.StepSpec) { s.Gang = true })},
+	}
+}
+
+// TestStartUnderWayAsExecutorEnds guards against tasks that run twice: an executor refuses connections, its tasks
+// start elsewhere at once, and the next incarnation under its id carries out a start that was under way.
+func TestStartUnderWayAsExecutorEnds(t *testing.T) {
+	ways := []struct {
+		name string
+		// end ends the executor for a time while starts are under way that arrive right after that.
+		end func(sim *simulation, h *modelHost, down time.Duration)
+	}{
+		{name: "first call", end: func(sim *simulation, h *modelHost, down time.Duration) {
+			sim.run(150 * time.Millisecond)
+			sim.delayCalls(sim.now.Add(down + 50*time.Millisecond))
+			sim.crashFor(h, down, false)
+		}},
+		{name: "repeated calls", end: func(sim *simulation, h *modelHost, down time.Duration) {
+			sim.run(800 * time.Millisecond)
+			sim.delayCalls(sim.now.Add(down + 50*time.Millisecond))
+			sim.crashFor(h, down, false)
+		}},
+		{name: "repeat answered", end: func(sim *simulation, h *modelHost, down time.Duration) {
+			sim.run(250 * time.Millisecond)
+			sim.delayCalls(sim.now.Add(700*time.Millisecond + down + 50*time.Millisecond))
+			h.executor.mute = false
+			sim.run(700 * time.Millisecond)
+			if len(h.executor.runs) == 0 {
+				sim.t.Fatalf("no task runs on the executor")
+			}
+			sim.crashFor(h, down, false)
+		}},
+	}
+	for _, kind := range workKinds() {
+		for _, down := range []time.Duration{300 * time.Millisecond, time.Second, 3 * time.Second} {
+			for _, way := range ways {
+				t.Run(fmt.Sprintf("%s/down for %s, %s", kind.name, down, way.name), func(t *testing.T) {
+					t.Parallel()
+					sim := newSimulation(t, 1, 4)
+					sim.network = &modelNetwork{maxDelay: 20 * time.Millisecond}
+					sim.run(30 * time.Second)
+					h := sim.hosts[1]
+					h.executor.mute = true
+					sim.submit(kind.queue, "work", kind.step)
+					way.end(sim, h, down)
+					// The deadline of the starts is ahead of the next incarnation's clock.
+					h.executor.clockStart = time.Millisecond
+					sim.run(down)
+					sim.runUntil(200*time.Millisecond, func() bool { return len(h.executor.runs) > 0 })
+					sim.run(30 * time.Second)
+					want := messenger.WorkloadCompleted
+					if kind.queue == watchQueue {
+						want = messenger.WorkloadRunning
+						if diff := cmp.Diff(12, sim.running("work")); diff != "" {
+							t.Errorf("running tasks (-want +got):\n%s", diff)
+						}
+					}
+					if diff := cmp.Diff(want, sim.state("work")); diff != "" {
+						t.Errorf("state (-want +got):\n%s", diff)
+					}
+				})
+			}
+		}
+	}
+}
+
+// TestTasksRunAgainAsExecutorEnds guards against tasks that wait for an executor that is gone: only those of which a
+// start may be under way do, and no longer than that may be carried out.
+func TestTasksRunAgainAsExecutorEnds(t *testing.T) {
+	const maxCallDelay = 12 * time.Second
+	for _, kind := range workKinds() {
+		if kind.step.Gang {
+			continue // The model doesn't end the other members.
+		}
+		for _, test := range []struct {
+			name     string
+			underWay bool
+			bound    time.Duration
+		}{
+			{name: "starts answered", bound: 1500 * time.Millisecond},
+			{name: "starts under way", underWay: true, bound: maxCallDelay + time.Second},
+		} {
+			t.Run(kind.name+"/"+test.name, func(t *testing.T) {
+				t.Parallel()
+				sim := newSimulation(t, 1, 4)
+				sim.network = &modelNetwork{maxDelay: 20 * time.Millisecond}
+				sim.run(30 * time.Second)
+				h := sim.hosts[1]
+				h.executor.mute = test.underWay
+				step := kind.step
+				step.EstimateMillis = int(time.Hour.Milliseconds())
+				sim.submit(kind.queue, "work", step)
+				sim.run(200 * time.Millisecond)
+				sim.crashFor(h, time.Hour, false)
+				bound := test.bound
+				if kind.queue == watchQueue {
+					bound = min(bound, restartBound)
+				}
+				sim.runUntil(bound, func() bool { return sim.running("work") == step.Tasks })
+			})
+		}
+	}
+}
--- a/custodian/custodian.go
+++ b/custodian/custodian.go
@@ -27,6 +27,9 @@
 	// was made an executor may carry out a call without an answer.
 	MaxLease     time.Duration
 	MaxCallDelay time.Duration
+	// MaxLastingHold is how long after the end of an executor a task that lasts may wait for a start that may be
+	// under way: users accept 9 s without a run.
+	MaxLastingHold time.Duration
 	// Margin is the time from the end of the last lease that an executor may have received until its
 	// runs count as ended.
 	Margin time.Duration
@@ -61,6 +64,7 @@
 		Lease:               apricotwinch.ExecutorLease,
 		MaxLease:            10 * time.Second,
 		MaxCallDelay:        12 * time.Second,
+		MaxLastingHold:      5 * time.Second,
 		Margin:              200 * time.Millisecond,
 		RetryDelay:          350 * time.Millisecond,
 		SilenceTimeout:      time.Second,
@@ -96,7 +100,7 @@
 	lastOrders      int
 	ownerAnsweredAt time.Time
 	executors       map[string]*executor
-	ended           []endedIncarnation
+	ended           []*endedIncarnation
 	refusals        []messenger.RunRefusal
 	refusalCount    int
 	updatedAt       time.Time
--- a/custodian/executor.go
+++ b/custodian/executor.go
@@ -113,7 +113,9 @@
 	leaseUntil    time.Time
 	grantedUntil  time.Time
 	drainDeadline time.Time
-	runs          map[messenger.RunRef]*run
+	// listed is whether a report has listed the executor.
+	listed bool
+	runs   map[messenger.RunRef]*run
 	// sorted caches the runs in the order of compareRuns; nil after a change.
 	sorted []*run
 	ends   []messenger.RunEnd
@@ -142,6 +144,8 @@
 	// known is whether order is the owner's; the order of a run that was found at the executor
 	// names only the run and the executor until the owner sends the whole.
 	known bool
+	// found is whether the run was found at the executor: another agent may have started it.
+	found bool
 	phase string
 	// confirmedAt is the time as of which the executor last confirmed the run; zero if it never did.
 	confirmedAt time.Time
@@ -154,7 +158,9 @@
 	fenced   bool
 	inFlight bool
 	retryAt  time.Time
-	state    messenger.RunState
+	// startCalls tells the calls that start the run and may yet be carried out.
+	startCalls startCalls
+	state      messenger.RunState
 	// pace is the allowed percentage of full speed, loggedPace the pace that was logged last.
 	pace       int
 	loggedPace int
--- a/custodian/hold.go
+++ b/custodian/hold.go
@@ -99,7 +99,7 @@
 	e.updateClock(now, answer.Clock)
 	switch apricotwinch.KindOf(err) {
 	case apricotwinch.StaleIncarnation:
-		c.dropExecutor(e, err.Error())
+		c.dropExecutor(now, e, err.Error())
 		return true
 	case apricotwinch.StaleEpoch:
 		return c.handleRejectedToken(now, e, call.Token)
@@ -157,7 +157,7 @@
 		listed[state.Run] = true
 		r := e.runs[state.Run]
 		if r == nil {
-			r = &run{order: messenger.StartOrder{Run: state.Run, Executor: e.ID}, phase: messenger.RunRunning, pace: pacer.FullSpeed}
+			r = &run{order: messenger.StartOrder{Run: state.Run, Executor: e.ID}, phase: messenger.RunRunning, pace: pacer.FullSpeed, found: true}
 			e.add(r)
 			metrics.GetOrRegisterCounter("runs.found", c.registry).Inc(1)
 			c.logger.Info("run found", "run", state.Run, "executor", e.ID, "born", e.StartedMillis, "token", e.token, "confirmed", e.confirmed,
--- a/custodian/incarnations.go
+++ b/custodian/incarnations.go
@@ -23,7 +23,7 @@
 		if c.answersNow(now, e) {
 			return false
 		}
-		c.dropExecutor(e, "reborn")
+		c.dropExecutor(now, e, "reborn")
 		e = nil
 	}
 	if e == nil {
@@ -75,7 +75,7 @@
 		if e.StartedMillis > a.StartedMillis || c.answersNow(now, e) {
 			return false
 		}
-		c.dropExecutor(e, "replaced at its address")
+		c.dropExecutor(now, e, "replaced at its address")
 	}
 	return true
 }
@@ -93,15 +93,9 @@
 // the first may have reached the second.
 const endedTTL = 30 * time.Second
 
-// endedIncarnation is an incarnation of an executor that has ended.
-type endedIncarnation struct {
-	messenger.ExecutorIncarnation
-	endedAt time.Time
-}
-
 // hasEnded reports whether an incarnation of an executor is known to have ended.
 func (c *Custodian) hasEnded(id string, startedMillis int) bool {
-	return slices.ContainsFunc(c.ended, func(ended endedIncarnation) bool { return ended.Id == id && ended.Born == startedMillis })
+	return c.findEnded(id, startedMillis) != nil
 }
 
 // forgetUnconfirmed removes executors that never answered and are announced no more. Another
@@ -115,10 +109,10 @@
 	}
 }
 
-func (c *Custodian) dropExecutor(e *executor, reason string) {
-	c.ended = append(c.ended, endedIncarnation{ExecutorIncarnation: messenger.ExecutorIncarnation{Id: e.ID, Born: e.StartedMillis}, endedAt: c.updatedAt})
+func (c *Custodian) dropExecutor(now time.Time, e *executor, reason string) {
+	underWay := c.addEnded(now, e)
 	c.logger.Info("executor dropped", "executor", e.ID, "born", e.StartedMillis, "token", e.token, "clockMillis", e.clock.Milliseconds(), "runs", len(e.runs),
-		"inDoubt", e.countInDoubt(), "reason", reason)
+		"inDoubt", e.countInDoubt(), "underWay", underWay, "reason", reason)
 	delete(c.executors, e.ID)
 }
 
@@ -134,7 +128,7 @@
 
 // handleRestart replaces an executor by the new incarnation that answers under its id.
 func (c *Custodian) handleRestart(now time.Time, e *executor, answer Answer) {
-	c.dropExecutor(e, "another incarnation answers")
+	c.dropExecutor(now, e, "another incarnation answers")
 	next := e.Announcement
 	next.StartedMillis, next.Sequence, next.Clock, next.Draining = answer.StartedMillis, 0, answer.Clock, false
 	c.HandleAnnouncement(now, next)
@@ -159,7 +153,9 @@
 	}
 	if other := c.confirmedExecutorAt(record.Address); other != nil {
 		c.logger.Info("executor ended", "executor", record.Id, "born", record.Born, "reason", "another executor answers at its address", "other", other.ID)
-		c.ended = append(c.ended, endedIncarnation{ExecutorIncarnation: messenger.ExecutorIncarnation{Id: record.Id, Born: record.Born}, endedAt: now})
+		c.ended = append(c.ended, &endedIncarnation{
+			ExecutorIncarnation: messenger.ExecutorIncarnation{Id: record.Id, Born: record.Born}, endedAt: now, record: record,
+		})
 		return
 	}
 	c.HandleAnnouncement(now, Announcement{
--- a/custodian/orders.go
+++ b/custodian/orders.go
@@ -121,12 +121,17 @@
 		calls.Stops = append(calls.Stops, RunCall{Executor: e.ID, Born: e.StartedMillis, Address: e.Address, Token: e.token, Run: r.order.Run})
 		return
 	}
+	r.startCalls.settle(true, c.config.MaxCallDelay)
+	r.startCalls.madeAt = now
 	calls.Starts = append(calls.Starts, StartCall{
 		Executor: e.ID, Born: e.StartedMillis, Address: e.Address, Token: e.token, Deadline: e.deadline(c.grant(now, e)), Order: r.order,
 	})
 }
 
 func (c *Custodian) stopRun(now time.Time, stop messenger.StopOrder, calls *Calls) {
+	for _, ended := range c.ended {
+		ended.markStopping(stop.Run)
+	}
 	e := c.executors[stop.Executor]
 	if e == nil {
 		return
@@ -173,7 +178,7 @@
 func (c *Custodian) HandleStartAnswer(now time.Time, call StartCall, answer Answer, err error) (Calls, bool) {
 	e, r := c.findRun(call.Executor, call.Born, call.Order.Run)
 	if r == nil {
-		return Calls{}, false
+		return Calls{}, c.handleLateAnswer(now, call, answer, err)
 	}
 	if answer.StartedMillis != 0 && answer.StartedMillis != e.StartedMillis {
 		c.handleRestart(now, e, answer)
@@ -184,6 +189,7 @@
 	r.inFlight = false
 	changed := false
 	kind := apricotwinch.KindOf(err)
+	r.startCalls.settle(mayBeCarriedOut(kind), c.config.MaxCallDelay)
 	switch kind {
 	case "":
 		e.lastContactAt = now
--- a/custodian/report.go
+++ b/custodian/report.go
@@ -48,9 +48,11 @@
 	report.LeaseLengths = true
 	report.Refusals = slices.Clone(c.refusals)
 	report.RefusalsThrough = c.refusalCount
-	c.ended = slices.DeleteFunc(c.ended, func(ended endedIncarnation) bool { return now.Sub(ended.endedAt) > endedTTL })
+	c.updateEnded(now)
 	for _, ended := range c.ended {
-		if next := c.executors[ended.Id]; next == nil || next.confirmed {
+		if len(ended.underWay) > 0 {
+			report.Executors = append(report.Executors, ended.state(now))
+		} else if next := c.executors[ended.Id]; next == nil || next.confirmed {
 			report.Gone = append(report.Gone, ended.ExecutorIncarnation)
 		}
 	}
@@ -62,6 +64,7 @@
 		if e.reportedAt.IsZero() {
 			e.reportedAt = now
 		}
+		e.listed = true
 		report.Executors = append(report.Executors, c.executorState(now, e))
 	}
 	return report
@@ -70,15 +73,7 @@
 func (c *Custodian) executorState(now time.Time, e *executor) messenger.ExecutorState {
 	silent := now.Sub(e.lastContactAt)
 	state := messenger.ExecutorState{
-		Executor: messenger.ExecutorRecord{
-			Id:         e.ID,
-			Born:       e.StartedMillis,
-			Address:    e.Address,
-			Service:    e.Service,
-			DataCentre: e.DataCentre,
-			Capacity:   messenger.FromResources(e.Capacity),
-			Labels:     e.Labels,
-		},
+		Executor:        e.record(),
 		Draining:        e.Draining,
 		Reachable:       silent < c.config.SilenceTimeout && !e.doubt.present(),
 		SilentMillis:    int(silent.Milliseconds()),
@@ -88,17 +83,35 @@
 		RunsListed:      e.runsKnown,
 	}
 	for _, r := range e.sortedRuns() {
-		s := r.state
-		s.Run = r.order.Run
-		s.Phase = r.phase
-		s.Pace = r.pace
-		s.Background = r.order.Background
-		s.Unknown = !r.known
-		state.Runs = append(state.Runs, s)
+		state.Runs = append(state.Runs, r.reported())
 	}
 	return state
 }
 
+// record returns what the owner records of the executor.
+func (e *executor) record() messenger.ExecutorRecord {
+	return messenger.ExecutorRecord{
+		Id:         e.ID,
+		Born:       e.StartedMillis,
+		Address:    e.Address,
+		Service:    e.Service,
+		DataCentre: e.DataCentre,
+		Capacity:   messenger.FromResources(e.Capacity),
+		Labels:     e.Labels,
+	}
+}
+
+// reported returns what is reported of the run.
+func (r *run) reported() messenger.RunState {
+	s := r.state
+	s.Run = r.order.Run
+	s.Phase = r.phase
+	s.Pace = r.pace
+	s.Background = r.order.Background
+	s.Unknown = !r.known
+	return s
+}
+
 // HandleReportAnswer applies an entry's answer to a report that was sent at sent.
 func (c *Custodian) HandleReportAnswer(now, sent time.Time, reply messenger.ReportReply) {
 	if !reply.Owner || reply.Epoch < c.epoch {
--- /dev/null
+++ b/custodian/underway.go
@@ -0,0 +1,150 @@
+package custodian
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"apricotwinch"
+	"apricotwinch/messenger"
+)
+
+// startCalls is what is known of the calls that start a run.
+type startCalls struct {
+	// madeAt is when the call without an outcome yet was made; zero if there is none.
+	madeAt time.Time
+	// lateUntil is until when an earlier call without an answer may be carried out.
+	lateUntil time.Time
+}
+
+// settle records the outcome of the call that was made last. unanswered is whether it may yet be carried out.
+func (s *startCalls) settle(unanswered bool, maxDelay time.Duration) {
+	if unanswered && !s.madeAt.IsZero() {
+		s.lateUntil = s.madeAt.Add(maxDelay)
+	}
+	s.madeAt = time.Time{}
+}
+
+// mayBeCarriedOut reports whether a start that ended with a kind of error, empty for none, may be carried out later.
+func mayBeCarriedOut(kind apricotwinch.Kind) bool {
+	switch kind {
+	case "", apricotwinch.Conflict, apricotwinch.Unreachable, apricotwinch.StaleIncarnation, apricotwinch.DeadlineExceeded,
+		apricotwinch.StaleEpoch, apricotwinch.NoCapacity, apricotwinch.Invalid, apricotwinch.NoTarget, apricotwinch.Forbidden:
+		return false
+	}
+	return true
+}
+
+// underWayUntil returns until when a call that starts the run may be carried out. Those of an earlier agent
+// for a run that was found are not known.
+func (c *Custodian) underWayUntil(r *run) time.Time {
+	switch {
+	case !r.startCalls.madeAt.IsZero():
+		return r.startCalls.madeAt.Add(c.config.MaxCallDelay)
+	case r.found:
+		return c.startedAt.Add(c.config.MaxCallDelay)
+	}
+	return r.startCalls.lateUntil
+}
+
+// endedIncarnation is an incarnation of an executor that has ended.
+type endedIncarnation struct {
+	messenger.ExecutorIncarnation
+	endedAt time.Time
+	record  messenger.ExecutorRecord
+	// underWay holds the runs of which a start may be under way: the next incarnation under the id, which may not be
+	// known yet, would carry it out. The owner must not start their tasks elsewhere until that one's list shows
+	// whether it has.
+	underWay []*run
+}
+
+// addEnded records that an incarnation of an executor has ended. It returns how many of its runs may yet start.
+func (c *Custodian) addEnded(now time.Time, e *executor) int {
+	ended := &endedIncarnation{
+		ExecutorIncarnation: messenger.ExecutorIncarnation{Id: e.ID, Born: e.StartedMillis}, endedAt: now, record: e.record(),
+	}
+	if e.listed {
+		for _, r := range e.sortedRuns() {
+			if c.underWayUntil(r).After(now) {
+				ended.underWay = append(ended.underWay, r)
+			}
+		}
+	}
+	c.ended = append(c.ended, ended)
+	metrics.GetOrRegisterCounter("runs.under_way_at_end", c.registry).Inc(int64(len(ended.underWay)))
+	return len(ended.underWay)
+}
+
+// findEnded returns an incarnation of an executor that is known to have ended, or nil.
+func (c *Custodian) findEnded(id string, born int) *endedIncarnation {
+	i := slices.IndexFunc(c.ended, func(ended *endedIncarnation) bool { return ended.Id == id && ended.Born == born })
+	if i < 0 {
+		return nil
+	}
+	return c.ended[i]
+}
+
+// updateEnded releases the runs of ended incarnations that can't start any more, and forgets those that ended long ago.
+func (c *Custodian) updateEnded(now time.Time) {
+	for _, ended := range c.ended {
+		next := c.executors[ended.Id]
+		settled := next != nil && next.confirmed || c.confirmedExecutorAt(ended.record.Address) != nil
+		c.releaseUnderWay(now, ended, "another incarnation confirmed", func(*run) bool { return settled })
+		c.releaseUnderWay(now, ended, "too late to start", func(r *run) bool {
+			return !c.underWayUntil(r).After(now) || r.order.Lasting && now.Sub(ended.endedAt) > c.config.MaxLastingHold
+		})
+	}
+	c.ended = slices.DeleteFunc(c.ended, func(ended *endedIncarnation) bool { return now.Sub(ended.endedAt) > endedTTL })
+}
+
+// releaseUnderWay releases the runs of an ended incarnation that match.
+func (c *Custodian) releaseUnderWay(now time.Time, ended *endedIncarnation, reason string, match func(*run) bool) {
+	before := len(ended.underWay)
+	ended.underWay = slices.DeleteFunc(ended.underWay, match)
+	if n := before - len(ended.underWay); n > 0 {
+		c.wholeReportDue = true
+		c.logger.Info("starts settled", "executor", ended.Id, "born", ended.Born, "runs", n, "underWay", len(ended.underWay),
+			"heldMillis", now.Sub(ended.endedAt).Milliseconds(), "reason", reason)
+	}
+}
+
+// handleLateAnswer takes the answer to a start on an incarnation that has ended since, and reports whether a report to
+// the owner is due at once. That of another incarnation to a start says nothing unless it refused it.
+func (c *Custodian) handleLateAnswer(now time.Time, call StartCall, answer Answer, err error) bool {
+	ended := c.findEnded(call.Executor, call.Born)
+	if ended == nil {
+		return false
+	}
+	i := slices.IndexFunc(ended.underWay, func(r *run) bool { return r.order.Run == call.Order.Run })
+	if i < 0 {
+		return false
+	}
+	r := ended.underWay[i]
+	kind := apricotwinch.KindOf(err)
+	carriedOut := kind == "" || kind == apricotwinch.Conflict
+	r.startCalls.settle(mayBeCarriedOut(kind) || carriedOut && answer.StartedMillis != call.Born, c.config.MaxCallDelay)
+	if c.underWayUntil(r).After(now) {
+		return false
+	}
+	c.releaseUnderWay(now, ended, "not carried out", func(other *run) bool { return other == r })
+	return true
+}
+
+// markStopping records that a run must not go on, so that the owner doesn't ask again.
+func (ended *endedIncarnation) markStopping(ref messenger.RunRef) {
+	for _, r := range ended.underWay {
+		if r.order.Run == ref {
+			r.phase = messenger.RunStopping
+		}
+	}
+}
+
+// state returns what is reported of an ended incarnation: the runs of which a start may be under way.
+func (ended *endedIncarnation) state(now time.Time) messenger.ExecutorState {
+	state := messenger.ExecutorState{Executor: ended.record, SilentMillis: int(now.Sub(ended.endedAt).Milliseconds()), RunsListed: true}
+	for _, r := range ended.underWay {
+		state.Runs = append(state.Runs, r.reported())
+	}
+	return state
+}
