--- a/custodian/acknowledgment.go
+++ b/custodian/acknowledgment.go
@@ -52,7 +52,7 @@
 
 // end records the outcome of a start.
 func (s *underWayStarts) end(now time.Time, ref messenger.RunRef, kind apricotwinch.Kind) {
-	if !isAnswer(kind) {
+	if mayBeCarriedOut(kind) {
 		return
 	}
 	s.answeredAt = now
@@ -64,17 +64,6 @@
 	}
 }
 
-// isAnswer reports whether a start with this outcome can't be carried out any more.
-func isAnswer(kind apricotwinch.Kind) bool {
-	switch kind {
-	case "", apricotwinch.Conflict, apricotwinch.NoCapacity, apricotwinch.Invalid, apricotwinch.NoTarget, apricotwinch.Forbidden,
-		apricotwinch.Unreachable, apricotwinch.StaleEpoch, apricotwinch.StaleIncarnation, apricotwinch.DeadlineExceeded:
-		return true
-	default:
-		return false
-	}
-}
-
 // list records that an executor has listed a run for the first time, before a start of it was answered.
 func (s *underWayStarts) list(r *run) {
 	if r == nil {
--- a/custodian/acknowledgment_test.go
+++ b/custodian/acknowledgment_test.go
@@ -11,8 +11,6 @@
 	"apricotwinch/messenger"
 )
 
-var errNoAnswer = apricotwinch.Errorf(apricotwinch.Unknown, "no answer")
-
 // startRun orders the start of a run and returns the call.
 func (s *fixture) startRun(t *testing.T, index int) custodian.StartCall {
 	t.Helper()
--- a/custodian/orders.go
+++ b/custodian/orders.go
@@ -123,12 +123,17 @@
 		return
 	}
 	c.startsTo(e.ID).begin(r.order.Run, now.Add(c.config.MaxCallDelay))
+	r.startCalls.settle(true, c.config.MaxCallDelay)
+	r.startCalls.madeAt = now
 	calls.Starts = append(calls.Starts, StartCall{
 		Executor: e.ID, Born: e.StartedMillis, Address: e.Address, Token: e.token, Deadline: e.deadline(c.grant(now, e)), Order: r.order,
 	})
 }
 
 func (c *Custodian) stopRun(now time.Time, stop messenger.StopOrder, calls *Calls) {
+	for _, ended := range c.ended {
+		ended.markStopping(stop.Run)
+	}
 	e := c.executors[stop.Executor]
 	if e == nil {
 		return
@@ -177,7 +182,7 @@
 	c.startsTo(call.Executor).end(now, call.Order.Run, kind)
 	e, r := c.findRun(call.Executor, call.Born, call.Order.Run)
 	if r == nil {
-		return Calls{}, false
+		return Calls{}, c.handleLateAnswer(now, call, answer, err)
 	}
 	if answer.StartedMillis != 0 && answer.StartedMillis != e.StartedMillis {
 		c.handleRestart(now, e, answer)
@@ -187,6 +192,7 @@
 	e.updateClock(now, answer.Clock)
 	r.inFlight = false
 	changed := false
+	r.startCalls.settle(mayBeCarriedOut(kind), c.config.MaxCallDelay)
 	switch kind {
 	case "":
 		e.lastContactAt = now
