--- a/custodian/custodian.go
+++ b/custodian/custodian.go
@@ -29,9 +29,15 @@
 	MaxCallDelay time.Duration
 	// RenewalPeriod is the time between two holds that renew the leases of an executor that answers.
 	RenewalPeriod time.Duration
+	// MaxLastingHold is how long after the end of an executor a task that lasts may wait for a start that may be
+	// under way: users accept 9 s without a run.
+	MaxLastingHold time.Duration
 	// Margin is the time from the end of the last lease that an executor may have received until its
 	// runs count as ended.
 	Margin time.Duration
+	// MaxAckDelay bounds how long the acknowledgment of a durable end waits for starts that may be under way;
+	// users accept 4 s from the end of the run.
+	MaxAckDelay time.Duration
 	// RetryDelay is the time after which an unanswered call is repeated.
 	RetryDelay time.Duration
 	// SilenceTimeout is how long an executor must be silent to count as unreachable.
@@ -64,7 +70,9 @@
 		MaxLease:            10 * time.Second,
 		MaxCallDelay:        12 * time.Second,
 		RenewalPeriod:       400 * time.Millisecond,
+		MaxLastingHold:      5 * time.Second,
 		Margin:              200 * time.Millisecond,
+		MaxAckDelay:         3 * time.Second,
 		RetryDelay:          350 * time.Millisecond,
 		SilenceTimeout:      time.Second,
 		AnnouncementTTL:     5 * time.Second,
@@ -99,7 +107,7 @@
 	lastOrders      int
 	ownerAnsweredAt time.Time
 	executors       map[string]*executor
-	ended           []endedIncarnation
+	ended           []*endedIncarnation
 	refusals        []messenger.RunRefusal
 	refusalCount    int
 	updatedAt       time.Time
@@ -107,6 +115,8 @@
 	wholeReportDue  bool
 	// lastTokens holds the greatest fencing token that was used under each id of an executor.
 	lastTokens map[string]int64
+	// starts holds the starts that may still be carried out, by the id of the executor.
+	starts map[string]*underWayStarts
 	// interferences holds the estimates that the owner sent, by the serving and the best-effort
 	// image.
 	interferences map[[2]string]float64
@@ -126,6 +136,7 @@
 		ownerAnsweredAt: now,
 		executors:       map[string]*executor{},
 		lastTokens:      map[string]int64{},
+		starts:          map[string]*underWayStarts{},
 		interferences:   map[[2]string]float64{},
 	}
 }
--- a/custodian/stray.go
+++ b/custodian/stray.go
@@ -43,7 +43,7 @@
 		return
 	}
 	e.leaseCalls.underWay--
-	if answer.StartedMillis != 0 && answer.StartedMillis != e.StartedMillis || mayActLater(apricotwinch.KindOf(err)) {
+	if answer.StartedMillis != 0 && answer.StartedMillis != e.StartedMillis || mayBeCarriedOut(apricotwinch.KindOf(err)) {
 		e.leaseCalls.lostAt = now
 	}
 }
@@ -56,16 +56,6 @@
 	}
 }
 
-// mayActLater reports whether a call that ended with a kind of error may be carried out later.
-func mayActLater(kind apricotwinch.Kind) bool {
-	switch kind {
-	case "", apricotwinch.Conflict, apricotwinch.NoCapacity, apricotwinch.Invalid, apricotwinch.NoTarget, apricotwinch.Forbidden,
-		apricotwinch.Unreachable, apricotwinch.StaleEpoch, apricotwinch.StaleIncarnation, apricotwinch.DeadlineExceeded:
-		return false
-	}
-	return true
-}
-
 // callsUntil returns until when another incarnation may carry out the calls to an executor that carry a deadline;
 // zero if there is none.
 func (c *Custodian) callsUntil(now time.Time, e *executor) time.Time {
