--- a/conductor/stray_test.go
+++ b/conductor/stray_test.go
@@ -231,3 +231,39 @@
 		})
 	}
 }
+
+// TestStrayStartBeforeConfirmation guards against a task that runs twice: a start reaches the next incarnation, which falls
+// silent before it is confirmed, and the host is cut off.
+func TestStrayStartBeforeConfirmation(t *testing.T) {
+	for _, replace := range []bool{false, true} {
+		t.Run(fmt.Sprintf("owner replaced %t", replace), func(t *testing.T) {
+			sim := newSimulation(t, 1, 4)
+			sim.season()
+			sim.run(30 * time.Second)
+			sim.lateShare = 1
+			sim.submit(batchQueue, "work", tasks(1, 1000, 15*time.Second))
+			sim.run(100 * time.Millisecond)
+			sim.lateShare = 0
+			if len(sim.lateCalls) == 0 {
+				t.Fatal("no start is under way")
+			}
+			late, h := sim.lateCalls[0], sim.lateCalls[0].host
+			sim.lateCalls = nil
+			sim.crashFor(h, 500*time.Millisecond, false)
+			h.executor.clockStart = time.Millisecond // Behind the deadline of the start.
+			sim.run(490 * time.Millisecond)
+			h.disconnected = true
+			sim.run(10 * time.Millisecond)
+			late.apply(h.executor)
+			h.executor.mute = true
+			h.agentDown = true
+			if diff := cmp.Diff(1, sim.running("work")); diff != "" {
+				t.Fatalf("tasks that run after the start arrived (-want +got):\n%s", diff)
+			}
+			if replace {
+				sim.replaceOwner(false)
+			}
+			sim.run(20 * time.Second)
+		})
+	}
+}
