Play reborn executors in each run of the soak

TestRebornExecutorsCutOff and the second series of faults of TestSoak were red on the code without bounds for leases of earlier incarnations.

--- a/soaker/doc.go
+++ b/soaker/doc.go
@@ -13,5 +13,4 @@
 //     under their ids and are cut off.
 //   - SOAK_REGRESSIONS, if set, adds the seeds that failed in the past.
 //   - SOAK_LOGS is a directory for the logs of the seeds that fail.
-//   - KNOWN_RED, if 1, adds what KNOWN-RED.txt lists.
 package soaker
--- a/soaker/reborn_test.go
+++ b/soaker/reborn_test.go
@@ -27,7 +27,6 @@
 // calls are held back, so that the next incarnation gets the leases of the last one, and are cut off soon after,
 // alone or with their hosts. SOAK_REBIRTHS is the number of rounds.
 func TestRebornExecutorsCutOff(t *testing.T) {
-	knownRed(t)
 	first := environmentInt(t, "SOAK_FIRST", 1)
 	rounds := environmentInt(t, "SOAK_REBIRTHS", 1)
 	for i := range environmentInt(t, "SOAK_SEEDS", 1) {
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -59,14 +59,13 @@
 
 // TestSoak runs the soak test for several seeds and, if SOAK_REGRESSIONS is set, for the
 // seeds that failed in the past, as they were played then. Each fault that those found also has a
-// deterministic test. KNOWN-RED.txt lists the faults and workloads of executors that restart while their calls
-// are held back.
+// deterministic test.
 func TestSoak(t *testing.T) {
 	first := environmentInt(t, "SOAK_FIRST", 1)
 	for i := range environmentInt(t, "SOAK_SEEDS", 1) {
 		t.Run(fmt.Sprint("seed-", first+i), func(t *testing.T) {
 			t.Parallel()
-			runSeed(t, uint64(first+i), environmentInt(t, "SOAK_SECONDS", 10), playsKnownRed())
+			runSeed(t, uint64(first+i), environmentInt(t, "SOAK_SECONDS", 10), true)
 		})
 	}
 	if os.Getenv("SOAK_REGRESSIONS") == "" {
