--- a/custodian/custodian.go
+++ b/custodian/custodian.go
@@ -27,6 +27,8 @@
 	// was made an executor may carry out a call without an answer.
 	MaxLease     time.Duration
 	MaxCallDelay time.Duration
+	// RenewalPeriod is the time between two holds that renew the leases of an executor that answers.
+	RenewalPeriod time.Duration
 	// MaxLastingHold is how long after the end of an executor a task that lasts may wait for a start that may be
 	// under way: users accept 9 s without a run.
 	MaxLastingHold time.Duration
@@ -67,6 +69,7 @@
 		Lease:               apricotwinch.ExecutorLease,
 		MaxLease:            10 * time.Second,
 		MaxCallDelay:        12 * time.Second,
+		RenewalPeriod:       400 * time.Millisecond,
 		MaxLastingHold:      5 * time.Second,
 		Margin:              200 * time.Millisecond,
 		MaxAckDelay:         3 * time.Second,
