Make no start while no lease may be granted

An agent called a start also when it had granted the executor no lease, with a deadline far in the past: an order that came before the reply that grants the first lease, or after the last one had ended. An executor without a lease rejects that as late.

The start now waits until a lease may be granted, and is called by the next tick then.

--- a/custodian/orders.go
+++ b/custodian/orders.go
@@ -122,11 +122,18 @@
 		calls.Stops = append(calls.Stops, RunCall{Executor: e.ID, Born: e.StartedMillis, Address: e.Address, Token: e.token, Run: r.order.Run})
 		return
 	}
+	until := c.grant(now, e)
+	if !until.After(now) {
+		// It would go on under a lease that another call has granted, if there is one.
+		metrics.GetOrRegisterCounter("starts.without_lease", c.registry).Inc(1)
+		r.inFlight, r.retryAt = false, now
+		return
+	}
 	c.startsTo(e.ID).begin(r.order.Run, now.Add(c.config.MaxCallDelay))
 	r.startCalls.settle(true, c.config.MaxCallDelay)
 	r.startCalls.madeAt = now
 	calls.Starts = append(calls.Starts, StartCall{
-		Executor: e.ID, Born: e.StartedMillis, Address: e.Address, Token: e.token, Deadline: e.deadline(c.grant(now, e)), Order: r.order,
+		Executor: e.ID, Born: e.StartedMillis, Address: e.Address, Token: e.token, Deadline: e.deadline(until), Order: r.order,
 	})
 }
 
