Merge the leases that a start under way would grant

TestStrayStartBeforeConfirmation applied its late start after the tick in which the next incarnation begins, in which a probe now reaches that one first. Without the reported lease the test fails as before.

--- a/custodian/underway.go
+++ b/custodian/underway.go
@@ -52,7 +52,11 @@
 type endedIncarnation struct {
 	messenger.ExecutorIncarnation
 	endedAt time.Time
-	record  messenger.ExecutorRecord
+	// callsUntil is until when another incarnation may carry out calls to this one that carry a deadline;
+	// zero for no such call. latestDeadline is the latest one of these.
+	callsUntil     time.Time
+	latestDeadline time.Duration
+	record         messenger.ExecutorRecord
 	// underWay holds the runs of which a start may be under way: the next incarnation under the id, which may not be
 	// known yet, would carry it out. The owner must not start their tasks elsewhere until that one's list shows
 	// whether it has.
@@ -63,6 +67,7 @@
 func (c *Custodian) addEnded(now time.Time, e *executor) int {
 	ended := &endedIncarnation{
 		ExecutorIncarnation: messenger.ExecutorIncarnation{Id: e.ID, Born: e.StartedMillis}, endedAt: now, record: e.record(),
+		callsUntil: c.callsUntil(now, e), latestDeadline: e.leaseCalls.latest,
 	}
 	if e.listed {
 		for _, r := range e.sortedRuns() {
@@ -140,9 +145,13 @@
 	}
 }
 
-// state returns what is reported of an ended incarnation: the runs of which a start may be under way.
-func (ended *endedIncarnation) state(now time.Time) messenger.ExecutorState {
-	state := messenger.ExecutorState{Executor: ended.record, SilentMillis: int(now.Sub(ended.endedAt).Milliseconds()), RunsListed: true}
+// state returns what is reported of an ended incarnation: the runs of which a start may be under way. It would grant a
+// lease to the next one.
+func (ended *endedIncarnation) state(now time.Time, longestLease time.Duration) messenger.ExecutorState {
+	state := messenger.ExecutorState{
+		Executor: ended.record, SilentMillis: int(now.Sub(ended.endedAt).Milliseconds()), RunsListed: true,
+		StrayLeaseMillis: millisUntil(now, ended.callsUntil.Add(longestLease)), StrayLeaseAnew: true,
+	}
 	for _, r := range ended.underWay {
 		state.Runs = append(state.Runs, r.reported())
 	}
