--- a/conductor/stray_test.go
+++ b/conductor/stray_test.go
@@ -248,13 +248,13 @@
 				t.Fatal("no start is under way")
 			}
 			late, h := sim.lateCalls[0], sim.lateCalls[0].host
-			sim.lateCalls = nil
 			sim.crashFor(h, 500*time.Millisecond, false)
 			h.executor.clockStart = time.Millisecond // Behind the deadline of the start.
+			late.at = h.executor.startedAt
+			sim.lateCalls = []lateCall{late}
 			sim.run(490 * time.Millisecond)
 			h.disconnected = true
 			sim.run(10 * time.Millisecond)
-			late.apply(h.executor)
 			h.executor.mute = true
 			h.agentDown = true
 			if diff := cmp.Diff(1, sim.running("work")); diff != "" {
--- a/custodian/orders.go
+++ b/custodian/orders.go
@@ -122,7 +122,14 @@
 		calls.Stops = append(calls.Stops, RunCall{Executor: e.ID, Born: e.StartedMillis, Address: e.Address, Token: e.token, Run: r.order.Run})
 		return
 	}
-	deadline := e.deadline(c.grant(now, e))
+	until := c.grant(now, e)
+	if !until.After(now) {
+		// It would go on under a lease that another call has granted, if there is one.
+		metrics.GetOrRegisterCounter("starts.without_lease", c.registry).Inc(1)
+		r.inFlight, r.retryAt = false, now
+		return
+	}
+	deadline := e.deadline(until)
 	e.leaseCalls.begin(now, deadline)
 	c.startsTo(e.ID).begin(r.order.Run, now.Add(c.config.MaxCallDelay))
 	r.startCalls.settle(true, c.config.MaxCallDelay)
@@ -329,7 +336,7 @@
 // call with that token.
 func (c *Custodian) fence(now time.Time, e *executor) {
 	metrics.GetOrRegisterCounter("executors.fenced", c.registry).Inc(1)
-	e.token = c.nextToken(now, e)
+	e.token = c.nextToken(now, e.ID)
 	e.unconfirm()
 	for _, r := range e.runs {
 		r.fenced = r.fenced || r.inDoubt()
