Tell the next incarnation by its clock where an answer doesn't name it

Cause: only lists name the incarnation that answers. The next one's answer to a start that was meant for the last one counted as the last one's: the start as settled, so that its task started elsewhere as the last one was dropped, and its lease as no stray one. In the traces the agent had the clock of the next incarnation for the last one's, 2,984 s beside a deadline of 3,925 s, and found more than 30 runs.

Change: the clock tells, as each incarnation's starts anew. An answer whose clock isn't within 1.5 s of where the executor's clock must be was given by another incarnation: such a start may be under way, its lease is a stray one, and neither the clock nor a stop counts. Holding each start until a list names the incarnation was weighed: it would keep what started in the last quarter of a second before each crash waiting for up to 12 s.

Evidence: three of five cases of TestStartAnsweredByNextIncarnation failed before. What remains: the next incarnation's clock may happen to be within 1.5 s of the last one's.

--- /dev/null
+++ b/custodian/answer_test.go
@@ -0,0 +1,65 @@
+package custodian_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"apricotwinch"
+	"apricotwinch/custodian"
+	"apricotwinch/messenger"
+)
+
+// TestStartAnsweredByNextIncarnation guards against a task that runs twice: the next incarnation of an executor answers a
+// start that was meant for the last one, without its start time, so that the start counted as one on the last one, and
+// its lease as that one's.
+func TestStartAnsweredByNextIncarnation(t *testing.T) {
+	const nextClock = 3 * time.Hour
+	old := apricotwinch.Errorf(apricotwinch.Conflict, "old")
+	for _, test := range []struct {
+		name string
+		// clock is that of the answer; 0 for the clock of the last incarnation.
+		clock time.Duration
+		err   error
+		// held is whether the task waits for the next incarnation's list, and stray whether that has a stray lease.
+		held, stray bool
+	}{
+		{name: "next incarnation", clock: nextClock, held: true, stray: true},
+		{name: "next incarnation, clock behind", clock: time.Millisecond, held: true, stray: true},
+		{name: "next incarnation, rejected", clock: nextClock, err: old, held: true, stray: true},
+		{name: "last incarnation"},
+		{name: "last incarnation, rejected", err: old},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newFixture()
+			s.answers(30 * time.Second)
+			s.renew()
+			s.hold(custodian.HoldAnswer{Answer: custodian.Answer{StartedMillis: 7}}, nil)
+			call := s.startRun(t, 0)
+			s.now = s.now.Add(100 * time.Millisecond)
+			answer := custodian.Answer{Clock: test.clock}
+			if test.clock == 0 {
+				answer.Clock = s.clock()
+			}
+			s.HandleStartAnswer(s.now, call, answer, test.err)
+			s.hold(custodian.HoldAnswer{}, apricotwinch.Errorf(apricotwinch.StaleIncarnation, "no process listens"))
+			var listed []messenger.RunRef
+			for _, e := range s.renew().Executors {
+				for _, run := range e.Runs {
+					listed = append(listed, run.Run)
+				}
+			}
+			var want []messenger.RunRef
+			if test.held {
+				want = []messenger.RunRef{call.Order.Run}
+			}
+			if diff := cmp.Diff(want, listed); diff != "" {
+				t.Errorf("runs that wait for the next incarnation (-want +got):\n%s", diff)
+			}
+			if got := strayMillis(t, s.confirmNext()) > 0; got != test.stray {
+				t.Errorf("stray lease = %t, want %t", got, test.stray)
+			}
+		})
+	}
+}
--- a/custodian/executor.go
+++ b/custodian/executor.go
@@ -186,6 +186,23 @@
 	}
 }
 
+// maxClockDeviation bounds how far the clock in an answer may seem to be from where the executor's clock is: no answer takes
+// longer.
+const maxClockDeviation = 1500 * time.Millisecond
+
+// isFromAnother reports whether an answer was given by another incarnation. Only lists name the incarnation; of other
+// answers the clock tells, as each incarnation's starts anew.
+func (e *executor) isFromAnother(now time.Time, answer Answer) bool {
+	switch {
+	case answer.StartedMillis != 0:
+		return answer.StartedMillis != e.StartedMillis
+	case answer.Clock == 0 || e.clock == 0:
+		return false
+	}
+	elapsed, ahead := now.Sub(e.clockAt), answer.Clock-e.clock
+	return ahead > elapsed+maxClockDeviation || ahead < time.Duration(float64(elapsed)*minClockRate)-maxClockDeviation
+}
+
 // minClockRate is the least rate of an executor's clock compared with the agent's.
 const minClockRate = 0.98
 
--- a/custodian/orders.go
+++ b/custodian/orders.go
@@ -201,8 +201,17 @@
 		c.wholeReportDue = true
 		return Calls{}, true
 	}
-	e.updateClock(now, answer.Clock)
 	r.inFlight = false
+	if e.isFromAnother(now, answer) {
+		// The next hold shows which one.
+		r.maybeStarted = true
+		r.startCalls.settle(true, c.config.MaxCallDelay)
+		metrics.GetOrRegisterCounter("starts.answered_by_another", c.registry).Inc(1)
+		c.logger.Info("start answered by another incarnation", "run", call.Order.Run, "executor", e.ID, "born", call.Born, "token", call.Token,
+			"clockMillis", answer.Clock.Milliseconds(), "kind", string(kind))
+		return Calls{}, false
+	}
+	e.updateClock(now, answer.Clock)
 	changed := false
 	r.startCalls.settle(mayBeCarriedOut(kind), c.config.MaxCallDelay)
 	switch kind {
@@ -265,8 +274,11 @@
 	if r == nil {
 		return
 	}
-	e.updateClock(now, answer.Clock)
 	r.inFlight = false
+	if e.isFromAnother(now, answer) {
+		return
+	}
+	e.updateClock(now, answer.Clock)
 	if err == nil {
 		if r.confirmedAt.IsZero() {
 			r.confirmedAt = now
--- a/custodian/stray.go
+++ b/custodian/stray.go
@@ -43,7 +43,7 @@
 		return
 	}
 	e.leaseCalls.underWay--
-	if answer.StartedMillis != 0 && answer.StartedMillis != e.StartedMillis || mayBeCarriedOut(apricotwinch.KindOf(err)) {
+	if e.isFromAnother(now, answer) || mayBeCarriedOut(apricotwinch.KindOf(err)) {
 		e.leaseCalls.lostAt = now
 	}
 }
