Report no lease of a start that is under way to an ended incarnation

Tasks waited too long: after a takeover, all that may have run on an executor that ended with a start under way, and whose host is lost, waited for up to 22.2 s, as the record of the host names the bound for the executor and not for the task.

Change: the bound isn't reported any more.

--- a/custodian/underway.go
+++ b/custodian/underway.go
@@ -145,12 +145,10 @@
 	}
 }
 
-// state returns what is reported of an ended incarnation: the runs of which a start may be under way. It would grant a
-// lease to the next one.
-func (ended *endedIncarnation) state(now time.Time, longestLease time.Duration) messenger.ExecutorState {
+// state returns what is reported of an ended incarnation: the runs of which a start may be under way.
+func (ended *endedIncarnation) state(now time.Time) messenger.ExecutorState {
 	state := messenger.ExecutorState{
 		Executor: ended.record, SilentMillis: int(now.Sub(ended.endedAt).Milliseconds()), RunsListed: true,
-		StrayLeaseMillis: millisUntil(now, ended.callsUntil.Add(longestLease)), StrayLeaseAnew: true,
 	}
 	for _, r := range ended.underWay {
 		state.Runs = append(state.Runs, r.reported())
