--- a/custodian/hold.go
+++ b/custodian/hold.go
@@ -11,19 +11,19 @@
 	"apricotwinch/pacer"
 )
 
-// NextHold returns the next call to renew the leases of an executor, or to find its next incarnation. It returns false
-// when there is no call to make.
+// NextHold returns the next call to renew the leases of an executor, and false when the executor
+// is no longer known.
 func (c *Custodian) NextHold(now time.Time, id string) (HoldCall, bool) {
 	e := c.executors[id]
 	if e == nil {
-		return c.nextProbe(now, id)
+		return HoldCall{}, false
 	}
 	call := HoldCall{Executor: e.ID, Born: e.StartedMillis, Address: e.Address, Token: e.token}
 	if through := c.nextAcknowledgment(now, e); through > 0 {
 		// Acknowledge an end once only, and by a token that is lower than those of later starts: another
 		// incarnation under the same id numbers its ends anew, and would forget its own ends.
 		call.AckedEnd = through
-		e.token = c.nextToken(now, e.ID)
+		e.token = c.nextToken(now, e)
 	}
 	if c.renewalDue(now, e) {
 		if until := c.grant(now, e); until.After(now) {
@@ -54,9 +54,6 @@
 	c.updatedAt = now
 	e := c.findExecutor(call.Executor, call.Born)
 	if e == nil {
-		if c.executors[call.Executor] == nil {
-			c.handleProbeAnswer(now, call, answer.Answer, err)
-		}
 		return Calls{}, false
 	}
 	e.endLeaseCall(now, call.Deadline, answer.Answer, err)
@@ -127,7 +124,7 @@
 	metrics.GetOrRegisterCounter("executors.token_rejected", c.registry).Inc(1)
 	c.lastTokens[e.ID] += e.tokenIncrement
 	e.tokenIncrement = 2*e.tokenIncrement + 1
-	e.token = c.nextToken(now, e.ID)
+	e.token = c.nextToken(now, e)
 	if !e.confirmed {
 		return false
 	}
--- a/custodian/incarnations.go
+++ b/custodian/incarnations.go
@@ -31,7 +31,7 @@
 			return false
 		}
 		e = &executor{Announcement: a, lastContactAt: now, runs: map[messenger.RunRef]*run{}}
-		e.token = c.nextToken(now, e.ID)
+		e.token = c.nextToken(now, e)
 		c.executors[a.ID] = e
 		c.logger.Info("executor announced", "executor", a.ID, "born", a.StartedMillis, "address", a.Address, "draining", a.Draining)
 	}
@@ -50,11 +50,11 @@
 // greater than those of earlier agents unless the time of day went back between their starts: an agent
 // counts its time from the time of day at its start. Executors' clocks don't serve, as each incarnation's starts
 // anywhere.
-func (c *Custodian) nextToken(now time.Time, id string) int64 {
+func (c *Custodian) nextToken(now time.Time, e *executor) int64 {
 	millis := now.UnixMilli()
-	token := max(c.lastTokens[id]+1, millis)
+	token := max(c.lastTokens[e.ID]+1, millis)
 	maps.DeleteFunc(c.lastTokens, func(_ string, last int64) bool { return last < millis })
-	c.lastTokens[id] = token
+	c.lastTokens[e.ID] = token
 	return token
 }
 
--- a/custodian/orders.go
+++ b/custodian/orders.go
@@ -348,7 +348,7 @@
 // call with that token.
 func (c *Custodian) fence(now time.Time, e *executor) {
 	metrics.GetOrRegisterCounter("executors.fenced", c.registry).Inc(1)
-	e.token = c.nextToken(now, e.ID)
+	e.token = c.nextToken(now, e)
 	e.unconfirm()
 	for _, r := range e.runs {
 		r.fenced = r.fenced || r.inDoubt()
