--- a/standin/performer/performer.go
+++ b/standin/performer/performer.go
@@ -37,7 +37,8 @@
 	Spec          string
 	// Outcome is the outcome of the run; it is empty for a start.
 	Outcome string
-	// Acknowledged is true if the scheduler acknowledged the end of the run.
+	// Acknowledged is true if the scheduler acknowledged the end of the run before the executor's leases
+	// lapsed.
 	Acknowledged bool
 }
 
@@ -66,8 +67,8 @@
 
 // Faults are the faults in force; the zero value has none.
 type Faults struct {
-	// LateFraction is the fraction of commands, 0 to 1, that get no response and are executed after
-	// LateDelay.
+	// LateFraction is the fraction of commands and holds, 0 to 1, that get no response and are executed
+	// after LateDelay, by whatever incarnation is up under the id then.
 	LateFraction float64
 	LateDelay    time.Duration
 	// Stalled stalls the executor: no run makes progress.
@@ -95,12 +96,16 @@
 	// leaseDeadline is the end of the lease of all runs, on the executor's clock; 0 before the
 	// first lease.
 	leaseDeadline time.Duration
+	// lapsed is whether the leases have lapsed, and lapses how often they did.
+	lapsed        bool
+	lapses        int
 	runs          map[runKey]*run
 	endRecords    []endRecord
 	lastEndNumber int
 	// rejectUpTo holds, for each task, the highest run that ended or was stopped; this run and
 	// earlier ones can't be started.
 	rejectUpTo map[string]int
+	lateCalls  []lateCall
 	changed    chan struct{}
 }
 
@@ -129,6 +134,8 @@
 	runKey
 	outcome    string
 	checkpoint string
+	// lapses is how often the leases had lapsed at the end.
+	lapses int
 }
 
 // New returns an executor with the given id and no runs. The seed makes its random faults
@@ -149,6 +156,7 @@
 	p.id, p.startedAt = id, startedAt
 	p.down = false
 	p.sequence, p.token, p.leaseDeadline, p.lastEndNumber = 0, 0, 0, 0
+	p.lapsed, p.lapses = false, 0
 	p.runs, p.rejectUpTo, p.endRecords = map[runKey]*run{}, map[string]int{}, nil
 }
 
@@ -171,6 +179,11 @@
 func (p *Performer) Crash() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.endIncarnation()
+}
+
+// endIncarnation ends the incarnation and all its runs; p.mu is held.
+func (p *Performer) endIncarnation() {
 	p.advance()
 	p.down = true
 	for _, r := range p.runs {
@@ -180,10 +193,11 @@
 	p.notifyWaiters()
 }
 
-// Restart starts a new incarnation with the given id.
+// Restart starts a new incarnation with the given id. One that is still up ends.
 func (p *Performer) Restart(id string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.endIncarnation()
 	p.startIncarnation(id)
 }
 
@@ -200,10 +214,15 @@
 	return time.Duration(float64(p.clock.Since(p.startedAt)) * p.config.ClockRate)
 }
 
-// advance advances every run to the present and ends those that are due; p.mu is held.
+// advance advances every run to the present, ends those that are due, and then executes the late calls
+// that are due; p.mu is held.
 func (p *Performer) advance() {
 	now := p.clock.Now()
 	lapsed := p.leaseDeadline > 0 && p.uptime() > p.leaseDeadline
+	if lapsed && !p.lapsed {
+		p.lapses++
+	}
+	p.lapsed = lapsed
 	for _, r := range p.runs {
 		elapsed := now.Sub(r.advancedAt)
 		r.advancedAt = now
@@ -221,6 +240,7 @@
 			p.finish(r, Done)
 		}
 	}
+	p.executeLateCalls(now)
 }
 
 // finish ends a run and adds it to the end records; p.mu is held.
@@ -232,7 +252,7 @@
 	if outcome != Done {
 		checkpoint = p.checkpoint(r)
 	}
-	p.endRecords = append(p.endRecords, endRecord{number: p.lastEndNumber, runKey: r.runKey, outcome: outcome, checkpoint: checkpoint})
+	p.endRecords = append(p.endRecords, endRecord{number: p.lastEndNumber, runKey: r.runKey, outcome: outcome, checkpoint: checkpoint, lapses: p.lapses})
 	p.report(r, outcome)
 	p.notifyWaiters()
 }
