Hold found runs of an ended executor only while its next incarnation is known

Runs that an agent found, as an earlier one started them, were held for 12 s from the agent's start, in case a call of that earlier agent was under way. They are released at once as before, unless another incarnation is known, whose list shows them soon.

--- a/custodian/report.go
+++ b/custodian/report.go
@@ -51,7 +51,7 @@
 	c.updateEnded(now)
 	for _, ended := range c.ended {
 		if len(ended.underWay) > 0 {
-			report.Executors = append(report.Executors, ended.state(now))
+			report.Executors = append(report.Executors, c.endedState(now, ended))
 		} else if next := c.executors[ended.Id]; next == nil || next.confirmed {
 			report.Gone = append(report.Gone, ended.ExecutorIncarnation)
 		}
--- a/custodian/underway.go
+++ b/custodian/underway.go
@@ -36,14 +36,10 @@
 	return true
 }
 
-// underWayUntil returns until when a call that starts the run may be carried out. Those of an earlier agent
-// for a run that was found are not known.
+// underWayUntil returns until when a call of this agent that starts the run may be carried out.
 func (c *Custodian) underWayUntil(r *run) time.Time {
-	switch {
-	case !r.startCalls.madeAt.IsZero():
+	if !r.startCalls.madeAt.IsZero() {
 		return r.startCalls.madeAt.Add(c.config.MaxCallDelay)
-	case r.found:
-		return c.startedAt.Add(c.config.MaxCallDelay)
 	}
 	return r.startCalls.lateUntil
 }
@@ -57,6 +53,9 @@
 	// known yet, would carry it out. The owner must not start their tasks elsewhere until that one's list shows
 	// whether it has.
 	underWay []*run
+	// found holds the runs that the agent found there. Calls of an earlier agent for them may be under way, too, so that
+	// they are not released while the next incarnation is known and may list them soon.
+	found []*run
 }
 
 // addEnded records that an incarnation of an executor has ended. It returns how many of its runs may yet start.
@@ -64,11 +63,13 @@
 	ended := &endedIncarnation{
 		ExecutorIncarnation: messenger.ExecutorIncarnation{Id: e.ID, Born: e.StartedMillis}, endedAt: now, record: e.record(),
 	}
-	if e.listed {
-		for _, r := range e.sortedRuns() {
-			if c.underWayUntil(r).After(now) {
-				ended.underWay = append(ended.underWay, r)
-			}
+	for _, r := range e.sortedRuns() {
+		switch {
+		case !e.listed:
+		case r.found:
+			ended.found = append(ended.found, r)
+		case c.underWayUntil(r).After(now):
+			ended.underWay = append(ended.underWay, r)
 		}
 	}
 	c.ended = append(c.ended, ended)
@@ -140,10 +141,14 @@
 	}
 }
 
-// state returns what is reported of an ended incarnation: the runs of which a start may be under way.
-func (ended *endedIncarnation) state(now time.Time) messenger.ExecutorState {
+// endedState returns what is reported of an ended incarnation: the runs of which a start may be under way.
+func (c *Custodian) endedState(now time.Time, ended *endedIncarnation) messenger.ExecutorState {
 	state := messenger.ExecutorState{Executor: ended.record, SilentMillis: int(now.Sub(ended.endedAt).Milliseconds()), RunsListed: true}
-	for _, r := range ended.underWay {
+	runs := ended.underWay
+	if c.executors[ended.Id] != nil {
+		runs = slices.Concat(runs, ended.found)
+	}
+	for _, r := range runs {
 		state.Runs = append(state.Runs, r.reported())
 	}
 	return state
--- a/custodian/underway_test.go
+++ b/custodian/underway_test.go
@@ -127,22 +127,33 @@
 	}
 }
 
-// TestStartByEarlierAgentUnderWay guards against a task that runs twice: calls of an earlier agent for a run that was
-// found may be under way as the executor ends.
-func TestStartByEarlierAgentUnderWay(t *testing.T) {
+// TestFoundRunsOfEndedExecutor guards against a task that runs twice: calls of an earlier agent for a run that was found
+// may be under way, and another run of the executor waits for the list of the next incarnation.
+func TestFoundRunsOfEndedExecutor(t *testing.T) {
+	const starting, running = messenger.RunStarting, messenger.RunRunning
 	for _, test := range []struct {
-		name string
-		age  time.Duration
-		want listing
+		name                string
+		underWay, announced bool
+		want                listing
 	}{
-		{name: "new agent", age: 11900 * time.Millisecond, want: listing{Phases: map[string]string{"0#1": messenger.RunRunning}}},
-		{name: "older agent", age: 12 * time.Second, want: listing{Phases: map[string]string{}, Gone: 1}},
+		{name: "nothing under way", want: listing{Phases: map[string]string{}, Gone: 1}},
+		{name: "nothing under way, next incarnation announced", announced: true, want: listing{Phases: map[string]string{}}},
+		{name: "start under way", underWay: true, want: listing{Phases: map[string]string{"1#1": starting}}},
+		{name: "start under way, next incarnation announced", underWay: true, announced: true,
+			want: listing{Phases: map[string]string{"0#1": running, "1#1": starting}}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			s := newFixture()
 			s.hold(custodian.HoldAnswer{Runs: states(0)}, nil)
-			s.now = start.Add(test.age)
+			if test.underWay {
+				if _, err := s.HandleOrders(s.now, s.orders(order(1, 1, 1000))); err != nil {
+					t.Fatal(err)
+				}
+			}
 			s.hold(custodian.HoldAnswer{}, errRefused)
+			if test.announced {
+				s.announce(func(a *custodian.Announcement) { a.StartedMillis = 8 })
+			}
 			if diff := cmp.Diff(test.want, s.listing()); diff != "" {
 				t.Errorf("listing (-want +got):\n%s", diff)
 			}
