Report an incarnation gone of which the agent knows a later one with an earlier start time

Callers saw tasks, long-running ones among them, wait for as long as owners changed each few seconds: an executor came back while the time of day had gone back, its agent had started again, too, and heard of the executor before it heard of the owner.

Cause: the agent ignored the owner's record of the former incarnation, as it knew the id, and so never reported that one gone. The owner keeps the incarnation that it knows against one with an earlier start time, and each owner waited anew until its leases had ended.

Fix: an incarnation that has answered this agent is a later one than that of the record, which an earlier agent reported, whatever their start times, as for another executor at its address.

TestEarlierStartTimeWhileOwnersChange failed before in its two cases with an earlier start time, and passes.

--- a/conductor/reborn_test.go
+++ b/conductor/reborn_test.go
@@ -259,3 +259,26 @@
 		}
 	}
 }
+
+// TestEarlierStartTimeWhileOwnersChange guards against tasks that wait for an incarnation that has ended: the time of day
+// went back before the executor's start, its agent is new, too, and each owner waits for the former incarnation anew.
+func TestEarlierStartTimeWhileOwnersChange(t *testing.T) {
+	for _, clean := range []bool{true, false} {
+		for _, clockJumped := range []bool{true, false} {
+			t.Run(fmt.Sprintf("owner clean %t, clock jumped %t", clean, clockJumped), func(t *testing.T) {
+				sim := newSimulation(t, 1, 4)
+				sim.run(2 * time.Second)
+				sim.submit(watchQueue, "watch", tasks(1, 1000, time.Hour, longRunning))
+				sim.runUntil(time.Second, func() bool { return sim.running("watch") == 1 })
+				h := sim.hostOf("watch")
+				sim.crashFor(h, 0, clockJumped)
+				sim.restartAgent(h)
+				// The agent hears of the executor before it hears of the owner.
+				h.disconnected = true
+				sim.run(1500 * time.Millisecond)
+				h.disconnected = false
+				sim.replaceOwnerEvery(2*time.Second, clean, calmRestartBound, func() bool { return sim.running("watch") == 1 })
+			})
+		}
+	}
+}
--- a/custodian/incarnations.go
+++ b/custodian/incarnations.go
@@ -1,6 +1,7 @@
 package custodian
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -146,13 +147,16 @@
 	return nil
 }
 
-// restoreExecutor adds an executor that the owner knows and this agent does not know yet.
+// restoreExecutor adds an executor that the owner knows and this agent does not know yet. Another incarnation that has
+// answered this agent is a later one than those that the owner knows from earlier agents.
 func (c *Custodian) restoreExecutor(now time.Time, record messenger.ExecutorRecord) {
-	if c.executors[record.Id] != nil || c.hasEnded(record.Id, record.Born) {
+	known := c.executors[record.Id]
+	if c.hasEnded(record.Id, record.Born) || known != nil && (!known.confirmed || known.StartedMillis == record.Born) {
 		return
 	}
-	if other := c.confirmedExecutorAt(record.Address); other != nil {
-		c.logger.Info("executor ended", "executor", record.Id, "born", record.Born, "reason", "another executor answers at its address", "other", other.ID)
+	if other := cmp.Or(known, c.confirmedExecutorAt(record.Address)); other != nil {
+		c.logger.Info("executor ended", "executor", record.Id, "born", record.Born, "reason", "another executor answers under its id or at its address",
+			"other", other.ID, "otherBorn", other.StartedMillis)
 		c.ended = append(c.ended, &endedIncarnation{
 			ExecutorIncarnation: messenger.ExecutorIncarnation{Id: record.Id, Born: record.Born}, endedAt: now, record: record,
 		})
