--- a/custodian/hold.go
+++ b/custodian/hold.go
@@ -1,6 +1,7 @@
 package custodian
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -18,16 +19,20 @@
 		return HoldCall{}, false
 	}
 	call := HoldCall{Executor: e.ID, Born: e.StartedMillis, Address: e.Address, Token: e.token}
-	if through := min(e.durableEnd, e.doubt.ackLimit()); through > e.ackedEnd {
-		// Acknowledge an end once only: another incarnation under the same id numbers its ends
-		// anew, and would forget its own ends.
+	if through := c.nextAcknowledgment(now, e); through > 0 {
+		// Acknowledge an end once only, and by a token that is lower than those of later starts: another
+		// incarnation under the same id numbers its ends anew, and would forget its own ends.
 		call.AckedEnd = through
+		e.token = c.nextToken(now, e)
 	}
-	if until := c.grant(now, e); e.confirmed && until.After(now) {
-		call.Deadline = e.deadline(until)
+	if c.renewalDue(now, e) {
+		if until := c.grant(now, e); until.After(now) {
+			call.Deadline = e.deadline(until)
+			e.leaseCalls.begin(now, call.Deadline)
+		}
 	}
 	// An executor may not wait while it lists an end.
-	if e.confirmed && e.durableEnd >= e.lastEnd && !e.doubt.unreadable {
+	if e.confirmed && e.durableEnd >= e.lastEnd && !e.doubt.unreadable && call.Deadline == 0 {
 		call.Wait = c.config.HoldWait
 	}
 	return call, true
@@ -51,6 +56,7 @@
 	if e == nil {
 		return Calls{}, false
 	}
+	e.endLeaseCall(now, call.Deadline, answer.Answer, err)
 	if err != nil {
 		if e.unansweredSince.IsZero() {
 			e.unansweredSince = sent
@@ -68,19 +74,20 @@
 	}
 	e.lastContactAt = now
 	e.unansweredSince = time.Time{}
+	e.answeredHoldAt = sent
 	e.ackedEnd = max(e.ackedEnd, call.AckedEnd)
+	e.durable = slices.DeleteFunc(e.durable, func(d durableEnds) bool { return d.through <= e.ackedEnd })
 	e.updateClock(now, answer.Clock)
 	if !e.confirmed {
 		e.confirmed = call.Token == e.token
-		if e.confirmed && e.strayLeaseEnd.IsZero() {
-			e.strayLeaseEnd = c.strayLeaseEnd(now, e)
-		}
 		if e.confirmed {
+			c.confirmStrayLease(now, e)
 			c.logger.Info("executor confirmed", "executor", e.ID, "born", e.StartedMillis, "token", e.token, "clockMillis", e.clock.Milliseconds(),
 				"strayLeaseMillis", e.strayLeaseEnd.Sub(now).Milliseconds())
 		}
 		c.wholeReportDue = true
 	}
+	c.settleLeaseCalls(sent, e, answer.Answer)
 	inDoubt := e.doubt.present()
 	lapsed := c.lapsedBefore(sent, e) && c.endDoubt(now, e)
 	e.runsIncomplete = answer.RunsIncomplete
@@ -122,6 +129,7 @@
 		return false
 	}
 	c.logger.Warn("token rejected", "executor", e.ID, "born", e.StartedMillis, "token", token, "clockMillis", e.clock.Milliseconds(), "runs", len(e.runs))
+	c.recordOutranked(now, e)
 	e.unconfirm()
 	e.runsKnown = false
 	e.doubt.endsKnown = false
@@ -136,6 +144,7 @@
 		}
 		e.lastEnd = end.Number
 		e.ends = append(e.ends, end)
+		c.startsTo(e.ID).list(e.runs[end.Run])
 		e.remove(end.Run)
 		changed = true
 		metrics.GetOrRegisterCounter("runs.ended."+end.How, c.registry).Inc(1)
@@ -156,6 +165,7 @@
 	for _, state := range states {
 		listed[state.Run] = true
 		r := e.runs[state.Run]
+		c.startsTo(e.ID).list(r)
 		if r == nil {
 			r = &run{order: messenger.StartOrder{Run: state.Run, Executor: e.ID}, phase: messenger.RunRunning, pace: pacer.FullSpeed, found: true}
 			e.add(r)
--- a/custodian/underway.go
+++ b/custodian/underway.go
@@ -48,7 +48,11 @@
 type endedIncarnation struct {
 	messenger.ExecutorIncarnation
 	endedAt time.Time
-	record  messenger.ExecutorRecord
+	// callsUntil is until when another incarnation may carry out calls to this one that carry a deadline;
+	// zero for no such call. latestDeadline is the latest one of these.
+	callsUntil     time.Time
+	latestDeadline time.Duration
+	record         messenger.ExecutorRecord
 	// underWay holds the runs of which a start may be under way: the next incarnation under the id, which may not be
 	// known yet, would carry it out. The owner must not start their tasks elsewhere until that one's list shows
 	// whether it has.
@@ -62,6 +66,7 @@
 func (c *Custodian) addEnded(now time.Time, e *executor) int {
 	ended := &endedIncarnation{
 		ExecutorIncarnation: messenger.ExecutorIncarnation{Id: e.ID, Born: e.StartedMillis}, endedAt: now, record: e.record(),
+		callsUntil: c.callsUntil(now, e), latestDeadline: e.leaseCalls.latest,
 	}
 	for _, r := range e.sortedRuns() {
 		switch {
@@ -141,9 +146,13 @@
 	}
 }
 
-// endedState returns what is reported of an ended incarnation: the runs of which a start may be under way.
+// endedState returns what is reported of an ended incarnation: the runs of which a start may be under way. It would grant a
+// lease to the next one.
 func (c *Custodian) endedState(now time.Time, ended *endedIncarnation) messenger.ExecutorState {
-	state := messenger.ExecutorState{Executor: ended.record, SilentMillis: int(now.Sub(ended.endedAt).Milliseconds()), RunsListed: true}
+	state := messenger.ExecutorState{
+		Executor: ended.record, SilentMillis: int(now.Sub(ended.endedAt).Milliseconds()), RunsListed: true,
+		StrayLeaseMillis: millisUntil(now, ended.callsUntil.Add(c.longestLease())), StrayLeaseAnew: true,
+	}
 	runs := ended.underWay
 	if c.executors[ended.Id] != nil {
 		runs = slices.Concat(runs, ended.found)
