Hold a task of an ended executor for 5 s at most

Callers saw accepted tasks wait for over 9 s: their executor ended while starts on it had no answer and didn't come back, so that they were held until these were 12 s old. Tasks that last were already held for 5 s at most; now all are. That leaves an incarnation that comes more than 5 s after the end of the last one, and carries a start out before it has answered its agent.

--- a/conductor/interference.go
+++ b/conductor/interference.go
@@ -225,6 +225,5 @@
 		Image:            spec.Image,
 		Background:       r.background,
 		Preferred:        r.preferred(),
-		Lasting:          spec.Lasting,
 	}
 }
--- a/custodian/custodian.go
+++ b/custodian/custodian.go
@@ -29,9 +29,9 @@
 	MaxCallDelay time.Duration
 	// RenewalPeriod is the time between two holds that renew the leases of an executor that answers.
 	RenewalPeriod time.Duration
-	// MaxLastingHold is how long after the end of an executor a task that lasts may wait for a start that may be
-	// under way: users accept 9 s without a run.
-	MaxLastingHold time.Duration
+	// MaxEndedHold is how long after the end of an executor a task may wait for a start that may be under way: users
+	// accept 9 s without a run.
+	MaxEndedHold time.Duration
 	// Margin is the time from the end of the last lease that an executor may have received until its
 	// runs count as ended.
 	Margin time.Duration
@@ -70,7 +70,7 @@
 		MaxLease:            10 * time.Second,
 		MaxCallDelay:        12 * time.Second,
 		RenewalPeriod:       400 * time.Millisecond,
-		MaxLastingHold:      5 * time.Second,
+		MaxEndedHold:        5 * time.Second,
 		Margin:              200 * time.Millisecond,
 		MaxAckDelay:         3 * time.Second,
 		RetryDelay:          350 * time.Millisecond,
--- a/custodian/underway.go
+++ b/custodian/underway.go
@@ -98,7 +98,7 @@
 		settled := next != nil && next.confirmed || c.confirmedExecutorAt(ended.record.Address) != nil
 		c.releaseUnderWay(now, ended, "another incarnation confirmed", func(*run) bool { return settled })
 		c.releaseUnderWay(now, ended, "too late to start", func(r *run) bool {
-			return !c.underWayUntil(r).After(now) || r.order.Lasting && now.Sub(ended.endedAt) > c.config.MaxLastingHold
+			return !c.underWayUntil(r).After(now) || now.Sub(ended.endedAt) > c.config.MaxEndedHold
 		})
 	}
 	c.ended = slices.DeleteFunc(c.ended, func(ended *endedIncarnation) bool { return now.Sub(ended.endedAt) > endedTTL })
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -1344,9 +1344,6 @@
 	// Name of the image that the task runs.
 	Image string `json:"image,omitempty,omitzero"`
 
-	// Whether the task runs until it is stopped.
-	Lasting bool `json:"lasting,omitempty,omitzero"`
-
 	// Text that is passed to the task.
 	Payload string `json:"payload"`
 
