Let the simulation's executors take paces late, and keep their tokens

Paces were carried out and answered at once, whatever their token did to the executor, and weren't sent at all where the network delays calls. They now take the way of starts and stops.

--- a/conductor/network_test.go
+++ b/conductor/network_test.go
@@ -251,6 +251,14 @@
 			return next
 		})
 	}
+	for _, call := range calls.Paces {
+		sim.sendCall(h, func(e *modelExecutor) (custodian.Answer, error) {
+			return e.setPace(sim, call)
+		}, func(agent *custodian.Custodian, _ custodian.Answer, err error) custodian.Calls {
+			agent.HandlePaceAnswer(call, err)
+			return custodian.Calls{}
+		})
+	}
 	for _, call := range calls.Stops {
 		sim.sendCall(h, func(e *modelExecutor) (custodian.Answer, error) {
 			return e.stop(sim, call)
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -87,7 +87,7 @@
 	specs       map[string]messenger.WorkloadSpec
 	// lostShare is the share of calls to executors whose answer is lost, 0 to 1.
 	lostShare float64
-	// lateShare is the share of starts and stops that get no answer and are carried out seconds
+	// lateShare is the share of starts, stops and paces that get no answer and are carried out seconds
 	// later, 0 to 1; lateCalls holds these.
 	lateShare float64
 	lateCalls []lateCall
@@ -670,7 +670,12 @@
 		calls.Paces = append(calls.Paces, next.Paces...)
 	}
 	for _, call := range calls.Paces {
-		h.agent.HandlePaceAnswer(call, h.executor.setPace(call))
+		if sim.delay(h, func(e *modelExecutor) { _, _ = e.setPace(sim, call) }) {
+			h.agent.HandlePaceAnswer(call, errNoAnswer)
+			continue
+		}
+		_, err := h.executor.setPace(sim, call)
+		h.agent.HandlePaceAnswer(call, err)
 	}
 	for _, call := range calls.Stops {
 		if sim.delay(h, func(e *modelExecutor) { _, _ = e.stop(sim, call) }) {
@@ -737,14 +742,18 @@
 	return answer, nil
 }
 
-// setPace sets the pace of a run, as an executor that answers every call.
-func (m *modelExecutor) setPace(call custodian.RunCall) error {
+// setPace sets the pace of a run.
+func (m *modelExecutor) setPace(sim *simulation, call custodian.RunCall) (custodian.Answer, error) {
+	answer, err := m.fence(sim, call.Token, 0)
+	if err != nil {
+		return answer, err
+	}
 	r := m.runs[call.Run]
-	if r == nil || call.Token < m.token {
-		return apricotwinch.Errorf(apricotwinch.Conflict, "old")
+	if r == nil {
+		return answer, apricotwinch.Errorf(apricotwinch.Conflict, "old")
 	}
 	r.pace = call.Percent
-	return nil
+	return answer, nil
 }
 
 func (m *modelExecutor) stop(sim *simulation, call custodian.RunCall) (custodian.Answer, error) {
