--- a/conductor/network_test.go
+++ b/conductor/network_test.go
@@ -19,12 +19,15 @@
 	peerTimeout  = 600 * time.Millisecond
 	holdTimeout  = 1250 * time.Millisecond
 	orderTimeout = 300 * time.Millisecond
-	// maxLateness bounds the delay of a late message.
+	// maxLateness bounds the delay of a late message between owners and agents, and of an answer of an executor.
 	maxLateness = 8 * time.Second
 )
 
+// maxCallDelay bounds the delay of a late call to an executor.
+var maxCallDelay = custodian.DefaultConfig().MaxCallDelay
+
 // modelNetwork delays messages. Each takes up to maxDelay, and lateShare of them, 0 to 1, up to
-// maxLateness.
+// maxLateness or maxCallDelay.
 type modelNetwork struct {
 	maxDelay  time.Duration
 	lateShare float64
@@ -52,10 +55,13 @@
 }
 
 // send delivers a message after a delay.
-func (sim *simulation) send(deliver func()) {
+func (sim *simulation) send(deliver func()) { sim.sendWithin(maxLateness, deliver) }
+
+// sendWithin is send with a bound of the delay if the message is late.
+func (sim *simulation) sendWithin(bound time.Duration, deliver func()) {
 	delay := time.Duration(sim.random.Int64N(int64(sim.network.maxDelay)))
 	if sim.random.Float64() < sim.network.lateShare {
-		delay = time.Duration(sim.random.Int64N(int64(maxLateness)))
+		delay = time.Duration(sim.random.Int64N(int64(bound)))
 	}
 	sim.network.messages = append(sim.network.messages, modelMessage{at: sim.now.Add(delay), deliver: deliver})
 }
@@ -235,7 +241,7 @@
 		}
 		apply(h.executor)
 	}
-	sim.send(arrive)
+	sim.sendWithin(maxCallDelay, arrive)
 }
 
 // sendCalls makes the calls of a custodian to its executor.
