--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -711,9 +711,10 @@
 	})
 }
 
-// fence checks the fencing token of a call and extends the deadline of the runs.
+// fence checks the fencing token of a call and extends the deadline of the runs. Its answer doesn't tell the
+// incarnation: only lists of runs do.
 func (m *modelExecutor) fence(sim *simulation, token int64, deadline time.Duration) (custodian.Answer, error) {
-	answer := custodian.Answer{Clock: m.clock(sim.now), StartedMillis: m.incarnation}
+	answer := custodian.Answer{Clock: m.clock(sim.now)}
 	if token < m.token {
 		return answer, apricotwinch.Errorf(apricotwinch.StaleEpoch, "fence")
 	}
@@ -777,6 +778,7 @@
 	if err != nil {
 		return holding, err
 	}
+	holding.StartedMillis = m.incarnation
 	if m.keepsEnds {
 		m.keptThrough = max(m.keptThrough, call.AckedEnd)
 		call.AckedEnd = 0
