Let calls under way as an executor ends reach its next incarnation

The simulation answered a call that arrived while the executor was down as refused, also one that was sent to the earlier incarnation. An executor that is dark while down refuses nothing; no test uses that yet.

--- a/conductor/network_test.go
+++ b/conductor/network_test.go
@@ -227,19 +227,27 @@
 
 // sendToExecutor sends a call to an executor. The incarnation that is up when it arrives carries it out, as the
 // name in a call doesn't tell incarnations under one id apart; a mute one does when it is no longer mute. An
-// executor that is down refuses connections.
+// executor that is down refuses new connections, unless it is dark; a call that arrives meanwhile gets no answer and
+// reaches the next incarnation.
 func (sim *simulation) sendToExecutor(h *modelHost, apply func(*modelExecutor)) {
-	if h.executor.isDown(sim.now) {
+	if h.executor.isDown(sim.now) && !h.executor.dark {
 		apply(h.executor)
 		return
 	}
+	sent := sim.now
 	var arrive func()
 	arrive = func() {
-		if h.executor.mute {
+		e := h.executor
+		switch {
+		case e.isDown(sim.now):
+			if e.startedAt.Sub(sent) <= maxCallDelay {
+				sim.network.messages = append(sim.network.messages, modelMessage{at: e.startedAt, deliver: arrive})
+			}
+		case e.mute:
 			sim.network.messages = append(sim.network.messages, modelMessage{at: sim.now.Add(time.Second), deliver: arrive})
-			return
+		default:
+			apply(e)
 		}
-		apply(h.executor)
 	}
 	sim.sendWithin(maxCallDelay, arrive)
 }
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -183,6 +183,8 @@
 	keptThrough int
 	// mute is whether the executor answers no call and carries none out.
 	mute bool
+	// dark is whether nobody refuses connections while the executor is down.
+	dark bool
 	// refusing is whether the executor refuses all starts as unhealthy.
 	refusing bool
 	// slowdown is the share of its speed that the executor lacks, 0 to 1; 1 for stalled.
