Check tickets in the simulation's network, and let calls to one host be held back

Where the network delays calls, executors took any start of a queue that needs tickets, and owners after the first one had no such queue. A ticket is now checked when the start arrives, at the incarnation that is up then.

--- a/conductor/network_test.go
+++ b/conductor/network_test.go
@@ -55,12 +55,14 @@
 }
 
 // send delivers a message after a delay.
-func (sim *simulation) send(deliver func()) { sim.sendWithin(maxLateness, deliver) }
+func (sim *simulation) send(deliver func()) {
+	sim.sendLate(sim.network.lateShare, maxLateness, deliver)
+}
 
-// sendWithin is send with a bound of the delay if the message is late.
-func (sim *simulation) sendWithin(bound time.Duration, deliver func()) {
+// sendLate delivers a message after a delay, and a share of them late by up to a bound.
+func (sim *simulation) sendLate(lateShare float64, bound time.Duration, deliver func()) {
 	delay := time.Duration(sim.random.Int64N(int64(sim.network.maxDelay)))
-	if sim.random.Float64() < sim.network.lateShare {
+	if sim.random.Float64() < lateShare {
 		delay = time.Duration(sim.random.Int64N(int64(bound)))
 	}
 	sim.network.messages = append(sim.network.messages, modelMessage{at: sim.now.Add(delay), deliver: deliver})
@@ -249,7 +251,7 @@
 			apply(e)
 		}
 	}
-	sim.sendWithin(maxCallDelay, arrive)
+	sim.sendLate(max(sim.network.lateShare, h.heldShare), maxCallDelay, arrive)
 }
 
 // sendCalls makes the calls of a custodian to its executor.
@@ -259,6 +261,9 @@
 			if sim.random.Float64() < sim.refusedShare {
 				return custodian.Answer{}, apricotwinch.Errorf(apricotwinch.NoTarget, "unhealthy")
 			}
+			if e.runs[call.Order.Run] == nil && !sim.hasValidTicket(h, call.Order) {
+				return custodian.Answer{Clock: e.clock(sim.now)}, apricotwinch.Errorf(apricotwinch.Forbidden, "ticket")
+			}
 			return e.start(sim, call)
 		}, func(agent *custodian.Custodian, answer custodian.Answer, err error) custodian.Calls {
 			next, _ := agent.HandleStartAnswer(sim.now, call, answer, err)
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -101,6 +101,10 @@
 	// ticketExpiries holds when each ticket expires.
 	advise         func(conductor.AdviceRequest) (map[string]string, error)
 	ticketExpiries map[string]time.Time
+	// queues holds the queue of each workload. Starts of the batch queue alone need tickets.
+	queues map[string]string
+	// catalog is what owners start with.
+	catalog *cataloger.Catalog
 	// slowAdvice is whether an answer takes as long as the owner expects. pendingAdvice is the request that
 	// waits for one, and adviceSentAt when it was sent.
 	slowAdvice    bool
@@ -129,6 +133,8 @@
 	// frozenUntil is when the agent, which stands still until then, continues.
 	frozenUntil time.Time
 	links       modelLinks
+	// heldShare is the share of calls to its executor that are late, 0 to 1, beside those of the network.
+	heldShare float64
 }
 
 // isolatedOwner is an owner that was cut off from the store, with some hosts, and that has been
@@ -228,6 +234,8 @@
 		listedEnds:   maxListedEnds,
 
 		ticketExpiries: map[string]time.Time{},
+		queues:         map[string]string{},
+		catalog:        catalog(),
 	}
 	for i := range hosts {
 		h := &modelHost{name: fmt.Sprintf("host-%d", i), executor: sim.newModelExecutor(int(sim.now.UnixMilli()) + i)}
@@ -273,7 +281,7 @@
 	sim.owner = conductor.New(conductor.DefaultConfig(), sim.epoch, clean, sim.logger, metrics.NewRegistry())
 	sim.owner.SetEpochLog(sim)
 	sim.owner.SetClaimedAt(sim.claims[sim.epoch-1])
-	sim.owner.SetCatalog(catalog())
+	sim.owner.SetCatalog(sim.catalog)
 	if errs := sim.owner.Restore(sim.now, records(sim.store)); len(errs) > 0 {
 		sim.t.Fatalf("restore: %v", errs)
 	}
@@ -429,6 +437,7 @@
 func (sim *simulation) acceptSpec(queue, id string, spec messenger.WorkloadSpec) {
 	sim.t.Helper()
 	sim.specs[id] = spec
+	sim.queues[id] = queue
 	if _, err := sim.owner.Submit(sim.now, messenger.WorkloadRequest{Queue: queue, Id: id, Spec: &spec}); err != nil {
 		sim.t.Fatalf("submit %s: %v", id, err)
 	}
@@ -549,7 +558,7 @@
 
 // hasValidTicket reports whether a start carries a valid ticket or needs none.
 func (sim *simulation) hasValidTicket(h *modelHost, order messenger.StartOrder) bool {
-	if sim.advise == nil {
+	if sim.advise == nil || sim.queues[order.Run.Task.Workload] != batchQueue {
 		return true
 	}
 	step := fmt.Sprintf("%s.%d on executor-%s/%d #", order.Run.Task.Workload, order.Run.Task.Step, h.name, h.executor.incarnation)
