--- a/custodian/hold.go
+++ b/custodian/hold.go
@@ -11,25 +11,28 @@
 	"apricotwinch/pacer"
 )
 
-// NextHold returns the next call to renew the leases of an executor, and false when the executor
-// is no longer known.
+// NextHold returns the next call to renew the leases of an executor, or to find its next incarnation. It returns false
+// when there is no call to make.
 func (c *Custodian) NextHold(now time.Time, id string) (HoldCall, bool) {
 	e := c.executors[id]
 	if e == nil {
-		return HoldCall{}, false
+		return c.nextProbe(now, id)
 	}
 	call := HoldCall{Executor: e.ID, Born: e.StartedMillis, Address: e.Address, Token: e.token}
 	if through := c.nextAcknowledgment(now, e); through > 0 {
 		// Acknowledge an end once only, and by a token that is lower than those of later starts: another
 		// incarnation under the same id numbers its ends anew, and would forget its own ends.
 		call.AckedEnd = through
-		e.token = c.nextToken(now, e)
+		e.token = c.nextToken(now, e.ID)
 	}
-	if until := c.grant(now, e); e.confirmed && until.After(now) {
-		call.Deadline = e.deadline(until)
+	if c.renewalDue(now, e) {
+		if until := c.grant(now, e); until.After(now) {
+			call.Deadline = e.deadline(until)
+			e.leaseCalls.begin(now, call.Deadline)
+		}
 	}
 	// An executor may not wait while it lists an end.
-	if e.confirmed && e.durableEnd >= e.lastEnd && !e.doubt.unreadable {
+	if e.confirmed && e.durableEnd >= e.lastEnd && !e.doubt.unreadable && call.Deadline == 0 {
 		call.Wait = c.config.HoldWait
 	}
 	return call, true
@@ -51,8 +54,12 @@
 	c.updatedAt = now
 	e := c.findExecutor(call.Executor, call.Born)
 	if e == nil {
+		if c.executors[call.Executor] == nil {
+			c.handleProbeAnswer(now, call, answer.Answer, err)
+		}
 		return Calls{}, false
 	}
+	e.endLeaseCall(now, call.Deadline, answer.Answer, err)
 	if err != nil {
 		if e.unansweredSince.IsZero() {
 			e.unansweredSince = sent
@@ -76,15 +83,14 @@
 	e.updateClock(now, answer.Clock)
 	if !e.confirmed {
 		e.confirmed = call.Token == e.token
-		if e.confirmed && e.strayLeaseEnd.IsZero() {
-			e.strayLeaseEnd = c.strayLeaseEnd(now, e)
-		}
 		if e.confirmed {
+			c.confirmStrayLease(now, e)
 			c.logger.Info("executor confirmed", "executor", e.ID, "born", e.StartedMillis, "token", e.token, "clockMillis", e.clock.Milliseconds(),
 				"strayLeaseMillis", e.strayLeaseEnd.Sub(now).Milliseconds())
 		}
 		c.wholeReportDue = true
 	}
+	c.settleLeaseCalls(sent, e, answer.Answer)
 	inDoubt := e.doubt.present()
 	lapsed := c.lapsedBefore(sent, e) && c.endDoubt(now, e)
 	e.runsIncomplete = answer.RunsIncomplete
@@ -121,11 +127,12 @@
 	metrics.GetOrRegisterCounter("executors.token_rejected", c.registry).Inc(1)
 	c.lastTokens[e.ID] += e.tokenIncrement
 	e.tokenIncrement = 2*e.tokenIncrement + 1
-	e.token = c.nextToken(now, e)
+	e.token = c.nextToken(now, e.ID)
 	if !e.confirmed {
 		return false
 	}
 	c.logger.Warn("token rejected", "executor", e.ID, "born", e.StartedMillis, "token", token, "clockMillis", e.clock.Milliseconds(), "runs", len(e.runs))
+	c.recordOutranked(now, e)
 	e.unconfirm()
 	e.runsKnown = false
 	e.doubt.endsKnown = false
--- a/custodian/orders.go
+++ b/custodian/orders.go
@@ -122,11 +122,20 @@
 		calls.Stops = append(calls.Stops, RunCall{Executor: e.ID, Born: e.StartedMillis, Address: e.Address, Token: e.token, Run: r.order.Run})
 		return
 	}
+	until := c.grant(now, e)
+	if !until.After(now) {
+		// It would go on under a lease that another call has granted, if there is one.
+		metrics.GetOrRegisterCounter("starts.without_lease", c.registry).Inc(1)
+		r.inFlight, r.retryAt = false, now
+		return
+	}
+	deadline := e.deadline(until)
+	e.leaseCalls.begin(now, deadline)
 	c.startsTo(e.ID).begin(r.order.Run, now.Add(c.config.MaxCallDelay))
 	r.startCalls.settle(true, c.config.MaxCallDelay)
 	r.startCalls.madeAt = now
 	calls.Starts = append(calls.Starts, StartCall{
-		Executor: e.ID, Born: e.StartedMillis, Address: e.Address, Token: e.token, Deadline: e.deadline(c.grant(now, e)), Order: r.order,
+		Executor: e.ID, Born: e.StartedMillis, Address: e.Address, Token: e.token, Deadline: deadline, Order: r.order,
 	})
 }
 
@@ -181,6 +190,9 @@
 	kind := apricotwinch.KindOf(err)
 	c.startsTo(call.Executor).end(now, call.Order.Run, kind)
 	e, r := c.findRun(call.Executor, call.Born, call.Order.Run)
+	if e != nil {
+		e.endLeaseCall(now, call.Deadline, answer, err)
+	}
 	if r == nil {
 		return Calls{}, c.handleLateAnswer(now, call, answer, err)
 	}
@@ -189,8 +201,17 @@
 		c.wholeReportDue = true
 		return Calls{}, true
 	}
-	e.updateClock(now, answer.Clock)
 	r.inFlight = false
+	if e.isFromAnother(now, answer) {
+		// The next hold shows which one.
+		r.maybeStarted = true
+		r.startCalls.settle(true, c.config.MaxCallDelay)
+		metrics.GetOrRegisterCounter("starts.answered_by_another", c.registry).Inc(1)
+		c.logger.Info("start answered by another incarnation", "run", call.Order.Run, "executor", e.ID, "born", call.Born, "token", call.Token,
+			"clockMillis", answer.Clock.Milliseconds(), "kind", string(kind))
+		return Calls{}, false
+	}
+	e.updateClock(now, answer.Clock)
 	changed := false
 	r.startCalls.settle(mayBeCarriedOut(kind), c.config.MaxCallDelay)
 	switch kind {
@@ -253,8 +274,11 @@
 	if r == nil {
 		return
 	}
-	e.updateClock(now, answer.Clock)
 	r.inFlight = false
+	if e.isFromAnother(now, answer) {
+		return
+	}
+	e.updateClock(now, answer.Clock)
 	if err == nil {
 		if r.confirmedAt.IsZero() {
 			r.confirmedAt = now
@@ -275,7 +299,7 @@
 		if c.fenceAfterLapse(now, e) {
 			changed = true
 		}
-		if (len(e.runs) > 0 || e.listsIncomplete()) && now.After(c.lastGrant(e).Add(c.config.Margin)) && now.Sub(e.lastContactAt) > c.config.SilenceTimeout {
+		if (len(e.runs) > 0 || e.listsIncomplete()) && now.After(c.lastLeaseEnd(e).Add(c.config.Margin)) && now.Sub(e.lastContactAt) > c.config.SilenceTimeout {
 			c.logger.Info("executor leases expired", "executor", id, "born", e.StartedMillis, "runs", len(e.runs), "inDoubt", e.countInDoubt(),
 				"silentMillis", now.Sub(e.lastContactAt).Milliseconds(), "strayLeaseMillis", max(0, e.strayLeaseEnd.Sub(now)).Milliseconds())
 			if e.hasRunInDoubt() {
@@ -324,7 +348,7 @@
 // call with that token.
 func (c *Custodian) fence(now time.Time, e *executor) {
 	metrics.GetOrRegisterCounter("executors.fenced", c.registry).Inc(1)
-	e.token = c.nextToken(now, e)
+	e.token = c.nextToken(now, e.ID)
 	e.unconfirm()
 	for _, r := range e.runs {
 		r.fenced = r.fenced || r.inDoubt()
--- a/custodian/report.go
+++ b/custodian/report.go
@@ -46,12 +46,13 @@
 	}
 	report.Whole = true
 	report.LeaseLengths = true
+	report.StrayLeases = true
 	report.Refusals = slices.Clone(c.refusals)
 	report.RefusalsThrough = c.refusalCount
 	c.updateEnded(now)
 	for _, ended := range c.ended {
 		if len(ended.underWay) > 0 {
-			report.Executors = append(report.Executors, ended.state(now))
+			report.Executors = append(report.Executors, ended.state(now, c.longestLease()))
 		} else if next := c.executors[ended.Id]; next == nil || next.confirmed {
 			report.Gone = append(report.Gone, ended.ExecutorIncarnation)
 		}
@@ -73,14 +74,16 @@
 func (c *Custodian) executorState(now time.Time, e *executor) messenger.ExecutorState {
 	silent := now.Sub(e.lastContactAt)
 	state := messenger.ExecutorState{
-		Executor:        e.record(),
-		Draining:        e.Draining,
-		Reachable:       silent < c.config.SilenceTimeout && !e.doubt.present(),
-		SilentMillis:    int(silent.Milliseconds()),
-		RemainingMillis: int(max(0, e.drainDeadline.Sub(now)).Milliseconds()),
-		Ends:            slices.Clone(e.ends),
-		Incomplete:      e.endsIncomplete || !e.runsKnown,
-		RunsListed:      e.runsKnown,
+		Executor:         e.record(),
+		Draining:         e.Draining,
+		Reachable:        silent < c.config.SilenceTimeout && !e.doubt.present(),
+		SilentMillis:     int(silent.Milliseconds()),
+		RemainingMillis:  int(max(0, e.drainDeadline.Sub(now)).Milliseconds()),
+		Ends:             slices.Clone(e.ends),
+		Incomplete:       e.endsIncomplete || !e.runsKnown,
+		RunsListed:       e.runsKnown,
+		StrayLeaseMillis: millisUntil(now, e.strayLeaseEnd),
+		StrayLeaseAnew:   e.outranked,
 	}
 	for _, r := range e.sortedRuns() {
 		state.Runs = append(state.Runs, r.reported())
@@ -120,6 +123,7 @@
 	c.advanceEpoch(reply.Epoch)
 	c.ownerAnsweredAt = now
 	c.acknowledgeEnds(now, reply.Seen)
+	c.endStrayLeases(now, reply.Seen)
 	length := c.config.Lease
 	if reply.LeaseMillis > 0 {
 		length = min(length, time.Duration(reply.LeaseMillis)*time.Millisecond)
