Play a gang that runs on the reborn executor alone

None of the gang cases of TestLeaseOfLastIncarnationOutlastsCut failed without lease bounds, though the lease was the same: members on another host go on, and the owner repeats no member while one of them runs. A gang that has all its members on the reborn executor is repeated as soon as that counts as gone.

--- a/conductor/reborn_test.go
+++ b/conductor/reborn_test.go
@@ -96,6 +96,10 @@
 		{name: "long-running", queue: watchQueue, step: tasks(12, 2000, time.Hour, longRunning)},
 		{name: "best-effort", queue: batchQueue, step: tasks(12, 2000, 15*time.Second, bestEffort)},
 		{name: "gang", queue: batchQueue, step: tasks(12, 2000, 15*time.Second, func(s *messenger.StepSpec) { s.Gang = true })},
+		// Members elsewhere go on and hold the gang, so that only one that runs there alone can be repeated meanwhile.
+		{name: "gang on the executor", queue: batchQueue, step: tasks(4, 2000, 15*time.Second, func(s *messenger.StepSpec) {
+			s.Gang, s.Rack = true, "r1-host-1"
+		})},
 	}
 	for _, step := range steps {
 		for _, test := range cuts {
