--- a/custodian/underway.go
+++ b/custodian/underway.go
@@ -146,12 +146,10 @@
 	}
 }
 
-// endedState returns what is reported of an ended incarnation: the runs of which a start may be under way. It would grant a
-// lease to the next one.
+// endedState returns what is reported of an ended incarnation: the runs of which a start may be under way.
 func (c *Custodian) endedState(now time.Time, ended *endedIncarnation) messenger.ExecutorState {
 	state := messenger.ExecutorState{
 		Executor: ended.record, SilentMillis: int(now.Sub(ended.endedAt).Milliseconds()), RunsListed: true,
-		StrayLeaseMillis: millisUntil(now, ended.callsUntil.Add(c.longestLease())), StrayLeaseAnew: true,
 	}
 	runs := ended.underWay
 	if c.executors[ended.Id] != nil {
