Take no clock from a hold that another incarnation rejects

A task could run twice: the next incarnation of an executor has carried out a call with a greater token and rejects a hold with an older one. The agent took the clock in the rejection for the last incarnation's, so that the next one's answer to a start passed as the last one's, and neither the start nor its lease counted as under way.

Change: the clock of a rejection counts only if it can be this incarnation's; the token is raised all the same. TestHoldRejectedByNextIncarnation failed before.

--- a/custodian/answer_test.go
+++ b/custodian/answer_test.go
@@ -11,6 +11,8 @@
 	"apricotwinch/messenger"
 )
 
+var errNoProcess = apricotwinch.Errorf(apricotwinch.StaleIncarnation, "no process listens")
+
 // TestStartAnsweredByNextIncarnation guards against a task that runs twice: the next incarnation of an executor answers a
 // start that was meant for the last one, without its start time, so that the start counted as one on the last one, and
 // its lease as that one's.
@@ -43,7 +45,7 @@
 				answer.Clock = s.clock()
 			}
 			s.HandleStartAnswer(s.now, call, answer, test.err)
-			s.hold(custodian.HoldAnswer{}, apricotwinch.Errorf(apricotwinch.StaleIncarnation, "no process listens"))
+			s.hold(custodian.HoldAnswer{}, errNoProcess)
 			var listed []messenger.RunRef
 			for _, e := range s.renew().Executors {
 				for _, run := range e.Runs {
@@ -63,3 +65,32 @@
 		})
 	}
 }
+
+// newUsedFixture returns a fixture of which no earlier agent has calls under way, with a lease.
+func newUsedFixture() *fixture {
+	s := newFixture()
+	s.answers(30 * time.Second)
+	s.renew()
+	s.hold(custodian.HoldAnswer{Answer: custodian.Answer{StartedMillis: 7}}, nil)
+	return s
+}
+
+// TestHoldRejectedByNextIncarnation guards against a task that runs twice: the next incarnation rejects a hold, whose answer
+// has its clock, before it answers a start that was meant for the last one.
+func TestHoldRejectedByNextIncarnation(t *testing.T) {
+	s := newUsedFixture()
+	call := s.startRun(t, 0)
+	hold, _ := s.NextHold(s.now, "e")
+	sent := s.now
+	s.now = s.now.Add(50 * time.Millisecond)
+	next := custodian.Answer{Clock: 3 * time.Hour}
+	s.HandleHoldAnswer(s.now, sent, hold, custodian.HoldAnswer{Answer: next}, apricotwinch.Errorf(apricotwinch.StaleEpoch, "fence"))
+	s.HandleStartAnswer(s.now, call, next, nil)
+	s.hold(custodian.HoldAnswer{}, errNoProcess)
+	if diff := cmp.Diff(listing{Phases: map[string]string{"0#1": messenger.RunStarting}}, s.listing()); diff != "" {
+		t.Errorf("listing (-want +got):\n%s", diff)
+	}
+	if strayMillis(t, s.confirmNext()) <= 0 {
+		t.Error("no stray lease")
+	}
+}
--- a/custodian/hold.go
+++ b/custodian/hold.go
@@ -103,7 +103,9 @@
 // handleHoldError takes the error of a hold that was not answered or was rejected. It reports
 // whether a report to the owner is due at once.
 func (c *Custodian) handleHoldError(now time.Time, e *executor, call HoldCall, answer Answer, err error) bool {
-	e.updateClock(now, answer.Clock)
+	if !e.isFromAnother(now, answer) {
+		e.updateClock(now, answer.Clock)
+	}
 	switch apricotwinch.KindOf(err) {
 	case apricotwinch.StaleIncarnation:
 		c.dropExecutor(now, e, err.Error())
