Hold a found run whose own start may still be under way

A task could run twice: an executor ends with two calls of a start without an answer, the next incarnation carries one out and lists the run, and ends, too. The run had been found there, so that it counted as one of an earlier agent and was released; the incarnation after that carries the other call out.

Change: a run that was found counts as under way as long as a call of this agent for it may be. Found by review. TestStartUnderWayToSecondNextIncarnation failed before. If the next incarnation doesn't list the run, its task still starts elsewhere at once.

--- a/custodian/answer_test.go
+++ b/custodian/answer_test.go
@@ -94,3 +94,21 @@
 		t.Error("no stray lease")
 	}
 }
+
+// TestStartUnderWayToSecondNextIncarnation guards against a task that runs twice: the next incarnation has carried out one call
+// of a repeated start and ends, and the one after it carries out the other.
+func TestStartUnderWayToSecondNextIncarnation(t *testing.T) {
+	s := newUsedFixture()
+	s.HandleStartAnswer(s.now, s.startRun(t, 0), custodian.Answer{}, errNoAnswer)
+	s.HandleStartAnswer(s.now, s.repeatStart(t), custodian.Answer{}, errNoAnswer)
+	s.hold(custodian.HoldAnswer{}, errNoProcess)
+	s.announce(func(a *custodian.Announcement) { a.StartedMillis = nextBorn })
+	for range 2 {
+		s.hold(custodian.HoldAnswer{Answer: custodian.Answer{StartedMillis: nextBorn}, Runs: states(0)}, nil)
+	}
+	s.renew()
+	s.hold(custodian.HoldAnswer{}, errNoProcess)
+	if diff := cmp.Diff(listing{Phases: map[string]string{"0#1": messenger.RunRunning}, Gone: 1}, s.listing()); diff != "" {
+		t.Errorf("listing (-want +got):\n%s", diff)
+	}
+}
--- a/custodian/underway.go
+++ b/custodian/underway.go
@@ -38,8 +38,11 @@
 
 // underWayUntil returns until when a call of this agent that starts the run may be carried out.
 func (c *Custodian) underWayUntil(r *run) time.Time {
-	if !r.startCalls.madeAt.IsZero() {
+	switch u := c.startsTo(r.order.Executor).unanswered[r.order.Run]; {
+	case !r.startCalls.madeAt.IsZero():
 		return r.startCalls.madeAt.Add(c.config.MaxCallDelay)
+	case r.found && u != nil:
+		return u.until // It was started on an earlier incarnation.
 	}
 	return r.startCalls.lateUntil
 }
@@ -71,10 +74,10 @@
 	for _, r := range e.sortedRuns() {
 		switch {
 		case !e.listed:
-		case r.found:
-			ended.found = append(ended.found, r)
 		case c.underWayUntil(r).After(now):
 			ended.underWay = append(ended.underWay, r)
+		case r.found:
+			ended.found = append(ended.found, r)
 		}
 	}
 	c.ended = append(c.ended, ended)
