Begin a stray lease anew once for each rejected token

Tasks could wait up to 10.2 s for a lease that can't exist: after an executor had once rejected the token with which it was confirmed, each later confirmation, as after a lapse with a start in doubt, began the bound of stray leases anew.

Change: it begins anew with the confirmation after a rejection, and no other. Found by review. TestStrayLeaseBeginsOnceForRejection failed before.

--- a/custodian/answer_test.go
+++ b/custodian/answer_test.go
@@ -112,3 +112,24 @@
 		t.Errorf("listing (-want +got):\n%s", diff)
 	}
 }
+
+// TestStrayLeaseBeginsOnceForRejection guards against tasks that wait too long: each confirmation after an executor had once
+// rejected the agent's token began a stray lease anew.
+func TestStrayLeaseBeginsOnceForRejection(t *testing.T) {
+	s := newUsedFixture()
+	s.hold(custodian.HoldAnswer{}, apricotwinch.Errorf(apricotwinch.StaleEpoch, "fence"))
+	for range 300 {
+		s.now = s.now.Add(100 * time.Millisecond)
+		s.hold(custodian.HoldAnswer{Answer: custodian.Answer{StartedMillis: 7}}, nil)
+		s.renew()
+	}
+	s.HandleStartAnswer(s.now, s.startRun(t, 0), custodian.Answer{}, errNoAnswer)
+	s.now = s.now.Add(5 * time.Second)
+	s.Tick(s.now)
+	for range 3 {
+		s.hold(custodian.HoldAnswer{Answer: custodian.Answer{StartedMillis: 7}}, nil)
+	}
+	if diff := cmp.Diff(0, strayMillis(t, s.renew())); diff != "" {
+		t.Errorf("stray lease in milliseconds (-want +got):\n%s", diff)
+	}
+}
--- a/custodian/executor.go
+++ b/custodian/executor.go
@@ -134,8 +134,9 @@
 	// confirmed; zero if it hasn't been.
 	strayLeaseEnd time.Time
 	leaseCalls    leaseCalls
-	// outranked is set once the executor has rejected the token with which it was confirmed.
-	outranked bool
+	// outranked is set once the executor has rejected the token with which it was confirmed, and rejected until it is
+	// confirmed again.
+	outranked, rejected bool
 	// ackedEnd is the number of the last end whose acknowledgment reached the executor, and durable holds the
 	// durable ends after it.
 	ackedEnd int
--- a/custodian/stray.go
+++ b/custodian/stray.go
@@ -77,7 +77,8 @@
 // its calls before this one started.
 func (c *Custodian) confirmStrayLease(now time.Time, e *executor) {
 	switch {
-	case e.outranked:
+	case e.rejected:
+		e.rejected = false
 		e.strayLeaseEnd = now.Add(c.longestLease())
 		return
 	case !e.strayLeaseEnd.IsZero():
@@ -104,7 +105,7 @@
 // recordOutranked records that an executor has rejected the token with which it was confirmed: another call has
 // come through since, and may have granted a lease.
 func (c *Custodian) recordOutranked(now time.Time, e *executor) {
-	e.outranked = true
+	e.outranked, e.rejected = true, true
 	e.strayLeaseEnd = now.Add(c.longestLease())
 }
 
