--- a/custodian/answer_test.go
+++ b/custodian/answer_test.go
@@ -113,6 +113,43 @@
 	}
 }
 
+// TestStartUnderWayAtExpiry guards against a task that runs twice: an executor is silent, its leases expire, and the next
+// incarnation carries out a start that was under way.
+func TestStartUnderWayAtExpiry(t *testing.T) {
+	knownRed(t)
+	s := newUsedFixture()
+	began := s.now
+	s.HandleStartAnswer(s.now, s.startRun(t, 0), custodian.Answer{}, errNoAnswer)
+	for s.now.Sub(began) < 8*time.Second {
+		s.hold(custodian.HoldAnswer{}, errNoAnswer)
+		s.now = s.now.Add(100 * time.Millisecond)
+		s.renew()
+		s.Tick(s.now)
+		if len(s.listing().Phases) == 0 {
+			t.Fatalf("the run is released after %s, while a start for it may be carried out", s.now.Sub(began))
+		}
+	}
+}
+
+// TestStartOfEarlierAgentUnderWay guards against a task that runs twice: an agent restarts as its executor ends, and reports
+// that gone while starts of the agent before may be under way to the next incarnation.
+func TestStartOfEarlierAgentUnderWay(t *testing.T) {
+	knownRed(t)
+	now := start.Add(time.Hour)
+	agent := newAgent(now, "i2")
+	record := messenger.ExecutorRecord{Id: "e", Born: 7, Address: "host:2"}
+	agent.HandleReportAnswer(now, now, messenger.ReportReply{Epoch: 1, Owner: true, Lease: true, Executors: []messenger.ExecutorRecord{record}})
+	call, ok := agent.NextHold(now, "e")
+	if !ok {
+		t.Fatal("the executor is not known")
+	}
+	now = now.Add(10 * time.Millisecond)
+	agent.HandleHoldAnswer(now, now, call, custodian.HoldAnswer{}, errNoProcess)
+	if diff := cmp.Diff(0, len(agent.Report(now, true).Gone)); diff != "" {
+		t.Errorf("executors reported gone (-want +got):\n%s", diff)
+	}
+}
+
 // TestStrayLeaseBeginsOnceForRejection guards against tasks that wait too long: each confirmation after an executor had once
 // rejected the agent's token began a stray lease anew.
 func TestStrayLeaseBeginsOnceForRejection(t *testing.T) {
