--- a/custodian/stray.go
+++ b/custodian/stray.go
@@ -13,13 +13,14 @@
 
 // leaseCalls is what is known of the calls to an incarnation of an executor that carry a deadline.
 type leaseCalls struct {
-	// latest is the latest deadline. underWay is the number of those that have not ended. lostAt is when the last one ended that the next
-	// incarnation may carry out, or has; zero for none.
-	// madeAt is when the last one was made.
-	latest   time.Duration
+	// latest is the latest deadline.
+	latest time.Duration
+	// underWay is the number of calls that have not ended.
 	underWay int
-	lostAt   time.Time
-	madeAt   time.Time
+	// madeAt is when the last call was made.
+	madeAt time.Time
+	// lostAt is when the last call ended that the next incarnation may carry out, or has; zero for none.
+	lostAt time.Time
 }
 
 // begin records that a call is made. A deadline of 0 is none.
