Log and count how long-running workloads are served, by their size

Which sizes are passed over, and why, couldn't be told from logs or metrics: they showed single tasks that wait, but not how many of a workload's tasks run, how it ranks in its queue, or how many are over their target.

A line 'long-running workload underserved', gauges of tasks, working tasks and tasks over target by size, the need of a task that waits, and the size of an accepted workload. The simulation's long-running tasks are fully at work from their start, as executors report them.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -258,7 +258,8 @@
 	c.insert(now, w)
 	c.markDirty(w, true)
 	c.count("workloads.accepted")
-	c.logger.Info("workload accepted", "workload", w.id, "queue", w.queue, "steps", len(w.spec.Steps), "write", w.durableAt)
+	c.logger.Info("workload accepted", "workload", w.id, "queue", w.queue, "steps", len(w.spec.Steps), "tasks", w.taskCount, "processorMillis", w.processors(),
+		"lasting", w.lasts(), "write", w.durableAt)
 	return w.durableAt, nil
 }
 
--- a/conductor/confirmation.go
+++ b/conductor/confirmation.go
@@ -162,6 +162,7 @@
 	c.setLeftOut(nil)
 	c.setUnlisted(nil)
 	c.clearReserve()
+	c.setServiceGauges(nil, nil, nil)
 	c.setGauge(gaugeReservations, 0)
 }
 
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -856,8 +856,11 @@
 	})
 }
 
-// percent returns how much of a run is done, in percent.
+// percent returns how much of a run is done, in percent; a long-running one is fully at work at once.
 func (r *modelRun) percent(sim *simulation, ref messenger.RunRef) int {
+	if sim.specs[ref.Task.Workload].Steps[ref.Task.Step].Lasting {
+		return 100
+	}
 	whole := time.Duration(sim.specs[ref.Task.Workload].Steps[ref.Task.Step].EstimateMillis) * time.Millisecond
 	if whole <= 0 {
 		return 0
--- a/conductor/size.go
+++ b/conductor/size.go
@@ -71,3 +71,12 @@
 	}
 	return total * max(1, spec.Repeats)
 }
+
+// processors returns what all tasks of one occurrence of a workload take, in thousandths of a processor.
+func (w *workload) processors() int64 {
+	var sum int64
+	for i := range w.spec.Steps {
+		sum += int64(w.spec.Steps[i].Tasks) * w.spec.Steps[i].Resources.Value().ProcessorMillis()
+	}
+	return sum
+}
--- a/conductor/waits.go
+++ b/conductor/waits.go
@@ -117,6 +117,7 @@
 	c.setLeftOut(leftOut)
 	c.checkLongRunningWaits(now, newWaitEvaluation(p, leftOut))
 	c.checkStepWaits(now, newWaitEvaluation(p, leftOut))
+	c.checkService(now)
 	c.checkReserve(now, p.pools())
 }
 
@@ -197,11 +198,11 @@
 	usable, refused, leftOut := e.describePool(s)
 	first, unlisted := c.unlistedExecutors(w.task)
 	if w.awaits != waitUnlisted || first == nil {
-		c.logger.Info("long-running task waits", "task", w.task.ref, "waitMillis", waited, "since", w.reason, "for", w.awaits, "blockedMillis", blocked,
+		c.logger.Info("long-running task waits", "task", w.task.ref, "tasks", len(s.tasks), "running", s.countRunning(), "need", s.need.String(), "waitMillis", waited, "since", w.reason, "for", w.awaits, "blockedMillis", blocked,
 			"usable", usable, "refused", refused, "leftOut", leftOut)
 		return
 	}
-	c.logger.Info("long-running task waits", "task", w.task.ref, "waitMillis", waited, "since", w.reason, "for", w.awaits, "blockedMillis", blocked,
+	c.logger.Info("long-running task waits", "task", w.task.ref, "tasks", len(s.tasks), "running", s.countRunning(), "need", s.need.String(), "waitMillis", waited, "since", w.reason, "for", w.awaits, "blockedMillis", blocked,
 		"usable", usable, "refused", refused, "leftOut", leftOut,
 		"unlisted", unlisted, "executor", first.id, "host", first.host.name, "reason", first.unlistedReason(now),
 		"reportAgeMillis", now.Sub(first.host.lastReportAt).Milliseconds(), "leaseMillis", first.leaseEnd.Sub(now).Milliseconds())
--- a/conductor/workload.go
+++ b/conductor/workload.go
@@ -35,6 +35,7 @@
 	runs, repeats int
 	idleSince     time.Time
 	rank          bestEffortRank
+	serviceLog    serviceLog
 	workloadOrder
 	priority int
 	// load is what the workload adds to the backlog; nil if it isn't forecast or not known yet.
