Have long-running runs give the reserve back to urgent work

Cause: long-running tasks that ran before may start again in the room that is reserved for urgent work, as they would stay down otherwise, and keep it without a bound. Urgent work that has waited for room for 0.3 s now has runs give way while long-running ones hold a part of the reserve; these, and others that start again within 5 s, leave it free unless there is room for two.

TestUrgentWorkAfterLossOfExecutors failed before: none of 150 urgent workloads done. TestPreemptedTasksReturn guards the way back.

--- a/conductor/advice.go
+++ b/conductor/advice.go
@@ -81,6 +81,7 @@
 		}
 	}
 	s.blockedAt = time.Time{}
+	p.updateRoomy(s, allowed)
 	if p.startTasks(s, q.Service, allowed) {
 		return
 	}
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -167,6 +167,7 @@
 
 		reserve:            newReserve(),
 		backfill:           newBackfill(),
+		preemption:         preemption{urgentShortAt: map[string]time.Time{}},
 		changedExecutors:   map[*executor]bool{},
 		appraiser:          appraiser.New(appraiser.DefaultConfig()),
 		monitor:            monitor.New(monitor.DefaultConfig()),
--- a/conductor/preemption.go
+++ b/conductor/preemption.go
@@ -42,6 +42,8 @@
 	// from is where the next look begins in a pool.
 	from  int
 	lines lineBudget
+	// urgentShortAt is when short urgent work last waited for room for too long, by service.
+	urgentShortAt map[string]time.Time
 }
 
 // heldRoom is room on an executor that others gave up for a task of a step.
@@ -76,6 +78,7 @@
 	}
 	c.preemption.checkedAt = now
 	p := c.newPass(now)
+	p.returnReserve()
 	p.shareRoom()
 }
 
@@ -148,7 +151,7 @@
 		return r.task.step.occurrence.workload != w && r.task.step.occurrence.workload.priority >= w.priority && p.now.Sub(r.startedAt) >= minPreemptedAge
 	}
 	executors := p.searchedExecutors(pool, func(e *executor) bool {
-		return s.allows(e) && c.avoidanceCost(p.now, claim.task, e) == 0 && e.leavesHeldRoom(p.now, s)
+		return c.mayUse(p.now, s, e) && c.avoidanceCost(p.now, claim.task, e) == 0 && e.leavesHeldRoom(p.now, s)
 	})
 	victims, choice, ok := p.chooseRuns(request, executors, mayStop, func(e *executor) apricotwinch.Resources {
 		return p.availableTo(claim.task, e)
@@ -268,7 +271,10 @@
 
 // updateRoomy updates since when the executors of a pool have had room for two tasks of a step.
 func (p *schedulingPass) updateRoomy(s *step, pool []*executor) {
-	if !slices.ContainsFunc(s.tasks, func(t *task) bool { return t.preempted }) {
+	if !s.spec.Lasting || s.spec.Fills {
+		return
+	}
+	if !slices.ContainsFunc(s.tasks, func(t *task) bool { return t.current == nil && t.ranBefore() }) {
 		s.roomySince = time.Time{}
 		return
 	}
--- a/conductor/preemption_test.go
+++ b/conductor/preemption_test.go
@@ -66,6 +66,56 @@
 	checkShares(t, sim, want)
 }
 
+// TestUrgentWorkAfterLossOfExecutors guards against urgent work that finds no room for good, as long-running tasks that
+// started again after a loss of executors have taken its reserve.
+func TestUrgentWorkAfterLossOfExecutors(t *testing.T) {
+	sim := newSimulation(t, 1, 4)
+	sim.season()
+	sim.run(2 * time.Second)
+	sim.submit(watchQueue, "long", tasks(10, 5300, time.Hour, longRunning))
+	sim.run(2 * time.Second)
+	lost := sim.hosts[3]
+	lost.disconnected, lost.agentDown = true, true
+	sim.run(10 * time.Second)
+	// This takes 4 of the 4.8 processors that are reserved on three executors.
+	s := &stream{sim: sim, duration: 80 * time.Millisecond}
+	s.run(2 * time.Second)
+	before, done := len(s.submitted), s.countDone()
+	s.run(4 * time.Second)
+	// The last second's work may still run.
+	const periodsPerSecond = int(time.Second / streamPeriod)
+	if got, want := s.countDone()-done, len(s.submitted)-before-periodsPerSecond; got < want {
+		t.Errorf("urgent workloads that are done in 4 s: got %d, want at least %d", got, want)
+	}
+	if running := sim.running("long"); running < 6 {
+		t.Errorf("long-running tasks: %d run, want at least 6", running)
+	}
+}
+
+// TestPreemptedTasksReturn guards against long-running tasks that stay down for the sake of urgent work that has ended,
+// while there is room for more than one of them.
+func TestPreemptedTasksReturn(t *testing.T) {
+	sim := newSimulation(t, 1, 3)
+	sim.season()
+	sim.run(2 * time.Second)
+	sim.submit(watchQueue, "long", tasks(43, 1000, time.Hour, longRunning))
+	sim.run(2 * time.Second)
+	sim.hosts[2].disconnected, sim.hosts[2].agentDown = true, true
+	sim.run(10 * time.Second)
+	onOthers := func() int { return len(sim.hosts[0].executor.runs) + len(sim.hosts[1].executor.runs) }
+	const room = 32
+	if got := onOthers(); got != room {
+		t.Fatalf("long-running tasks that run after the loss: got %d, want %d", got, room)
+	}
+	s := &stream{sim: sim, duration: 60 * time.Millisecond}
+	s.run(6 * time.Second)
+	if got := sim.running("long") - len(sim.hosts[2].executor.runs); got > room-2 {
+		t.Fatalf("long-running tasks beside urgent work: got %d, want at most %d", got, room-2)
+	}
+	// Users take a task for lost that isn't started within 3 s while there is room for two.
+	sim.runUntil(maxIdleTime, func() bool { return onOthers() >= room-1 })
+}
+
 // TestPreemptionSparesProtectedTasks guards against more tasks of a workload out of work at a time than it allows.
 func TestPreemptionSparesProtectedTasks(t *testing.T) {
 	sim := newSimulation(t, 1, 4)
--- a/conductor/reserve.go
+++ b/conductor/reserve.go
@@ -130,13 +130,22 @@
 }
 
 // keepsReserve reports whether a task must leave the reserve free. A long-running task that ran before may use
-// it, unless it gave its room to others and there is no room for it twice over.
+// it, unless it gave its room to others or urgent work lacks room, and there is no room for it twice over.
 func (p *schedulingPass) keepsReserve(t *task) bool {
 	s := t.step
 	if !s.spec.Lasting || s.spec.Fills {
 		return false
 	}
-	return !t.ranBefore() || t.preempted && !p.isRoomy(s)
+	if !t.ranBefore() {
+		return true
+	}
+	return (t.preempted || p.lacksUrgentRoom(s)) && !p.isRoomy(s)
+}
+
+// lacksUrgentRoom reports whether urgent work of the service of a step has waited for room lately.
+func (p *schedulingPass) lacksUrgentRoom(s *step) bool {
+	q, ok := p.conductor.queue(s.occurrence.workload)
+	return ok && p.conductor.urgentShort(p.now, q.Service)
 }
 
 // ranBefore reports whether a task may have had a run.
