--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -18,6 +18,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 
 	"apricotwinch"
 	"apricotwinch/appender"
@@ -125,6 +126,8 @@
 	pool     *connector.Pool
 	listener net.Listener
 	reports  *reportQueue
+	// lookups limits what Refuse asks of the owner.
+	lookups *rate.Limiter
 
 	// copyMu guards copy; it is held only briefly.
 	copyMu sync.Mutex
@@ -220,6 +223,7 @@
 		pool:         pool,
 		listener:     listener,
 		reports:      newReportQueue(),
+		lookups:      rate.NewLimiter(lookupsPerSecond, lookupsPerSecond),
 		startedAt:    deps.Clock.Now(),
 		elector:      elector.New(deps.Clock.Now(), elector.DefaultConfig(), self),
 		changed:      make(chan struct{}),
