Test crowds of clients with an address each, and the largest legal requests

The crowds came from eight addresses, so that no test showed what many clients do of which each holds less than its share, and the largest body within the configured limit was never sent in chunks.

--- a/crowder/process_test.go
+++ b/crowder/process_test.go
@@ -50,6 +50,8 @@
 const (
 	memoryMB = 96
 	maxFDs   = 400
+	// configuredBodyBytes is the greatest length of a body that the configuration allows.
+	configuredBodyBytes = 1 << 18
 	// fileReserve is the number of descriptors that sockets may not take.
 	fileReserve = 200
 )
@@ -93,7 +95,7 @@
 		"name": "urgent", "hostname": hostname, "path_prefix": "/urgent/", "service": service,
 		"priority": 0, "max_attempts": 3, "stretch": 2, "target_latency_ms": 500, "timeout_ms": 3000,
 	}}
-	data, err := json.Marshal(map[string]any{"version": 1, "routes": routes, "limits": map[string]int{"body_bytes": 1 << 18}})
+	data, err := json.Marshal(map[string]any{"version": 1, "routes": routes, "limits": map[string]int{"body_bytes": configuredBodyBytes}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -391,12 +393,24 @@
 // newCrowd opens connections to address from crowdAddresses addresses. act sends on each what it will, and
 // returns once it has sent all or fails to; the connections stay open.
 func newCrowd(t *testing.T, address string, size int, act func(conn net.Conn, i int)) *crowd {
+	t.Helper()
+	return newCrowdFrom(t, func(i int) net.IP { return net.IPv4(127, 0, 1, byte(1+i%crowdAddresses)) }, address, size, act)
+}
+
+// newScatteredCrowd is newCrowd with an address of its own for each of up to 250 connections.
+func newScatteredCrowd(t *testing.T, address string, size int, act func(conn net.Conn, i int)) *crowd {
+	t.Helper()
+	return newCrowdFrom(t, func(i int) net.IP { return net.IPv4(127, 0, 2, byte(1+i)) }, address, size, act)
+}
+
+// newCrowdFrom is newCrowd with the address of each connection.
+func newCrowdFrom(t *testing.T, from func(i int) net.IP, address string, size int, act func(conn net.Conn, i int)) *crowd {
 	t.Helper()
 	c := &crowd{}
 	t.Cleanup(c.close)
 	for i := range size {
 		c.writers.Go(func() {
-			dialer := net.Dialer{Timeout: sendLimit, LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 1, byte(1+i%crowdAddresses))}}
+			dialer := net.Dialer{Timeout: sendLimit, LocalAddr: &net.TCPAddr{IP: from(i)}}
 			conn, err := dialer.Dial("tcp", address)
 			if err != nil {
 				return
