Bound the records of the workloads that an owner holds

Clients that send large bodies whole ended the owner, and the next one: 600 accepted bodies of 246 KB took 170 MB at the owner, and 313 MB at its successor, of 96 MB (TestUntrustedClientsSubmitLargeWorkloads, which failed before).

Cause: limits bound bodies in progress, the records of one append and the number of open tasks, but not what accepted workloads hold.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -132,6 +132,8 @@
 	// openTasks is the number of tasks of the workloads that have not ended, and unsentBytes the length of the
 	// records of those whose acceptance the next append makes durable.
 	openTasks, unsentBytes int
+	// heldBytes is the length of the records of the workloads that have not ended.
+	heldBytes int
 	// urgent is whether the pending records must be written at once.
 	urgent  bool
 	dirty   []*workload
@@ -198,6 +200,7 @@
 	if w.terminal() {
 		return
 	}
+	c.heldBytes += w.recordBytes
 	c.holdNew(now, w)
 	w.taskCount = countTasks(&w.spec)
 	c.openTasks += w.taskCount
@@ -307,6 +310,8 @@
 func (c *Conductor) endWorkload(now time.Time, w *workload, state string) {
 	c.openTasks -= w.taskCount
 	w.taskCount = 0
+	c.heldBytes -= w.recordBytes
+	w.recordBytes = 0
 	w.state = state
 	w.endedAt = now
 	w.dirtyEnd = true
--- a/conductor/config.go
+++ b/conductor/config.go
@@ -13,6 +13,9 @@
 	Features apricotwinch.Features
 	// MaxTasks bounds the tasks of the workloads that have not ended; 0 for no bound.
 	MaxTasks int
+	// MaxRecordBytes bounds the records of the workloads that have not ended, of which those over smallRecordBytes each take at
+	// most half; 0 for no bound.
+	MaxRecordBytes int
 	// Lease is how long the runs of a host continue at most after it sent the last report whose reply
 	// renewed their lease, and after the owner's latest proof by then that it had no successor.
 	Lease time.Duration
--- a/conductor/journal.go
+++ b/conductor/journal.go
@@ -110,6 +110,7 @@
 	}
 	w := newWorkload(record.Queue, record.Id, record.Spec, int64(record.Epoch), time.UnixMilli(int64(record.AcceptedMillis)))
 	w.dataCentre = record.DataCentre
+	w.recordBytes = len(r.Key()) + len(r.Value())
 	w.inherited = true
 	if p, ok := progress[record.Id]; ok {
 		if err := w.restore(p); err != nil {
@@ -254,6 +255,7 @@
 		c.openTasks -= w.taskCount
 		w.taskCount = 0
 		c.unsentBytes = max(0, c.unsentBytes-w.recordBytes)
+		c.heldBytes -= w.recordBytes
 		w.state = messenger.WorkloadCanceled
 		for _, o := range w.occurrences {
 			for _, t := range o.tasks() {
--- a/conductor/size.go
+++ b/conductor/size.go
@@ -19,12 +19,16 @@
 	// maxUnsentBytes bounds the records of workloads that one append accepts: the store takes 2 MiB a call,
 	// which also holds those of an append that it has refused, and the progress of other workloads.
 	maxUnsentBytes = 768 << 10
+	// smallRecordBytes is the length of a record up to which it may take all of Config.MaxRecordBytes: callers send a text of
+	// up to 4,000 bytes and at most 5 steps, so that few large records don't keep ordinary workloads out.
+	smallRecordBytes = 16 << 10
 )
 
 // Reasons for which a workload is refused for its size, as counted.
 const (
 	sizeUnsent = "unsent"
 	sizeTasks  = "tasks"
+	sizeBytes  = "bytes"
 )
 
 // size is what a workload adds to the journal and to the memory of the owner.
@@ -60,9 +64,22 @@
 		c.count("workloads.refused_" + sizeTasks)
 		return size{}, apricotwinch.Errorf(apricotwinch.Overloaded, "workload: workloads that have not ended have %d tasks", c.openTasks)
 	}
+	if !c.hasRoomForRecord(bytes) {
+		c.count("workloads.refused_" + sizeBytes)
+		return size{}, apricotwinch.Errorf(apricotwinch.Overloaded, "workload: the records of others have %d bytes", c.heldBytes)
+	}
 	return size{tasks: total, recordBytes: bytes}, nil
 }
 
+// hasRoomForRecord reports whether a record of a length may be held in memory beside the others.
+func (c *Conductor) hasRoomForRecord(bytes int) bool {
+	most := c.config.MaxRecordBytes
+	if bytes > smallRecordBytes {
+		most /= 2
+	}
+	return c.config.MaxRecordBytes <= 0 || c.heldBytes == 0 || c.heldBytes+bytes <= most
+}
+
 // countTasks returns the number of tasks over all occurrences.
 func countTasks(spec *messenger.WorkloadSpec) int {
 	total := 0
--- a/conductor/size_test.go
+++ b/conductor/size_test.go
@@ -26,8 +26,10 @@
 	for _, test := range []struct {
 		name   string
 		before []messenger.WorkloadSpec
-		spec   messenger.WorkloadSpec
-		want   apricotwinch.Kind
+		// records is the memory for records, in bytes; 0 for no bound.
+		records int
+		spec    messenger.WorkloadSpec
+		want    apricotwinch.Kind
 	}{
 		{name: "record that the store takes", spec: payload(250_000)},
 		{name: "record that the store doesn't take", spec: payload(262_144), want: apricotwinch.TooLarge},
@@ -41,10 +43,14 @@
 		{name: "tasks within the memory", before: []messenger.WorkloadSpec{ofTasks(15_000)}, spec: ofTasks(15_000)},
 		{name: "tasks beyond the memory", before: []messenger.WorkloadSpec{ofTasks(15_000)}, spec: ofTasks(15_001), want: apricotwinch.Overloaded},
 		{name: "one workload beyond the memory", spec: ofTasks(20_000)},
+		{name: "large records within the memory", records: 500_000, before: []messenger.WorkloadSpec{payload(100_000), payload(100_000)}, spec: payload(40_000)},
+		{name: "large records beyond the memory", records: 500_000, before: []messenger.WorkloadSpec{payload(100_000), payload(100_000)}, spec: payload(60_000), want: apricotwinch.Overloaded},
+		{name: "small record beside large ones", records: 500_000, before: []messenger.WorkloadSpec{payload(120_000), payload(120_000)}, spec: payload(4000)},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			config := conductor.DefaultConfig()
 			config.MaxTasks = 30_000
+			config.MaxRecordBytes = test.records
 			c := conductor.New(config, 1, true, hclog.NewNullLogger(), metrics.NewRegistry())
 			c.SetCatalog(catalog())
 			for i := range test.spec.Steps {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -100,6 +100,8 @@
 	Features apricotwinch.Features
 	// MaxTasks bounds the tasks of the workloads that have not ended, which the owner holds in memory; 0 for no bound.
 	MaxTasks int
+	// MaxRecordBytes bounds the records of the workloads that have not ended, which the owner holds in memory; 0 for no bound.
+	MaxRecordBytes int
 	// PeerLimits bounds the connections and the messages of peers and agents.
 	PeerLimits connector.Limits
 }
--- a/coordinator/owner.go
+++ b/coordinator/owner.go
@@ -253,6 +253,7 @@
 	}
 	config := conductor.NewConfig(c.settings.Features)
 	config.MaxTasks = c.settings.MaxTasks
+	config.MaxRecordBytes = c.settings.MaxRecordBytes
 	next := conductor.New(config, epoch, ownerStopped, c.deps.Logger, c.deps.Registry)
 	if c.catalog != nil {
 		next.SetCatalog(c.catalog)
