Leave long-running tasks the reserve unless they hold a part of it

Long-running tasks that started again left the reserve free for 5 s after any wait of urgent work for room, also where no long-running run held a part of the reserve, so that nothing was gained by it. Such a wait counts only if one does.

--- a/conductor/urgentroom.go
+++ b/conductor/urgentroom.go
@@ -17,7 +17,7 @@
 	shortageMemory = 5 * time.Second
 )
 
-// urgentShort reports whether short urgent work of a service has waited for room lately.
+// urgentShort reports whether short urgent work of a service has lately waited for room that long-running runs hold.
 func (c *Conductor) urgentShort(now time.Time, service string) bool {
 	at, ok := c.preemption.urgentShortAt[service]
 	return ok && now.Sub(at) < shortageMemory
@@ -46,6 +46,9 @@
 		if slices.ContainsFunc(pool, func(e *executor) bool { return c.fits(s, e) }) {
 			continue // It waits for something else.
 		}
+		if !c.takesReserve(p.now, pool) {
+			continue
+		}
 		c.preemption.urgentShortAt[q.Service] = p.now
 		for range max(1, len(pool)/executorsPerPreemption) {
 			served[q.Service] = p.makeUrgentRoom(s, pool) || served[q.Service]
@@ -77,10 +80,23 @@
 	return true
 }
 
+// takesReserve reports whether long-running runs hold a part of the reserve in any data centre of a pool.
+func (c *Conductor) takesReserve(now time.Time, pool []*executor) bool {
+	for _, taken := range c.reserveTaken(now, pool) {
+		if taken > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // reserveTaken returns, by data centre of a pool, how much of the reserve long-running runs hold that aren't being stopped,
 // in thousandths of a processor; negative if they hold none.
 func (c *Conductor) reserveTaken(now time.Time, pool []*executor) map[string]int64 {
 	taken := map[string]int64{}
+	if len(pool) == 0 {
+		return taken
+	}
 	for dc, u := range usageByDataCentre(pool) {
 		kept := c.reserveOf(now, site{service: pool[0].service, dc: dc}, u)
 		taken[dc] = kept.Sub(u.capacity).ProcessorMillis()
