Bound what a look for work that others give way to costs

A look evaluated all steps that claim room on up to 128 executors each, and all executors of a service for each waiting urgent step: with thousands of them that is more than a tick. At most 16 of each are looked at; long-running steps take turns.

--- a/conductor/preemption.go
+++ b/conductor/preemption.go
@@ -32,6 +32,8 @@
 	// executorsPerPreemption is the number of executors of a service for each task for which others give way at one
 	// look, at least one task.
 	executorsPerPreemption = 16
+	// maxClaims bounds the steps for which room is looked for at one look. Beyond that, steps take turns.
+	maxClaims = 16
 	// maxPreemptionLines bounds the lines about runs that give way in a linePeriod.
 	maxPreemptionLines = 8
 )
@@ -39,9 +41,9 @@
 // preemption is the state of the preemption of long-running runs.
 type preemption struct {
 	checkedAt time.Time
-	// from is where the next look begins in a pool.
-	from  int
-	lines lineBudget
+	// from is where the next look begins in a pool, and claim where it begins among more than maxClaims steps.
+	from, claim int
+	lines       lineBudget
 	// urgentShortAt is when short urgent work last waited for room for too long, by service.
 	urgentShortAt map[string]time.Time
 }
@@ -94,8 +96,10 @@
 func (p *schedulingPass) shareRoom() {
 	c := p.conductor
 	claims := c.claims(p.now)
-	if len(claims) == 0 {
-		return
+	if len(claims) > maxClaims {
+		first := c.preemption.claim % len(claims)
+		c.preemption.claim += maxClaims
+		claims = slices.Concat(claims[first:], claims[:first])[:maxClaims]
 	}
 	served := map[string]int{}
 	for _, claim := range claims {
--- a/conductor/urgentroom.go
+++ b/conductor/urgentroom.go
@@ -15,6 +15,8 @@
 	// shortageMemory is the time after such a wait in which long-running tasks leave the reserve free that would take
 	// it again.
 	shortageMemory = 5 * time.Second
+	// maxUrgentSteps bounds the waiting steps of urgent work that are looked at at one look, the first ones in order.
+	maxUrgentSteps = 16
 )
 
 // urgentShort reports whether short urgent work of a service has lately waited for room that long-running runs hold.
@@ -33,11 +35,14 @@
 // the reserve.
 func (p *schedulingPass) returnReserve() {
 	c := p.conductor
-	served := map[string]bool{}
+	served, looked := map[string]bool{}, 0
 	for _, s := range c.steps {
 		if !s.awaitsUrgentRoom(p.now) {
 			continue
 		}
+		if looked++; looked > maxUrgentSteps {
+			return
+		}
 		q, ok := c.queue(s.occurrence.workload)
 		if !ok || served[q.Service] {
 			continue
