Let every act of the crowds come from an address for each client, at agents too

The acts that clients of one address share were sent from eight addresses only. All of them now run with up to 250 addresses, and the heartbeats and metrics of an agent.

--- a/crowder/clients_test.go
+++ b/crowder/clients_test.go
@@ -48,13 +48,18 @@
 	return data
 }
 
-// acts are the ways in which the clients of an entry misbehave. Each names the failure that it guards
-// against.
-var acts = []struct {
+// act is a way in which a crowd of a size misbehaves: what it does on each of its connections, at a port of an agent if port
+// is set.
+type act struct {
 	name string
+	port int
 	size int
 	act  func(conn net.Conn, i int)
-}{
+}
+
+// acts are the ways in which the clients of an entry misbehave. Each names the failure that it guards
+// against.
+var acts = []act{
 	{
 		// Bodies that are held whole until their last byte take the memory of the process.
 		name: "large bodies short of their end", size: manyConns,
@@ -344,37 +349,36 @@
 	panic("no act " + name)
 }
 
+// heartbeatHead returns the head of a heartbeat with a further header line.
+func heartbeatHead(line string) string {
+	return fmt.Sprintf("PUT /apricotwinch/instances/crowd HTTP/1.1\r\nHost: a\r\n%s\r\n\r\n", line)
+}
+
+// agentActs are the ways in which the clients of an agent misbehave.
+var agentActs = []act{
+	{
+		name: "large heartbeats short of their end", port: portControl, size: manyConns,
+		act: func(conn net.Conn, _ int) {
+			send(conn, append([]byte(heartbeatHead(fmt.Sprint("Content-Length: ", 1<<20))), filler(largeBody)...))
+		},
+	},
+	{
+		name: "idle connections for heartbeats", port: portControl, size: idleConns,
+		act: func(conn net.Conn, _ int) {
+			send(conn, []byte("GET /none HTTP/1.1\r\nHost: a\r\n\r\n"))
+			_, _ = io.ReadFull(conn, make([]byte, 1))
+		},
+	},
+	{
+		name: "headers without end for metrics", port: portMetrics, size: manyConns,
+		act: actNamed("headers without end"),
+	},
+}
+
 // TestUntrustedClientsOfAgent guards against heartbeats and requests for metrics that take the memory or the
 // descriptors of an agent.
 func TestUntrustedClientsOfAgent(t *testing.T) {
-	heartbeatHead := func(line string) string {
-		return fmt.Sprintf("PUT /apricotwinch/instances/crowd HTTP/1.1\r\nHost: a\r\n%s\r\n\r\n", line)
-	}
-	tests := []struct {
-		name string
-		port int
-		size int
-		act  func(conn net.Conn, i int)
-	}{
-		{
-			name: "large heartbeats short of their end", port: portControl, size: manyConns,
-			act: func(conn net.Conn, _ int) {
-				send(conn, append([]byte(heartbeatHead(fmt.Sprint("Content-Length: ", 1<<20))), filler(largeBody)...))
-			},
-		},
-		{
-			name: "idle connections for heartbeats", port: portControl, size: idleConns,
-			act: func(conn net.Conn, _ int) {
-				send(conn, []byte("GET /none HTTP/1.1\r\nHost: a\r\n\r\n"))
-				_, _ = io.ReadFull(conn, make([]byte, 1))
-			},
-		},
-		{
-			name: "headers without end for metrics", port: portMetrics, size: manyConns,
-			act: actNamed("headers without end"),
-		},
-	}
-	for _, test := range tests {
+	for _, test := range agentActs {
 		t.Run(test.name, func(t *testing.T) {
 			d := newDeployment(t)
 			agent := d.start("agent", "platform-agent", 101)
--- a/crowder/many_test.go
+++ b/crowder/many_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"slices"
 	"testing"
 	"time"
 )
@@ -14,39 +15,27 @@
 	smallBody = 16<<10 - 2
 )
 
-// scatteredActs are the ways in which clients misbehave that each come from an address of their own, so that none
+// scatteredActs are ways in which clients misbehave, beside acts, that each come from an address of their own, so that none
 // holds more than a small share. Each names the failure that it guards against.
-var scatteredActs = []struct {
-	name string
-	act  func(conn net.Conn, i int)
-}{
+var scatteredActs = []act{
 	{
-		// Many shares that are each small take the memory together.
-		name: "large bodies short of their end", act: actNamed("large bodies short of their end"),
-	},
-	{
-		name: "large chunks short of their end", act: actNamed("large chunks short of their end"),
-	},
-	{
-		name: "chunks of one byte", act: actNamed("chunks of one byte"),
-	},
-	{
-		// Bodies within the configured limit can't be refused for their length.
-		name: "legal bodies short of their end",
+		// Bodies within the configured limit can't be refused for their length, and many shares that are each small take
+		// the memory together.
+		name: "legal bodies short of their end", size: manyConns,
 		act: func(conn net.Conn, i int) {
 			send(conn, append([]byte(announced(i, configuredBodyBytes)), filler(legalBody)...))
 		},
 	},
 	{
 		// The memory that is kept for small bodies must not be all taken by them.
-		name: "small bodies short of their end",
+		name: "small bodies short of their end", size: manyConns,
 		act: func(conn net.Conn, i int) {
 			send(conn, append([]byte(announced(i, smallBody+2)), filler(smallBody)...))
 		},
 	},
 	{
 		// Most stop, and some end: those that end are carried out beside the others.
-		name: "legal bodies of which some end",
+		name: "legal bodies of which some end", size: manyConns,
 		act: func(conn net.Conn, i int) {
 			body := paddedWorkload(configuredBodyBytes)
 			if i%5 > 0 {
@@ -59,20 +48,14 @@
 	},
 	{
 		// A connection of each of many peers takes all places, so that no peer has more than others.
-		name: "idle connections", act: actNamed("idle connections"),
-	},
-	{
-		name: "requests whose answers nobody reads", act: actNamed("requests whose answers nobody reads"),
-	},
-	{
-		name: "nothing",
-		act:  func(net.Conn, int) {},
+		name: "connections on which nothing is sent", size: manyConns,
+		act: func(net.Conn, int) {},
 	},
 }
 
 // TestUntrustedClientsFromManyAddresses lets clients misbehave of which each has an address of its own.
 func TestUntrustedClientsFromManyAddresses(t *testing.T) {
-	for _, test := range scatteredActs {
+	for _, test := range slices.Concat(acts, scatteredActs) {
 		t.Run(test.name, func(t *testing.T) {
 			d := newDeployment(t)
 			owner := d.start("owner", "platform-entry", 1)
@@ -80,7 +63,7 @@
 			eventually(t, "readiness", owner.ready)
 			other := d.start("other", "platform-entry", 2)
 			eventually(t, "readiness of the other entry", other.ready)
-			newScatteredCrowd(t, owner.address(portFront), manyConns, test.act).wait()
+			newScatteredCrowd(t, owner.address(portFront), min(test.size, maxScattered), test.act).wait()
 			eventually(t, "an ordinary request", func() bool { return owner.submits("ordinary", 1000) })
 			eventually(t, "readiness", owner.ready)
 			if !owner.owns() {
@@ -91,3 +74,17 @@
 		})
 	}
 }
+
+// TestUntrustedClientsOfAgentFromManyAddresses is TestUntrustedClientsFromManyAddresses for the heartbeats of an agent.
+func TestUntrustedClientsOfAgentFromManyAddresses(t *testing.T) {
+	for _, test := range agentActs {
+		t.Run(test.name, func(t *testing.T) {
+			d := newDeployment(t)
+			agent := d.start("agent", "platform-agent", 101)
+			eventually(t, "a heartbeat", agent.heartbeats)
+			newScatteredCrowd(t, agent.address(test.port), min(test.size, maxScattered), test.act).wait()
+			eventually(t, "a heartbeat", agent.heartbeats)
+			agent.checkAlive()
+		})
+	}
+}
--- a/crowder/process_test.go
+++ b/crowder/process_test.go
@@ -397,7 +397,10 @@
 	return newCrowdFrom(t, func(i int) net.IP { return net.IPv4(127, 0, 1, byte(1+i%crowdAddresses)) }, address, size, act)
 }
 
-// newScatteredCrowd is newCrowd with an address of its own for each of up to 250 connections.
+// maxScattered is the greatest number of connections of newScatteredCrowd.
+const maxScattered = 250
+
+// newScatteredCrowd is newCrowd with an address of its own for each of up to maxScattered connections.
 func newScatteredCrowd(t *testing.T, address string, size int, act func(conn net.Conn, i int)) *crowd {
 	t.Helper()
 	return newCrowdFrom(t, func(i int) net.IP { return net.IPv4(127, 0, 2, byte(1+i)) }, address, size, act)
