Let busy connections of a crowd yield to others

While a crowd sent one request after the other on all connections that a listener takes, ordinary callers were refused for as long as it went on: 14 of 14 attempts a second for 30 s, with 50 connections, from eight addresses and from 150 (TestUntrustedClientsRequestWithoutPause, which failed before), and in a trial with the limits of a real entry (284 MB, 605 places) also for 30 s after 700 clients had sent requests and read no answer.

Cause: a connection yields if it is idle, or if its request or answer has taken 0.5 s; one that is busy with short requests is neither. Where none is, one that has been open for 0.5 s now yields, the newest of the peer with most connections, if that has more than an equal part and more than the new one's.

TestBusyConnectionsYield checks the choice.

--- a/budgeter/budgeter_test.go
+++ b/budgeter/budgeter_test.go
@@ -130,6 +130,50 @@
 	}
 }
 
+// TestBusyConnectionsYield guards against connections that keep all places while they send one request after the other, and
+// against ones that yield to a peer that has as many.
+func TestBusyConnectionsYield(t *testing.T) {
+	tests := []struct {
+		name  string
+		peers []string
+		// newcomer opens a connection after wait. want is the index of the connection that yields, or -1.
+		newcomer string
+		wait     time.Duration
+		want     int
+	}{
+		{name: "the newest of the crowd", peers: []string{"crowd", "crowd", "crowd", "other"}, newcomer: "new", wait: time.Second, want: 2},
+		{name: "none that was just opened", peers: []string{"crowd", "crowd", "crowd", "other"}, newcomer: "new", wait: 400 * time.Millisecond, want: -1},
+		{name: "none to the crowd itself", peers: []string{"crowd", "crowd", "crowd", "other"}, newcomer: "crowd", wait: time.Second, want: -1},
+		{name: "one of the crowd to a peer that has fewer", peers: []string{"other", "crowd", "crowd", "crowd"}, newcomer: "other", wait: time.Second, want: 3},
+		{name: "one of many peers", peers: []string{"a", "b", "c", "d"}, newcomer: "new", wait: time.Second, want: 3},
+		{name: "none of many peers to one of them", peers: []string{"a", "b", "c", "d"}, newcomer: "a", wait: time.Second, want: -1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Unix(0, 0)
+			c := budgeter.NewConnections(len(test.peers))
+			got := -1
+			var busy []*budgeter.Connection
+			for i, peer := range test.peers {
+				connection, _, _ := c.Open(now, peer, func() { got = i })
+				busy = append(busy, connection)
+				now = now.Add(time.Millisecond)
+			}
+			now = now.Add(test.wait)
+			for _, connection := range busy {
+				c.SetPhase(now, connection, budgeter.Receiving)
+			}
+			_, evict, ok := c.Open(now, test.newcomer, func() {})
+			if evict != nil {
+				evict()
+			}
+			if got != test.want || ok != (test.want >= 0) {
+				t.Errorf("connection that yields: got %d, place for the new one %t; want %d", got, ok, test.want)
+			}
+		})
+	}
+}
+
 // TestAnsweringConnectionsYield guards against connections whose answers nobody reads, which must not keep others
 // from connecting: of these and the receiving ones, the one longest in its phase yields.
 func TestAnsweringConnectionsYield(t *testing.T) {
--- a/budgeter/connections.go
+++ b/budgeter/connections.go
@@ -28,7 +28,8 @@
 // Connections counts the open connections of a listener, and decides which one yields when there are too
 // many: one of the peer that has most connections that are not being served, of these the one that has been
 // idle for the longest time, or if none is idle, the one whose request has been arriving, or whose answer has been
-// taken, for the longest time and at least evictionAge. None yields to a peer that has as many or more.
+// taken, for the longest time and at least evictionAge. If all are busy with one request after the other, one yields of
+// the peer that has most, if that is more than an equal part. None yields to a peer that has as many or more.
 type Connections struct {
 	limit int
 
@@ -45,10 +46,11 @@
 
 // Connection is an open connection.
 type Connection struct {
-	peer    string
-	phase   Phase
-	since   time.Time
-	element *list.Element
+	peer  string
+	phase Phase
+	// since is when it entered the phase, and opened when it was opened.
+	since, opened time.Time
+	element       *list.Element
 	// evict closes the connection.
 	evict func()
 }
@@ -77,7 +79,7 @@
 		p = &peerConnections{}
 		c.peers[peer] = p
 	}
-	connection = &Connection{peer: peer, since: now, evict: evict}
+	connection = &Connection{peer: peer, since: now, opened: now, evict: evict}
 	connection.element = p.phases[Receiving].PushBack(connection)
 	p.open++
 	c.open++
@@ -142,9 +144,47 @@
 			victim, most = candidate, n
 		}
 	}
+	if victim == nil {
+		return c.chooseBusy(now, held)
+	}
+	return victim
+}
+
+// chooseBusy returns the connection that yields to a new one of a peer that has held connections, or nil if none may,
+// while none is idle or slow. Otherwise those that send one request after the other would keep their places.
+func (c *Connections) chooseBusy(now time.Time, held int) *Connection {
+	var victim *Connection
+	most := max(held+1, c.limit/(len(c.peers)+1))
+	for _, p := range c.peers {
+		candidate := p.newest(now)
+		if candidate == nil || p.open < most || victim != nil && p.open == most && !candidate.yieldsBefore(victim) {
+			continue
+		}
+		victim, most = candidate, p.open
+	}
 	return victim
 }
 
+// newest returns the connection of a peer that was opened last, but at least evictionAge ago, of those that are not being
+// served; nil if there is none. Those that a crowd opens are newer than those that others use all the time.
+func (p *peerConnections) newest(now time.Time) *Connection {
+	var newest *Connection
+	for _, phase := range []*list.List{&p.phases[Receiving], &p.phases[Answering]} {
+		for e := phase.Front(); e != nil; e = e.Next() {
+			candidate := e.Value.(*Connection)
+			if now.Sub(candidate.opened) >= evictionAge && (newest == nil || candidate.yieldsBefore(newest)) {
+				newest = candidate
+			}
+		}
+	}
+	return newest
+}
+
+// yieldsBefore reports whether a busy connection yields before another one.
+func (c *Connection) yieldsBefore(other *Connection) bool {
+	return c.opened.After(other.opened) || c.opened.Equal(other.opened) && c.peer < other.peer
+}
+
 // choose returns the connection of a peer that yields first, or nil if none may, and how many of the peer's
 // connections a crowd of them may consist of.
 func (p *peerConnections) choose(now time.Time) (*Connection, int) {
--- a/crowder/process_test.go
+++ b/crowder/process_test.go
@@ -290,6 +290,9 @@
 	return string(data)
 }
 
+// logs reports whether the log of the process has a text.
+func (p *process) logs(text string) bool { return strings.Contains(p.log(), text) }
+
 // logTail returns the end of the log for the message of a failed test.
 func (p *process) logTail() string {
 	const most = 2000
