Name service levels, and start the entries of crowd tests in one place

A type named service stood beside services, which are pools of executors, and the crowd tests repeated how two entries start. No behavior changes; the tests of conductor pass.

--- a/conductor/preemption.go
+++ b/conductor/preemption.go
@@ -38,6 +38,12 @@
 	maxPreemptionLines = 8
 )
 
+// Reasons for which a run is preempted, as logged and counted.
+const (
+	preemptedForShare  = "share"
+	preemptedForUrgent = "urgent"
+)
+
 // preemption is the state of the preemption of long-running runs.
 type preemption struct {
 	checkedAt time.Time
@@ -124,8 +130,8 @@
 		if !s.spec.Lasting || s.spec.Fills || s.spec.Gang || s.waiting == 0 || s.blockedAt.IsZero() || s.occurrence.workload.terminal() {
 			continue
 		}
-		service := serviceOf(s.occurrence.workload)
-		share := service.share()
+		level := serviceLevelOf(s.occurrence.workload)
+		share := level.share()
 		if share >= fairShare || c.holdsRoom(now, s) {
 			continue
 		}
@@ -149,8 +155,8 @@
 func (p *schedulingPass) makeRoom(claim claim, pool []*executor) bool {
 	c, s := p.conductor, claim.step
 	w := s.occurrence.workload
-	service := serviceOf(w)
-	request := preemptor.Request{Need: s.need, LeastShare: float64(service.running+1) / float64(service.tasks)}
+	level := serviceLevelOf(w)
+	request := preemptor.Request{Need: s.need, LeastShare: float64(level.running+1) / float64(level.tasks)}
 	mayStop := func(r *run) bool {
 		return r.task.step.occurrence.workload != w && r.task.step.occurrence.workload.priority >= w.priority && p.now.Sub(r.startedAt) >= minPreemptedAge
 	}
@@ -166,7 +172,7 @@
 	e := executors[choice.Executor]
 	e.held, s.heldOn = heldRoom{step: s, until: p.now.Add(heldRoomTTL)}, e
 	for _, r := range victims {
-		c.preemptRun(p.now, r, "share", claim.task, claim.share)
+		c.preemptRun(p.now, r, preemptedForShare, claim.task, claim.share)
 	}
 	return true
 }
@@ -204,8 +210,8 @@
 			}
 			w := r.task.step.occurrence.workload
 			if _, known := workloads[w.id]; !known {
-				service := serviceOf(w)
-				workloads[w.id] = preemptor.Workload{Tasks: service.tasks, Running: service.running, MaxStops: w.maxStops(service)}
+				level := serviceLevelOf(w)
+				workloads[w.id] = preemptor.Workload{Tasks: level.tasks, Running: level.running, MaxStops: w.maxStops(level)}
 			}
 			d.Runs = append(d.Runs, preemptor.Run{Workload: w.id, Need: r.task.step.need})
 			runs[i] = append(runs[i], r)
@@ -227,11 +233,11 @@
 
 // maxStops returns how many runs of a long-running workload may be stopped now, by the number of its tasks that it
 // allows to be out of work.
-func (w *workload) maxStops(s service) int {
-	most := s.running
+func (w *workload) maxStops(l serviceLevel) int {
+	most := l.running
 	for i := range w.spec.Steps {
 		if missing := w.spec.Steps[i].MaxMissing; missing > 0 {
-			most = min(most, missing-(s.tasks-s.working))
+			most = min(most, missing-(l.tasks-l.working))
 		}
 	}
 	return max(0, most)
@@ -265,9 +271,9 @@
 	r.task.preempted = true
 	c.count("runs.preempted." + reason)
 	if omitted, ok := c.preemption.lines.take(now, maxPreemptionLines); ok {
-		service := serviceOf(r.task.step.occurrence.workload)
+		level := serviceLevelOf(r.task.step.occurrence.workload)
 		c.logger.Info("run preempted", "run", r.ref, "executor", r.executor.id, "host", r.executor.host.name, "reason", reason, "for", claimant.ref,
-			"need", claimant.step.need.String(), "share", share, "tasks", service.tasks, "running", service.running,
+			"need", claimant.step.need.String(), "share", share, "tasks", level.tasks, "running", level.running,
 			"runMillis", now.Sub(r.startedAt).Milliseconds(), "reportAgeMillis", now.Sub(r.executor.reportedAt).Milliseconds(), "omitted", omitted)
 	}
 	c.stopRun(now, r)
--- a/conductor/service.go
+++ b/conductor/servicelevel.go
@@ -32,8 +32,8 @@
 	gaugeServiceOverTarget = "long_running.over_target."
 )
 
-// service is how much of a long-running workload is served.
-type service struct {
+// serviceLevel is how much of a long-running workload is served.
+type serviceLevel struct {
 	workload *workload
 	// processors is what all its tasks take, in thousandths of a processor, and rank its place by that in its
 	// queue of a number of such workloads, 1 for the largest.
@@ -44,8 +44,8 @@
 	tasks, running, working, overTarget int
 }
 
-// serviceLog is since when a workload has been underserved, and when that was last logged; zero for not.
-type serviceLog struct{ since, loggedAt time.Time }
+// serviceLevelLog is since when a workload has been underserved, and when that was last logged; zero for not.
+type serviceLevelLog struct{ since, loggedAt time.Time }
 
 // lasts reports whether all tasks of a workload are long-running ones.
 func (w *workload) lasts() bool {
@@ -53,72 +53,72 @@
 }
 
 // underserved reports whether less than half of the tasks work within their targets.
-func (s *service) underserved() bool { return 2*(s.working-s.overTarget) < s.tasks }
+func (l *serviceLevel) underserved() bool { return 2*(l.working-l.overTarget) < l.tasks }
 
 // share returns the share of the tasks, 0 to 1, that run.
-func (s *service) share() float64 { return float64(s.running) / float64(max(1, s.tasks)) }
+func (l *serviceLevel) share() float64 { return float64(l.running) / float64(max(1, l.tasks)) }
 
-func (s *service) group() string {
-	switch of := float64(s.of); {
-	case s.rank <= int(math.Ceil(largestShare*of)):
+func (l *serviceLevel) group() string {
+	switch of := float64(l.of); {
+	case l.rank <= int(math.Ceil(largestShare*of)):
 		return sizeLargest
-	case s.rank <= int(math.Ceil((largestShare+largeShare)*of)):
+	case l.rank <= int(math.Ceil((largestShare+largeShare)*of)):
 		return sizeLarge
 	}
 	return sizeOrdinary
 }
 
-// serviceOf returns how much of a long-running workload is served.
-func serviceOf(w *workload) service {
-	s := service{workload: w}
+// serviceLevelOf returns how much of a long-running workload is served.
+func serviceLevelOf(w *workload) serviceLevel {
+	l := serviceLevel{workload: w}
 	for _, o := range w.occurrences {
 		if !o.due {
 			continue
 		}
 		for _, t := range o.tasks() {
-			s.tasks++
-			s.processors += t.step.need.ProcessorMillis()
+			l.tasks++
+			l.processors += t.step.need.ProcessorMillis()
 			if t.current == nil || t.current.stopping {
 				continue
 			}
-			s.running++
+			l.running++
 			if t.current.percent < fullPace {
 				continue
 			}
-			s.working++
+			l.working++
 			if h := t.current.headroom(); h > 0 && h < 1 {
-				s.overTarget++
+				l.overTarget++
 			}
 		}
 	}
-	return s
+	return l
 }
 
-// longRunningServices returns how much of each long-running workload is served, by queue, the largest first.
-func (c *Conductor) longRunningServices() []service {
-	var services []service
+// serviceLevels returns how much of each long-running workload is served, by queue, the largest first.
+func (c *Conductor) serviceLevels() []serviceLevel {
+	var levels []serviceLevel
 	for _, w := range c.workloads {
 		if w.terminal() || !w.lasts() {
 			continue
 		}
-		if s := serviceOf(w); s.tasks > 0 {
-			services = append(services, s)
+		if l := serviceLevelOf(w); l.tasks > 0 {
+			levels = append(levels, l)
 		}
 	}
-	slices.SortFunc(services, func(a, b service) int {
+	slices.SortFunc(levels, func(a, b serviceLevel) int {
 		return cmp.Or(cmp.Compare(a.workload.queue, b.workload.queue), cmp.Compare(b.processors, a.processors), cmp.Compare(a.workload.id, b.workload.id))
 	})
-	for first := 0; first < len(services); {
+	for first := 0; first < len(levels); {
 		end := first
-		for end < len(services) && services[end].workload.queue == services[first].workload.queue {
+		for end < len(levels) && levels[end].workload.queue == levels[first].workload.queue {
 			end++
 		}
 		for i := first; i < end; i++ {
-			services[i].rank, services[i].of = i-first+1, end-first
+			levels[i].rank, levels[i].of = i-first+1, end-first
 		}
 		first = end
 	}
-	return services
+	return levels
 }
 
 // setServiceGauges sets the gauges of long-running tasks to counts by the size of their workloads.
@@ -134,28 +134,30 @@
 // the workloads that have been underserved for long.
 func (c *Conductor) checkService(now time.Time) {
 	tasks, working, overTarget := map[string]int64{}, map[string]int64{}, map[string]int64{}
-	var due []service
-	for _, s := range c.longRunningServices() {
-		group := s.group()
-		tasks[group] += int64(s.tasks)
-		working[group] += int64(s.working)
-		overTarget[group] += int64(s.overTarget)
-		switch l := &s.workload.serviceLog; {
-		case !s.underserved():
-			*l = serviceLog{}
+	var due []serviceLevel
+	for _, level := range c.serviceLevels() {
+		group := level.group()
+		tasks[group] += int64(level.tasks)
+		working[group] += int64(level.working)
+		overTarget[group] += int64(level.overTarget)
+		switch l := &level.workload.serviceLevelLog; {
+		case !level.underserved():
+			*l = serviceLevelLog{}
 		case l.since.IsZero():
 			l.since = now
 		case now.Sub(l.since) >= longWait && now.Sub(l.loggedAt) >= waitLogPeriod:
-			due = append(due, s)
+			due = append(due, level)
 		}
 	}
 	c.setServiceGauges(tasks, working, overTarget)
-	slices.SortStableFunc(due, func(a, b service) int { return a.workload.serviceLog.loggedAt.Compare(b.workload.serviceLog.loggedAt) })
-	for _, s := range due[:min(len(due), maxServiceLines)] {
-		w := s.workload
-		w.serviceLog.loggedAt = now
-		c.logger.Info("long-running workload underserved", "workload", w.id, "queue", w.queue, "size", s.group(), "rank", s.rank, "of", s.of,
-			"processorMillis", s.processors, "tasks", s.tasks, "running", s.running, "working", s.working, "overTarget", s.overTarget,
-			"sinceMillis", now.Sub(w.serviceLog.since).Milliseconds(), "ageMillis", now.Sub(w.acceptedAt).Milliseconds())
+	slices.SortStableFunc(due, func(a, b serviceLevel) int {
+		return a.workload.serviceLevelLog.loggedAt.Compare(b.workload.serviceLevelLog.loggedAt)
+	})
+	for _, level := range due[:min(len(due), maxServiceLines)] {
+		w := level.workload
+		w.serviceLevelLog.loggedAt = now
+		c.logger.Info("long-running workload underserved", "workload", w.id, "queue", w.queue, "size", level.group(), "rank", level.rank, "of", level.of,
+			"processorMillis", level.processors, "tasks", level.tasks, "running", level.running, "working", level.working, "overTarget", level.overTarget,
+			"sinceMillis", now.Sub(w.serviceLevelLog.since).Milliseconds(), "ageMillis", now.Sub(w.acceptedAt).Milliseconds())
 	}
 }
--- a/conductor/urgentroom.go
+++ b/conductor/urgentroom.go
@@ -80,7 +80,7 @@
 		return false
 	}
 	for _, r := range victims {
-		c.preemptRun(p.now, r, "urgent", t, 0)
+		c.preemptRun(p.now, r, preemptedForUrgent, t, 0)
 	}
 	return true
 }
--- a/conductor/workload.go
+++ b/conductor/workload.go
@@ -32,10 +32,10 @@
 	taskCount, recordBytes int
 	// runs is the number of the workload's runs, repeats that of those among them that repeat lost ones, and
 	// idleSince when the last run ended or was last listed.
-	runs, repeats int
-	idleSince     time.Time
-	rank          bestEffortRank
-	serviceLog    serviceLog
+	runs, repeats   int
+	idleSince       time.Time
+	rank            bestEffortRank
+	serviceLevelLog serviceLevelLog
 	workloadOrder
 	priority int
 	// load is what the workload adds to the backlog; nil if it isn't forecast or not known yet.
--- a/crowder/clients_test.go
+++ b/crowder/clients_test.go
@@ -199,11 +199,7 @@
 	for _, test := range acts {
 		t.Run(test.name, func(t *testing.T) {
 			d := newDeployment(t)
-			owner := d.start("owner", "platform-entry", 1)
-			eventually(t, "ownership", owner.owns)
-			eventually(t, "readiness", owner.ready)
-			other := d.start("other", "platform-entry", 2)
-			eventually(t, "readiness of the other entry", other.ready)
+			owner, other := d.startEntries()
 			if !owner.submits("calm", 200<<10) {
 				t.Error("a body within the limits is refused in calm")
 			}
@@ -223,11 +219,7 @@
 // the owner has just been lost.
 func TestUntrustedClientsDuringTakeover(t *testing.T) {
 	d := newDeployment(t)
-	owner := d.start("owner", "platform-entry", 1)
-	eventually(t, "ownership", owner.owns)
-	eventually(t, "readiness", owner.ready)
-	other := d.start("other", "platform-entry", 2)
-	eventually(t, "readiness of the other entry", other.ready)
+	owner, other := d.startEntries()
 	c := newCrowd(t, other.address(portFront), manyConns, actNamed("large bodies short of their end"))
 	owner.kill()
 	c.wait()
@@ -288,11 +280,7 @@
 		}
 		t.Run("entry, "+test.name, func(t *testing.T) {
 			d := newDeployment(t)
-			owner := d.start("owner", "platform-entry", 1)
-			eventually(t, "ownership", owner.owns)
-			eventually(t, "readiness", owner.ready)
-			other := d.start("other", "platform-entry", 2)
-			eventually(t, "readiness of the other entry", other.ready)
+			owner, other := d.startEntries()
 			newCrowd(t, owner.address(portPeer), test.size, act).wait()
 			eventually(t, "an ordinary request", func() bool { return owner.submits("ordinary", 1000) })
 			eventually(t, "a forwarded request", func() bool { return other.submits("forwarded", 1000) })
--- a/crowder/flood_test.go
+++ b/crowder/flood_test.go
@@ -30,11 +30,7 @@
 	for _, test := range crowds {
 		t.Run(test.name, func(t *testing.T) {
 			d := newDeployment(t)
-			owner := d.start("owner", "platform-entry", 1)
-			eventually(t, "ownership", owner.owns)
-			eventually(t, "readiness", owner.ready)
-			other := d.start("other", "platform-entry", 2)
-			eventually(t, "readiness of the other entry", other.ready)
+			owner, other := d.startEntries()
 			test.open(t, owner.address(portFront), manyConns, flood)
 			eventually(t, "the crowd meets a limit", func() bool { return owner.logs("limits met") })
 			eventually(t, "an ordinary request", func() bool { return owner.submits("ordinary", 1000) })
--- a/crowder/many_test.go
+++ b/crowder/many_test.go
@@ -58,11 +58,7 @@
 	for _, test := range slices.Concat(acts, scatteredActs) {
 		t.Run(test.name, func(t *testing.T) {
 			d := newDeployment(t)
-			owner := d.start("owner", "platform-entry", 1)
-			eventually(t, "ownership", owner.owns)
-			eventually(t, "readiness", owner.ready)
-			other := d.start("other", "platform-entry", 2)
-			eventually(t, "readiness of the other entry", other.ready)
+			owner, other := d.startEntries()
 			newScatteredCrowd(t, owner.address(portFront), min(test.size, maxScattered), test.act).wait()
 			eventually(t, "an ordinary request", func() bool { return owner.submits("ordinary", 1000) })
 			eventually(t, "readiness", owner.ready)
--- a/crowder/process_test.go
+++ b/crowder/process_test.go
@@ -170,6 +170,17 @@
 	return p
 }
 
+// startEntries starts an entry that owns the workloads, and another one that waits for its fall.
+func (d *deployment) startEntries() (owner, other *process) {
+	d.t.Helper()
+	owner = d.start("owner", "platform-entry", 1)
+	eventually(d.t, "ownership", owner.owns)
+	eventually(d.t, "readiness", owner.ready)
+	other = d.start("other", "platform-entry", 2)
+	eventually(d.t, "readiness of the other entry", other.ready)
+	return owner, other
+}
+
 func (p *process) address(port int) string { return net.JoinHostPort(p.ip, strconv.Itoa(port)) }
 
 // kill kills the process and waits until it has exited.
--- a/crowder/refusal_test.go
+++ b/crowder/refusal_test.go
@@ -12,11 +12,7 @@
 // a repeat can't be received, though an earlier request had it accepted.
 func TestUntrustedClientsRefusalIsTrue(t *testing.T) {
 	d := newDeployment(t)
-	owner := d.start("owner", "platform-entry", 1)
-	eventually(t, "ownership", owner.owns)
-	eventually(t, "readiness", owner.ready)
-	other := d.start("other", "platform-entry", 2)
-	eventually(t, "readiness of the other entry", other.ready)
+	owner, other := d.startEntries()
 	if !owner.submits("crowd-1", 1000) {
 		t.Fatal("an ordinary request is refused")
 	}
--- a/crowder/whole_test.go
+++ b/crowder/whole_test.go
@@ -19,11 +19,7 @@
 // take the memory of the owner, or that of the next one.
 func TestUntrustedClientsSubmitLargeWorkloads(t *testing.T) {
 	d := newDeployment(t)
-	owner := d.start("owner", "platform-entry", 1)
-	eventually(t, "ownership", owner.owns)
-	eventually(t, "readiness", owner.ready)
-	other := d.start("other", "platform-entry", 2)
-	eventually(t, "readiness of the other entry", other.ready)
+	owner, other := d.startEntries()
 	newCrowd(t, owner.address(portFront), wholeConns, func(conn net.Conn, i int) {
 		body := largeWorkload(configuredBodyBytes - 16<<10)
 		for n := range wholeBodies {
