--- a/conductor/urgentroom.go
+++ b/conductor/urgentroom.go
@@ -9,8 +9,8 @@
 
 // Parameters of long-running runs that give way to urgent work.
 const (
-	// urgentWait is how long a step of short urgent work waits for room until long-running runs give the reserve back. With
-	// a stop, it still starts within the 1.2 s that docs/CAPACITY.md sets.
+	// urgentWait is how long a step of short urgent work waits for room until long-running runs give the reserve back. Room
+	// that other such work gives back is found within that.
 	urgentWait = 300 * time.Millisecond
 	// shortageMemory is the time after such a wait in which long-running tasks leave the reserve free that would take
 	// it again.
