Show that a job with many starts for one host never starts

Cause: all starts of a pass for one host are one message; one over 8 MiB fails and is repeated, then withdrawn and given out again.

--- a/review/standins2/main.go
+++ b/review/standins2/main.go
@@ -26,8 +26,9 @@
 
 // cases are the cases by name. The flag tells whether the disruption is played.
 var cases = map[string]func(ctx context.Context, f *fleet, trouble bool) error{
-	"attempts": playAttempts,
-	"largejob": playLargeJob,
+	"attempts":    playAttempts,
+	"largejob":    playLargeJob,
+	"largeorders": playLargeOrders,
 }
 
 func main() { os.Exit(run()) }
