--- a/review/standins2/client.go
+++ b/review/standins2/client.go
@@ -21,6 +21,8 @@
 	EstimateMS  int   `json:"estimate_ms"`
 	After       []int `json:"after,omitempty"`
 	Checkpoints bool  `json:"checkpoints,omitempty"`
+	Gang        bool  `json:"gang,omitempty"`
+	Perpetual   bool  `json:"perpetual,omitempty"`
 }
 
 // job is the body of a submission.
