--- a/review/standins2/cases.go
+++ b/review/standins2/cases.go
@@ -25,10 +25,10 @@
 // after that must go on.
 func playLargeJob(ctx context.Context, f *fleet, trouble bool) error {
 	const small, large = "00000000000000aa", "00000000000000bb"
-	if err := f.configure(3, 3); err != nil {
+	if err := f.configure(3); err != nil {
 		return err
 	}
-	if err := f.start(ctx, 3, largeHosts); err != nil {
+	if err := f.start(ctx, largeHosts); err != nil {
 		return err
 	}
 	if !f.submit(ctx, large, job{
@@ -127,10 +127,10 @@
 // playAttempts has a task fail in all its runs. It may not start after max_attempts runs have failed.
 func playAttempts(ctx context.Context, f *fleet, trouble bool) error {
 	const id = "00000000000000dd"
-	if err := f.configure(3, maxAttempts); err != nil {
+	if err := f.configure(maxAttempts); err != nil {
 		return err
 	}
-	if err := f.start(ctx, 3, 3); err != nil {
+	if err := f.start(ctx, 3); err != nil {
 		return err
 	}
 	failures := 1 << 30
--- a/review/standins2/fleet.go
+++ b/review/standins2/fleet.go
@@ -29,6 +29,9 @@
 	zone        = "north"
 	executorCPU = 16_000 // In thousandths of a core.
 	executorMB  = 62_500
+	entryCount  = 3
+	// manifestVersion is any: versions rise in uneven steps.
+	manifestVersion = 3
 )
 
 // Bounds of the deployment, as on the pages.
@@ -97,9 +100,9 @@
 }
 
 // configure publishes a manifest with one queue.
-func (f *fleet) configure(version, maxAttempts int) error {
+func (f *fleet) configure(maxAttempts int) error {
 	data, err := json.Marshal(map[string]any{
-		"version": version,
+		"version": manifestVersion,
 		"routes": []map[string]any{{
 			"name": "jobs", "hostname": hostname, "path_prefix": queuePrefix, "service": service, "priority": 0,
 			"max_attempts": maxAttempts, "stretch": 3, "target_latency_ms": 120_000, "timeout_ms": 3000,
@@ -169,8 +172,8 @@
 }
 
 // start starts entries and hosts, and waits until all entries are ready.
-func (f *fleet) start(ctx context.Context, entries, hosts int) error {
-	for i := range entries {
+func (f *fleet) start(ctx context.Context, hosts int) error {
+	for i := range entryCount {
 		front, ready, _, err := f.startProcess(fmt.Sprint("front-", i), "platform-entry", fmt.Sprintf("%s.%d", f.network, 1+i), 0.4, 284)
 		if err != nil {
 			return err
--- a/review/standins2/gang.go
+++ b/review/standins2/gang.go
@@ -21,10 +21,10 @@
 // playLastingGang has the tasks of a job that lasts end, which work only together. They must be started again.
 func playLastingGang(ctx context.Context, f *fleet, trouble bool) error {
 	const id = "00000000000000ee"
-	if err := f.configure(3, 3); err != nil {
+	if err := f.configure(3); err != nil {
 		return err
 	}
-	if err := f.start(ctx, 3, 3); err != nil {
+	if err := f.start(ctx, 3); err != nil {
 		return err
 	}
 	if !f.submit(ctx, id, job{
--- a/review/standins2/orders.go
+++ b/review/standins2/orders.go
@@ -25,10 +25,10 @@
 
 // playLargeOrders has a job of many tasks with a long text come, or the same tasks in many jobs.
 func playLargeOrders(ctx context.Context, f *fleet, trouble bool) error {
-	if err := f.configure(3, 3); err != nil {
+	if err := f.configure(3); err != nil {
 		return err
 	}
-	if err := f.start(ctx, 3, orderHosts); err != nil {
+	if err := f.start(ctx, orderHosts); err != nil {
 		return err
 	}
 	spec := `{"millis":1000,"client":"` + strings.Repeat("x", specBytes-30) + `"}`
