Show that a start carried out late by a reborn executor runs twice

Cause: the run of a silent executor is given up while a start of it may be carried out by the next incarnation.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Plays the case lastinggang; the tasks do not end if TROUBLE is 0.
+# Plays the case reborn; without the lost answer and the cut if TROUBLE is 0.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/apricotwinch ] && [ -x target/standins2 ] || exit 2
-exec target/standins2 lastinggang review/8
+exec target/standins2 reborn review/8
--- a/review/standins2/fleet.go
+++ b/review/standins2/fleet.go
@@ -70,6 +70,7 @@
 type host struct {
 	name     string
 	executor *performer.Performer
+	gate     *gate
 }
 
 func newFleet(log *record) (*fleet, error) {
@@ -199,7 +200,8 @@
 		HeartbeatEvery: heartbeatEvery, StopTime: stopTime, CheckpointEvery: checkpointEvery, MaxLease: maxLease, ClockRate: 1,
 	}
 	executor := performer.New(config, "executor-"+name, uint64(i), clockwork.NewRealClock(), f.observe)
-	address, err := f.serve(limitEnds(executor.Handler()))
+	link := &gate{next: executor.Handler()}
+	address, err := f.serve(limitEnds(link))
 	if err != nil {
 		return err
 	}
@@ -212,7 +214,7 @@
 			time.Sleep(advancePeriod)
 		}
 	}()
-	f.hosts = append(f.hosts, &host{name: name, executor: executor})
+	f.hosts = append(f.hosts, &host{name: name, executor: executor, gate: link})
 	return nil
 }
 
--- a/review/standins2/main.go
+++ b/review/standins2/main.go
@@ -27,6 +27,7 @@
 // cases are the cases by name. The flag tells whether the disruption is played.
 var cases = map[string]func(ctx context.Context, f *fleet, trouble bool) error{
 	"attempts":    playAttempts,
+	"reborn":      playReborn,
 	"lastinggang": playLastingGang,
 	"largejob":    playLargeJob,
 	"largeorders": playLargeOrders,
