--- a/review/standins2/fleet.go
+++ b/review/standins2/fleet.go
@@ -56,7 +56,7 @@
 	network      string
 	store        *archiver.Archiver
 	storeAddress string
-	commands     []*exec.Cmd
+	processes    map[string]*process
 	fronts       []string
 	readies      []string
 	hosts        []*host
@@ -66,11 +66,20 @@
 	events []performer.Event
 }
 
+// process is a process of the system.
+type process struct {
+	role, settings, output string
+	command                *exec.Cmd
+}
+
 // host is a machine with an agent and an executor.
 type host struct {
 	name     string
 	executor *performer.Performer
 	gate     *gate
+	// address is that of the executor, and server serves it; nil while it refuses connections.
+	address string
+	server  *http.Server
 }
 
 func newFleet(log *record) (*fleet, error) {
@@ -80,7 +89,7 @@
 	}
 	f := &fleet{
 		record: log, directory: directory, network: fmt.Sprintf("127.%d.%d", 64+os.Getpid()%128, 1+os.Getpid()/128%250),
-		store: archiver.New(clockwork.NewRealClock()),
+		store: archiver.New(clockwork.NewRealClock()), processes: map[string]*process{},
 	}
 	f.closers = append(f.closers, func() { _ = os.RemoveAll(directory) })
 	f.storeAddress, err = f.serve(f.store)
@@ -89,15 +98,21 @@
 
 // serve serves a stand-in on a free port of a loopback address, which it returns.
 func (f *fleet) serve(handler http.Handler) (string, error) {
+	address, _, err := f.serveAt("127.0.0.1:0", handler)
+	return address, err
+}
+
+// serveAt serves a stand-in at an address until its server is closed.
+func (f *fleet) serveAt(address string, handler http.Handler) (string, *http.Server, error) {
 	var config net.ListenConfig
-	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	listener, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
-		return "", err
+		return "", nil, err
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
 	go func() { _ = server.Serve(listener) }()
 	f.closers = append(f.closers, func() { _ = server.Close() })
-	return listener.Addr().String(), nil
+	return listener.Addr().String(), server, nil
 }
 
 // configure publishes a manifest with one queue.
@@ -157,19 +172,28 @@
 	if err := os.WriteFile(path, settings, 0o600); err != nil {
 		return "", "", "", err
 	}
-	output, err := os.Create(filepath.Join(f.directory, name+".log"))
+	p := &process{role: role, settings: path, output: filepath.Join(f.directory, name+".log")}
+	f.processes[name] = p
+	return front, ready, control, p.start()
+}
+
+// start starts a process that doesn't run.
+func (p *process) start() error {
+	output, err := os.OpenFile(p.output, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
-		return "", "", "", err
-	}
-	defer func() { _ = output.Close() }() // The process has its own descriptor.
-	command := exec.Command(binary, role) //nolint:noctx // close ends it.
-	command.Env = append(os.Environ(), "APRICOTWINCH_NODE_FILE="+path)
-	command.Stdout, command.Stderr = output, output
-	if err := command.Start(); err != nil {
-		return "", "", "", err
+		return err
 	}
-	f.commands = append(f.commands, command)
-	return front, ready, control, nil
+	defer func() { _ = output.Close() }()    // The process has its own descriptor.
+	p.command = exec.Command(binary, p.role) //nolint:noctx // fleet.close ends it.
+	p.command.Env = append(os.Environ(), "APRICOTWINCH_NODE_FILE="+p.settings)
+	p.command.Stdout, p.command.Stderr = output, output
+	return p.command.Start()
+}
+
+// kill ends a process by SIGKILL.
+func (p *process) kill() {
+	_ = p.command.Process.Kill()
+	_ = p.command.Wait()
 }
 
 // start starts entries and hosts, and waits until all entries are ready.
@@ -201,7 +225,7 @@
 	}
 	executor := performer.New(config, "executor-"+name, uint64(i), clockwork.NewRealClock(), f.observe)
 	link := &gate{next: executor.Handler()}
-	address, err := f.serve(limitEnds(link))
+	address, server, err := f.serveAt("127.0.0.1:0", limitEnds(link))
 	if err != nil {
 		return err
 	}
@@ -214,7 +238,7 @@
 			time.Sleep(advancePeriod)
 		}
 	}()
-	f.hosts = append(f.hosts, &host{name: name, executor: executor, gate: link})
+	f.hosts = append(f.hosts, &host{name: name, executor: executor, gate: link, address: address, server: server})
 	return nil
 }
 
@@ -281,12 +305,12 @@
 	if folder := os.Getenv("REVIEW_LOGS"); folder != "" {
 		f.keepLogs(folder)
 	}
-	for _, command := range f.commands {
-		_ = command.Process.Signal(syscall.SIGTERM)
+	for _, p := range f.processes {
+		_ = p.command.Process.Signal(syscall.SIGTERM)
 	}
-	for _, command := range f.commands {
-		timer := time.AfterFunc(graceTime, func() { _ = command.Process.Kill() })
-		_ = command.Wait()
+	for _, p := range f.processes {
+		timer := time.AfterFunc(graceTime, func() { _ = p.command.Process.Kill() })
+		_ = p.command.Wait()
 		timer.Stop()
 	}
 	for _, c := range slices.Backward(f.closers) {
--- a/review/standins2/main.go
+++ b/review/standins2/main.go
@@ -26,6 +26,7 @@
 
 // cases are the cases by name. The flag tells whether the disruption is played.
 var cases = map[string]func(ctx context.Context, f *fleet, trouble bool) error{
+	"agentkill":   playAgentKill,
 	"attempts":    playAttempts,
 	"reborn":      playReborn,
 	"lastinggang": playLastingGang,
--- a/review/standins2/reborn.go
+++ b/review/standins2/reborn.go
@@ -54,24 +54,11 @@
 
 // cutReborn waits until a start is kept, and plays the cut of that executor.
 func (f *fleet) cutReborn(ctx context.Context) error {
-	var h *host
-	for h == nil {
-		if ctx.Err() != nil {
-			return errors.New("no executor got the start")
-		}
-		time.Sleep(5 * time.Millisecond)
-		for _, other := range f.hosts {
-			if !other.gate.keptSince().IsZero() {
-				h = other
-			}
-		}
+	h, err := f.awaitKept(ctx)
+	if err != nil {
+		return err
 	}
 	kept := h.gate.keptSince()
-	for _, other := range f.hosts {
-		if other != h {
-			other.gate.open()
-		}
-	}
 	h.executor.SetFaults(performer.Faults{NoHeartbeats: true})
 	f.printf("the start on %s gets no answer; its executor is cut off", h.name)
 	time.Sleep(time.Until(kept.Add(rebornAfter)))
@@ -86,6 +73,25 @@
 	return nil
 }
 
+// awaitKept waits until a start is kept on a host, and lets the starts on the others pass.
+func (f *fleet) awaitKept(ctx context.Context) (*host, error) {
+	for ctx.Err() == nil {
+		for _, h := range f.hosts {
+			if h.gate.keptSince().IsZero() {
+				continue
+			}
+			for _, other := range f.hosts {
+				if other != h {
+					other.gate.open()
+				}
+			}
+			return h, nil
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return nil, errors.New("no executor got the start")
+}
+
 // checkOneRun checks that no two runs of a task go on at the same time.
 func (f *fleet) checkOneRun(id string) error {
 	running := map[string]performer.Event{}
