--- a/review/standins2/gate.go
+++ b/review/standins2/gate.go
@@ -22,6 +22,8 @@
 	kept   *http.Request
 	body   []byte
 	keptAt time.Time
+	// atRenewal is whether the next renewal of the leases cuts the link.
+	atRenewal bool
 }
 
 // ServeHTTP passes a call on. A call in a cut, and one that is kept, gets no answer.
@@ -45,6 +47,10 @@
 	if g.closed {
 		return false
 	}
+	if g.atRenewal && strings.HasSuffix(r.URL.Path, "/hold") && bytes.Contains(body, []byte(`"deadline_ms"`)) {
+		g.atRenewal, g.closed = false, true
+		return false
+	}
 	if g.wanted == "" || !strings.HasSuffix(r.URL.Path, "/run-start") || !bytes.Contains(body, []byte(`"task":"`+g.wanted)) {
 		return true
 	}
@@ -78,6 +84,20 @@
 	return answer.Code
 }
 
+// cutAtRenewal cuts the link at the next call that renews the leases, which is lost.
+func (g *gate) cutAtRenewal() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.atRenewal = true
+}
+
+// isClosed reports whether the link is cut.
+func (g *gate) isClosed() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.closed
+}
+
 // open ends the cut.
 func (g *gate) open() {
 	g.mu.Lock()
--- a/review/standins2/main.go
+++ b/review/standins2/main.go
@@ -29,6 +29,7 @@
 	"agentkill":   playAgentKill,
 	"attempts":    playAttempts,
 	"reborn":      playReborn,
+	"hostlost":    playHostLost,
 	"lastinggang": playLastingGang,
 	"largejob":    playLargeJob,
 	"largeorders": playLargeOrders,
