--- a/review/standins2/cases.go
+++ b/review/standins2/cases.go
@@ -14,7 +14,6 @@
 const (
 	largeHosts = 8
 	largeTasks = 6400
-	splitTasks = 100
 	// largeCPU leaves more than half of the executors' capacity free, also after one has crashed.
 	largeCPU   = 8
 	finishTime = 14 * time.Second // finish_s.
