Hold a run that a call without an answer may start late

A start gets no answer, its executor is cut off, starts again under its id and carries the start out there; at 9 s the task starts on another executor, and both runs go on until the cut ends.

Cause: the agent (Tick) and the owner (tickHost) gave the runs of a silent executor up when the leases had expired, as if no call were under way. An incarnation that was known to have ended held its runs for 5 s only, though a call may be carried out for 12 s, and what it starts goes on under a lease of 10 s. Neither the owner nor the record of a host knew which starts got no answer, so that a restarted agent or a successor gave them up as well.

Change: the agent keeps such a run, and only such, until the list of a later incarnation tells, a connection is refused after the last call is over, or the lease has ended that the last call could grant, 22.4 s after it. Reports say for each run when that is. The owner holds it when it gives an executor or a host up, and records it for the host. Long-running tasks wait 5 s, as before. A silent executor gets no repeat of a start, which would begin the time anew.

TestStartsUnderWayOutliveExecutor stated 5 s for all tasks; it now states 5 s for long-running ones and 22.1 to 22.5 s for others.

--- a/attendant/attendant.go
+++ b/attendant/attendant.go
@@ -271,6 +271,9 @@
 	for _, call := range calls.Paces {
 		go a.pace(a.ctx, call)
 	}
+	for _, call := range calls.Probes {
+		go a.probe(a.ctx, call)
+	}
 }
 
 func (a *Attendant) start(ctx context.Context, call custodian.StartCall) {
@@ -307,6 +310,19 @@
 	a.custodian.HandlePaceAnswer(call, err)
 }
 
+func (a *Attendant) probe(ctx context.Context, call custodian.HoldCall) {
+	ctx, cancel := context.WithTimeout(ctx, executorTimeout)
+	defer cancel()
+	sent := a.deps.Clock.Now()
+	answer, err := a.deps.Executor.Hold(ctx, call)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.custodian.HandleProbeAnswer(a.deps.Clock.Now(), sent, call, answer.Answer, err) {
+		a.triggerReport()
+	}
+	a.startHoldLoops()
+}
+
 // tickLoop makes the calls that are due, each tickPeriod, until ctx is done.
 func (a *Attendant) tickLoop(ctx context.Context) {
 	ticker := a.deps.Clock.NewTicker(tickPeriod)
--- a/conductor/executor.go
+++ b/conductor/executor.go
@@ -41,7 +41,7 @@
 	leaseEnd      time.Time
 	strayLeaseEnd time.Time
 	// inheritedStray is what an earlier owner recorded of stray leases, if strayLeaseEnd follows from that.
-	inheritedStray recordedStray
+	inheritedStray recordedTime
 	// unjoined is the last incarnation after this one that a report listed and that couldn't join; 0 for none.
 	unjoined  int
 	labels    map[string]bool
@@ -118,18 +118,7 @@
 func (c *Conductor) removeExecutor(now time.Time, e *executor, reason string) {
 	c.logger.Info("executor gone", "executor", e.id, "born", e.incarnation, "host", e.host.name, "runs", len(e.runs), "reason", reason)
 	for _, run := range e.runs {
-		if run.task.current == run {
-			c.recordLoss(run.task, e)
-		}
-		w := run.task.step.occurrence.workload
-		idleSince := w.idleSince
-		c.release(now, run, reason)
-		// The run may have ended right after the last list of it.
-		w.idleSince = idleSince
-		if e.reportedAt.After(idleSince) {
-			w.idleSince = e.reportedAt
-		}
-		c.count("runs.lost")
+		c.releaseLost(now, run, reason)
 	}
 	delete(c.changedExecutors, e)
 	c.appraiser.Forget(e.id)
@@ -141,6 +130,19 @@
 	c.recordHost(now, e.host)
 }
 
+// releaseLost releases a run that is lost with its executor.
+func (c *Conductor) releaseLost(now time.Time, r *run, reason string) {
+	if r.task.current == r {
+		c.recordLoss(r.task, r.executor)
+	}
+	w := r.task.step.occurrence.workload
+	idleSince := w.idleSince
+	c.release(now, r, reason)
+	// The run may have ended right after the last list of it.
+	w.idleSince = later(idleSince, r.executor.reportedAt)
+	c.count("runs.lost")
+}
+
 // allocate adds the resources of one task of a step for sign 1 and subtracts them for sign -1.
 // The processors of best-effort tasks count in bestEffort rather than in allocated.
 func (e *executor) allocate(s *step, sign int64) {
--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -33,6 +33,8 @@
 	// strayRecordedEnd is when the last stray lease has ended that the last record of the host names; zero for none.
 	// strayRecordedAt is when this owner made that record; zero if it made none.
 	strayRecordedEnd, strayRecordedAt time.Time
+	// lateStartsRecorded holds the runs that may start late, as the last record of the host names them.
+	lateStartsRecorded []messenger.RunRef
 	// listedAt is when the agent last listed its executors, and processedOrders the number of the last
 	// orders of this owner that it has reported as processed.
 	listedAt        time.Time
@@ -110,6 +112,7 @@
 	if c.runs[r.ref] != r {
 		return
 	}
+	c.settleLateStart(now, r, reason)
 	delete(c.runs, r.ref)
 	delete(r.executor.runs, r.ref)
 	r.executor.sortedRuns = nil
@@ -179,13 +182,19 @@
 	}
 }
 
+// leasesExpired is the reason for the loss of runs whose executor no report has listed for a lease.
+const leasesExpired = "its leases have expired"
+
 func (c *Conductor) tickHost(now, provenAt time.Time, name string, h *host) {
 	c.refreshStrayRecord(now, h)
 	for _, e := range h.executorsByID() {
 		switch {
 		case !now.After(e.leaseEnd):
 		case provenAt.After(e.leaseEnd):
-			c.removeExecutor(now, e, "its leases have expired")
+			if c.awaitLateStarts(now, e, leasesExpired) {
+				continue
+			}
+			c.removeExecutor(now, e, leasesExpired)
 			h.lost[e.id] = e
 		default:
 			// A successor may have renewed the leases before they expired.
@@ -193,6 +202,7 @@
 			c.awaitsProof = true
 		}
 	}
+	c.recordLateStarts(now, h)
 	if len(h.executors) == 0 && now.Sub(h.lastReportAt) > c.config.HostRetention {
 		delete(c.hosts, name)
 		c.deleteRecord(prefixHost + name)
--- a/conductor/interference.go
+++ b/conductor/interference.go
@@ -226,5 +226,7 @@
 		Image:            spec.Image,
 		Background:       r.background,
 		Preferred:        r.preferred(),
+		Lasting:          spec.Lasting,
+		Speculative:      spec.Speculative,
 	}
 }
--- a/conductor/journal.go
+++ b/conductor/journal.go
@@ -40,11 +40,12 @@
 			progress[id] = p
 		}
 	}
+	var late []inheritedLateStart
 	for _, r := range records {
 		if unreadable[r.Key()] {
 			continue // Without its progress, its tasks would run again.
 		}
-		if err := c.restore(now, r, progress); err != nil {
+		if err := c.restore(now, r, progress, &late); err != nil {
 			errs = append(errs, err)
 		}
 	}
@@ -58,13 +59,15 @@
 	}
 	c.restoreBounds(last, settled)
 	c.restorePlacements(last, allHeld)
+	c.restoreLateStarts(now, late)
 	c.restoreLeases()
 	c.restoreSuspensions(last)
 	slices.SortFunc(c.steps, compareSteps)
 	return errs
 }
 
-func (c *Conductor) restore(now time.Time, r appender.KeyedRecord, progress map[string]messenger.ProgressRecord) error {
+// restore loads one record. It adds to late what the record of a host says of runs that may start late.
+func (c *Conductor) restore(now time.Time, r appender.KeyedRecord, progress map[string]messenger.ProgressRecord, late *[]inheritedLateStart) error {
 	if name, ok := strings.CutPrefix(r.Key(), prefixHost); ok {
 		var record messenger.HostRecord
 		if err := json.Unmarshal(r.Value(), &record); err != nil {
@@ -74,9 +77,14 @@
 		h.suspension.epoch, h.suspension.alone = int64(record.SuspendedIn), record.SuspendedAlone
 		h.lengths.recorded = record.LeaseLengths
 		for _, r := range record.Executors {
-			stray := recordedStray{millis: r.StrayLeaseMillis, epoch: r.StrayLeaseIn}
-			r.StrayLeaseMillis, r.StrayLeaseIn = 0, 0
+			stray := recordedTime{millis: r.StrayLeaseMillis, epoch: r.StrayLeaseIn}
+			starts := r.LateStarts
+			r.StrayLeaseMillis, r.StrayLeaseIn, r.LateStarts = 0, 0, nil
 			e := newExecutor(h, r)
+			for _, start := range starts {
+				*late = append(*late, inheritedLateStart{executor: e, record: start})
+				h.lateStartsRecorded = append(h.lateStartsRecorded, start.Run)
+			}
 			e.durable = true
 			c.inheritStrayLease(e, stray, record.StrayLeases)
 			h.executors[e.id] = e
--- a/conductor/listing.go
+++ b/conductor/listing.go
@@ -22,6 +22,7 @@
 		orders := c.ordersFor(e.host)
 		orders.Known = append(orders.Known, run.startOrder())
 	}
+	c.recordLateStart(now, run, state)
 	run.recordWork(now, state)
 	run.recordListed(now, state.Phase)
 	run.phase = state.Phase
--- a/conductor/network_test.go
+++ b/conductor/network_test.go
@@ -232,6 +232,9 @@
 // executor that is down refuses new connections, unless it is dark; a call that arrives meanwhile gets no answer and
 // reaches the next incarnation.
 func (sim *simulation) sendToExecutor(h *modelHost, apply func(*modelExecutor)) {
+	if h.severed {
+		return
+	}
 	if h.executor.isDown(sim.now) && !h.executor.dark {
 		apply(h.executor)
 		return
@@ -257,6 +260,9 @@
 // sendCalls makes the calls of a custodian to its executor.
 func (sim *simulation) sendCalls(h *modelHost, calls custodian.Calls) {
 	for _, call := range calls.Starts {
+		if h.severed {
+			h.lostStarts = append(h.lostStarts, func(e *modelExecutor) { _, _ = e.start(sim, call) })
+		}
 		sim.sendCall(h, func(e *modelExecutor) (custodian.Answer, error) {
 			if sim.random.Float64() < sim.refusedShare {
 				return custodian.Answer{}, apricotwinch.Errorf(apricotwinch.NoTarget, "unhealthy")
@@ -270,6 +276,16 @@
 			return next
 		})
 	}
+	for _, call := range calls.Probes {
+		sent := sim.now
+		sim.sendCall(h, func(e *modelExecutor) (custodian.Answer, error) {
+			holding, err := e.hold(sim, call)
+			return holding.Answer, err
+		}, func(agent *custodian.Custodian, answer custodian.Answer, err error) custodian.Calls {
+			agent.HandleProbeAnswer(sim.now, sent, call, answer, err)
+			return custodian.Calls{}
+		})
+	}
 	for _, call := range calls.Paces {
 		sim.sendCall(h, func(e *modelExecutor) (custodian.Answer, error) {
 			return e.setPace(sim, call)
--- a/conductor/reborn_test.go
+++ b/conductor/reborn_test.go
@@ -251,7 +251,7 @@
 }
 
 // TestTasksRunAgainAsExecutorEnds guards against tasks that wait for an executor that is gone: only those of which a
-// start may be under way do, and no longer than users accept.
+// start may be under way do, long-running ones no longer than users accept, and others no longer than it may be.
 func TestTasksRunAgainAsExecutorEnds(t *testing.T) {
 	for _, kind := range workKinds() {
 		if kind.step.Gang {
@@ -277,7 +277,12 @@
 				sim.submit(kind.queue, "work", step)
 				sim.run(200 * time.Millisecond)
 				sim.crashFor(h, time.Hour, false)
-				sim.runUntil(test.bound, func() bool { return sim.running("work") == step.Tasks })
+				bound := test.bound
+				if test.underWay && kind.queue != watchQueue {
+					bound = maxCallDelay + 1500*time.Millisecond
+				}
+				took := sim.runUntil(bound, func() bool { return sim.running("work") == step.Tasks })
+				t.Logf("all tasks run again %s after the end", took)
 			})
 		}
 	}
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -43,6 +43,7 @@
 	case r.Whole:
 		c.applyRefusals(now, h, r)
 		c.updateExecutors(now, provenAt, h, r)
+		c.recordLateStarts(now, h)
 		c.expireDeliveries(now, h, r)
 	case r.EndsOnly:
 		c.recordEnds(now, h, r)
@@ -141,6 +142,7 @@
 		StrayLeases: true,
 	}
 	h.strayRecordedEnd, h.strayRecordedAt = time.Time{}, now
+	h.lateStartsRecorded = nil
 	for _, e := range h.executorsByID() {
 		r := e.record
 		if e.strayLeaseEnd.After(now) {
@@ -148,6 +150,10 @@
 			r.StrayLeaseMillis, r.StrayLeaseIn = stray.millis, stray.epoch
 			h.strayRecordedEnd = later(h.strayRecordedEnd, e.strayLeaseEnd)
 		}
+		for _, run := range c.runsStartingLate(now, e) {
+			r.LateStarts = append(r.LateStarts, c.lateStartRecord(now, run))
+			h.lateStartsRecorded = append(h.lateStartsRecorded, run.ref)
+		}
 		record.Executors = append(record.Executors, r)
 	}
 	return record
--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -138,6 +138,10 @@
 	links       modelLinks
 	// heldShare is the share of calls to its executor that are late, 0 to 1, beside those of the network.
 	heldShare float64
+	// severed is whether nothing passes between the agent and the executor in a simulation with a network. lostStarts
+	// holds the starts that were made meanwhile.
+	severed    bool
+	lostStarts []func(*modelExecutor)
 }
 
 // isolatedOwner is an owner that was cut off from the store, with some hosts, and that has been
@@ -518,7 +522,7 @@
 			continue
 		}
 		sim.expireCalls(h)
-		if (tick+i*7)%100 == 0 && !h.executor.isDown(sim.now) {
+		if (tick+i*7)%100 == 0 && !h.executor.isDown(sim.now) && !h.severed {
 			sim.announce(h)
 		}
 		if (tick+i)%3 == 0 {
@@ -703,6 +707,10 @@
 		calls.Stops = append(calls.Stops, next.Stops...)
 		calls.Paces = append(calls.Paces, next.Paces...)
 	}
+	for _, call := range calls.Probes {
+		holding, err := h.executor.hold(sim, call)
+		h.agent.HandleProbeAnswer(sim.now, sim.now, call, holding.Answer, err)
+	}
 	for _, call := range calls.Paces {
 		if sim.delay(h, func(e *modelExecutor) { _, _ = e.setPace(sim, call) }) {
 			h.agent.HandlePaceAnswer(call, errNoAnswer)
--- a/conductor/stray.go
+++ b/conductor/stray.go
@@ -42,7 +42,7 @@
 			c.extendStrayLease(now, e, end)
 		}
 		if end.Before(e.strayLeaseEnd) {
-			e.strayLeaseEnd, e.inheritedStray = end, recordedStray{}
+			e.strayLeaseEnd, e.inheritedStray = end, recordedTime{}
 		}
 	}
 	e.extendLease(e.strayLeaseEnd)
@@ -53,7 +53,7 @@
 	if until.Sub(e.strayLeaseEnd) <= strayLeaseSlack {
 		return
 	}
-	e.strayLeaseEnd, e.inheritedStray = until, recordedStray{}
+	e.strayLeaseEnd, e.inheritedStray = until, recordedTime{}
 	e.extendLease(until)
 	c.recordHost(now, e.host)
 	c.count("leases.stray")
@@ -70,33 +70,37 @@
 	return true
 }
 
-// recordedStray is what the record of a host says of an executor: for how long from the record on stray leases may
-// last, in milliseconds, and the epoch of the owner that said so. The zero value stands for none.
-type recordedStray struct {
+// recordedTime is for how long from the record of a host on something may last, in milliseconds, and the epoch of the owner
+// that said so. The zero value stands for none.
+type recordedTime struct {
 	millis, epoch int
 }
 
-// inheritStrayLease sets when the stray leases of an executor have ended by the record of its host. An owner wrote that
-// before a later epoch was claimed. One of a version before doesn't say, and may have used the executor as soon as its last
+// recordedEnd returns when a recorded time has passed. An owner wrote it before a later epoch was claimed.
+func (c *Conductor) recordedEnd(recorded recordedTime) time.Time {
+	return c.learnedAt(int64(recorded.epoch) + 1).Add(time.Duration(recorded.millis) * time.Millisecond)
+}
+
+// inheritStrayLease sets when the stray leases of an executor have ended by the record of its host. An owner of a version before doesn't say, and may have used the executor as soon as its last
 // stray lease began.
-func (c *Conductor) inheritStrayLease(e *executor, stray recordedStray, told bool) {
+func (c *Conductor) inheritStrayLease(e *executor, stray recordedTime, told bool) {
 	switch {
 	case !told:
 		e.strayLeaseEnd = c.claimedAt.Add(c.config.StrayLease + c.config.Margin)
 	case stray.millis > 0:
 		e.inheritedStray = stray
-		e.strayLeaseEnd = c.learnedAt(int64(stray.epoch) + 1).Add(time.Duration(stray.millis) * time.Millisecond)
+		e.strayLeaseEnd = c.recordedEnd(stray)
 	}
 	e.host.strayRecordedEnd = later(e.host.strayRecordedEnd, e.strayLeaseEnd)
 }
 
 // recordStray returns what to record of the stray leases of an executor, which may last at now. A successor would count
 // the time that an earlier owner recorded from the claim after that one, and not from the next.
-func (c *Conductor) recordStray(now time.Time, e *executor) recordedStray {
+func (c *Conductor) recordStray(now time.Time, e *executor) recordedTime {
 	if e.inheritedStray.millis > 0 {
 		return e.inheritedStray
 	}
-	return recordedStray{millis: int(e.strayLeaseEnd.Sub(now).Milliseconds()) + 1, epoch: int(c.epoch)}
+	return recordedTime{millis: int(e.strayLeaseEnd.Sub(now).Milliseconds()) + 1, epoch: int(c.epoch)}
 }
 
 // refreshStrayRecord queues a write of the record of a host once all stray leases have ended that the last one names, so
--- a/conductor/stray_test.go
+++ b/conductor/stray_test.go
@@ -237,7 +237,6 @@
 func TestStrayStartBeforeConfirmation(t *testing.T) {
 	for _, replace := range []bool{false, true} {
 		t.Run(fmt.Sprintf("owner replaced %t", replace), func(t *testing.T) {
-			knownRed(t)
 			sim := newSimulation(t, 1, 4)
 			sim.season()
 			sim.run(30 * time.Second)
--- a/conductor/workload.go
+++ b/conductor/workload.go
@@ -174,6 +174,7 @@
 	// last orders that resume it.
 	background      bool
 	promotionNumber int
+	lateStart       lateStart
 	// repeats is the loss of the run that this one repeats; nil if it repeats none.
 	repeats *loss
 	// idle is the part of its processors, in thousandths, that the run leaves unused while it is
--- a/custodian/answer_test.go
+++ b/custodian/answer_test.go
@@ -116,7 +116,6 @@
 // TestStartUnderWayAtExpiry guards against a task that runs twice: an executor is silent, its leases expire, and the next
 // incarnation carries out a start that was under way.
 func TestStartUnderWayAtExpiry(t *testing.T) {
-	knownRed(t)
 	s := newUsedFixture()
 	began := s.now
 	s.HandleStartAnswer(s.now, s.startRun(t, 0), custodian.Answer{}, errNoAnswer)
--- a/custodian/custodian.go
+++ b/custodian/custodian.go
@@ -29,9 +29,9 @@
 	MaxCallDelay time.Duration
 	// RenewalPeriod is the time between two holds that renew the leases of an executor that answers.
 	RenewalPeriod time.Duration
-	// MaxEndedHold is how long after the end of an executor a task may wait for a start that may be under way: users
-	// accept 9 s without a run.
-	MaxEndedHold time.Duration
+	// MaxShortHold is how long a long-running task may wait for a start that may be under way to an executor that has
+	// ended or fallen silent, as users accept 9 s without a run, and one of which several runs may go on.
+	MaxShortHold time.Duration
 	// Margin is the time from the end of the last lease that an executor may have received until its
 	// runs count as ended.
 	Margin time.Duration
@@ -70,7 +70,7 @@
 		MaxLease:            10 * time.Second,
 		MaxCallDelay:        12 * time.Second,
 		RenewalPeriod:       400 * time.Millisecond,
-		MaxEndedHold:        5 * time.Second,
+		MaxShortHold:        5 * time.Second,
 		Margin:              200 * time.Millisecond,
 		MaxAckDelay:         3 * time.Second,
 		RetryDelay:          350 * time.Millisecond,
@@ -91,6 +91,8 @@
 	Starts []StartCall
 	Stops  []RunCall
 	Paces  []RunCall
+	// Probes are holds whose answers HandleProbeAnswer takes.
+	Probes []HoldCall
 }
 
 // Custodian holds the state of one host's executors.
--- a/custodian/executor.go
+++ b/custodian/executor.go
@@ -170,7 +170,9 @@
 	retryAt  time.Time
 	// startCalls tells the calls that start the run and may yet be carried out.
 	startCalls startCalls
-	state      messenger.RunState
+	// lateSince is since when the run waits for a late start; zero if it doesn't.
+	lateSince time.Time
+	state     messenger.RunState
 	// pace is the allowed percentage of full speed, loggedPace the pace that was logged last.
 	pace       int
 	loggedPace int
--- a/custodian/hold.go
+++ b/custodian/hold.go
@@ -23,7 +23,7 @@
 		// Acknowledge an end once only, and by a token that is lower than those of later starts: another
 		// incarnation under the same id numbers its ends anew, and would forget its own ends.
 		call.AckedEnd = through
-		e.token = c.nextToken(now, e)
+		e.token = c.nextToken(now, e.ID)
 	}
 	if c.renewalDue(now, e) {
 		if until := c.grant(now, e); until.After(now) {
@@ -126,7 +126,7 @@
 	metrics.GetOrRegisterCounter("executors.token_rejected", c.registry).Inc(1)
 	c.lastTokens[e.ID] += e.tokenIncrement
 	e.tokenIncrement = 2*e.tokenIncrement + 1
-	e.token = c.nextToken(now, e)
+	e.token = c.nextToken(now, e.ID)
 	if !e.confirmed {
 		return false
 	}
@@ -182,6 +182,7 @@
 		r.confirmedAt = sent
 		r.fenced = false
 		r.state = state
+		c.settleLateStart(c.updatedAt, e.ID, r, lateListed)
 	}
 	if e.runsIncomplete && !lapsed {
 		return changed
@@ -209,6 +210,7 @@
 // removeUnlisted removes a run that the executor does not have and cannot start any more, and
 // reports the refusal of its start if there was one.
 func (c *Custodian) removeUnlisted(e *executor, r *run) {
+	c.settleLateStart(c.updatedAt, e.ID, r, lateNotListed)
 	e.remove(r.order.Run)
 	if e.endsIncomplete {
 		e.doubt.addMissing(r.order.Run)
--- a/custodian/incarnations.go
+++ b/custodian/incarnations.go
@@ -32,7 +32,7 @@
 			return false
 		}
 		e = &executor{Announcement: a, lastContactAt: now, runsListedAt: now, runs: map[messenger.RunRef]*run{}}
-		e.token = c.nextToken(now, e)
+		e.token = c.nextToken(now, e.ID)
 		c.executors[a.ID] = e
 		c.logger.Info("executor announced", "executor", a.ID, "born", a.StartedMillis, "address", a.Address, "draining", a.Draining)
 	}
@@ -51,11 +51,11 @@
 // greater than those of earlier agents unless the time of day went back between their starts: an agent
 // counts its time from the time of day at its start. Executors' clocks don't serve, as each incarnation's starts
 // anywhere.
-func (c *Custodian) nextToken(now time.Time, e *executor) int64 {
+func (c *Custodian) nextToken(now time.Time, id string) int64 {
 	millis := now.UnixMilli()
-	token := max(c.lastTokens[e.ID]+1, millis)
+	token := max(c.lastTokens[id]+1, millis)
 	maps.DeleteFunc(c.lastTokens, func(_ string, last int64) bool { return last < millis })
-	c.lastTokens[e.ID] = token
+	c.lastTokens[id] = token
 	return token
 }
 
@@ -162,7 +162,12 @@
 		})
 		return
 	}
-	c.HandleAnnouncement(now, Announcement{
+	c.HandleAnnouncement(now, announcementOf(record))
+}
+
+// announcementOf returns the announcement that a record of an executor stands for.
+func announcementOf(record messenger.ExecutorRecord) Announcement {
+	return Announcement{
 		ID:            record.Id,
 		StartedMillis: record.Born,
 		Service:       record.Service,
@@ -170,5 +175,5 @@
 		DataCentre:    record.DataCentre,
 		Capacity:      record.Capacity.Value(),
 		Labels:        record.Labels,
-	})
+	}
 }
--- a/custodian/orders.go
+++ b/custodian/orders.go
@@ -299,24 +299,17 @@
 		if c.fenceAfterLapse(now, e) {
 			changed = true
 		}
-		if (len(e.runs) > 0 || e.listsIncomplete()) && now.After(c.lastLeaseEnd(e).Add(c.config.Margin)) && now.Sub(e.lastContactAt) > c.config.SilenceTimeout {
-			c.logger.Info("executor leases expired", "executor", id, "born", e.StartedMillis, "runs", len(e.runs), "inDoubt", e.countInDoubt(),
-				"silentMillis", now.Sub(e.lastContactAt).Milliseconds(), "strayLeaseMillis", max(0, e.strayLeaseEnd.Sub(now)).Milliseconds())
-			if e.hasRunInDoubt() {
-				c.fence(now, e)
-			}
-			for ref := range e.runs {
-				e.remove(ref)
-			}
-			e.lapse(now)
+		expired := now.After(c.lastLeaseEnd(e).Add(c.config.Margin)) && now.Sub(e.lastContactAt) > c.config.SilenceTimeout
+		if (len(e.runs) > 0 || e.listsIncomplete()) && expired && c.expireLeases(now, e) {
 			changed = true
 		}
 		for _, r := range e.sortedRuns() {
-			if !r.inFlight && !r.fenced && r.phase != messenger.RunRunning && !now.Before(r.retryAt) {
+			if !r.inFlight && !r.fenced && r.phase != messenger.RunRunning && !now.Before(r.retryAt) && !c.defersStart(now, e, r) {
 				c.addCall(now, e, r, &calls)
 			}
 		}
 	}
+	c.addProbes(now, &calls)
 	c.wholeReportDue = c.wholeReportDue || changed
 	return calls, changed
 }
@@ -348,7 +341,7 @@
 // call with that token.
 func (c *Custodian) fence(now time.Time, e *executor) {
 	metrics.GetOrRegisterCounter("executors.fenced", c.registry).Inc(1)
-	e.token = c.nextToken(now, e)
+	e.token = c.nextToken(now, e.ID)
 	e.unconfirm()
 	for _, r := range e.runs {
 		r.fenced = r.fenced || r.inDoubt()
--- a/custodian/report.go
+++ b/custodian/report.go
@@ -53,13 +53,16 @@
 	for _, ended := range c.ended {
 		if len(ended.underWay) > 0 {
 			report.Executors = append(report.Executors, c.endedState(now, ended))
-		} else if next := c.executors[ended.Id]; next == nil || next.confirmed {
+		} else if c.isGone(ended) {
 			report.Gone = append(report.Gone, ended.ExecutorIncarnation)
 		}
 	}
 	for _, id := range c.Executors() {
 		e := c.executors[id]
 		if !e.confirmed {
+			if e.hasLapsed() {
+				report.Executors = append(report.Executors, c.lapsedState(now, e))
+			}
 			continue
 		}
 		if e.reportedAt.IsZero() {
@@ -85,8 +88,9 @@
 		StrayLeaseMillis: millisUntil(now, e.strayLeaseEnd),
 		StrayLeaseAnew:   e.outranked,
 	}
+	silence := c.silenceOf(now, e)
 	for _, r := range e.sortedRuns() {
-		state.Runs = append(state.Runs, r.reported())
+		state.Runs = append(state.Runs, c.reported(now, r, silence))
 	}
 	return state
 }
@@ -104,15 +108,16 @@
 	}
 }
 
-// reported returns what is reported of the run.
-func (r *run) reported() messenger.RunState {
-	s := r.state
-	s.Run = r.order.Run
-	s.Phase = r.phase
-	s.Pace = r.pace
-	s.Background = r.order.Background
-	s.Unknown = !r.known
-	return s
+// reported returns what is reported of a run on an executor that has been silent for as long as s says.
+func (c *Custodian) reported(now time.Time, r *run, s silence) messenger.RunState {
+	state := r.state
+	state.Run = r.order.Run
+	state.Phase = r.phase
+	state.Pace = r.pace
+	state.Background = r.order.Background
+	state.Unknown = !r.known
+	state.LateStartMillis = c.lateMillis(now, r, s)
+	return state
 }
 
 // HandleReportAnswer applies an entry's answer to a report that was sent at sent.
--- a/custodian/underway.go
+++ b/custodian/underway.go
@@ -51,6 +51,10 @@
 type endedIncarnation struct {
 	messenger.ExecutorIncarnation
 	endedAt time.Time
+	// silence is how long it had been silent.
+	silence silence
+	// probeAt is when the next probe may be made.
+	probeAt time.Time
 	// callsUntil is until when another incarnation may carry out calls to this one that carry a deadline;
 	// zero for no such call. latestDeadline is the latest one of these.
 	callsUntil     time.Time
@@ -69,12 +73,15 @@
 func (c *Custodian) addEnded(now time.Time, e *executor) int {
 	ended := &endedIncarnation{
 		ExecutorIncarnation: messenger.ExecutorIncarnation{Id: e.ID, Born: e.StartedMillis}, endedAt: now, record: e.record(),
-		callsUntil: c.callsUntil(now, e), latestDeadline: e.leaseCalls.latest,
+		callsUntil: c.callsUntil(now, e), latestDeadline: e.leaseCalls.latest, silence: c.silenceOf(now, e),
 	}
+	// The next incarnation, if one has just been found, lists its runs by then.
+	ended.silence.knownSince = later(ended.silence.knownSince, now.Add(c.config.SilenceTimeout-c.config.MaxShortHold))
 	for _, r := range e.sortedRuns() {
-		switch {
+		switch end := c.lateStartEnd(r, ended.silence); {
 		case !e.listed:
-		case c.underWayUntil(r).After(now):
+		case end.After(now):
+			c.awaitLateStart(now, e, r, end, lateExecutorEnded)
 			ended.underWay = append(ended.underWay, r)
 		case r.found:
 			ended.found = append(ended.found, r)
@@ -97,25 +104,30 @@
 // updateEnded releases the runs of ended incarnations that can't start any more, and forgets those that ended long ago.
 func (c *Custodian) updateEnded(now time.Time) {
 	for _, ended := range c.ended {
-		next := c.executors[ended.Id]
-		settled := next != nil && next.confirmed || c.confirmedExecutorAt(ended.record.Address) != nil
-		c.releaseUnderWay(now, ended, "another incarnation confirmed", func(*run) bool { return settled })
-		c.releaseUnderWay(now, ended, "too late to start", func(r *run) bool {
-			return !c.underWayUntil(r).After(now) || now.Sub(ended.endedAt) > c.config.MaxEndedHold
-		})
+		settled := c.nextConfirmed(ended)
+		c.releaseUnderWay(now, ended, lateOtherHeard, func(*run) bool { return settled })
+		c.releaseUnderWay(now, ended, lateTimeIsOver, func(r *run) bool { return !c.lateStartEnd(r, ended.silence).After(now) })
 	}
 	c.ended = slices.DeleteFunc(c.ended, func(ended *endedIncarnation) bool { return now.Sub(ended.endedAt) > endedTTL })
 }
 
+// nextConfirmed reports whether a later incarnation under the id, or another executor at the address, is confirmed: no
+// call for the one that has ended has an effect there.
+func (c *Custodian) nextConfirmed(ended *endedIncarnation) bool {
+	next := c.executors[ended.Id]
+	return next != nil && next.confirmed || c.confirmedExecutorAt(ended.record.Address) != nil
+}
+
 // releaseUnderWay releases the runs of an ended incarnation that match.
 func (c *Custodian) releaseUnderWay(now time.Time, ended *endedIncarnation, reason string, match func(*run) bool) {
-	before := len(ended.underWay)
-	ended.underWay = slices.DeleteFunc(ended.underWay, match)
-	if n := before - len(ended.underWay); n > 0 {
+	ended.underWay = slices.DeleteFunc(ended.underWay, func(r *run) bool {
+		if !match(r) {
+			return false
+		}
 		c.wholeReportDue = true
-		c.logger.Info("starts settled", "executor", ended.Id, "born", ended.Born, "runs", n, "underWay", len(ended.underWay),
-			"heldMillis", now.Sub(ended.endedAt).Milliseconds(), "reason", reason)
-	}
+		c.settleLateStart(now, ended.Id, r, reason)
+		return true
+	})
 }
 
 // handleLateAnswer takes the answer to a start on an incarnation that has ended since, and reports whether a report to
@@ -133,10 +145,10 @@
 	kind := apricotwinch.KindOf(err)
 	carriedOut := kind == "" || kind == apricotwinch.Conflict
 	r.startCalls.settle(mayBeCarriedOut(kind) || carriedOut && answer.StartedMillis != call.Born, c.config.MaxCallDelay)
-	if c.underWayUntil(r).After(now) {
+	if c.lateStartEnd(r, ended.silence).After(now) {
 		return false
 	}
-	c.releaseUnderWay(now, ended, "not carried out", func(other *run) bool { return other == r })
+	c.releaseUnderWay(now, ended, lateNotCalled, func(other *run) bool { return other == r })
 	return true
 }
 
@@ -159,7 +171,16 @@
 		runs = slices.Concat(runs, ended.found)
 	}
 	for _, r := range runs {
-		state.Runs = append(state.Runs, r.reported())
+		state.Runs = append(state.Runs, c.reported(now, r, ended.silence))
 	}
 	return state
 }
+
+// isGone reports whether nothing runs any more on an incarnation that has ended, nor starts there.
+func (c *Custodian) isGone(ended *endedIncarnation) bool {
+	if len(ended.underWay) > 0 {
+		return false
+	}
+	next := c.executors[ended.Id]
+	return next == nil || next.confirmed
+}
--- a/custodian/underway_test.go
+++ b/custodian/underway_test.go
@@ -17,11 +17,18 @@
 )
 
 // newUnderWayFixture returns a fixture whose executor has ended, and the calls for its last run. Of its four runs,
-// the start of the first two got no answer, that of the third one did, and that of the last one waits for it.
-func newUnderWayFixture(t *testing.T) (*fixture, custodian.StartCall) {
+// the start of the first two got no answer, that of the third one did, and that of the last one waits for it. change, if
+// it isn't nil, changes the orders.
+func newUnderWayFixture(t *testing.T, change func(*messenger.StartOrder)) (*fixture, custodian.StartCall) {
 	t.Helper()
 	s := newFixture()
-	calls, err := s.HandleOrders(s.now, s.orders(order(0, 1, 1000), order(1, 1, 1000), order(2, 1, 1000), order(3, 1, 1000)))
+	orders := s.orders(order(0, 1, 1000), order(1, 1, 1000), order(2, 1, 1000), order(3, 1, 1000))
+	for i := range orders.Starts {
+		if change != nil {
+			change(&orders.Starts[i])
+		}
+	}
+	calls, err := s.HandleOrders(s.now, orders)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -56,8 +63,10 @@
 			s.HandleStartAnswer(s.now, call, custodian.Answer{Clock: s.clock(), StartedMillis: born}, err)
 		}
 	}
+	lasting := func(o *messenger.StartOrder) { o.Lasting = true }
 	tests := []struct {
 		name   string
+		order  func(*messenger.StartOrder)
 		change func(s *fixture, last custodian.StartCall)
 		want   listing
 	}{
@@ -83,13 +92,19 @@
 				t.Error(err)
 			}
 		}, want: listing{Phases: map[string]string{"0#1": messenger.RunStopping, "1#1": starting, "3#1": starting}}},
-		{name: "no other incarnation for 4.9 s", change: func(s *fixture, _ custodian.StartCall) { s.now = s.now.Add(4900 * time.Millisecond) }, want: all},
-		{name: "no other incarnation for 5.1 s", change: func(s *fixture, _ custodian.StartCall) { s.now = s.now.Add(5100 * time.Millisecond) },
+		// A call may be carried out for 12 s, and what it starts goes on for a lease of 10 s by a clock that is 2% slow.
+		{name: "no other incarnation for 22.1 s", change: func(s *fixture, _ custodian.StartCall) { s.now = s.now.Add(22100 * time.Millisecond) }, want: all},
+		{name: "no other incarnation for 22.5 s", change: func(s *fixture, _ custodian.StartCall) { s.now = s.now.Add(22500 * time.Millisecond) },
+			want: listing{Phases: map[string]string{}, Gone: 1}},
+		{name: "long-running, no other incarnation for 4.9 s", order: lasting, change: func(s *fixture, _ custodian.StartCall) { s.now = s.now.Add(4900 * time.Millisecond) }, want: all},
+		{name: "long-running, no other incarnation for 5.1 s", order: lasting, change: func(s *fixture, _ custodian.StartCall) { s.now = s.now.Add(5100 * time.Millisecond) },
 			want: listing{Phases: map[string]string{}, Gone: 1}},
+		{name: "speculative, no other incarnation for 5.1 s", order: func(o *messenger.StartOrder) { o.Speculative = true },
+			change: func(s *fixture, _ custodian.StartCall) { s.now = s.now.Add(5100 * time.Millisecond) }, want: listing{Phases: map[string]string{}, Gone: 1}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			s, last := newUnderWayFixture(t)
+			s, last := newUnderWayFixture(t, test.order)
 			test.change(s, last)
 			if diff := cmp.Diff(test.want, s.listing()); diff != "" {
 				t.Errorf("listing (-want +got):\n%s", diff)
--- a/messenger/messages.go
+++ b/messenger/messages.go
@@ -405,6 +405,9 @@
 	// Labels: its kind and its rack.
 	Labels []string `json:"labels"`
 
+	// In the record of a host, the runs that a call without an answer may start late.
+	LateStarts []LateStart `json:"lateStarts,omitempty,omitzero"`
+
 	// Service whose tasks it runs.
 	Service string `json:"service"`
 
@@ -670,6 +673,23 @@
 	Type string `json:"type"`
 }
 
+// A run that a call without an answer may start late, as the record of a host
+// names it.
+type LateStart struct {
+	// Incarnation of the agent that listed the run last.
+	Agent string `json:"agent"`
+
+	// Epoch of the owner that recorded that time.
+	Epoch int `json:"epoch"`
+
+	// Time in milliseconds from the record on until which the run has ended if it
+	// starts late.
+	Millis int `json:"millis"`
+
+	// The run.
+	Run RunRef `json:"run"`
+}
+
 // A record of a partition's stream; type determines which fields are set.
 type LedgerRecord struct {
 	// Number of the attempt, from 1.
@@ -1237,6 +1257,10 @@
 	// processors that it uses, in thousandths.
 	Figure float64 `json:"figure,omitempty,omitzero"`
 
+	// Time in milliseconds until which the run has ended if a call without an answer
+	// starts it late; 0 if none can.
+	LateStartMillis int `json:"lateStartMillis,omitempty,omitzero"`
+
 	// Percentage of its full speed that the agent allows the run; 100 for a run that
 	// is not throttled.
 	Pace int `json:"pace,omitempty,omitzero"`
@@ -1379,6 +1403,9 @@
 	// Name of the image that the task runs.
 	Image string `json:"image,omitempty,omitzero"`
 
+	// Whether the task is long-running.
+	Lasting bool `json:"lasting,omitempty,omitzero"`
+
 	// Text that is passed to the task.
 	Payload string `json:"payload"`
 
@@ -1391,6 +1418,9 @@
 	// The run.
 	Run RunRef `json:"run"`
 
+	// Whether other runs of the task may go on at the same time.
+	Speculative bool `json:"speculative,omitempty,omitzero"`
+
 	// Target that the tail latency of the task must stay below, in milliseconds; 0
 	// for none.
 	TailTargetMillis int `json:"tailTargetMillis,omitempty,omitzero"`
