Keep a run that is listed when a repeat of its start is refused

What callers would see: TWICE. A start gets no answer, and its executor carries it out and lists the run; a repeat that was on its way is refused, as the executor has become unhealthy, which doesn't look whether the run is there. The agent reported the run as refused, and the task started elsewhere.

Cause: the refusal of a start removed each run that had been confirmed; only a run whose stop is confirmed can't go on.

--- a/custodian/orders.go
+++ b/custodian/orders.go
@@ -249,6 +249,10 @@
 // that got no answer. Such a run is stopped first: an executor that has confirmed the stop no
 // longer carries the earlier call out.
 func (c *Custodian) handleRefusedStart(now time.Time, e *executor, r *run, kind apricotwinch.Kind) (Calls, bool) {
+	if r.phase == messenger.RunRunning {
+		// An earlier call was carried out. Lists tell when the run ends.
+		return Calls{}, false
+	}
 	if !r.maybeStarted || !r.confirmedAt.IsZero() {
 		if r.confirmedAt.IsZero() {
 			e.doubt.forget(r.order.Run)
