Look for late starts to record only where there may be some

Cause: each tick of the owner looked through the runs of all hosts for late starts whose record has changed, which costs the owner of 24,000 executors a pass over 360,000 runs.

Change: a tick looks at the hosts whose record names some; reports look at their own host, as before.

--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -204,7 +204,9 @@
 			c.awaitsProof = true
 		}
 	}
-	c.recordLateStarts(now, h)
+	if len(h.lateStartsRecorded) > 0 {
+		c.recordLateStarts(now, h)
+	}
 	if len(h.executors) == 0 && now.Sub(h.lastReportAt) > c.config.HostRetention {
 		delete(c.hosts, name)
 		c.deleteRecord(prefixHost + name)
--- a/conductor/latestart.go
+++ b/conductor/latestart.go
@@ -79,6 +79,7 @@
 		}
 	}
 	e.leaseEnd, e.listed, e.runsListed, e.reachable = next, true, true, false
+	c.recordLateStarts(now, e.host)
 	return true
 }
 
--- a/conductor/stray.go
+++ b/conductor/stray.go
@@ -81,8 +81,8 @@
 	return c.learnedAt(int64(recorded.epoch) + 1).Add(time.Duration(recorded.millis) * time.Millisecond)
 }
 
-// inheritStrayLease sets when the stray leases of an executor have ended by the record of its host. An owner of a version before doesn't say, and may have used the executor as soon as its last
-// stray lease began.
+// inheritStrayLease sets when the stray leases of an executor have ended by the record of its host. An owner of a version
+// before doesn't say, and may have used the executor as soon as its last stray lease began.
 func (c *Conductor) inheritStrayLease(e *executor, stray recordedTime, told bool) {
 	switch {
 	case !told:
--- a/custodian/underway.go
+++ b/custodian/underway.go
@@ -78,7 +78,7 @@
 		ExecutorIncarnation: messenger.ExecutorIncarnation{Id: e.ID, Born: e.StartedMillis}, endedAt: now, record: e.record(),
 		callsUntil: c.callsUntil(now, e), latestDeadline: e.leaseCalls.latest, silence: c.silenceOf(now, e),
 	}
-	// The next incarnation, if one has just been found, lists its runs by then.
+	// A next incarnation that has just been found lists its runs within SilenceTimeout.
 	ended.silence.knownSince = later(ended.silence.knownSince, now.Add(c.config.SilenceTimeout-c.config.MaxShortHold))
 	if inherited := c.startedAt.Add(c.config.MaxCallDelay); e.strayLeaseEnd.IsZero() && inherited.After(now) {
 		ended.inheritedUntil = inherited.Add(c.longestLease() + c.config.Margin)
