Name the bounds of late calls once

Cause: the agent and the owner each had their own figures of how late a call may be carried out and of how long a long-running task may wait for one; they must agree.

Change: both take them from the package that holds the other durations on which they agree. No decision changes.

--- a/conductor/config.go
+++ b/conductor/config.go
@@ -26,7 +26,7 @@
 	// the owner's clock.
 	StrayLease time.Duration
 	// MaxCallDelay is how much later than it was made an executor may carry out a call without an answer, and
-	// MaxShortHold is how long a long-running task may wait for such a call: users accept 9 s without a run.
+	// MaxShortHold is how long a long-running task may wait for such a call.
 	MaxCallDelay time.Duration
 	MaxShortHold time.Duration
 	// Authority is how long an earlier owner may have continued to act after it was fenced.
@@ -84,8 +84,8 @@
 		Lease:                  apricotwinch.ExecutorLease,
 		Margin:                 400 * time.Millisecond,
 		StrayLease:             10*time.Second + 250*time.Millisecond,
-		MaxCallDelay:           12 * time.Second,
-		MaxShortHold:           5 * time.Second,
+		MaxCallDelay:           apricotwinch.MaxCallDelay,
+		MaxShortHold:           apricotwinch.MaxShortHold,
 		Authority:              apricotwinch.OwnerAuthority,
 		UrgentReserve:          0.1,
 		LongRunningUtilization: 0.5,
--- a/custodian/custodian.go
+++ b/custodian/custodian.go
@@ -29,8 +29,8 @@
 	MaxCallDelay time.Duration
 	// RenewalPeriod is the time between two holds that renew the leases of an executor that answers.
 	RenewalPeriod time.Duration
-	// MaxShortHold is how long a long-running task may wait for a start that may be under way to an executor that has
-	// ended or fallen silent, as users accept 9 s without a run, and one of which several runs may go on.
+	// MaxShortHold is how long a long-running task, or one of which several runs may go on, waits for a start that may be
+	// under way to an executor that has ended or fallen silent.
 	MaxShortHold time.Duration
 	// Margin is the time from the end of the last lease that an executor may have received until its
 	// runs count as ended.
@@ -68,9 +68,9 @@
 	return Config{
 		Lease:               apricotwinch.ExecutorLease,
 		MaxLease:            10 * time.Second,
-		MaxCallDelay:        12 * time.Second,
+		MaxCallDelay:        apricotwinch.MaxCallDelay,
 		RenewalPeriod:       400 * time.Millisecond,
-		MaxShortHold:        5 * time.Second,
+		MaxShortHold:        apricotwinch.MaxShortHold,
 		Margin:              200 * time.Millisecond,
 		MaxAckDelay:         3 * time.Second,
 		RetryDelay:          350 * time.Millisecond,
--- a/lease.go
+++ b/lease.go
@@ -10,4 +10,9 @@
 	ExecutorLease = 4 * time.Second
 	// OwnerAuthority is how long an owner may act after its last proof that it has no successor.
 	OwnerAuthority = 4 * time.Second
+	// MaxCallDelay is how much later than it was made an executor may carry out a call without an answer.
+	MaxCallDelay = 12 * time.Second
+	// MaxShortHold is how long a long-running task may wait for a start without an answer once its executor has ended or
+	// fallen silent: users accept 9 s without a run.
+	MaxShortHold = 5 * time.Second
 )
