Use the fixture's repeat in the test of a refused one

Cause: the test repeated the steps of another one. Measured: it passes, and fails without the check of the run's phase.

--- a/custodian/custodian_test.go
+++ b/custodian/custodian_test.go
@@ -206,19 +206,11 @@
 // TestRefusedRepeatOfListedRun guards against a task that runs twice: an executor lists a run and refuses a repeat of its start,
 // of which the first call got no answer, as it has become unhealthy.
 func TestRefusedRepeatOfListedRun(t *testing.T) {
-	s := newFixture()
-	calls, err := s.HandleOrders(s.now, s.orders(order(0, 1, 3000)))
-	if err != nil {
-		t.Fatal(err)
-	}
-	s.HandleStartAnswer(s.now, calls.Starts[0], custodian.Answer{}, errNoAnswer)
-	s.now = s.now.Add(400 * time.Millisecond)
-	calls, _ = s.Tick(s.now)
-	if len(calls.Starts) != 1 {
-		t.Fatalf("starts = %d, want 1", len(calls.Starts))
-	}
+	s := newUsedFixture()
+	s.HandleStartAnswer(s.now, s.startRun(t, 0), custodian.Answer{}, errNoAnswer)
+	repeat := s.repeatStart(t)
 	s.hold(custodian.HoldAnswer{Runs: states(0)}, nil)
-	s.HandleStartAnswer(s.now, calls.Starts[0], custodian.Answer{Clock: s.clock()}, apricotwinch.Errorf(apricotwinch.NoTarget, "unhealthy"))
+	s.HandleStartAnswer(s.now, repeat, custodian.Answer{Clock: s.clock()}, apricotwinch.Errorf(apricotwinch.NoTarget, "unhealthy"))
 	report := s.renew()
 	if diff := cmp.Diff(map[string]string{"0#1": messenger.RunRunning}, phases(report)); diff != "" {
 		t.Errorf("runs (-want +got):\n%s", diff)
