Show best-effort workloads without a run beside faulty executors

Callers see an accepted job of which nothing runs, though most of the service is free (LOST). Where executors refuse all starts, fail all runs or answer no start, these are empty, and so the only ones within the bounds on best-effort work. All tasks go there again and again, and the start beyond the bounds, which the job is due after 1.5 s, never comes.

--- a/conductor/simulation_test.go
+++ b/conductor/simulation_test.go
@@ -30,6 +30,8 @@
 	watchQueue   = "watches"
 	// stopDuration is how long a run continues after its stop was ordered.
 	stopDuration = 300 * time.Millisecond
+	// failingDelay is how long a run works on an executor that fails all runs.
+	failingDelay = 100 * time.Millisecond
 	// maxListedEnds is how many ends an executor lists at a time, unless a simulation sets another number.
 	maxListedEnds = 500
 	// maxLease is the longest lease of an executor.
@@ -198,8 +200,9 @@
 	mute bool
 	// dark is whether nobody refuses connections while the executor is down.
 	dark bool
-	// refusing is whether the executor refuses all starts as unhealthy.
-	refusing bool
+	// refusing is whether the executor refuses all starts as unhealthy, failing whether all that it starts fails after
+	// failingDelay, and ignoresStarts whether it neither carries out nor answers starts.
+	refusing, failing, ignoresStarts bool
 	// slowdown is the share of its speed that the executor lacks, 0 to 1; 1 for stalled.
 	slowdown float64
 	// tailMillis is the tail latency of serving tasks, in milliseconds.
@@ -689,7 +692,7 @@
 		return
 	}
 	for _, call := range calls.Starts {
-		if sim.delay(h, func(e *modelExecutor) { _, _ = e.start(sim, call) }) {
+		if h.executor.ignoresStarts || sim.delay(h, func(e *modelExecutor) { _, _ = e.start(sim, call) }) {
 			h.agent.HandleStartAnswer(sim.now, call, custodian.Answer{}, errNoAnswer)
 			continue
 		}
@@ -780,7 +783,10 @@
 	}
 	spec := sim.specs[ref.Task.Workload].Steps[ref.Task.Step]
 	remaining := time.Duration(spec.EstimateMillis) * time.Millisecond
-	m.add(&modelRun{order: call.Order, remaining: remaining, pace: pacer.FullSpeed, fails: call.Order.Payload == "hopeless"})
+	if m.failing {
+		remaining = min(remaining, failingDelay)
+	}
+	m.add(&modelRun{order: call.Order, remaining: remaining, pace: pacer.FullSpeed, fails: m.failing || call.Order.Payload == "hopeless"})
 	sim.checkStart(ref)
 	return answer, nil
 }
