Start idle best-effort work beside executors on which nothing runs

Callers saw an accepted job of which nothing runs for 3 s and longer, though most of the service is free (LOST).

Cause: an attempt counted as progress. A best-effort job that all executors refuse by the bounds on such work starts a task beyond them after 1.5 s without a run. Executors that refuse all starts, fail all runs or answer no start are empty, and so the only ones within the bounds: each pass started tasks there again, and the step never got to its start beyond the bounds. Each refused start and each failed run began the 1.5 s anew, and a start that no executor has shown counted as a run. The start beyond the bounds took the same executors, as they cost least, and a run in the background that did work was stopped to move there.

Change: a workload is idle since an executor last showed a run of it that didn't fail; a start that isn't confirmed is waited for for a second. Within its bounds, a best-effort task starts, moves and is rescued only where it may be expected to work: not where it was refused or failed in the last 4 s, where several workloads failed in a row, where a start has been unanswered for a second or, once it had a setback, where the last thing done was to fail. Starts beyond the bounds prefer other executors, too, and a blocked step is looked at as soon as it is due to start so. Tasks of other kinds go where they went, but last to executors that leave starts unanswered.

Why it works: such a step now is blocked, so that the time without a run alone decides when it starts, and on a sound executor.

--- a/conductor/background.go
+++ b/conductor/background.go
@@ -68,7 +68,9 @@
 		return false
 	}
 	p.backgroundMoves--
-	return slices.ContainsFunc(p.pool(q.Service), func(e *executor) bool { return e != r.executor && p.admits(s, e) })
+	return slices.ContainsFunc(p.pool(q.Service), func(e *executor) bool {
+		return e != r.executor && p.conductor.mayWork(p.now, r.task, e) && p.admits(s, e)
+	})
 }
 
 // promoteRun orders the agent of a background run to promote it. Its first moments disturb others like a start.
--- a/conductor/confirmation.go
+++ b/conductor/confirmation.go
@@ -48,9 +48,25 @@
 	if r.runningAt.IsZero() && phase == messenger.RunRunning {
 		r.runningAt = now
 	}
-	if phase != messenger.RunStarting {
-		r.confirmedAt = now
+	if phase == messenger.RunStarting {
+		return
+	}
+	if r.confirmedAt.IsZero() && r.repeats == nil {
+		r.task.step.occurrence.workload.working++
+	}
+	r.confirmedAt = now
+}
+
+// firstUnanswered returns when the first of the starts on an executor was ordered that no list has confirmed; zero if there is
+// none.
+func (e *executor) firstUnanswered() time.Time {
+	var first time.Time
+	for _, r := range e.runs {
+		if r.confirmedAt.IsZero() && r.ordersNumber != heldOrders && (first.IsZero() || r.startedAt.Before(first)) {
+			first = r.startedAt
+		}
 	}
+	return first
 }
 
 // unconfirmedSince returns when the executor last showed a run, or when this owner started or found
--- a/conductor/ends.go
+++ b/conductor/ends.go
@@ -72,6 +72,7 @@
 		t.addFailedRun(end.Run.Run)
 		t.failureStreak++
 		t.avoid = e
+		c.addSetback(now, t, e, true)
 		t.notBefore = now.Add(apricotwinch.ExponentialBackoff(c.config.Backoff, c.config.MaxBackoff, t.failureStreak-1))
 		c.countExecutorFailure(now, e, t)
 	case end.Checkpoint != "":
--- a/conductor/evaluate.go
+++ b/conductor/evaluate.go
@@ -121,13 +121,17 @@
 }
 
 // cheapest returns the index of the candidate of lowest cost to a task, or -1 if there is none.
-// keepsReserve leaves out those in whose data centre the task would take of the reserve.
+// keepsReserve leaves out those in whose data centre the task would take of the reserve. Within its bounds, a best-effort
+// task starts only where it may be expected to work.
 func (p *schedulingPass) cheapest(t *task, candidates []candidate, keepsReserve bool) int {
 	best, bestCost := -1, 0.0
 	for i, n := range candidates {
 		if keepsReserve && !p.leavesReserve(t.step, n.executor) {
 			continue
 		}
+		if t.step.spec.Fills && !p.beyondBounds && !p.conductor.mayWork(p.now, t, n.executor) {
+			continue
+		}
 		cost := n.cost + p.conductor.avoidanceCost(p.now, t, n.executor)
 		if best < 0 || cost < bestCost {
 			best, bestCost = i, cost
--- a/conductor/executor.go
+++ b/conductor/executor.go
@@ -35,6 +35,8 @@
 	// reportedAt is when a report last listed the executor, and reportGap the time between that and the one before.
 	reportedAt time.Time
 	reportGap  time.Duration
+	// unansweredSince is when the first of the starts was ordered that no list has confirmed yet; zero if there is none.
+	unansweredSince time.Time
 	// leaseEnd is when the runs of the executor have provably ended if no further report lists
 	// it. strayLeaseEnd is when leases have ended that calls for an earlier incarnation granted; no
 	// fact about owners ends these sooner.
@@ -138,8 +140,10 @@
 	w := r.task.step.occurrence.workload
 	idleSince := w.idleSince
 	c.release(now, r, reason)
-	// The run may have ended right after the last list of it.
-	w.idleSince = later(idleSince, r.executor.reportedAt)
+	if !r.confirmedAt.IsZero() {
+		// The run may have ended right after the last list of it.
+		w.idleSince = later(idleSince, r.executor.reportedAt)
+	}
 	c.count("runs.lost")
 }
 
--- a/conductor/fleet.go
+++ b/conductor/fleet.go
@@ -99,9 +99,6 @@
 	c.countRun(r, 1)
 	w := r.task.step.occurrence.workload
 	w.runs++
-	if r.repeats != nil {
-		w.repeats++
-	}
 	if r.background {
 		c.background[r] = true
 		r.setIdle(r.task.step.need.ProcessorMillis())
@@ -124,11 +121,7 @@
 	r.executor.allocate(r.task.step, -1)
 	c.countRun(r, -1)
 	w := r.task.step.occurrence.workload
-	w.runs--
-	if r.repeats != nil {
-		w.repeats--
-	}
-	w.idleSince = now
+	w.recordReleased(now, r, reason)
 	w.trim()
 	c.changedExecutors[r.executor] = true
 	if r.task.originalRun == r {
--- a/conductor/idle.go
+++ b/conductor/idle.go
@@ -4,8 +4,13 @@
 	"time"
 
 	"apricotwinch"
+	"apricotwinch/messenger"
 )
 
+// maxStartWait is how long a start of an idle workload is waited for until another one is tried: lists show a run within
+// half a second, and users wait 3 s in all.
+const maxStartWait = time.Second
+
 // Weights in the cost of an executor to a task that starts beyond the bounds of its step.
 const (
 	// costHarm is the cost of each unit of headroom that serving tasks are expected to lack once the task
@@ -15,18 +20,34 @@
 	maxCrowding = 5
 )
 
-// idleFor returns how long the workload of a step has had no run since the step's turn has come; 0 if it has
-// one. Repeats of lost runs don't count: these may have ended unheard, so that a repeat does nothing new.
+// recordReleased records that a run of a workload has ended for a reason. A run that failed, or that no executor has
+// shown, doesn't make the workload less idle.
+func (w *workload) recordReleased(now time.Time, r *run, reason string) {
+	w.runs--
+	if r.confirmedAt.IsZero() {
+		return
+	}
+	if r.repeats == nil {
+		w.working--
+	}
+	if reason != messenger.EndFailed {
+		w.idleSince = now
+	}
+}
+
+// idleFor returns how long no executor has shown a run of the workload of a step since the step's turn has come; 0 if
+// one does. Repeats of lost runs don't count: these may have ended unheard, so that a repeat does nothing new.
 func (s *step) idleFor(now time.Time) time.Duration {
 	w := s.occurrence.workload
-	if w.runs > w.repeats {
+	if w.working > 0 {
 		return 0
 	}
-	since := s.readyAt
-	if w.idleSince.After(since) {
-		since = w.idleSince
-	}
-	return now.Sub(since)
+	return now.Sub(later(s.readyAt, w.idleSince))
+}
+
+// awaitsStart reports whether a run of a workload may still be about to start.
+func (w *workload) awaitsStart(now time.Time) bool {
+	return w.runs > w.working && now.Sub(w.startedAt) < maxStartWait
 }
 
 // mayStartIdle reports whether a task of a step may start beyond the bounds that only weigh it against other
@@ -37,10 +58,17 @@
 		return false // Nothing but room and its constraints hold it.
 	}
 	config := p.conductor.config
-	idle := s.idleFor(p.now) >= config.MaxIdle || p.repeatsOnly && s.occurrence.workload.runs == 0
+	w := s.occurrence.workload
+	idle := s.idleFor(p.now) >= config.MaxIdle && !w.awaitsStart(p.now) || p.repeatsOnly && w.runs == 0
 	return idle && p.utilizationOf(service) < config.MaxIdleUtilization
 }
 
+// becameIdle reports whether a task of a blocked step may start beyond the bounds, and might not when the step was last tried.
+func (p *schedulingPass) becameIdle(s *step, service string) bool {
+	idleAt := p.now.Add(p.conductor.config.MaxIdle - s.idleFor(p.now))
+	return s.blockedAt.Before(idleAt) && p.mayStartIdle(s, service)
+}
+
 // startIdle starts one task of a step whose workload has been idle for too long, or its gang, on the
 // executor of a pool where that harms least. A best-effort task works in the background, at the
 // least pace, until there is room for its work, so that it takes little of what comes first. The first one that
@@ -64,7 +92,7 @@
 	}
 	if w := s.occurrence.workload; w.runs > runs {
 		c.count("workloads.idle_started")
-		c.logger.Info("idle workload started", "workload", w.id, "step", s.number, "idleMillis", idle.Milliseconds())
+		c.logger.Info("idle workload started", "workload", w.id, "step", s.number, "idleMillis", idle.Milliseconds(), "unconfirmed", runs)
 	}
 }
 
@@ -103,7 +131,11 @@
 		return c.stepCost(p.now, s, e, 0), true
 	}
 	lacking := max(0, c.config.MinStartHeadroom-c.startHeadroom(p.now, s.spec.Image, e))
-	return min(p.crowding(s, e), maxCrowding) + costHarm*lacking - speedWeight*p.outlook(s.spec.Image, e).speed + c.faultCost(p.now, s, e), true
+	cost = min(p.crowding(s, e), maxCrowding) + costHarm*lacking - speedWeight*p.outlook(s.spec.Image, e).speed + c.faultCost(p.now, s, e)
+	if e.failedLast(p.now) {
+		cost += costFailing // The workload has waited already, and the executor may fail this one, too.
+	}
+	return cost, true
 }
 
 // utilizationOf returns the share of a service's processors, 0 to 1, that other tasks than best-effort ones
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -178,7 +178,7 @@
 	costRefused = 60
 	// costFailing is the cost of an executor with a streak of failures.
 	costFailing = 100
-	// costUnhealthy is the cost of a stalled or slow executor.
+	// costUnhealthy is the cost of an executor that is stalled or slow, or leaves starts unanswered.
 	costUnhealthy = 50
 	// costOtherRack is the cost of an executor outside the rack that the step names.
 	costOtherRack = 2
@@ -243,10 +243,10 @@
 // faultCost returns the cost of the faults of an executor, and of its distance, to a task of a step.
 func (c *Conductor) faultCost(now time.Time, s *step, e *executor) float64 {
 	cost := 0.0
-	if e.failureStreak >= c.config.FailureStreak && now.Sub(e.failedAt) < c.config.FailureStreakTTL {
+	if c.isFailing(now, e) {
 		cost += costFailing
 	}
-	if c.monitor.Verdict(now, e.id) != monitor.Healthy {
+	if c.monitor.Verdict(now, e.id) != monitor.Healthy || e.startsUnanswered(now) {
 		cost += costUnhealthy
 	}
 	if s.spec.Rack != "" && s.spec.Rack != e.rack {
@@ -283,6 +283,7 @@
 		repeats:      t.loss,
 	}
 	t.inherited = false
+	t.step.occurrence.workload.startedAt = now
 	c.recordUse(t.step, e)
 	c.makeCurrent(now, r)
 	if write > c.durable {
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -174,7 +174,7 @@
 		}
 		t := run.task
 		c.release(now, run, "refused")
-		c.addRefusal(now, t, run.executor)
+		c.addSetback(now, t, run.executor, false)
 		t.notBefore = now.Add(c.config.Backoff)
 		switch refusal.Kind {
 		case string(apricotwinch.NoTarget):
@@ -308,6 +308,7 @@
 			c.release(now, run, "lost")
 		}
 	}
+	e.unansweredSince = e.firstUnanswered()
 	c.observeProgress(now, e, time.Duration(state.SilentMillis)*time.Millisecond)
 }
 
--- a/conductor/roomsearch.go
+++ b/conductor/roomsearch.go
@@ -145,7 +145,7 @@
 	case !c.mayUse(p.now, s, e) || c.avoidanceCost(p.now, t, e) > 0 || c.monitor.Verdict(p.now, e.id) != monitor.Healthy:
 		return false
 	}
-	return e.failureStreak < c.config.FailureStreak || p.now.Sub(e.failedAt) >= c.config.FailureStreakTTL
+	return !c.isFailing(p.now, e)
 }
 
 // describe returns what the planner needs to know of an executor. A pass keeps it until a start there.
--- a/conductor/schedule.go
+++ b/conductor/schedule.go
@@ -112,7 +112,7 @@
 	if !ok {
 		return
 	}
-	blocked := !s.blockedAt.IsZero() && p.now.Sub(s.blockedAt) < rescanPeriod
+	blocked := !s.blockedAt.IsZero() && p.now.Sub(s.blockedAt) < rescanPeriod && !p.becameIdle(s, q.Service)
 	switch {
 	case q.Advised:
 		if slices.ContainsFunc(s.tasks, p.mayStart) {
--- a/conductor/workload.go
+++ b/conductor/workload.go
@@ -30,9 +30,11 @@
 	// taskCount is the number of tasks over all occurrences while the workload has not ended, and recordBytes the length
 	// of the record of its submission.
 	taskCount, recordBytes int
-	// runs is the number of the workload's runs, repeats that of those among them that repeat lost ones, and
-	// idleSince when the last run ended or was last listed.
-	runs, repeats   int
+	// runs is the number of the workload's runs, working that of those among them that an executor has shown and
+	// that repeat no lost one, and startedAt when the last one was placed or ordered.
+	runs, working int
+	startedAt     time.Time
+	// idleSince is when the last run that an executor had shown ended, unless it failed, or was last listed.
 	idleSince       time.Time
 	rank            bestEffortRank
 	serviceLevelLog serviceLevelLog
@@ -105,7 +107,7 @@
 	checkpoint    string
 	notBefore     time.Time
 	avoid         *executor
-	refusals      []refusal
+	setbacks      []setback
 	current       *run
 	// originalRun is an earlier run that continues while the current one is its speculative
 	// copy.
