Keep all waiting steps queued while a pass releases runs

Callers saw accepted jobs of which nothing runs and nothing ever runs again (LOST), under this owner, though there was room.

Cause: a pass goes through the queue of waiting steps and deletes from it in place. A run whose start is held for a record ends at once when it is stopped, and its step is queued again. If that happens in a pass, as a background run moves to another executor, the step was inserted into the list that was being gone through: of the steps behind it one was dropped and another one tried twice. A step that is dropped stays marked as queued, so that no end of a run queues it any more. Starts are held for some milliseconds each, and for as long as the store refuses appends.

Change: a pass takes the queue, and steps that are queued meanwhile join it after the pass.

--- a/conductor/place.go
+++ b/conductor/place.go
@@ -80,6 +80,11 @@
 		return
 	}
 	s.queued = true
+	c.insertStep(s)
+}
+
+// insertStep adds a step to the queue in its place.
+func (c *Conductor) insertStep(s *step) {
 	at, _ := slices.BinarySearchFunc(c.steps, s, compareSteps)
 	c.steps = slices.Insert(c.steps, at, s)
 }
--- a/conductor/schedule.go
+++ b/conductor/schedule.go
@@ -71,7 +71,17 @@
 	if all {
 		p.backgroundMoves = maxBackgroundMoves
 	}
-	c.steps = slices.DeleteFunc(c.steps, func(s *step) bool {
+	p.scheduleSteps()
+	metrics.GetOrRegisterCounter("executors.evaluated", c.registry).Inc(p.evaluated)
+}
+
+// scheduleSteps tries the queued steps and the background runs in order. A pass may release runs, so that steps are queued
+// meanwhile: these join the queue after it.
+func (p *schedulingPass) scheduleSteps() {
+	c := p.conductor
+	steps := c.steps
+	c.steps = nil
+	steps = slices.DeleteFunc(steps, func(s *step) bool {
 		w := s.occurrence.workload
 		if w.terminal() || s.waiting == 0 {
 			s.queued = false
@@ -84,7 +94,11 @@
 		return !s.queued
 	})
 	p.promoteBefore(nil)
-	metrics.GetOrRegisterCounter("executors.evaluated", c.registry).Inc(p.evaluated)
+	queued := c.steps
+	c.steps = steps
+	for _, s := range queued {
+		c.insertStep(s)
+	}
 }
 
 // unblockSteps has all waiting steps tried on all executors again.
