Test that a preempted long-running task returns beside bursts

Callers see a long-running task that gave way stay down for as long as bursts of urgent work come, though executors have free room for two of it at every tick: users take it for lost 6 s after its last run and 3 s of room.

--- a/conductor/preemption_test.go
+++ b/conductor/preemption_test.go
@@ -116,6 +116,52 @@
 	sim.runUntil(maxIdleTime, func() bool { return onOthers() >= room-1 })
 }
 
+// TestPreemptedTaskReturnsBesideBursts guards against a long-running task that gave way and stays down without a bound,
+// though executors always have free room for two of it, as bursts of urgent work hold that room in the eyes of the owner.
+func TestPreemptedTaskReturnsBesideBursts(t *testing.T) {
+	const (
+		early, need = 29, 1000
+		// lostAfter is when users take a long-running task for lost that has room twice over: 6 s without a run, then 3 s more.
+		lostAfter = 9 * time.Second
+		// loadPeriod is the time between two pieces of urgent work in a burst, each of which runs for a tick.
+		loadPeriod = 2 * tickInterval
+	)
+	tests := []struct{ burst, pause time.Duration }{
+		{burst: 500 * time.Millisecond, pause: 500 * time.Millisecond},
+		{burst: 700 * time.Millisecond, pause: 800 * time.Millisecond},
+		{burst: 1200 * time.Millisecond, pause: 800 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(fmt.Sprint(test.burst, " of ", test.burst+test.pause), func(t *testing.T) {
+			sim := newSimulation(t, 1, 3)
+			sim.season()
+			sim.run(2 * time.Second)
+			sim.submit(watchQueue, "early", tasks(early, need, time.Hour, longRunning))
+			sim.run(2 * time.Second)
+			sim.loseForGood(sim.hosts[2], true, true)
+			sim.run(15 * time.Second)
+			sim.submit(watchQueue, "late", tasks(2, need, time.Hour, longRunning))
+			sim.runUntil(maxIdleTime, func() bool { return sim.running("late") == 1 })
+			if got := sim.running("early"); got != early-1 {
+				t.Fatalf("long-running tasks after one gave way: got %d, want %d", got, early-1)
+			}
+			for start := sim.now; sim.running("early") < early; {
+				at := sim.now.Sub(start)
+				if at > lostAfter {
+					t.Fatalf("a long-running task has been down for %s, want at most %s", at, lostAfter)
+				}
+				if r := sim.room(); r.capacity-r.used < 2*need {
+					t.Fatalf("free processors after %s: got %d, want room for two tasks", at, r.capacity-r.used)
+				}
+				if at%(test.burst+test.pause) < test.burst && at%loadPeriod == 0 {
+					sim.submit(urgentQueue, fmt.Sprint("urgent-", at), tasks(1, need, tickInterval))
+				}
+				sim.step()
+			}
+		})
+	}
+}
+
 // TestPreemptionSparesProtectedTasks guards against more tasks of a workload out of work at a time than it allows.
 func TestPreemptionSparesProtectedTasks(t *testing.T) {
 	sim := newSimulation(t, 1, 4)
