Let room taken for moments not restart the wait of long-running tasks

Cause: a long-running task that gave way, or that ran before while urgent work lacks room, leaves the reserve free until each look, one per 0.5 s, has found room for two of it for 1.5 s on end. One look that found less began that time anew. The owner's view of room is older than that of users, and other tasks that return take room in the same pass, so that the wait had no bound, while users count 3 s.

Looks found room for 0 at 27.52 s, 4 at 28.52, 7 at 29.02, 0 at 29.52 (in a pass in which other tasks that had waited returned), 26 executors at 30.02. The task returned at 31.53 and was counted as LOST at 31.538, as were seven others.

Change: looks that find less end the time only if none finds room for 1.5 s; a task returns only where the last look found room. A time that no look has continued for 1.5 s no longer counts either (it was kept while no task of the step waited).

--- a/conductor/preemption.go
+++ b/conductor/preemption.go
@@ -24,7 +24,8 @@
 	// that its start isn't lost.
 	minPreemptedAge = 5 * time.Second
 	// returnWait is how long there is room for two of a task that gave way until it may use the reserve. Users take it
-	// for lost after 3 s of that.
+	// for lost after 3 s of that. Looks that find less end that time only if none finds room for as long: the owner's view is
+	// older than that of users, and room is taken for moments.
 	returnWait = 1500 * time.Millisecond
 	// heldRoomTTL is how long room is held for the task for which a run was stopped: for the stop, the report of
 	// it and the start.
@@ -285,7 +286,7 @@
 		return
 	}
 	if !slices.ContainsFunc(s.tasks, func(t *task) bool { return t.current == nil && t.ranBefore() }) {
-		s.roomySince = time.Time{}
+		s.roomySince, s.roomyAt, s.roomy = time.Time{}, time.Time{}, false
 		return
 	}
 	room := 0
@@ -298,15 +299,16 @@
 			room++
 		}
 	}
-	switch {
-	case room < 2:
-		s.roomySince = time.Time{}
-	case s.roomySince.IsZero():
+	s.roomy = room >= 2
+	if p.now.Sub(s.roomyAt) > returnWait {
 		s.roomySince = p.now
 	}
+	if s.roomy {
+		s.roomyAt = p.now
+	}
 }
 
-// isRoomy reports whether there has been room for two tasks of a step for a while.
+// isRoomy reports whether there is room for two tasks of a step, and has been for a while.
 func (p *schedulingPass) isRoomy(s *step) bool {
-	return !s.roomySince.IsZero() && p.now.Sub(s.roomySince) >= returnWait
+	return s.roomy && p.now.Sub(s.roomySince) >= returnWait
 }
--- a/conductor/reserve.go
+++ b/conductor/reserve.go
@@ -130,7 +130,7 @@
 }
 
 // keepsReserve reports whether a task must leave the reserve free. A long-running task that ran before may use
-// it, unless it gave its room to others or urgent work lacks room, and there is no room for it twice over.
+// it, unless it gave its room to others or urgent work lacks room, until there is room for it twice over.
 func (p *schedulingPass) keepsReserve(t *task) bool {
 	s := t.step
 	if !s.spec.Lasting || s.spec.Fills {
--- a/conductor/workload.go
+++ b/conductor/workload.go
@@ -88,9 +88,11 @@
 	searchAfter time.Time
 	typical     typicalDuration
 	// heldOn is the executor on which others last gave up room for the step; nil for none. roomySince is since when there
-	// has been room for two of its tasks; zero if there isn't.
-	heldOn     *executor
-	roomySince time.Time
+	// has been room for two of its tasks but for moments, roomyAt when a look last found it, and roomy whether the last
+	// look did.
+	heldOn              *executor
+	roomySince, roomyAt time.Time
+	roomy               bool
 }
 
 // task is the state of one task of a step.
