--- /dev/null
+++ b/conductor/running_test.go
@@ -0,0 +1,335 @@
+package conductor_test
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"apricotwinch"
+	"apricotwinch/appender"
+	"apricotwinch/messenger"
+)
+
+const (
+	// startAllowance is how long a start takes at most after a change of the owner or the store: the reports of the hosts,
+	// and a call to an executor.
+	startAllowance = 300 * time.Millisecond
+	// disturbedWork is how long workloads are submitted beside faulty executors, and disturbedRest how long the rest
+	// is looked at.
+	disturbedWork = 10 * time.Second
+	disturbedRest = 5 * time.Second
+	// maxTracedLines bounds the lines of the owner's log about a workload that has no run.
+	maxTracedLines = 40
+)
+
+// RUNNING_SEEDS sets how many seeds of TestWorkRunsBesideFaultyExecutors run by hand; the first ones run in CI.
+const (
+	runningSeedsInCI = 1
+	runningSeedsName = "RUNNING_SEEDS"
+)
+
+// disturbance is a fault of executors, or of the owner or its store while workloads are submitted.
+type disturbance struct {
+	name string
+	// harm makes an executor faulty; nil if none is.
+	harm func(*modelExecutor)
+	// disturb is called from time to time; nil if nothing happens.
+	disturb func(*runChecker)
+}
+
+func disturbances() []disturbance {
+	return []disturbance{
+		{name: "starts refused", harm: func(e *modelExecutor) { e.refusing = true }},
+		{name: "runs fail at once", harm: func(e *modelExecutor) { e.failAfter = tickInterval }},
+		{name: "runs fail late", harm: func(e *modelExecutor) { e.failAfter = 700 * time.Millisecond }},
+		{name: "starts unanswered", harm: func(e *modelExecutor) { e.ignoresStarts = true }},
+		{name: "store silent", disturb: func(c *runChecker) { c.silentUntil = c.sim.now.Add(c.outage()) }},
+		{name: "store refuses appends", disturb: func(c *runChecker) { c.rejectsUntil = c.sim.now.Add(c.outage()) }},
+		{name: "owner replaced", disturb: func(c *runChecker) { c.replaceOwner(true) }},
+		{name: "owner replaced that may act", disturb: func(c *runChecker) { c.replaceOwner(false) }},
+	}
+}
+
+// runChecker checks that a workload that could run has a run of its own at least each maxIdleTime. It counts what
+// the executors really run.
+type runChecker struct {
+	*promise
+	faulty []*modelHost
+	// disturbedAt is when the owner or the store last changed. silentUntil is when the store answers again, and
+	// rejectsUntil when it takes appends again.
+	disturbedAt, silentUntil, rejectsUntil time.Time
+	// idleSince holds since when workloads that could run have had no run.
+	idleSince map[string]time.Time
+	// longest holds the longest such time of each workload that had none for too long.
+	longest map[string]time.Duration
+	logs    bytes.Buffer
+}
+
+func newRunChecker(sim *simulation) *runChecker {
+	c := &runChecker{promise: newPromise(sim), idleSince: map[string]time.Time{}, longest: map[string]time.Duration{}}
+	sim.logger = hclog.New(&hclog.LoggerOptions{Output: &c.logs, Level: hclog.Info, DisableTime: true})
+	return c
+}
+
+// outage returns a random length of an outage of the store.
+func (c *runChecker) outage() time.Duration {
+	return 2*time.Second + time.Duration(c.sim.random.IntN(1000))*time.Millisecond
+}
+
+func (c *runChecker) replaceOwner(clean bool) {
+	c.sim.replaceOwner(clean)
+	c.disturbedAt = c.sim.now
+}
+
+// run advances the time by d.
+func (c *runChecker) run(d time.Duration) {
+	c.sim.t.Helper()
+	sim := c.sim
+	for end := sim.now.Add(d); sim.now.Before(end); {
+		sim.storeOffline = sim.now.Before(c.silentUntil)
+		sim.rejectAppend = nil
+		if sim.now.Before(c.rejectsUntil) {
+			sim.rejectAppend = func([]appender.KeyedRecord) bool { return true }
+		}
+		if sim.storeOffline || sim.rejectAppend != nil {
+			c.disturbedAt = sim.now
+		}
+		fmt.Fprintf(&c.logs, "@%s\n", sim.now.Sub(origin))
+		sim.step()
+		c.check()
+	}
+}
+
+// submitOne submits a workload that the executors can run. One that was never durable isn't accepted.
+func (c *runChecker) submitOne() {
+	r := c.sim.random
+	id := fmt.Sprint("job", len(c.accepted))
+	c.accepted, c.queues[id] = append(c.accepted, id), batchQueue
+	ordinary := func(n int, change ...func(*messenger.StepSpec)) messenger.StepSpec {
+		return tasks(n, 350, time.Second, append(change, memory(700))...)
+	}
+	filling := func(n int, change ...func(*messenger.StepSpec)) messenger.StepSpec {
+		return tasks(n, 1800, 2200*time.Millisecond, append(change, memory(3200), bestEffort, image("render"))...)
+	}
+	switch r.IntN(6) {
+	case 0, 1:
+		c.queues[id] = urgentQueue
+		c.sim.submit(urgentQueue, id, ordinary(1+r.IntN(12)), ordinary(1+r.IntN(4), after(0)))
+	case 2:
+		c.queues[id] = urgentQueue
+		c.sim.submit(urgentQueue, id, ordinary(1+r.IntN(3)))
+	case 3:
+		c.sim.submit(batchQueue, id, filling(1))
+	case 4:
+		c.sim.submit(batchQueue, id, filling(1), filling(2, after(0)))
+	default:
+		c.sim.submit(batchQueue, id, filling(1+r.IntN(6)))
+	}
+}
+
+// memory returns a change of a step that sets the memory of its tasks.
+func memory(bytes int) func(*messenger.StepSpec) {
+	return func(s *messenger.StepSpec) { s.Resources.MemoryBytes = bytes }
+}
+
+// use returns the resources of the runs on an executor.
+func (c *runChecker) use(h *modelHost) apricotwinch.Resources {
+	var used apricotwinch.Resources
+	for ref := range h.executor.runs {
+		used = used.Add(c.sim.specs[ref.Task.Workload].Steps[ref.Task.Step].Resources.Value())
+	}
+	return used
+}
+
+// isCalm reports whether under half of the capacity is in use, by all runs.
+func (c *runChecker) isCalm() bool {
+	var used, capacity apricotwinch.Resources
+	for _, h := range c.sim.hosts {
+		used, capacity = used.Add(c.use(h)), capacity.Add(h.executor.capacity)
+	}
+	return used.Add(used).Fits(capacity)
+}
+
+// hasRoom reports whether the executors that work have room for two tasks of a step.
+func (c *runChecker) hasRoom(spec *messenger.StepSpec) bool {
+	need, room := spec.Resources.Value(), 0
+	for _, h := range c.sim.hosts {
+		if slices.Contains(c.faulty, h) {
+			continue
+		}
+		for used := c.use(h).Add(need); room < 2 && used.Fits(h.executor.capacity); used = used.Add(need) {
+			room++
+		}
+	}
+	return room >= 2
+}
+
+// couldRun reports whether the turn of a task of a workload has come that hasn't ended as done, and there is room.
+func (c *runChecker) couldRun(id string, ended map[messenger.TaskRef]bool) bool {
+	for n := range c.sim.specs[id].Steps {
+		spec := &c.sim.specs[id].Steps[n]
+		ref := messenger.TaskRef{Workload: id, Step: n}
+		if !c.isReady(ref) || !c.hasRoom(spec) {
+			continue
+		}
+		for ref.Index = range spec.Tasks {
+			if !c.done[ref] && !ended[ref] {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// check records which workloads have had no run for too long.
+func (c *runChecker) check() {
+	sim := c.sim
+	sim.t.Helper()
+	c.readRecords()
+	ended, running := map[messenger.TaskRef]bool{}, map[string]bool{}
+	for _, h := range sim.hosts {
+		for ref := range h.executor.runs {
+			running[ref.Task.Workload] = true
+		}
+		for _, end := range h.executor.ends {
+			ended[end.Run.Task] = ended[end.Run.Task] || end.How == messenger.EndDone
+		}
+	}
+	calm := c.isCalm()
+	for _, id := range c.accepted {
+		accepted := len(sim.store["w/"+id]) > 0
+		if !calm || !accepted || running[id] || c.terminal[id] || !c.couldRun(id, ended) {
+			delete(c.idleSince, id)
+			continue
+		}
+		since, ok := c.idleSince[id]
+		if !ok {
+			since = sim.now
+		}
+		if started := sim.lastStarts[id]; since.Before(started) {
+			since = started
+		}
+		if disturbed := c.disturbedAt.Add(startAllowance); !c.disturbedAt.IsZero() && since.Before(disturbed) {
+			since = disturbed
+		}
+		c.idleSince[id] = since
+		if idle := sim.now.Sub(since); idle > maxIdleTime {
+			c.longest[id] = max(c.longest[id], idle)
+		}
+	}
+}
+
+// report fails the test for each workload that had no run for too long, with the lines of the owners' logs about it.
+func (c *runChecker) report(t *testing.T) {
+	t.Helper()
+	for _, id := range c.accepted {
+		if c.longest[id] > 0 {
+			t.Errorf("%s of %d steps (best effort %t) had no run for %s though there was room:\n%s", id, len(c.sim.specs[id].Steps),
+				c.sim.specs[id].Steps[0].Fills, c.longest[id], c.linesAbout(id))
+		}
+	}
+}
+
+// linesAbout returns the first lines of the owners' logs about a workload, with their times.
+func (c *runChecker) linesAbout(id string) string {
+	var lines []string
+	at := ""
+	for line := range strings.SplitSeq(c.logs.String(), "\n") {
+		switch {
+		case strings.HasPrefix(line, "@"):
+			at = line
+		case strings.Contains(line, id+" ") && len(lines) < maxTracedLines:
+			lines = append(lines, at+" "+line)
+		}
+	}
+	return strings.Join(lines, "\n")
+}
+
+// newDisturbedChecker returns a checker of a service of 8 to 16 executors with serving tasks on each, which take less than
+// half of it. Best-effort tasks disturb them, so that all executors refuse these but for idle workloads. Faults make 10 to
+// 35% of the executors faulty.
+func newDisturbedChecker(t *testing.T, seed uint64, faults ...disturbance) *runChecker {
+	t.Helper()
+	sim := newSimulation(t, seed, 8+4*int(seed%3))
+	c := newRunChecker(sim)
+	sim.network = &modelNetwork{maxDelay: 10 * time.Millisecond}
+	sim.season()
+	sim.run(2 * time.Second)
+	sim.submit(watchQueue, "watch", tasks(len(sim.hosts), 3200, time.Hour, servingUsers(10), memory(6400)))
+	sim.runUntil(2*time.Second, func() bool { return sim.running("watch") == len(sim.hosts) })
+	sim.setInterference("render", 0.6)
+	tails := []float64{4, 9, 30}
+	for _, h := range sim.hosts {
+		h.executor.tailMillis = tails[int(seed/3)%len(tails)]
+	}
+	sim.run(time.Second)
+	number := len(sim.hosts) * (10 + sim.random.IntN(26)) / 100
+	c.faulty = slices.Clone(sim.hosts)
+	sim.random.Shuffle(len(c.faulty), func(i, j int) { c.faulty[i], c.faulty[j] = c.faulty[j], c.faulty[i] })
+	harms := slices.DeleteFunc(slices.Clone(faults), func(d disturbance) bool { return d.harm == nil })
+	c.faulty = c.faulty[:max(number, len(harms))]
+	if len(harms) == 0 {
+		c.faulty = nil
+	}
+	for i, h := range c.faulty {
+		harms[i%len(harms)].harm(h.executor)
+	}
+	return c
+}
+
+// TestWorkRunsBesideFaultyExecutors guards against accepted workloads that have nothing running for 3 s though the
+// turn of a task has come, there is room for it twice over on executors that work, and under half of the service is in use.
+func TestWorkRunsBesideFaultyExecutors(t *testing.T) {
+	all := disturbances()
+	for i, first := range all {
+		for _, second := range all[i:] {
+			name, faults := first.name, []disturbance{first}
+			if second.name != first.name {
+				name, faults = first.name+", "+second.name, []disturbance{first, second}
+			}
+			t.Run(name, func(t *testing.T) {
+				for seed := range uint64(seedCount(t, runningSeedsName, runningSeedsInCI)) {
+					t.Run(fmt.Sprint(seed), func(t *testing.T) {
+						t.Parallel()
+						newDisturbedChecker(t, seed, faults...).playFaults(t, faults)
+					})
+				}
+			})
+		}
+	}
+}
+
+// playFaults submits workloads beside faults and reports those that had no run for too long.
+func (c *runChecker) playFaults(t *testing.T, faults []disturbance) {
+	t.Helper()
+	sim := c.sim
+	nextDisturbed := sim.now.Add(time.Second)
+	for end := sim.now.Add(disturbedWork); sim.now.Before(end); {
+		c.submitOne()
+		c.run(time.Duration(200+sim.random.IntN(400)) * time.Millisecond)
+		if sim.now.Before(nextDisturbed) {
+			continue
+		}
+		nextDisturbed = sim.now.Add(4500 * time.Millisecond)
+		if f := faults[sim.random.IntN(len(faults))]; f.disturb != nil {
+			f.disturb(c)
+		}
+	}
+	c.run(disturbedRest)
+	c.report(t)
+	if os.Getenv("RUNNING_STATS") != "" {
+		n := 0
+		for _, id := range c.accepted {
+			if c.terminal[id] {
+				n++
+			}
+		}
+		t.Logf("%d of %d terminal", n, len(c.accepted))
+	}
+}
