Report workloads without a run

The waits of steps are found by going through the queue of waiting steps, and begin anew with each start that is ordered. So the log and the metrics said nothing about a step that the queue had lost, nor about one that is started again and again where nothing runs.

Each second the owner now counts the workloads that could run and of which no executor has shown a run for 3 s, as users do, and logs the first ones, whether the queue holds them or not.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -104,9 +104,11 @@
 	// they were last looked at.
 	waits          []*wait
 	waitsCheckedAt time.Time
-	appraiser      *appraiser.Appraiser
-	monitor        *monitor.Monitor
-	durations      durations
+	// withoutRunLoggedAt is when workloads without a run were last logged.
+	withoutRunLoggedAt time.Time
+	appraiser          *appraiser.Appraiser
+	monitor            *monitor.Monitor
+	durations          durations
 	// progress is a buffer for the progress of the runs of one executor.
 	progress               []monitor.Progress
 	interferenceRecordedAt time.Time
--- a/conductor/confirmation.go
+++ b/conductor/confirmation.go
@@ -174,6 +174,7 @@
 		c.setGauge(waitGauge(gaugeStepsWaiting, reason), 0)
 	}
 	c.setGauge(gaugeLongStepWaits, 0)
+	c.setGauge(gaugeWithoutRun, 0)
 	c.clearAdmissionGauges()
 	c.setLeftOut(nil)
 	c.setUnlisted(nil)
--- a/conductor/waits.go
+++ b/conductor/waits.go
@@ -117,6 +117,7 @@
 	c.setLeftOut(leftOut)
 	c.checkLongRunningWaits(now, newWaitEvaluation(p, leftOut))
 	c.checkStepWaits(now, newWaitEvaluation(p, leftOut))
+	c.checkWithoutRun(now)
 	c.checkService(now)
 	c.checkReserve(now, p.pools())
 }
