Let long-running tasks that have been away for 6 s return after two looks with room

Change: after 6 s without a run, when users begin to count, two looks in a row with room are enough.

go test ./conductor passes.

--- a/conductor/preemption.go
+++ b/conductor/preemption.go
@@ -27,6 +27,9 @@
 	// for lost after 3 s of that. Looks that find less end that time only if none finds room for as long: the owner's view is
 	// older than that of users, and room is taken for moments.
 	returnWait = 1500 * time.Millisecond
+	// maxAway is how long after its last run a long-running task isn't taken for lost in any case. From then on, two looks in
+	// a row that find room for two of it are enough.
+	maxAway = 6 * time.Second
 	// heldRoomTTL is how long room is held for the task for which a run was stopped: for the stop, the report of
 	// it and the start.
 	heldRoomTTL = 3 * time.Second
@@ -308,7 +311,11 @@
 	}
 }
 
-// isRoomy reports whether there is room for two tasks of a step, and has been for a while.
-func (p *schedulingPass) isRoomy(s *step) bool {
-	return s.roomy && p.now.Sub(s.roomySince) >= returnWait
+// isRoomy reports whether there is room for two of a long-running task, and has been for a while.
+func (p *schedulingPass) isRoomy(t *task) bool {
+	wait := returnWait
+	if t.wait != nil && p.now.Sub(t.wait.since) >= maxAway {
+		wait = rescanPeriod
+	}
+	return t.step.roomy && p.now.Sub(t.step.roomySince) >= wait
 }
--- a/conductor/reserve.go
+++ b/conductor/reserve.go
@@ -139,7 +139,7 @@
 	if !t.ranBefore() {
 		return true
 	}
-	return (t.preempted || p.lacksUrgentRoom(s)) && !p.isRoomy(s)
+	return (t.preempted || p.lacksUrgentRoom(s)) && !p.isRoomy(t)
 }
 
 // lacksUrgentRoom reports whether urgent work of the service of a step has waited for room lately.
