--- a/soaker/caller_test.go
+++ b/soaker/caller_test.go
@@ -62,6 +62,10 @@
 	Checkpoints bool  `json:"checkpoints,omitempty"`
 	BestEffort  bool  `json:"fills,omitempty"`
 	LongRunning bool  `json:"perpetual,omitempty"`
+	// Image names what the tasks run.
+	Image string `json:"image,omitempty"`
+	// TargetMillis is the tail latency that serving tasks must keep.
+	TargetMillis int `json:"target_ms,omitempty"`
 }
 
 // kinds set up the kinds of workloads: two small urgent ones, a best-effort one, one whose
@@ -194,13 +198,19 @@
 	after := time.Duration(c.random.IntN(4000)) * time.Millisecond
 	c.workloads = append(c.workloads, w)
 	c.mu.Unlock()
+	c.submitInBackground(w, cancels, after)
+	return w
+}
+
+// submitInBackground submits a workload of c.workloads in the background and, if cancels is set, cancels it some
+// time after it was accepted.
+func (c *callers) submitInBackground(w *workload, cancels bool, after time.Duration) {
 	c.background.Go(func() {
 		if c.submit(w) && cancels {
 			time.Sleep(after)
 			c.cancel(w)
 		}
 	})
-	return w
 }
 
 // call sends one request to a random entry. It returns status 0 when no complete response
--- a/soaker/checker_test.go
+++ b/soaker/checker_test.go
@@ -45,6 +45,7 @@
 	endAcknowledged bool         // Whether its completion was acknowledged to the executor.
 	restartedAs     int          // Number of the last run that started after the task was done.
 	failed          map[int]bool // Run numbers with an acknowledged failure.
+	failures        int          // Number of its runs that failed.
 }
 
 func newChecker(workloads []*workload) *checker {
@@ -163,6 +164,9 @@
 func (c *checker) recordEnd(e performer.Event, h *taskHistory) {
 	h.running--
 	h.done = h.done || e.Outcome == performer.Done
+	if e.Outcome == performer.Failed {
+		h.failures++
+	}
 	delete(c.running[incarnation(e)], runKey(e))
 }
 
@@ -216,8 +220,20 @@
 		return ""
 	case w.alwaysFails && w.state != "failed":
 		return "LOST: not reported as failed although every run of its tasks fails"
+	case w.state == "failed" && c.exhausted(w):
+		return ""
 	case !w.alwaysFails && w.state != "completed":
 		return fmt.Sprintf("LOST: not completed, %d tasks not done, %d running", undone, running)
 	}
 	return ""
 }
+
+// exhausted reports whether a task of a workload has failed as often as it may.
+func (c *checker) exhausted(w *workload) bool {
+	for t, h := range c.tasks {
+		if t.id == w.id && h.failures >= maxAttempts {
+			return true
+		}
+	}
+	return false
+}
--- a/standin/performer/performer.go
+++ b/standin/performer/performer.go
@@ -75,6 +75,8 @@
 	Stalled bool
 	// FailFraction is the fraction of runs, 0 to 1, that fail right after their start.
 	FailFraction float64
+	// RejectStarts rejects every start with status 503.
+	RejectStarts bool
 	// NoHeartbeats stops the heartbeats.
 	NoHeartbeats bool
 }
--- a/standin/performer/performer_test.go
+++ b/standin/performer/performer_test.go
@@ -245,3 +245,15 @@
 		t.Errorf("events (-want +got):\n%s", diff)
 	}
 }
+
+// TestRejectedStartsDoNothing guards against an executor that starts a run though it rejects the start.
+func TestRejectedStartsDoNothing(t *testing.T) {
+	e := newExecutor(t)
+	e.SetFaults(performer.Faults{RejectStarts: true})
+	if diff := cmp.Diff(http.StatusServiceUnavailable, e.start("a", time.Hour, time.Minute, 1)); diff != "" {
+		t.Errorf("status of a start (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff([]string(nil), e.takeEvents()); diff != "" {
+		t.Errorf("events (-want +got):\n%s", diff)
+	}
+}
--- a/standin/performer/taskspec.go
+++ b/standin/performer/taskspec.go
@@ -14,6 +14,11 @@
 	LongRunning bool `json:"lasts,omitempty"`
 	// Fails is the number of runs, from the first on, that fail.
 	Fails int `json:"fails,omitempty"`
+	// TailMillis is the tail latency of a serving task that nothing disturbs, in milliseconds.
+	TailMillis int `json:"tail,omitempty"`
+	// DisturbanceMillis is what a run at full speed adds to the tail latency of each serving task on its
+	// executor, in milliseconds.
+	DisturbanceMillis float64 `json:"disturbance,omitempty"`
 	// Client makes the texts of different workloads distinct.
 	Client string `json:"client,omitempty"`
 }
@@ -21,7 +26,23 @@
 // EncodeTaskSpec returns the text of a task. The task runs for duration at full speed, or until it
 // is stopped if longRunning is true. Its first runs, fails in number, fail.
 func EncodeTaskSpec(client string, duration time.Duration, longRunning bool, fails int) string {
-	data, err := json.Marshal(taskSpec{Millis: int(duration.Milliseconds()), LongRunning: longRunning, Fails: fails, Client: client})
+	return encode(taskSpec{Millis: int(duration.Milliseconds()), LongRunning: longRunning, Fails: fails, Client: client})
+}
+
+// EncodeServingTaskSpec returns the text of a long-running task that serves with the given tail
+// latency while nothing disturbs it.
+func EncodeServingTaskSpec(client string, tail time.Duration) string {
+	return encode(taskSpec{LongRunning: true, TailMillis: int(tail.Milliseconds()), Client: client})
+}
+
+// EncodeDisturbingTaskSpec returns the text of a task that runs for duration at full speed and meanwhile
+// adds disturbance to the tail latency of each serving task on its executor.
+func EncodeDisturbingTaskSpec(client string, duration, disturbance time.Duration) string {
+	return encode(taskSpec{Millis: int(duration.Milliseconds()), DisturbanceMillis: disturbance.Seconds() * 1000, Client: client})
+}
+
+func encode(spec taskSpec) string {
+	data, err := json.Marshal(spec)
 	if err != nil {
 		panic(err)
 	}
@@ -61,3 +82,16 @@
 	total := time.Duration(r.spec.Millis) * time.Millisecond
 	return int(100 * (total - max(0, r.remaining)) / total)
 }
+
+// tailLatency returns the tail latency of a serving run, in milliseconds; 0 for any other run. p.mu is
+// held.
+func (p *Performer) tailLatency(r *run) int {
+	if r.spec.TailMillis == 0 {
+		return 0
+	}
+	tail := float64(r.spec.TailMillis)
+	for _, other := range p.runs {
+		tail += other.spec.DisturbanceMillis * other.speed
+	}
+	return int(tail)
+}
