Start idle work once per held start, and count what failed attempts show

- A start held for a record was taken for lost after a second, so that a store outage of 8 s ended with 9 tasks of one workload beyond the bounds, or 6 in the reserve.
A workload with a held start starts nothing beyond the bounds.
- A start that was stopped in doubt counted as a run that an executor had shown, so that a workload had none for up to 8.2 s beside executors whose answers get lost.
Only a run that was seen running counts when it is being stopped.
- A task that had failed stayed away from executors that failed last for 32 s, also where all had: 32 s on a fleet that was sound again.
It does so only while some executor of the service hasn't failed last, and an end as done of any work clears that.
- A task that avoids the executors with room kept the other tasks of its step from them, for up to 3.6 s.
- The second failure of one workload on an executor, after 4 s, counted as none.
- Throttled and slow runs were stopped to move to executors that refuse all: 96 runs of 6 tasks in a minute.
- A blocked step is looked at when the wait for an unanswered start ends, too.

--- a/conductor/background.go
+++ b/conductor/background.go
@@ -69,7 +69,7 @@
 	}
 	p.backgroundMoves--
 	return slices.ContainsFunc(p.pool(q.Service), func(e *executor) bool {
-		return e != r.executor && p.conductor.mayWork(p.now, r.task, e) && p.admits(s, e)
+		return e != r.executor && !e.failedLast(p.now) && p.conductor.mayWork(p.now, r.task, e) && p.admits(s, e)
 	})
 }
 
--- a/conductor/confirmation.go
+++ b/conductor/confirmation.go
@@ -48,11 +48,11 @@
 	if r.runningAt.IsZero() && phase == messenger.RunRunning {
 		r.runningAt = now
 	}
-	if phase == messenger.RunStarting {
-		return
+	if phase == messenger.RunStarting || phase == messenger.RunStopping && r.runningAt.IsZero() {
+		return // A start that was stopped may have had no answer.
 	}
 	if r.confirmedAt.IsZero() && r.repeats == nil {
-		r.task.step.occurrence.workload.working++
+		r.task.step.occurrence.workload.confirmed++
 	}
 	r.confirmedAt = now
 }
--- a/conductor/ends.go
+++ b/conductor/ends.go
@@ -56,6 +56,9 @@
 		c.logger.Info("run ended", "run", end.Run, "executor", e.id, "born", e.incarnation, "how", end.How, "current", current)
 	}
 	c.markStarted(w)
+	if end.How == messenger.EndDone {
+		e.failureStreak = 0
+	}
 	switch {
 	case t.done || w.terminal():
 		return
@@ -63,7 +66,6 @@
 		c.applyGangEnd(now, t, end)
 		return
 	case end.How == messenger.EndDone && !t.step.spec.Lasting:
-		e.failureStreak = 0
 		c.finishTask(now, t)
 		return
 	case end.How == messenger.EndFailed && slices.Contains(t.failed, end.Run.Run):
@@ -72,7 +74,7 @@
 		t.addFailedRun(end.Run.Run)
 		t.failureStreak++
 		t.avoid = e
-		c.addSetback(now, t, e, true)
+		c.addFailedAttempt(now, t, e, true)
 		t.notBefore = now.Add(apricotwinch.ExponentialBackoff(c.config.Backoff, c.config.MaxBackoff, t.failureStreak-1))
 		c.countExecutorFailure(now, e, t)
 	case end.Checkpoint != "":
@@ -102,7 +104,7 @@
 // workload count once.
 func (c *Conductor) countExecutorFailure(now time.Time, e *executor, t *task) {
 	if now.Sub(e.failedAt) > c.config.FailureStreakTTL {
-		e.failureStreak = 0
+		e.failureStreak, e.streakWorkload = 0, ""
 	}
 	e.failedAt = now
 	if id := t.ref.Workload; e.streakWorkload != id {
--- a/conductor/idle.go
+++ b/conductor/idle.go
@@ -1,14 +1,14 @@
 package conductor
 
 import (
+	"slices"
 	"time"
 
 	"apricotwinch"
 	"apricotwinch/messenger"
 )
 
-// maxStartWait is how long a start of an idle workload is waited for until another one is tried: lists show a run within
-// half a second, and users wait 3 s in all.
+// maxStartWait is how long a start that was ordered is waited for until its executor shows the run.
 const maxStartWait = time.Second
 
 // Weights in the cost of an executor to a task that starts beyond the bounds of its step.
@@ -28,7 +28,7 @@
 		return
 	}
 	if r.repeats == nil {
-		w.working--
+		w.confirmed--
 	}
 	if reason != messenger.EndFailed {
 		w.idleSince = now
@@ -39,7 +39,7 @@
 // one does. Repeats of lost runs don't count: these may have ended unheard, so that a repeat does nothing new.
 func (s *step) idleFor(now time.Time) time.Duration {
 	w := s.occurrence.workload
-	if w.working > 0 {
+	if w.confirmed > 0 {
 		return 0
 	}
 	return now.Sub(later(s.readyAt, w.idleSince))
@@ -47,7 +47,14 @@
 
 // awaitsStart reports whether a run of a workload may still be about to start.
 func (w *workload) awaitsStart(now time.Time) bool {
-	return w.runs > w.working && now.Sub(w.startedAt) < maxStartWait
+	return w.runs > w.confirmed && now.Sub(w.lastStartAt) < maxStartWait
+}
+
+// holdsStart reports whether a start of a workload is held for a record.
+func (c *Conductor) holdsStart(w *workload) bool {
+	return slices.ContainsFunc(c.heldStarts, func(s heldStart) bool {
+		return s.run.task.step.occurrence.workload == w && c.runs[s.run.ref] == s.run
+	})
 }
 
 // mayStartIdle reports whether a task of a step may start beyond the bounds that only weigh it against other
@@ -59,14 +66,18 @@
 	}
 	config := p.conductor.config
 	w := s.occurrence.workload
-	idle := s.idleFor(p.now) >= config.MaxIdle && !w.awaitsStart(p.now) || p.repeatsOnly && w.runs == 0
+	idle := s.idleFor(p.now) >= config.MaxIdle && !w.awaitsStart(p.now) && !p.conductor.holdsStart(w) || p.repeatsOnly && w.runs == 0
 	return idle && p.utilizationOf(service) < config.MaxIdleUtilization
 }
 
 // becameIdle reports whether a task of a blocked step may start beyond the bounds, and might not when the step was last tried.
 func (p *schedulingPass) becameIdle(s *step, service string) bool {
-	idleAt := p.now.Add(p.conductor.config.MaxIdle - s.idleFor(p.now))
-	return s.blockedAt.Before(idleAt) && p.mayStartIdle(s, service)
+	w := s.occurrence.workload
+	dueAt := p.now.Add(p.conductor.config.MaxIdle - s.idleFor(p.now))
+	if w.runs > w.confirmed {
+		dueAt = later(dueAt, w.lastStartAt.Add(maxStartWait))
+	}
+	return s.blockedAt.Before(dueAt) && p.mayStartIdle(s, service)
 }
 
 // startIdle starts one task of a step whose workload has been idle for too long, or its gang, on the
--- a/conductor/idle_test.go
+++ b/conductor/idle_test.go
@@ -251,3 +251,102 @@
 		}
 	}
 }
+
+// TestStoreOutageStartsOneIdleTask guards against workloads that start many tasks beyond the bounds on best-effort work, as
+// their first one is held while the store refuses appends.
+func TestStoreOutageStartsOneIdleTask(t *testing.T) {
+	for _, outage := range []time.Duration{2 * time.Second, 4 * time.Second, 8 * time.Second} {
+		t.Run(outage.String(), func(t *testing.T) {
+			sim := newSimulation(t, 1, 2)
+			sim.run(2 * time.Second)
+			sim.submit(batchQueue, "earlier", tasks(32, 1000, time.Hour, bestEffort))
+			sim.run(time.Second)
+			sim.submit(batchQueue, "w", tasks(20, 1000, time.Hour, bestEffort))
+			sim.run(200 * time.Millisecond)
+			sim.storeOffline = true
+			sim.run(1500*time.Millisecond + outage)
+			sim.storeOffline = false
+			sim.run(time.Second)
+			if n := sim.running("w"); n != 1 {
+				t.Errorf("%d tasks run beyond the bounds, want 1", n)
+			}
+		})
+	}
+}
+
+// TestStoreOutageLeavesReserve guards against a long-running workload that takes the reserve task by task, as its first
+// start is held while the store refuses appends.
+func TestStoreOutageLeavesReserve(t *testing.T) {
+	for _, outage := range []time.Duration{0, 4 * time.Second, 8 * time.Second} {
+		t.Run(outage.String(), func(t *testing.T) {
+			sim := newSimulation(t, 1, 8)
+			for i, h := range sim.hosts {
+				h.dc = fmt.Sprint("dc-", i)
+			}
+			sim.run(2 * time.Second)
+			sim.submit(watchQueue, "w", tasks(8, 15_000, time.Hour, longRunning))
+			sim.run(200 * time.Millisecond)
+			before := sim.running("w")
+			sim.storeOffline = outage > 0
+			sim.run(1500*time.Millisecond + outage)
+			sim.storeOffline = false
+			sim.run(time.Second)
+			t.Logf("running %d before, %d after", before, sim.running("w"))
+			if n := sim.running("w"); n > 1 {
+				t.Errorf("%d tasks take the reserve, want 1", n)
+			}
+		})
+	}
+}
+
+// TestTasksRunSoonAfterOwnFailures guards against best-effort tasks that wait for long on a sound fleet with room for all,
+// as each failed once on each executor.
+func TestTasksRunSoonAfterOwnFailures(t *testing.T) {
+	sim := newSimulation(t, 1, 3)
+	for _, h := range sim.hosts {
+		h.executor.failAfter = failingDelay
+	}
+	sim.run(2 * time.Second)
+	sim.submit(batchQueue, "w", tasks(20, 1000, time.Hour, bestEffort))
+	sim.runUntil(time.Second, func() bool { return sim.running("w") == 20 })
+	for _, h := range sim.hosts {
+		h.executor.failAfter = 0
+	}
+	sim.run(time.Second)
+	took := sim.runUntil(time.Minute, func() bool { return sim.running("w") == 20 })
+	t.Logf("all tasks run after %s", time.Second+took)
+	if took > 5*time.Second {
+		t.Errorf("all tasks run after %s more, want 5 s at most", took)
+	}
+}
+
+// TestFailedTaskLetsOthersOfItsStepStart guards against best-effort tasks that wait though there is room for them, as an earlier
+// task of their step had a setback on the executors with room.
+func TestFailedTaskLetsOthersOfItsStepStart(t *testing.T) {
+	const waves = 8
+	for _, hosts := range []int{1, 3} {
+		for _, failures := range []int{0, 1, 2} {
+			sim := newSimulation(t, 1, hosts)
+			sim.run(2 * time.Second)
+			sim.submit(batchQueue, "w", tasks(16*hosts*waves, 1000, 500*time.Millisecond, bestEffort))
+			lowTime := time.Duration(0)
+			took := sim.runUntil(time.Minute, func() bool {
+				for _, h := range sim.hosts {
+					for ref, r := range h.executor.runs {
+						if ref.Task.Index == 0 && ref.Run <= failures && !r.fails {
+							r.fails, r.remaining = true, min(r.remaining, failingDelay)
+						}
+					}
+				}
+				if sim.running("w") <= 1 && len(sim.doneTasks) < 16*hosts*waves-1 {
+					lowTime += tickInterval
+				}
+				return sim.state("w") == messenger.WorkloadCompleted
+			})
+			t.Logf("%d hosts, %d failures: completed after %s, at most one task ran for %s while others waited", hosts, failures, took, lowTime)
+			if lowTime > time.Second {
+				t.Errorf("%d hosts, %d failures: at most one task ran for %s while others waited, want 1 s at most", hosts, failures, lowTime)
+			}
+		}
+	}
+}
--- a/conductor/move.go
+++ b/conductor/move.go
@@ -74,7 +74,7 @@
 func (c *Conductor) betterExecutors(now time.Time, s *step, pool []*executor) []*executor {
 	var better []*executor
 	for _, e := range pool {
-		if !c.isFailing(now, e) && c.fits(s, e) && c.respectsReservation(now, s, e) && c.expectedSpeed(s.spec.Image, e) >= minMoveSpeed && c.suitable(now, s.spec.Image, e) {
+		if !e.failedLast(now) && c.fits(s, e) && c.respectsReservation(now, s, e) && c.expectedSpeed(s.spec.Image, e) >= minMoveSpeed && c.suitable(now, s.spec.Image, e) {
 			better = append(better, e)
 		}
 		if len(better) == 2 {
--- a/conductor/place.go
+++ b/conductor/place.go
@@ -83,7 +83,7 @@
 	c.insertStep(s)
 }
 
-// insertStep adds a step to the queue in its place.
+// insertStep adds a step to the queue at its position in the order.
 func (c *Conductor) insertStep(s *step) {
 	at, _ := slices.BinarySearchFunc(c.steps, s, compareSteps)
 	c.steps = slices.Insert(c.steps, at, s)
@@ -288,7 +288,7 @@
 		repeats:      t.loss,
 	}
 	t.inherited = false
-	t.step.occurrence.workload.startedAt = now
+	t.step.occurrence.workload.lastStartAt = now
 	c.recordUse(t.step, e)
 	c.makeCurrent(now, r)
 	if write > c.durable {
--- a/conductor/placement.go
+++ b/conductor/placement.go
@@ -161,7 +161,7 @@
 	order.Ticket, _ = r.task.step.validTicket(now, e)
 	orders := c.ordersFor(e.host)
 	r.startedAt = now
-	r.task.step.occurrence.workload.startedAt = now
+	r.task.step.occurrence.workload.lastStartAt = now
 	r.ordersNumber, r.agent = orders.Number, orders.Incarnation
 	e.host.lastStart = orders.Number
 	orders.Starts = append(orders.Starts, order)
--- a/conductor/progress.go
+++ b/conductor/progress.go
@@ -124,7 +124,7 @@
 		if _, ok := s.validTicket(now, e); q.Advised && !ok {
 			continue
 		}
-		if c.monitor.Verdict(now, e.id) != monitor.Healthy || c.isFailing(now, e) || !c.fits(s, e) || !c.respectsReservation(now, s, e) {
+		if c.monitor.Verdict(now, e.id) != monitor.Healthy || e.failedLast(now) || !c.fits(s, e) || !c.respectsReservation(now, s, e) {
 			continue
 		}
 		alternatives = append(alternatives, e)
--- a/conductor/report.go
+++ b/conductor/report.go
@@ -174,7 +174,7 @@
 		}
 		t := run.task
 		c.release(now, run, "refused")
-		c.addSetback(now, t, run.executor, false)
+		c.addFailedAttempt(now, t, run.executor, false)
 		t.notBefore = now.Add(c.config.Backoff)
 		switch refusal.Kind {
 		case string(apricotwinch.NoTarget):
--- a/conductor/schedule.go
+++ b/conductor/schedule.go
@@ -157,7 +157,7 @@
 		return p.startGang(s, pool)
 	}
 	var candidates []candidate
-	evaluated, reserveReached := false, false
+	evaluated, reserveReached, avoided := false, false, false
 	for _, t := range s.tasks {
 		if s.waiting == 0 {
 			return true
@@ -184,11 +184,13 @@
 			candidates = p.update(s, candidates, at)
 		case keepsReserve:
 			reserveReached = true
+		case len(candidates) > 0:
+			avoided = true // Other tasks of the step may start there.
 		default:
 			return false
 		}
 	}
-	return !reserveReached
+	return !reserveReached && !avoided
 }
 
 // mayStart reports whether a task waits for nothing but an executor.
--- a/conductor/workload.go
+++ b/conductor/workload.go
@@ -30,10 +30,10 @@
 	// taskCount is the number of tasks over all occurrences while the workload has not ended, and recordBytes the length
 	// of the record of its submission.
 	taskCount, recordBytes int
-	// runs is the number of the workload's runs, working that of those among them that an executor has shown and
-	// that repeat no lost one, and startedAt when the last one was placed or ordered.
-	runs, working int
-	startedAt     time.Time
+	// runs is the number of the workload's runs, confirmed that of those among them that an executor has shown and
+	// that repeat no lost one, and lastStartAt when the last one was placed or ordered.
+	runs, confirmed int
+	lastStartAt     time.Time
 	// idleSince is when the last run that an executor had shown ended, unless it failed, or was last listed.
 	idleSince       time.Time
 	rank            bestEffortRank
@@ -104,13 +104,13 @@
 	// failed holds the numbers of the runs that were counted as failed. An end that the last
 	// owner did not acknowledge is reported again, and ends of several executors arrive in any
 	// order.
-	failed        []int
-	failureStreak int
-	checkpoint    string
-	notBefore     time.Time
-	avoid         *executor
-	setbacks      []setback
-	current       *run
+	failed         []int
+	failureStreak  int
+	checkpoint     string
+	notBefore      time.Time
+	avoid          *executor
+	failedAttempts []failedAttempt
+	current        *run
 	// originalRun is an earlier run that continues while the current one is its speculative
 	// copy.
 	originalRun *run
