--- a/conductor/held_move_test.go
+++ b/conductor/held_move_test.go
@@ -8,9 +8,8 @@
 	"apricotwinch/messenger"
 )
 
-// TestWaitingStepsSurviveMoveOfHeldStart guards against tasks that never start: while the store refuses appends, the held
-// start of a background run whose step waits for nothing else is taken back, as there is room on another executor, and the
-// queue of waiting steps loses one of those behind it.
+// TestWaitingStepsSurviveMoveOfHeldStart guards against tasks that never start, as the queue of waiting steps loses one when
+// a pass over it stops a background run whose start is held while the store refuses appends.
 func TestWaitingStepsSurviveMoveOfHeldStart(t *testing.T) {
 	const laterWorkloads, tasksEach = 3, 2
 	onFirstHost := func(s *messenger.StepSpec) { s.Label = "r1-host-0" }
--- a/conductor/idle_test.go
+++ b/conductor/idle_test.go
@@ -321,7 +321,7 @@
 }
 
 // TestFailedTaskLetsOthersOfItsStepStart guards against best-effort tasks that wait though there is room for them, as an earlier
-// task of their step had a setback on the executors with room.
+// task of their step had a failed attempt on the executors with room.
 func TestFailedTaskLetsOthersOfItsStepStart(t *testing.T) {
 	const waves = 8
 	for _, hosts := range []int{1, 3} {
--- a/conductor/preemption.go
+++ b/conductor/preemption.go
@@ -27,8 +27,8 @@
 	// for lost after 3 s of that. Looks that find less end that time only if none finds room for as long: the owner's view is
 	// older than that of users, and room is taken for moments.
 	returnWait = 1500 * time.Millisecond
-	// maxAway is how long after its last run a long-running task isn't taken for lost in any case. From then on, two looks in
-	// a row that find room for two of it are enough.
+	// maxAway is how long a long-running task that ran before has no run until two looks in a row that find room for two of it
+	// are enough. Users don't take it for lost before.
 	maxAway = 6 * time.Second
 	// heldRoomTTL is how long room is held for the task for which a run was stopped: for the stop, the report of
 	// it and the start.
--- a/conductor/withoutrun.go
+++ b/conductor/withoutrun.go
@@ -22,7 +22,7 @@
 	idle time.Duration
 }
 
-// checkWithoutRun counts the workloads that could run and of which no executor has shown a run for maxWithoutRun, and logs
+// checkWithoutRun counts the workloads that wait in their turn and of which no executor has shown a run for maxWithoutRun, and logs
 // those without one for longest. It goes through all workloads, as the queue of waiting steps may be at fault.
 func (c *Conductor) checkWithoutRun(now time.Time) {
 	var idle []idleWorkload
